Link routers by QUIC with mutual TLS

One connection a pair, dialled by either side; datagrams for small messages, one stream a long message or conversation. The router with the lower ID closes the second connection after both dialled at once.

--- /dev/null
+++ b/internal/link/connection.go
@@ -0,0 +1,131 @@
+package link
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/wire"
+)
+
+// connection is one QUIC connection to a peer.
+type connection struct {
+	peer  *peer
+	quic  *quic.Conn
+	since time.Time
+
+	mu      sync.Mutex
+	awaited time.Time // since when a packet is awaited; zero: none is
+	packets uint64    // received when the wait began
+}
+
+// start reads from the connection until it ends.
+func (c *connection) start() {
+	work := &c.peer.link.work
+	work.Go(c.readDatagrams)
+	work.Go(c.acceptMessages)
+	work.Go(c.acceptFetches)
+}
+
+// await notes that a packet was sent that the peer will acknowledge.
+func (c *connection) await() {
+	packets := c.quic.ConnectionStats().PacketsReceived
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaited.IsZero() {
+		c.awaited = time.Now()
+		c.packets = packets
+	}
+}
+
+// silent says whether a packet has been awaited too long.
+func (c *connection) silent(now time.Time) bool {
+	packets := c.quic.ConnectionStats().PacketsReceived
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if packets != c.packets {
+		c.awaited = time.Time{}
+		return false
+	}
+	return !c.awaited.IsZero() && now.Sub(c.awaited) >= silentTime
+}
+
+func (c *connection) readDatagrams() {
+	defer c.peer.detach(c)
+	for {
+		data, err := c.quic.ReceiveDatagram(context.Background())
+		if err != nil {
+			return
+		}
+		c.deliver(data, len(data))
+	}
+}
+
+// deliver gives each message of a datagram or stream to the handler.
+func (c *connection) deliver(data []byte, limit int) {
+	l := c.peer.link
+	for len(data) > 0 {
+		envelope, rest, err := wire.NextEnvelope(data, limit)
+		if err != nil {
+			c.malformed(err)
+			return
+		}
+		l.counters.kinds[envelope.Kind].received(len(envelope.Body))
+		l.config.Handler(c.peer.id, envelope.Kind, envelope.Body)
+		data = rest
+	}
+}
+
+func (c *connection) malformed(err error) {
+	l := c.peer.link
+	l.counters.malformed.Add(1)
+	events.LinkMalformed.Log(l.ctx, l.log, slog.LevelWarn, "peer", c.peer.id, "err", err)
+}
+
+func (c *connection) acceptMessages() {
+	work := &c.peer.link.work
+	for {
+		stream, err := c.quic.AcceptUniStream(context.Background())
+		if err != nil {
+			return
+		}
+		work.Go(func() { c.readMessage(stream) })
+	}
+}
+
+func (c *connection) readMessage(stream *quic.ReceiveStream) {
+	const limit = MaxMessage + wire.EnvelopeOverhead
+	data, err := io.ReadAll(io.LimitReader(stream, limit+1))
+	if err != nil {
+		return
+	}
+	if len(data) > limit {
+		c.oversize()
+		stream.CancelRead(streamTooLarge)
+		return
+	}
+	c.deliver(data, limit)
+}
+
+func (c *connection) oversize() {
+	l := c.peer.link
+	l.counters.oversize.Add(1)
+	err := &Error{Kind: KindTooLarge, Peer: c.peer.id}
+	events.LinkMalformed.Log(l.ctx, l.log, slog.LevelWarn, "peer", c.peer.id, "err", err)
+}
+
+func (c *connection) acceptFetches() {
+	work := &c.peer.link.work
+	for {
+		stream, err := c.quic.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		work.Go(func() { c.answer(stream) })
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,334 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/fleetcert"
+)
+
+const (
+	kindPlain uint8 = 7
+	kindBad   uint8 = 8 // the test's FetchHandler refuses it
+	kindHang  uint8 = 9 // the test's FetchHandler does not answer it
+)
+
+// fleet is a few links on loopback with one CA.
+type fleet struct {
+	t         *testing.T
+	authority *fleetcert.Authority
+
+	mu    sync.Mutex
+	addrs map[msg.RouterID]string
+	got   map[string]int // "TO<FROM:BODY" to how often
+}
+
+func newFleet(t *testing.T) *fleet {
+	authority, err := fleetcert.NewAuthority(time.Now())
+	assert.NilError(t, err)
+	return &fleet{t: t, authority: authority, addrs: map[msg.RouterID]string{}, got: map[string]int{}}
+}
+
+func (f *fleet) credentials(id msg.RouterID) fleetcert.Credentials {
+	pair, err := f.authority.Router(id, nil, time.Now())
+	assert.NilError(f.t, err)
+	c, err := fleetcert.NewCredentials(pair, f.authority.Pool())
+	assert.NilError(f.t, err)
+	return c
+}
+
+func (f *fleet) resolve(id msg.RouterID) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	addr, ok := f.addrs[id]
+	return addr, ok
+}
+
+func (f *fleet) setAddr(id msg.RouterID, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addrs[id] = addr
+}
+
+func (f *fleet) count(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.got[key]
+}
+
+// start runs a link; it and its Run end with the test or by stop.
+func (f *fleet) start(id msg.RouterID, c fleetcert.Credentials, listen string) (l *Link, stop func()) {
+	l, err := New(Config{
+		ID: id, Listen: listen, TLS: c, Resolve: f.resolve,
+		Handler: func(from msg.RouterID, kind uint8, body []byte) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.got[fmt.Sprintf("%s<%s:%s", id, from, body[:min(len(body), 20)])]++
+		},
+		FetchHandler: func(ctx context.Context, from msg.RouterID, kind uint8, req []byte) ([]byte, error) {
+			switch kind {
+			case kindBad:
+				return nil, &Error{Kind: KindRefused, Peer: from}
+			case kindHang:
+				<-ctx.Done()
+				return nil, &Error{Kind: KindTimeout, Peer: from}
+			}
+			return append([]byte(from+":"), req...), nil
+		},
+	})
+	assert.NilError(f.t, err)
+	f.setAddr(id, l.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		assert.Check(f.t, <-ended)
+	})
+	f.t.Cleanup(stop)
+	return l, stop
+}
+
+func (f *fleet) link(id msg.RouterID) *Link {
+	l, _ := f.start(id, f.credentials(id), "127.0.0.1:0")
+	return l
+}
+
+// until waits for a condition; how long it takes is not judged.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// deliver sends until the message arrives, since any one may be lost.
+func (f *fleet) deliver(from *Link, to msg.RouterID, body string) {
+	f.t.Helper()
+	key := fmt.Sprintf("%s<%s:%s", to, from.config.ID, body)
+	until(f.t, key, func() bool {
+		from.Send(to, kindPlain, []byte(body))
+		return f.count(key) > 0
+	})
+}
+
+func fetchContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestSendAndFetchBothWays(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.link("a"), f.link("b")
+	f.deliver(a, "b", "hello")
+	f.deliver(b, "a", "hello back")
+	answer, err := a.Fetch(fetchContext(t), "b", kindPlain, []byte("x"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer), "a:x")
+	long := bytes.Repeat([]byte("y"), MaxMessage)
+	answer, err = b.Fetch(fetchContext(t), "a", kindPlain, long)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(answer, append([]byte("b:"), long...)))
+	a.Send("b", kindPlain, long)
+	until(t, "the long message", func() bool { return f.count("b<a:"+string(long[:20])) == 1 })
+	// One connection carried all of it: b used the one that a had dialled.
+	assert.Equal(t, a.Stats().Connections, 1)
+	assert.Equal(t, b.Stats().Dials, uint64(0))
+	assert.Equal(t, b.Stats().Kinds[kindPlain].ReceivedBytes >= uint64(len(long)), true)
+}
+
+func TestFetchErrors(t *testing.T) {
+	f := newFleet(t)
+	a := f.link("a")
+	f.link("b")
+	_, err := a.Fetch(fetchContext(t), "b", kindBad, nil)
+	assert.Equal(t, KindOf(err), KindRefused)
+	_, err = a.Fetch(fetchContext(t), "b", kindPlain, make([]byte, MaxMessage+1))
+	assert.Equal(t, KindOf(err), KindTooLarge)
+	_, err = a.Fetch(fetchContext(t), "nobody", kindPlain, nil)
+	assert.Equal(t, KindOf(err), KindNoAddr)
+	_, err = a.Fetch(fetchContext(t), "a", kindPlain, nil)
+	assert.Equal(t, KindOf(err), KindNoAddr)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = a.Fetch(ctx, "b", kindHang, nil)
+	assert.Equal(t, KindOf(err), KindTimeout)
+}
+
+func TestMessagesOfABurstShareDatagrams(t *testing.T) {
+	const burst = 200
+	f := newFleet(t)
+	a := f.link("a")
+	f.link("b")
+	for i := range burst { // they gather while the dial is under way
+		a.Send("b", kindPlain, fmt.Appendf(nil, "m%d", i))
+	}
+	until(t, "all sent", func() bool { return a.Stats().Kinds[kindPlain].SentMessages == burst })
+	assert.Assert(t, a.Stats().Datagrams <= burst/20, "%d datagrams", a.Stats().Datagrams)
+	until(t, "the last one", func() bool { return f.count("b<a:m199") == 1 })
+}
+
+func TestQueueOfAnUnreachablePeerIsBounded(t *testing.T) {
+	f := newFleet(t)
+	a := f.link("a")
+	silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer silent.Close()
+	f.setAddr("b", silent.LocalAddr().String())
+	for range queueMessages + 100 {
+		a.Send("b", kindPlain, []byte("x"))
+	}
+	assert.Assert(t, a.Stats().Kinds[kindPlain].Dropped >= 100)
+	a.Send("nobody", kindPlain, nil)
+	a.Send("b", kindPlain, make([]byte, MaxMessage+1))
+	until(t, "all dropped", func() bool { return a.Stats().Kinds[kindPlain].Dropped == queueMessages+102 })
+}
+
+func TestSimultaneousDialsEndInOneConnection(t *testing.T) {
+	f := newFleet(t)
+	links := []*Link{f.link("a"), f.link("b"), f.link("c")}
+	var all sync.WaitGroup
+	for _, l := range links {
+		for _, to := range links {
+			if l != to {
+				all.Go(func() { f.deliver(l, to.config.ID, "hello") })
+			}
+		}
+	}
+	all.Wait()
+	until(t, "one connection a pair", func() bool {
+		for _, l := range links {
+			if l.Stats().Connections != len(links)-1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.deliver(links[0], "b", "after")
+	f.deliver(links[1], "a", "after")
+}
+
+func TestRestartedPeerIsReachedAgain(t *testing.T) {
+	for _, restarted := range []msg.RouterID{"a", "z"} { // the lower and the higher ID
+		t.Run(string(restarted), func(t *testing.T) {
+			f := newFleet(t)
+			c := f.credentials(restarted)
+			m := f.link("m")
+			first, stop := f.start(restarted, c, "127.0.0.1:0")
+			f.deliver(m, restarted, "one")
+			f.deliver(first, "m", "one")
+			addr := first.Addr().String()
+			stop()
+			second, _ := f.start(restarted, c, addr)
+			f.deliver(m, restarted, "two")
+			f.deliver(second, "m", "two")
+		})
+	}
+}
+
+// A peer that vanished without a word, then came back at another address.
+func TestVanishedPeerIsGivenUpAndReachedElsewhere(t *testing.T) {
+	f := newFleet(t)
+	m := f.link("m")
+	silent := newRelay(t)
+	first := f.link("a")
+	silent.to(first.Addr())
+	f.setAddr("a", silent.addr())
+	f.deliver(m, "a", "one")
+	silent.to(nil)
+	other, _ := f.start("a", f.credentials("a"), "127.0.0.1:0")
+	assert.Assert(t, other != first)
+	f.deliver(m, "a", "two")
+	assert.Equal(t, m.Stats().SilentClosed, uint64(1))
+}
+
+// relay passes datagrams between one dialler and a target that may go away.
+type relay struct {
+	front, back *net.UDPConn
+	mu          sync.Mutex
+	target      *net.UDPAddr
+	dialler     *net.UDPAddr
+}
+
+func newRelay(t *testing.T) *relay {
+	open := func() *net.UDPConn {
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		assert.NilError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	r := &relay{front: open(), back: open()}
+	go r.pass(r.front, r.back, true)
+	go r.pass(r.back, r.front, false)
+	return r
+}
+
+func (r *relay) addr() string { return r.front.LocalAddr().String() }
+
+func (r *relay) to(addr net.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target, _ = addr.(*net.UDPAddr)
+}
+
+func (r *relay) pass(in, out *net.UDPConn, forth bool) {
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := in.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		to := r.dialler
+		if forth {
+			r.dialler, to = from, r.target
+		}
+		cut := r.target == nil
+		r.mu.Unlock()
+		if !cut {
+			out.WriteToUDP(buf[:n], to)
+		}
+	}
+}
+
+func TestBlockCutsAndUnblockHeals(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.link("a"), f.link("b")
+	f.deliver(a, "b", "one")
+	a.Block("b")
+	until(t, "connections closed", func() bool { return b.Stats().Connections == 0 })
+	a.Send("b", kindPlain, []byte("cut"))
+	_, err := a.Fetch(fetchContext(t), "b", kindPlain, nil)
+	assert.Equal(t, KindOf(err), KindBlocked)
+	b.Send("a", kindPlain, []byte("cut"))
+	until(t, "refused", func() bool { return a.Stats().Refused > 0 })
+	a.Unblock("b")
+	f.deliver(a, "b", "two")
+	f.deliver(b, "a", "two")
+	assert.Equal(t, f.count("b<a:cut")+f.count("a<b:cut"), 0)
+	assert.Equal(t, a.Stats().BlockedFrames, uint64(1))
+}
+
+func TestNewRefusesWrongConfig(t *testing.T) {
+	f := newFleet(t)
+	_, err := New(Config{ID: "b", Listen: "127.0.0.1:0", TLS: f.credentials("a")})
+	assert.Equal(t, KindOf(err), KindConfig)
+	_, err = New(Config{ID: "a", Listen: "nonsense", TLS: f.credentials("a")})
+	assert.Equal(t, KindOf(err), KindUnresolved)
+	a := f.link("a")
+	_, err = New(Config{ID: "b", Listen: a.Addr().String(), TLS: f.credentials("b")})
+	assert.Equal(t, KindOf(err), KindListen)
+}
