--- /dev/null
+++ b/internal/core/member/member_test.go
@@ -0,0 +1,229 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// settle is enough for all views to agree, whatever went before: contact with
+// the absent, the suspicions it may raise, and an exchange of views.
+const settle = 60 * time.Second
+
+func startAll(seed uint64, routers int) *network {
+	w := newNetwork(seed, routers)
+	for _, id := range w.ids {
+		w.start(id)
+	}
+	return w
+}
+
+func TestKilledRouterIsOutOfAllViewsIn4s(t *testing.T) {
+	for seed := range uint64(50) {
+		w := startAll(seed, 8)
+		w.run(10 * time.Second)
+		assert.Equal(t, w.disagreement(), "")
+		victim := w.ids[seed%8]
+		w.run(time.Duration(seed) * 37 * time.Millisecond)
+		w.kill(victim)
+		w.run(4 * time.Second)
+		assert.Equal(t, w.disagreement(), "", "seed %d", seed)
+	}
+}
+
+func TestRestartSupersedesAtOnce(t *testing.T) {
+	w := startAll(1, 8)
+	w.run(10 * time.Second)
+	w.kill("r3")
+	w.start("r3")
+	w.run(1500 * time.Millisecond) // a ping of a seed, and the hops
+	assert.Equal(t, w.disagreement(), "")
+}
+
+func TestLeavingAndDeparture(t *testing.T) {
+	w := startAll(2, 8)
+	w.run(10 * time.Second)
+	n := w.nodes["r3"]
+	n.Leave(w.now)
+	w.take("r3", n)
+	w.run(500 * time.Millisecond)
+	assert.Equal(t, w.disagreement(), "")
+	n.Depart(w.now)
+	w.take("r3", n)
+	w.kill("r3")
+	w.run(500 * time.Millisecond)
+	assert.Equal(t, w.disagreement(), "")
+}
+
+func TestHostListIsOnlyAHint(t *testing.T) {
+	w := startAll(3, 3)
+	w.run(10 * time.Second)
+	n := w.nodes["r1"]
+	n.Candidates(w.now, []Candidate{{ID: "r2", Leaving: true}, {ID: "ghost"}})
+	assert.Assert(t, n.Ready().Changed)
+	w.run(10 * time.Second)
+	members := n.Members()
+	assert.Equal(t, len(members), 3)
+	assert.Equal(t, members[1].State, Leaving)
+	n.Candidates(w.now, nil)
+	assert.Equal(t, n.Members()[1].State, Alive)
+}
+
+func TestCutOffOneWayIsHelpedByOthers(t *testing.T) {
+	w := startAll(4, 8)
+	w.run(10 * time.Second)
+	w.observe = func(id msg.RouterID, _ *Node, r Ready) {
+		assert.Assert(t, !r.Changed, "%s changed its view", id)
+	}
+	n := w.nodes["r1"]
+	w.cut("r1", n.successor(), true)
+	w.run(time.Minute)
+}
+
+func TestPausedRouterDoesNotAccuseOthers(t *testing.T) {
+	w := startAll(5, 8)
+	w.run(10 * time.Second)
+	n := w.nodes["r1"]
+	n.probe(w.now, n.successor())
+	before := w.now
+	w.now += time.Minute // only r1 lives through this minute
+	n.Tick(w.now)
+	assert.Assert(t, !n.Ready().Changed)
+	w.now = before
+}
+
+func TestSettingsVersionIsPassedOn(t *testing.T) {
+	w := startAll(6, 40)
+	w.run(20 * time.Second)
+	heard := map[msg.RouterID]bool{}
+	w.observe = func(id msg.RouterID, n *Node, r Ready) {
+		if r.Newer.Version != 7 {
+			return
+		}
+		heard[id] = true
+		n.SetSettings(w.now, 7) // as if fetched from r.Newer.From
+		w.take(id, n)
+	}
+	first := w.nodes["r1"]
+	first.SetSettings(w.now, 7)
+	w.take("r1", first)
+	w.run(time.Second)
+	assert.Equal(t, len(heard), 39)
+	first.SetSettings(w.now, 6)
+	assert.Equal(t, first.settings, uint64(7))
+}
+
+func TestBadlyChosenIncarnationIsReported(t *testing.T) {
+	w := startAll(7, 4)
+	w.run(10 * time.Second)
+	w.kill("r3")
+	var superseded uint64
+	w.observe = func(id msg.RouterID, _ *Node, r Ready) {
+		if id == "r3" {
+			superseded = max(superseded, r.Superseded)
+		}
+	}
+	w.startAs("r3", 1) // a clock that went back
+	w.run(10 * time.Second)
+	assert.Equal(t, superseded, firstIncarnation+1)
+}
+
+func TestUpdatesBeyondBoundsAreDropped(t *testing.T) {
+	n := startAll(8, 2).nodes["r1"]
+	long := msg.RouterID(make([]byte, maxName+1))
+	for _, u := range []Update{{}, {ID: long, State: Alive}, {ID: "x"}, {ID: "x", State: Left + 1}} {
+		n.Step(0, "r2", Message{Type: Gossip, Updates: []Update{u}})
+	}
+	var many Full
+	for i := range 2 * maxMembers {
+		many.Updates = append(many.Updates, Update{ID: msg.RouterID(fmt.Sprint("m", i)), State: Alive})
+	}
+	n.SyncReply(0, many)
+	assert.Assert(t, len(n.members) <= maxMembers)
+	_, ok := n.members["x"]
+	assert.Assert(t, !ok)
+}
+
+// TestFuzz drives a small fleet through loss, cuts, kills, restarts and
+// departures. At all times: no view goes back to an older incarnation, and a
+// member that is killed for good does not come back once all have dropped it.
+// After healing: all views are the running routers, each as it sees itself.
+func TestFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 9).Draw(t, "routers"))
+		seen := map[[2]msg.RouterID]uint64{}
+		w.observe = func(id msg.RouterID, n *Node, _ Ready) {
+			for _, m := range n.Members() {
+				key := [2]msg.RouterID{id, m.ID}
+				if m.Incarnation < seen[key] {
+					t.Fatalf("%s went back to an older incarnation of %s", id, m.ID)
+				}
+				seen[key] = m.Incarnation
+			}
+		}
+		for _, id := range w.ids {
+			w.start(id)
+		}
+		router := rapid.SampledFrom(w.ids)
+		pass := func() { w.run(time.Duration(rapid.IntRange(1, 600).Draw(t, "steps")) * step) }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) { pass() },
+			"loss": func(t *rapid.T) { w.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss"); pass() },
+			"cut": func(t *rapid.T) {
+				w.cut(router.Draw(t, "a"), router.Draw(t, "b"), rapid.Bool().Draw(t, "on"))
+			},
+			"partition": func(t *rapid.T) {
+				side := rapid.IntRange(1, len(w.ids)-1).Draw(t, "side")
+				for i, a := range w.ids {
+					for j, b := range w.ids {
+						w.cut(a, b, (i < side) != (j < side))
+					}
+				}
+				pass()
+			},
+			"kill": func(t *rapid.T) { w.kill(router.Draw(t, "id")) },
+			"restart": func(t *rapid.T) {
+				id := router.Draw(t, "id")
+				for key := range seen { // the new process has seen nothing yet
+					if key[0] == id {
+						delete(seen, key)
+					}
+				}
+				w.start(id)
+			},
+			"leave": func(t *rapid.T) {
+				id := router.Draw(t, "id")
+				if n, ok := w.nodes[id]; ok {
+					n.Leave(w.now)
+					w.take(id, n)
+				}
+			},
+			"depart": func(t *rapid.T) {
+				id := router.Draw(t, "id")
+				if n, ok := w.nodes[id]; ok {
+					n.Depart(w.now)
+					w.take(id, n)
+					w.kill(id)
+				}
+			},
+		})
+		w.loss = 0
+		clear(w.cuts)
+		w.hostList() // the seeds may all be gone
+		w.run(settle)
+		if text := w.disagreement(); text != "" {
+			t.Fatal(text)
+		}
+		w.observe = func(id msg.RouterID, _ *Node, r Ready) {
+			if r.Changed {
+				t.Fatalf("%s changed its view of a fleet at rest", id)
+			}
+		}
+		w.run(20 * time.Second)
+	})
+}
