Drop a member only after a suspicion time of one's own

Found by TestHealingDropsNobody: two gossips from the other side of a healed partition made a live member suspect and dead at once.

--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -85,6 +85,50 @@
 	w.run(time.Minute)
 }
 
+// After a partition each side holds the other dead. When they meet, nobody is
+// dropped on the word of the other side.
+func TestHealingDropsNobody(t *testing.T) {
+	const routers, side = 20, 10
+	w := startAll(9, routers)
+	w.run(10 * time.Second)
+	w.hostList()
+	for _, a := range w.ids[:side] {
+		for _, b := range w.ids[side:] {
+			w.cut(a, b, true)
+		}
+	}
+	w.run(30 * time.Second)
+	for _, id := range w.ids {
+		assert.Equal(t, len(w.nodes[id].Members()), side, "%s", id)
+	}
+	clear(w.cuts)
+	least := map[msg.RouterID]int{}
+	w.observe = func(id msg.RouterID, n *Node, _ Ready) {
+		members := len(n.Members())
+		assert.Assert(t, members >= least[id], "%s dropped a member", id)
+		least[id] = members
+	}
+	w.run(settle)
+	assert.Equal(t, w.disagreement(), "")
+}
+
+func TestLossDropsNobody(t *testing.T) {
+	w := startAll(10, 8)
+	w.run(10 * time.Second)
+	w.loss = 0.1
+	suspicions := 0
+	w.observe = func(id msg.RouterID, n *Node, _ Ready) {
+		assert.Assert(t, len(n.Members()) == 8, "%s dropped a member", id)
+		for _, m := range n.Members() {
+			if m.State == Suspect {
+				suspicions++
+			}
+		}
+	}
+	w.run(30 * time.Minute)
+	assert.Assert(t, suspicions > 0) // else the loss was too small to show anything
+}
+
 func TestPausedRouterDoesNotAccuseOthers(t *testing.T) {
 	w := startAll(5, 8)
 	w.run(10 * time.Second)
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -21,16 +21,15 @@
 		n.insert(now, u)
 		return
 	}
-	if !u.newer(e.Update) {
-		return
-	}
-	// Nobody drops a member that it holds alive without the suspicion time,
-	// in which the member can refute: after a partition each side calls the
-	// other dead.
-	if u.State == Dead && e.State != Suspect && e.State.present() {
+	// Nobody drops a member on another's word, but only after a suspicion time
+	// of its own, in which the member can refute: after a partition each side
+	// calls the other dead.
+	if u.State == Dead && e.State.present() {
 		u.State = Suspect
 	}
-	n.set(now, e, u)
+	if u.newer(e.Update) {
+		n.set(now, e, u)
+	}
 }
 
 // insert takes up a member not known before. The dead are not taken up, else
@@ -80,15 +79,22 @@
 			continue
 		}
 		if e.State == Suspect {
-			dead := e.Update
-			dead.State = Dead
-			n.set(now, e, dead)
+			n.bury(now, e)
 			continue
 		}
 		n.forget(id)
 	}
 }
 
+// bury ends a suspicion. The others end theirs at about the same time, so
+// there is nothing to pass on.
+func (n *Node) bury(now time.Duration, e *entry) {
+	e.State = Dead
+	e.deadline = now + tombstoneTime
+	delete(n.riding, e.ID)
+	n.changed()
+}
+
 func (n *Node) forget(id msg.RouterID) {
 	delete(n.members, id)
 	delete(n.riding, id)
