--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -177,6 +177,42 @@
 	assert.Equal(t, superseded, firstIncarnation+1)
 }
 
+func TestDifferingViewsAreFoundAndExchanged(t *testing.T) {
+	w := startAll(11, 8)
+	w.run(10 * time.Second)
+	n := w.nodes["r1"]
+	n.forget("r5") // as if all news of it had been lost
+	n.changed()
+	assert.Assert(t, w.disagreement() != "")
+	w.run(4 * time.Second)
+	assert.Equal(t, w.disagreement(), "")
+}
+
+func TestOldIncarnationIsNotHeard(t *testing.T) {
+	n := startAll(12, 2).nodes["r1"]
+	n.SyncReply(0, Full{Updates: []Update{{ID: "r2", Incarnation: 2, State: Alive}}})
+	n.Ready()
+	news := []Update{{ID: "r3", Incarnation: 1, State: Alive}}
+	n.Step(time.Second, "r2", Message{Type: Ping, Seq: 9, Incarnation: 1, Settings: 5, Updates: news})
+	r := n.Ready()
+	assert.Equal(t, r.Changed, false)
+	assert.Equal(t, r.Newer, NewerSettings{})
+	assert.Equal(t, len(r.Sync), 0)
+	assert.Equal(t, r.Send[0].Message.Updates[0].Incarnation, uint64(2))
+}
+
+func TestFleetAtRestSendsNoUpdates(t *testing.T) {
+	w := startAll(13, 40)
+	w.run(4 * time.Second)
+	w.observe = func(_ msg.RouterID, _ *Node, r Ready) {
+		assert.Equal(t, len(r.Sync), 0)
+		for _, out := range r.Send {
+			assert.Equal(t, len(out.Message.Updates), 0)
+		}
+	}
+	w.run(time.Minute)
+}
+
 func TestUpdatesBeyondBoundsAreDropped(t *testing.T) {
 	n := startAll(8, 2).nodes["r1"]
 	long := msg.RouterID(make([]byte, maxName+1))
