--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -180,8 +180,12 @@
 func TestDifferingViewsAreFoundAndExchanged(t *testing.T) {
 	w := startAll(11, 8)
 	w.run(10 * time.Second)
-	n := w.nodes["r1"]
-	n.forget("r5") // as if all news of it had been lost
+	leaver, n := w.nodes["r5"], w.nodes["r1"]
+	leaver.Leave(w.now)
+	w.take("r5", leaver)
+	w.run(4 * time.Second)
+	stale := &n.members["r5"].Update // as if r1 had missed it
+	stale.State, stale.Refutation = Alive, 0
 	n.changed()
 	assert.Assert(t, w.disagreement() != "")
 	w.run(4 * time.Second)
--- a/internal/link/security_test.go
+++ b/internal/link/security_test.go
@@ -55,12 +55,10 @@
 			// TLS 1.3 lets a client finish first; the refusal follows.
 			frame, err := wire.AppendEnvelope(nil, kindPlain, []byte("forged"))
 			assert.NilError(t, err)
-			for conn.Context().Err() == nil {
-				if conn.SendDatagram(frame) != nil {
-					break
-				}
-				time.Sleep(time.Millisecond)
-			}
+			until(t, "the connection closed or the message taken", func() bool {
+				taken := b.Stats().Kinds[kindPlain].ReceivedMessages > 0
+				return taken || conn.SendDatagram(frame) != nil
+			})
 		})
 	}
 	assert.Equal(t, b.Stats().Kinds[kindPlain].ReceivedMessages, uint64(0))
