--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -47,6 +47,9 @@
 	Once []string
 	// ChecksFence says that its servers refuse an old fencing number.
 	ChecksFence bool
+	// RefusedStatus lists the statuses by which its servers refuse a call
+	// before running it, such as 429 and 503.
+	RefusedStatus []int
 }
 
 // Fleet is what holds for every router.
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,187 @@
+// Package proxy carries callers' requests to backend servers and answers for
+// what becomes of them. Each request gets its own whole answer, or a refusal
+// that says truly whether it has run; what may not be repeated is sent at most
+// once. What to do after each event is decided by package attempt; this package
+// does it.
+package proxy
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/dispatch"
+	"github.com/windscale/windscale/internal/problem"
+)
+
+// Finish is what the metrics learn of a request once it is over.
+type Finish struct {
+	Customer msg.CustomerID
+	Pool     msg.PoolID
+	Problem  string // name of the problem type; empty: answered, or the caller went
+	Outcome  attempt.Outcome
+	Attempts int
+	Cost     msg.Cost
+	Tokens   int64         // delivered, of streams
+	Wait     time.Duration // for slots
+	First    time.Duration // from arrival to the first token or byte; 0: none came
+	Between  time.Duration // mean gap between tokens; 0: fewer than two
+	Total    time.Duration
+	Broken   bool // the caller's connection was broken within the answer
+	Gone     bool // the caller went before its answer
+}
+
+// Observer learns what happens, for the metrics. Its methods are called from
+// the requests' goroutines and must not block.
+type Observer interface {
+	Attempt(pool msg.PoolID, o attempt.Outcome)
+	Retry(pool msg.PoolID, allowed bool)
+	Resume(pool msg.PoolID, allowed bool)
+	Finish(f Finish)
+}
+
+// NopObserver ignores everything.
+type NopObserver struct{}
+
+// Attempt implements Observer.
+func (NopObserver) Attempt(msg.PoolID, attempt.Outcome) {}
+
+// Retry implements Observer.
+func (NopObserver) Retry(msg.PoolID, bool) {}
+
+// Resume implements Observer.
+func (NopObserver) Resume(msg.PoolID, bool) {}
+
+// Finish implements Observer.
+func (NopObserver) Finish(Finish) {}
+
+// Proxy serves callers' requests after the entry has authenticated them,
+// limited their rate and capped their bodies. Fill in the exported fields
+// before the first request; its methods are then safe for concurrent use.
+type Proxy struct {
+	Picker   dispatch.Picker
+	Snapshot func() *settings.Snapshot
+	Backend  *backend.Client
+	Now      func() time.Time
+	Log      *slog.Logger
+	Observer Observer
+
+	mu         sync.Mutex
+	allowances map[msg.PoolID]*attempt.Allowance
+}
+
+// Model serves POST /v1/chat/completions for a customer.
+func (p *Proxy) Model(w http.ResponseWriter, r *http.Request, c *settings.Customer) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	request, ok := parseModel(body)
+	if !ok {
+		problem.Refuse(w, problem.BadRequest, "the body is not a chat completion request", 0)
+		return
+	}
+	if !allowed(c.Models, request.Model) {
+		problem.Refuse(w, problem.Forbidden, "the model is not allowed to this customer", 0)
+		return
+	}
+	u, ok := p.newRun(w, r, c, msg.PoolID(modelPool+request.Model), modelRule)
+	if !ok {
+		return
+	}
+	defer u.close()
+	u.want.Prefix = request.prefix()
+	u.want.Bytes = len(body)
+	m := modelRun{run: u, body: body}
+	if request.Stream {
+		m.serveStream()
+		return
+	}
+	m.serveWhole()
+}
+
+// Service serves a call to a plain service for a customer. path is decoded, as
+// in [net/url.URL]; the query is r's.
+func (p *Proxy) Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string) {
+	path, ok := canonical(path)
+	if !ok {
+		problem.Refuse(w, problem.BadRequest, "the path is not canonical", 0)
+		return
+	}
+	if !allowed(c.Services, service) {
+		problem.Refuse(w, problem.Forbidden, "the service is not allowed to this customer", 0)
+		return
+	}
+	known, ok := p.Snapshot().Services[service]
+	if !ok {
+		problem.Refuse(w, problem.NotFound, "there is no such service", 0)
+		return
+	}
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	once := isOnce(known.Once, r.Method, path)
+	u, ok := p.newRun(w, r, c, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
+	if !ok {
+		return
+	}
+	defer u.close()
+	u.want.Bytes = len(body)
+	s := serviceRun{run: u, service: known, path: path, body: body, once: once}
+	s.serve()
+}
+
+// succeeded feeds the pool's retry allowance.
+func (p *Proxy) succeeded(pool msg.PoolID, retryPercent float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.allowance(pool).Succeeded(retryPercent)
+}
+
+// takeRetry asks the pool's retry allowance.
+func (p *Proxy) takeRetry(pool msg.PoolID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.allowance(pool).Take()
+}
+
+// allowance returns the pool's allowance. The mutex is held.
+func (p *Proxy) allowance(pool msg.PoolID) *attempt.Allowance {
+	a, ok := p.allowances[pool]
+	if ok {
+		return a
+	}
+	if p.allowances == nil {
+		p.allowances = map[msg.PoolID]*attempt.Allowance{}
+	}
+	a = attempt.NewAllowance()
+	p.allowances[pool] = a
+	return a
+}
+
+// newID returns an ID that no other request has, at any router.
+func newID() msg.RequestID { return msg.RequestID(rand.Text()) }
+
+// uniform is the jitter's source.
+func uniform() float64 { return mathrand.Float64() }
+
+// sleep waits for d or until ctx ends, and reports whether d passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/proxy/request.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"encoding/json"
+	stderrors "errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/problem"
+)
+
+const (
+	modelPool   = "m/"
+	servicePool = "s/"
+	allowAll    = "*"
+
+	// prefixBytes of a prompt decide its prefix hash.
+	prefixBytes = 256
+
+	// maxAttempts bounds the attempts of one request, beside the allowance.
+	maxAttempts = 3
+	// maxResumes bounds the resumptions of one stream.
+	maxResumes = 5
+	// defaultRequestTime holds where the settings name none.
+	defaultRequestTime = time.Minute
+)
+
+// modelRule: engines have no effect beyond their answer, so that a request may
+// run again until part of an answer has gone out.
+var modelRule = attempt.Rule{Repeat: true, Resume: true, MaxAttempts: maxAttempts, MaxResumes: maxResumes}
+
+// serviceRule: only safe methods (RFC 9110, 9.2.1) that the settings don't list
+// as not to be repeated may run again after an unknown outcome. Other calls are
+// tried again only if they have certainly not run.
+func serviceRule(method string, once bool) attempt.Rule {
+	return attempt.Rule{Repeat: !once && isSafe(method), MaxAttempts: maxAttempts}
+}
+
+// isSafe reports whether the method changes nothing at the server.
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// readBody reads the body whole; the entry has capped it. On failure it has
+// refused the request.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if stderrors.As(err, &tooLarge) {
+		problem.Refuse(w, problem.BodyTooLarge, "", 0)
+		return nil, false
+	}
+	problem.Refuse(w, problem.RequestTimeout, "the body did not arrive whole", 0)
+	return nil, false
+}
+
+// modelRequest is what is read of a chat completion request.
+type modelRequest struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+// parseModel reads a chat completion request.
+func parseModel(body []byte) (modelRequest, bool) {
+	var m modelRequest
+	err := json.Unmarshal(body, &m)
+	return m, err == nil && m.Model != ""
+}
+
+// prefix hashes the beginning of the prompt.
+func (m modelRequest) prefix() uint64 {
+	start := m.Messages
+	if len(start) > prefixBytes {
+		start = start[:prefixBytes]
+	}
+	return xxhash.Sum64(start)
+}
+
+// allowed reports whether a name is in a customer's list.
+func allowed(list []string, name string) bool {
+	return slices.Contains(list, name) || slices.Contains(list, allowAll)
+}
+
+// canonical returns the path with its leading slash. A path that servers might
+// read as another one is not accepted: the settings are asked about what the
+// server will see.
+func canonical(path string) (string, bool) {
+	path = "/" + strings.TrimPrefix(path, "/")
+	if strings.Contains(path, "//") || strings.Contains(path, `\`) {
+		return "", false
+	}
+	if strings.ContainsFunc(path, unicode.IsControl) {
+		return "", false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		name, _, _ := strings.Cut(segment, ";")
+		if name == "." || name == ".." {
+			return "", false
+		}
+	}
+	return path, true
+}
+
+// isOnce reports whether the settings list the call as not to be repeated.
+// Letter case, a slash at the end and path parameters make no other call of it.
+func isOnce(list []string, method, path string) bool {
+	path = plainPath(path)
+	return slices.ContainsFunc(list, func(entry string) bool {
+		m, pattern, _ := strings.Cut(entry, " ")
+		if !strings.EqualFold(m, method) {
+			return false
+		}
+		pattern = strings.TrimSpace(pattern)
+		if prefix, ok := strings.CutSuffix(pattern, allowAll); ok {
+			return strings.HasPrefix(path+"/", strings.ToLower(prefix))
+		}
+		return plainPath(pattern) == path
+	})
+}
+
+// plainPath returns a path as it is compared.
+func plainPath(path string) string {
+	segments := strings.Split(strings.ToLower(path), "/")
+	for i, segment := range segments {
+		segments[i], _, _ = strings.Cut(segment, ";")
+	}
+	return strings.TrimRight(strings.Join(segments, "/"), "/")
+}
+
+// timeLimit returns the longest the request may take: the customer's request
+// time, or what the caller asks for if it is shorter.
+func timeLimit(h http.Header, requestTime time.Duration) (time.Duration, bool) {
+	limit := requestTime
+	if limit <= 0 {
+		limit = defaultRequestTime
+	}
+	asked := h.Get(backend.HeaderTimeout)
+	if asked == "" {
+		return limit, true
+	}
+	d, err := time.ParseDuration(asked)
+	if err != nil || d <= 0 {
+		return 0, false
+	}
+	return min(d, limit), true
+}
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/settings"
+)
+
+// serviceRun is a call to a plain service on its way.
+type serviceRun struct {
+	*run
+	service settings.Service
+	path    string
+	body    []byte
+	once    bool
+	guard   func() error
+	fence   string
+	answer  wholeAnswer
+	sent    bool // the answer was long and went out as it came
+}
+
+// serve runs the call and answers.
+func (s *serviceRun) serve() {
+	if !s.attempts(s.try) {
+		return
+	}
+	if !s.sent {
+		s.send(s.answer)
+	}
+}
+
+// try runs the call at the slot's server.
+func (s *serviceRun) try(slot *slot) attempt.Action {
+	call := s.call(slot)
+	call.Method = s.r.Method
+	call.Path = s.path
+	call.Query = s.r.URL.RawQuery
+	call.Header = backend.CleanRequest(s.r.Header)
+	if s.fence != "" {
+		call.Header.Set(backend.HeaderFence, s.fence)
+	}
+	call.Body = s.body
+	call.Fresh = s.once
+	call.Guard = s.guard
+	call.Refused = s.service.RefusedStatus
+	answer, failure := s.p.Backend.Do(s.ctx, call)
+	if failure != nil {
+		slot.progress(busy(slot))
+		return s.failed(failure)
+	}
+	defer answer.Close()
+	s.x.Step(s.event(attempt.Header))
+	slot.sawFirst()
+	s.finish.First = s.p.Now().Sub(s.began)
+	return s.read(slot, answer)
+}
+
+// read takes the answer whole before any of it goes out, if it is not too long.
+func (s *serviceRun) read(slot *slot, answer *backend.Answer) attempt.Action {
+	body, whole, failure := answer.ReadUpTo(maxBuffered)
+	if failure == nil && !whole {
+		s.sendLong(answer, body)
+		s.sent = true
+	}
+	slot.progress(busy(slot))
+	if failure != nil {
+		return s.failed(failure)
+	}
+	s.answer = wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	return s.x.Step(s.event(attempt.Closing))
+}
+
+// busy is the cost of a call to a plain service: how long it held its slot, in
+// microseconds.
+func busy(s *slot) msg.Cost {
+	return msg.Cost(s.now().Sub(s.began) / time.Microsecond)
+}
