--- /dev/null
+++ b/internal/metrics/mechanisms.go
@@ -0,0 +1,235 @@
+package metrics
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// Link counts the traffic between routers, at the sender's and receiver's
+// message layer: headers of QUIC, UDP and IP are not in it.
+type Link struct {
+	sent, sentBytes         atomic.Uint64
+	received, receivedBytes atomic.Uint64
+	dropped, denied         atomic.Uint64
+	peers                   mirror[int]
+}
+
+func newLink() *Link { return &Link{} }
+
+// Sent counts a message given to the network.
+func (l *Link) Sent(bytes int) {
+	l.sent.Add(1)
+	l.sentBytes.Add(uint64(bytes))
+}
+
+// Received counts a message taken from the network.
+func (l *Link) Received(bytes int) {
+	l.received.Add(1)
+	l.receivedBytes.Add(uint64(bytes))
+}
+
+// Dropped counts a message that was not sent: no connection, or a full queue.
+func (l *Link) Dropped() { l.dropped.Add(1) }
+
+// Denied counts a peer that did not prove its identity.
+func (l *Link) Denied() { l.denied.Add(1) }
+
+// MirrorPeers sets the function that counts the open connections.
+func (l *Link) MirrorPeers(f func() int) { l.peers.Mirror(f) }
+
+// LinkView is what Link publishes.
+type LinkView struct {
+	Sent          uint64 `json:"sent_total"`
+	SentBytes     uint64 `json:"sent_bytes_total"`
+	Received      uint64 `json:"received_total"`
+	ReceivedBytes uint64 `json:"received_bytes_total"`
+	Dropped       uint64 `json:"dropped_total"`
+	Denied        uint64 `json:"denied_total"`
+	Peers         int    `json:"connections"`
+}
+
+func (l *Link) view() LinkView {
+	return LinkView{
+		Sent:          l.sent.Load(),
+		SentBytes:     l.sentBytes.Load(),
+		Received:      l.received.Load(),
+		ReceivedBytes: l.receivedBytes.Load(),
+		Dropped:       l.dropped.Load(),
+		Denied:        l.denied.Load(),
+		Peers:         l.peers.view(),
+	}
+}
+
+// Members mirrors what the router holds of the others.
+type Members struct {
+	mirror[MembersState]
+}
+
+// MembersState counts the known routers by state.
+type MembersState struct {
+	Alive    int     `json:"alive_routers"`
+	Suspect  int     `json:"suspect_routers"`
+	Left     int     `json:"left_routers"`
+	Changes  uint64  `json:"changes_total"`
+	ListAge  Seconds `json:"host_list_age_seconds"`
+	ListErrs uint64  `json:"host_list_errors_total"`
+}
+
+// Settings shows the settings in force and the fetching of newer ones.
+type Settings struct {
+	current atomic.Pointer[settingsInForce]
+	failed  atomic.Pointer[settingsFailure]
+	taken   atomic.Uint64
+	errors  atomic.Uint64
+	older   atomic.Uint64
+}
+
+type settingsInForce struct {
+	version uint64
+	digest  string
+	at      time.Time
+}
+
+type settingsFailure struct {
+	text string
+	at   time.Time
+}
+
+// Taken says that version, with the digest in hex, is in force from now.
+func (s *Settings) Taken(version uint64, digest string, now time.Time) {
+	s.current.Store(&settingsInForce{version: version, digest: digest, at: now})
+	s.taken.Add(1)
+}
+
+// Failed says that a look for newer settings failed now.
+func (s *Settings) Failed(err error, now time.Time) {
+	s.failed.Store(&settingsFailure{text: err.Error(), at: now})
+	s.errors.Add(1)
+}
+
+// Older counts an offer of settings older than those in force.
+func (s *Settings) Older() { s.older.Add(1) }
+
+// SettingsView is what Settings publishes. Ages are at the scrape.
+type SettingsView struct {
+	Version      uint64  `json:"version"`
+	Digest       string  `json:"digest"`
+	Age          Seconds `json:"in_force_seconds"`
+	Taken        uint64  `json:"taken_total"`
+	Older        uint64  `json:"older_offers_total"`
+	Errors       uint64  `json:"errors_total"`
+	LastError    string  `json:"last_error"`
+	LastErrorAge Seconds `json:"last_error_age_seconds"`
+}
+
+func (s *Settings) view() SettingsView {
+	v := SettingsView{
+		Taken:  s.taken.Load(),
+		Older:  s.older.Load(),
+		Errors: s.errors.Load(),
+	}
+	if c := s.current.Load(); c != nil {
+		v.Version, v.Digest = c.version, c.digest
+		v.Age = InSeconds(time.Since(c.at))
+	}
+	if f := s.failed.Load(); f != nil {
+		v.LastError = f.text
+		v.LastErrorAge = InSeconds(time.Since(f.at))
+	}
+	return v
+}
+
+// Claims counts the claims of requests that may run at most once.
+type Claims struct {
+	taken, replayed, conflict, unknown atomic.Uint64
+	tableErrors                        atomic.Uint64
+	batches, batchWrites               atomic.Uint64
+}
+
+// Taken counts a claim that this router took.
+func (c *Claims) Taken() { c.taken.Add(1) }
+
+// Replayed counts a repeat that was given the stored answer.
+func (c *Claims) Replayed() { c.replayed.Add(1) }
+
+// Conflict counts a repeat refused because the claim is held or the request
+// differs from the one claimed.
+func (c *Claims) Conflict() { c.conflict.Add(1) }
+
+// Unknown counts a repeat told that the first one may have run.
+func (c *Claims) Unknown() { c.unknown.Add(1) }
+
+// TableError counts a call of the table that failed.
+func (c *Claims) TableError() { c.tableErrors.Add(1) }
+
+// Batch counts one commit that carried the writes of several claims.
+func (c *Claims) Batch(writes int) {
+	c.batches.Add(1)
+	c.batchWrites.Add(uint64(writes))
+}
+
+// ClaimsView is what Claims publishes.
+type ClaimsView struct {
+	Taken       uint64 `json:"taken_total"`
+	Replayed    uint64 `json:"replayed_total"`
+	Conflict    uint64 `json:"conflict_total"`
+	Unknown     uint64 `json:"unknown_total"`
+	TableErrors uint64 `json:"table_errors_total"`
+	Batches     uint64 `json:"batches_total"`
+	BatchWrites uint64 `json:"batch_writes_total"`
+}
+
+func (c *Claims) view() ClaimsView {
+	return ClaimsView{
+		Taken:       c.taken.Load(),
+		Replayed:    c.replayed.Load(),
+		Conflict:    c.conflict.Load(),
+		Unknown:     c.unknown.Load(),
+		TableErrors: c.tableErrors.Load(),
+		Batches:     c.batches.Load(),
+		BatchWrites: c.batchWrites.Load(),
+	}
+}
+
+// Retries counts repeated attempts; the mirror shows the allowance left in
+// each pool, in attempts.
+type Retries struct {
+	mirror[map[msg.PoolID]float64]
+	spent, denied atomic.Uint64
+}
+
+// Spent counts a retry that the allowance paid for.
+func (r *Retries) Spent() { r.spent.Add(1) }
+
+// Denied counts a retry that the allowance did not cover.
+func (r *Retries) Denied() { r.denied.Add(1) }
+
+// RetriesView is what Retries publishes.
+type RetriesView struct {
+	Left   map[msg.PoolID]float64 `json:"allowance_left_attempts"`
+	Spent  uint64                 `json:"spent_total"`
+	Denied uint64                 `json:"denied_total"`
+}
+
+func (r *Retries) view() RetriesView {
+	return RetriesView{
+		Left:   r.mirror.view(),
+		Spent:  r.spent.Load(),
+		Denied: r.denied.Load(),
+	}
+}
+
+// Drain mirrors the router's shutdown.
+type Drain struct {
+	mirror[DrainState]
+}
+
+// DrainState is how far a shutdown is.
+type DrainState struct {
+	State string  `json:"state"`         // serving, draining or drained
+	Left  int     `json:"left_requests"` // requests that have not ended
+	Since Seconds `json:"draining_seconds"`
+	Cut   uint64  `json:"cut_total"` // requests cut at the drain limit
+}
