--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# windscale: `make test` checks everything, `make demo` shows the main job.
+SHELL := bash
+GO ?= go
+STATICCHECK := bin/staticcheck
+FUZZTIME ?= 20s
+
+.PHONY: all build test lint race clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+$(STATICCHECK): tools/go.mod
+	cd tools && $(GO) build -o ../$(STATICCHECK) honnef.co/go/tools/cmd/staticcheck
+
+lint: $(STATICCHECK)
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not gofmt'd: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(STATICCHECK) ./...
+
+test: lint build
+	$(GO) test -race ./...
+
+clean:
+	rm -rf bin out
+
+-include test/targets.mk test/targets-operate.mk
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,129 @@
+// Package admin is the operators' HTTP API of a router, on a listener of its
+// own: health, status, drain, backend servers and expvar. All but the health
+// checks want the operators' token.
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v5"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// Member is one router as this router sees it.
+type Member struct {
+	ID          msg.RouterID `json:"id"`
+	DataCentre  string       `json:"dataCentre"`
+	State       string       `json:"state"`
+	Incarnation uint64       `json:"incarnation"`
+}
+
+// Status is what GET /v1/status answers.
+type Status struct {
+	Router          msg.RouterID `json:"router"`
+	Incarnation     uint64       `json:"incarnation"`
+	DataCentre      string       `json:"dataCentre"`
+	Ready           bool         `json:"ready"`
+	Draining        bool         `json:"draining"`
+	SettingsVersion uint64       `json:"settingsVersion"`
+	SettingsDigest  string       `json:"settingsDigest"`
+	Running         int          `json:"running"`
+	Waiting         int          `json:"waiting"`
+	Members         []Member     `json:"members"`
+}
+
+// Backend is one backend server as this router sees it.
+type Backend struct {
+	ID         msg.ServerID `json:"id"`
+	Addr       string       `json:"addr"`
+	DataCentre string       `json:"dataCentre"`
+	State      string       `json:"state"`
+	Pools      []msg.PoolID `json:"pools"`
+	AdmittedBy msg.RouterID `json:"admittedBy,omitempty"`
+	Slots      int          `json:"slots"`
+	Limit      int          `json:"limit"`
+	Running    int          `json:"running"`
+}
+
+// Router is what the API shows and does. Any goroutine may call its methods.
+type Router interface {
+	Status() Status
+	Backends() []Backend
+	// Explain says why a customer's requests wait now, as JSON-able data.
+	Explain(c msg.CustomerID) any
+	// Drain begins a graceful shutdown and returns at once.
+	Drain()
+	// SetLink cuts or mends the link to a peer, for tests of failures. It
+	// returns false where the configuration does not allow faults.
+	SetLink(peer msg.RouterID, cut bool) bool
+}
+
+// Handler serves the API.
+func Handler(r Router, token string) http.Handler {
+	e := echo.New()
+	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c *echo.Context) error { return readyz(c, r.Status()) })
+	g := e.Group("", authenticate(token))
+	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	g.GET("/v1/status", func(c *echo.Context) error { return c.JSON(http.StatusOK, r.Status()) })
+	g.GET("/v1/backends", func(c *echo.Context) error { return c.JSON(http.StatusOK, r.Backends()) })
+	g.GET("/v1/explain", func(c *echo.Context) error {
+		return c.JSON(http.StatusOK, r.Explain(msg.CustomerID(c.QueryParam("customer"))))
+	})
+	g.POST("/v1/drain", func(c *echo.Context) error {
+		r.Drain()
+		return c.JSON(http.StatusAccepted, r.Status())
+	})
+	g.POST("/v1/link", func(c *echo.Context) error { return setLink(c, r) })
+	return e
+}
+
+func readyz(c *echo.Context, s Status) error {
+	if !s.Ready || s.Draining {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// linkOrder is the body of POST /v1/link.
+type linkOrder struct {
+	Peer msg.RouterID `json:"peer"`
+	Cut  bool         `json:"cut"`
+}
+
+// maxOrder bounds the body of an order, in bytes.
+const maxOrder = 4096
+
+func setLink(c *echo.Context, r Router) error {
+	var o linkOrder
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxOrder)
+	if err := json.NewDecoder(body).Decode(&o); err != nil {
+		return c.String(http.StatusBadRequest, "malformed order\n")
+	}
+	if !r.SetLink(o.Peer, o.Cut) {
+		return c.String(http.StatusForbidden, "this router's configuration does not allow faults\n")
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// authenticate compares digests, so that the time taken tells nothing of the
+// token, its length included.
+func authenticate(token string) echo.MiddlewareFunc {
+	want := sha256.Sum256([]byte(token))
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c *echo.Context) error {
+			given, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if !ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+				return c.String(http.StatusUnauthorized, "an operators' token is needed\n")
+			}
+			return next(c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,141 @@
+// Package entry is where callers come in: it names the customer of each
+// request, holds it to the customer's rate and size limits, and hands it to the
+// proxy. What it turns away has not run.
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/metrics"
+	"github.com/windscale/windscale/internal/problem"
+)
+
+// Proxy runs an authenticated request at a backend server and writes the
+// answer, or the refusal, to w. Handlers call it from their own goroutine.
+type Proxy interface {
+	Model(w http.ResponseWriter, r *http.Request, c *settings.Customer)
+	Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string)
+}
+
+// Entry is the callers' HTTP handler.
+type Entry struct {
+	snapshot func() *settings.Snapshot // nil until there is one
+	proxy    Proxy
+	counts   *metrics.Entry
+	rates    *rates
+}
+
+// New returns an entry that reads the settings in force by snapshot.
+func New(snapshot func() *settings.Snapshot, proxy Proxy, counts *metrics.Entry) *Entry {
+	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now)}
+}
+
+// Handler returns the routes.
+func (e *Entry) Handler() http.Handler {
+	r := echo.New()
+	r.POST("/v1/chat/completions", func(c *echo.Context) error {
+		e.serve(c.Response(), c.Request(), e.proxy.Model)
+		return nil
+	})
+	r.Any("/services/:name", e.service)
+	r.Any("/services/:name/*", e.service)
+	r.RouteNotFound("/*", func(c *echo.Context) error {
+		problem.Refuse(c.Response(), problem.NotFound, "", 0)
+		return nil
+	})
+	r.HTTPErrorHandler = func(c *echo.Context, err error) {
+		problem.Refuse(c.Response(), routeProblem(err), "", 0)
+	}
+	return r
+}
+
+// routeProblem is the answer to what no route takes.
+func routeProblem(err error) problem.Type {
+	if echo.StatusCode(err) == http.StatusMethodNotAllowed {
+		return problem.MethodNotAllowed
+	}
+	return problem.NotFound
+}
+
+func (e *Entry) service(c *echo.Context) error {
+	name := c.Param("name")
+	path := servicePath(c.Request(), name)
+	run := func(w http.ResponseWriter, r *http.Request, cust *settings.Customer) {
+		e.proxy.Service(w, r, cust, name, path)
+	}
+	e.serve(c.Response(), c.Request(), run)
+	return nil
+}
+
+// servicePath is the path below /services/NAME, as the caller escaped it.
+func servicePath(r *http.Request, name string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
+	_, rest, _ := strings.Cut(path, "/")
+	return "/" + rest
+}
+
+// serve names the customer, applies its limits and runs the request.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter, *http.Request, *settings.Customer)) {
+	s := e.snapshot()
+	if s == nil {
+		e.counts.Denied(problem.NotReady.Name)
+		problem.Refuse(w, problem.NotReady, "", notReadyRetry)
+		return
+	}
+	c, ok := authenticate(s, r)
+	if !ok {
+		e.counts.Denied(problem.Unauthorized.Name)
+		problem.Refuse(w, problem.Unauthorized, "", 0)
+		return
+	}
+	count := e.counts.Customer(c.Path)
+	count.Request()
+	if wait, ok := e.rates.take(c); !ok {
+		count.Refused(problem.RateLimited.Name)
+		problem.Refuse(w, problem.RateLimited, "", wait)
+		return
+	}
+	if r.ContentLength > s.Fleet.MaxBody {
+		count.Refused(problem.BodyTooLarge.Name)
+		problem.Refuse(w, problem.BodyTooLarge, "", 0)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody)
+	r.Header.Del("Authorization") // the key is windscale's; servers never see it
+	run(w, r, c)
+}
+
+// notReadyRetry is when to come back to a router without settings.
+const notReadyRetry = 2 * time.Second
+
+// authenticate finds the customer of the bearer key. The look-up is by the
+// key's digest and the digests are compared in constant time, so that the time
+// taken tells nothing of the keys that exist.
+func authenticate(s *settings.Snapshot, r *http.Request) (*settings.Customer, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, false
+	}
+	digest := settings.KeyHash(sha256.Sum256([]byte(key)))
+	c, ok := s.ByKey(digest)
+	if !ok {
+		return nil, false
+	}
+	return c, holds(c, digest)
+}
+
+// holds says whether digest is one of the customer's keys.
+func holds(c *settings.Customer, digest settings.KeyHash) bool {
+	found := 0
+	for _, k := range c.Keys {
+		found |= subtle.ConstantTimeCompare(k[:], digest[:])
+	}
+	return found == 1
+}
--- /dev/null
+++ b/internal/probe/probe.go
@@ -0,0 +1,136 @@
+// Package probe asks backend servers what they hold and how loaded they are.
+// A router asks only the servers it admits to.
+package probe
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+const (
+	// timeout bounds one question.
+	timeout = 2 * time.Second
+	// maxReport bounds a server's answer, in bytes.
+	maxReport = 64 << 10
+)
+
+// Report is a server's answer, as it says it. It lags.
+type Report struct {
+	Models  []string `json:"models"`
+	Service string   `json:"service"`
+	Slots   int      `json:"slots"`
+	Running int      `json:"running"`
+	Queued  int      `json:"queued"`
+	AgeMs   int      `json:"ageMs"`
+	Leaving bool     `json:"leaving"`
+}
+
+// Pools returns the pools that the server serves.
+func (r Report) Pools() []msg.PoolID {
+	var pools []msg.PoolID
+	for _, m := range r.Models {
+		pools = append(pools, ModelPool(m))
+	}
+	if r.Service != "" {
+		pools = append(pools, ServicePool(r.Service))
+	}
+	return pools
+}
+
+// ModelPool is the pool of a model.
+func ModelPool(model string) msg.PoolID { return msg.PoolID("m/" + model) }
+
+// ServicePool is the pool of a plain service.
+func ServicePool(name string) msg.PoolID { return msg.PoolID("s/" + name) }
+
+// StatusError says that a server answered a question with another status than
+// 200.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return "load report: " + http.StatusText(e.Status) }
+
+// Prober asks servers, at most one question to each at a time.
+type Prober struct {
+	client *http.Client
+	// report receives each answer, err not nil when there was none. It is
+	// called from a goroutine of its own.
+	report func(msg.ServerID, Report, error)
+
+	mu     sync.Mutex
+	asking map[msg.ServerID]bool
+	wg     sync.WaitGroup
+}
+
+// New returns a prober that has asked nobody yet.
+func New(report func(msg.ServerID, Report, error)) *Prober {
+	return &Prober{
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		report: report,
+		asking: map[msg.ServerID]bool{},
+	}
+}
+
+// Ask begins one question to the server at addr (IP:port), unless one is under
+// way, and returns at once. Any goroutine may call it.
+func (p *Prober) Ask(ctx context.Context, id msg.ServerID, addr string) {
+	if !p.begin(id) {
+		return
+	}
+	p.wg.Go(func() {
+		r, err := p.ask(ctx, addr)
+		p.end(id)
+		if ctx.Err() == nil {
+			p.report(id, r, err)
+		}
+	})
+}
+
+func (p *Prober) begin(id msg.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking[id] {
+		return false
+	}
+	p.asking[id] = true
+	return true
+}
+
+func (p *Prober) end(id msg.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.asking, id)
+}
+
+// Wait waits for the questions under way.
+func (p *Prober) Wait() { p.wg.Wait() }
+
+func (p *Prober) ask(ctx context.Context, addr string) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var r Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/load", nil)
+	if err != nil {
+		return r, errors.Annotate(err, "load report")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return r, errors.Annotate(err, "load report")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r, &StatusError{Status: resp.StatusCode}
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&r)
+	return r, errors.Annotate(err, "load report")
+}
