--- /dev/null
+++ b/cmd/windscale-standin/main.go
@@ -0,0 +1,77 @@
+// Command windscale-standin runs one of the small stand-ins that take the
+// place of the platform and of the backend servers in tests and trials. See
+// docs/STANDINS.md.
+//
+// It exits 0 after a graceful end, 1 when it failed, 2 on wrong usage.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const examples = `Stand-ins for the platform and for backend servers.
+
+Examples:
+  windscale-standin platform --listen 127.0.0.1:9000 --list-lag 1s
+  windscale-standin engine --listen 127.0.0.1:9301 --id e1 --models plan-7b,claims-13b --slots 8 --rate 200
+  windscale-standin service --listen 127.0.0.1:9401 --id d1 --name dispatch --slots 4 --delay 5ms
+  curl -X POST -d '{"service":"table","mode":"down"}' http://127.0.0.1:9000/_fault
+
+SIGTERM or SIGINT ends it gracefully: what runs is finished first.
+Exit codes: 0 ended gracefully, 1 failed, 2 wrong usage.`
+
+type options struct {
+	Version  func()          `long:"version" description:"print the version and exit"`
+	Platform platformCommand `command:"platform" description:"table, object store and host list"`
+	Engine   engineCommand   `command:"engine" description:"a model engine"`
+	Service  serviceCommand  `command:"service" description:"a plain service"`
+}
+
+func main() {
+	var opts options
+	opts.Version = func() {
+		fmt.Println("windscale-standin", version())
+		os.Exit(0)
+	}
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = examples
+	_, err := parser.Parse()
+	os.Exit(exitCode(err))
+}
+
+// exitCode tells the user of a failure and returns the exit code.
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if !errors.As(err, &usage) {
+		slog.Error("failed", "err", err)
+		return exitFailed
+	}
+	if usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, usage.Message)
+	return exitUsage
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/platform/httpplatform/client.go
@@ -0,0 +1,200 @@
+// Package httpplatform is the adapter that speaks to the platform's services
+// by HTTP, in the form that package wire describes. Nothing else in the routers
+// and tools knows that form.
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/platform/httpplatform/wire"
+)
+
+// drainLimit is how much of an unwanted body is read so that the connection
+// can be used again, in bytes.
+const drainLimit = 64 << 10
+
+// Client calls the platform's services. It implements [platform.Table],
+// [platform.Objects] and [platform.HostList]. It never repeats a call: a
+// caller that gets KindUnknown settles that by reading.
+type Client struct {
+	base   string
+	client http.Client
+
+	mu       sync.Mutex
+	hostsTag string          // guarded by mu
+	hosts    []platform.Host // guarded by mu
+}
+
+var (
+	_ platform.Table    = (*Client)(nil)
+	_ platform.Objects  = (*Client)(nil)
+	_ platform.HostList = (*Client)(nil)
+)
+
+// New returns a client of the services under baseURL, such as
+// "http://127.0.0.1:9000". It uses a copy of client; nil stands for
+// http.DefaultClient. The deadline of a call is its context's.
+func New(baseURL string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	c := &Client{base: strings.TrimSuffix(baseURL, "/"), client: *client}
+	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
+}
+
+// StatusError is an HTTP status that is not the one hoped for.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return "status " + http.StatusText(e.Status) }
+
+// TooLargeError is an answer longer than the form allows.
+type TooLargeError struct {
+	Limit int // bytes
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string { return "answer too large" }
+
+// FormError is an answer that the form does not allow.
+type FormError struct {
+	What string
+}
+
+// Error implements error.
+func (e *FormError) Error() string { return "answer not as agreed: " + e.What }
+
+// call is one HTTP call.
+type call struct {
+	op     string
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	write  bool // its effect matters if the answer is lost
+}
+
+// answer is what came of a call that got an HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do makes the call and reads its answer. A failure to get an answer is an
+// error; any status is not.
+func (c *Client) do(ctx context.Context, k call) (answer, error) {
+	var sent sentWatch
+	req, err := http.NewRequestWithContext(sent.watch(ctx), k.method, c.base+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return answer{}, &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
+	}
+	for name, values := range k.header {
+		req.Header[name] = values
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer{}, k.lost(sent.mayHaveLeft(err), err)
+	}
+	defer resp.Body.Close()
+	if k.write {
+		// The status alone tells the outcome.
+		_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
+		return answer{status: resp.StatusCode, header: resp.Header}, nil
+	}
+	body, err := readBounded(resp.Body)
+	if err != nil {
+		return answer{}, k.badRead(err)
+	}
+	return answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+// lost types the failure of a call that got no answer.
+func (k call) lost(mayHaveLeft bool, err error) error {
+	if k.write && mayHaveLeft {
+		return &platform.Error{Kind: platform.KindUnknown, Op: k.op, Err: err}
+	}
+	return &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
+}
+
+// badRead types the failure to read the body of a read's answer.
+func (k call) badRead(err error) error {
+	var large *TooLargeError
+	if errors.As(err, &large) {
+		return &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: err}
+	}
+	return &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
+}
+
+// malformed types an answer that the form does not allow.
+func (k call) malformed(what string) error {
+	return &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: &FormError{What: what}}
+}
+
+// status types a status that is not success.
+func (k call) status(status int) error {
+	err := &platform.Error{Op: k.op, Err: &StatusError{Status: status}}
+	switch {
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		err.Kind = platform.KindUnavailable
+	case k.write && status == http.StatusPreconditionFailed:
+		err.Kind = platform.KindConflict
+	case k.write:
+		err.Kind = platform.KindUnknown
+	case status >= http.StatusInternalServerError:
+		err.Kind = platform.KindUnavailable
+	default:
+		err.Kind = platform.KindMalformed
+	}
+	return err
+}
+
+func readBounded(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, wire.MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > wire.MaxBody {
+		return nil, &TooLargeError{Limit: wire.MaxBody}
+	}
+	return body, nil
+}
+
+// sentWatch learns whether any byte of a request may have left.
+type sentWatch struct {
+	asked atomic.Bool // the transport asked for a connection
+	got   atomic.Bool // and has had one
+}
+
+func (s *sentWatch) watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { s.asked.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { s.got.Store(true) },
+	})
+}
+
+// mayHaveLeft is false only if the request certainly did not leave. A
+// transport that does not report its connections is given no benefit.
+func (s *sentWatch) mayHaveLeft(err error) bool {
+	if s.got.Load() {
+		return true
+	}
+	if s.asked.Load() {
+		return false
+	}
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
