--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -48,6 +48,7 @@
 	Attempt int
 	Method  string
 	Path    string // decoded, with the leading slash
+	RawPath string // the path's escaped form; empty: the usual one
 	Query   string // raw
 	Header  http.Header
 	Body    []byte
@@ -165,7 +166,7 @@
 	}
 	req := &http.Request{
 		Method:        call.Method,
-		URL:           &url.URL{Scheme: scheme, Host: call.Server.Addr, Path: call.Path, RawQuery: call.Query},
+		URL:           callURL(call),
 		Host:          call.Server.Addr,
 		Header:        header,
 		ContentLength: int64(len(call.Body)),
@@ -179,6 +180,17 @@
 	return req.WithContext(ctx)
 }
 
+// callURL returns where the call goes.
+func callURL(call Call) *url.URL {
+	return &url.URL{
+		Scheme:   scheme,
+		Host:     call.Server.Addr,
+		Path:     call.Path,
+		RawPath:  call.RawPath,
+		RawQuery: call.Query,
+	}
+}
+
 // sendError classes a failure before the answer's header. Sealing the gate
 // first makes "not sent" certain.
 func sendError(g *gate, err error) *Error {
--- /dev/null
+++ b/internal/core/attempt/allowance_test.go
@@ -0,0 +1,46 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Over any run of successes and retries, the retries are at most the start,
+// the percentage of the successes, and never a burst above the cap.
+func TestAllowanceBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAllowance()
+		pct := rapid.Float64Range(0, 50).Draw(t, "percent")
+		var retries, successes, burst float64
+		for _, success := range rapid.SliceOf(rapid.Bool()).Draw(t, "results") {
+			if success {
+				a.Succeeded(pct)
+				successes++
+				burst = 0
+				continue
+			}
+			if a.Take() {
+				retries++
+				burst++
+			}
+			if burst > allowanceCap {
+				t.Fatalf("%v retries in a row", burst)
+			}
+		}
+		if bound := allowanceStart + successes*pct/percent + 1e-9; retries > bound {
+			t.Fatalf("%v retries, bound %v", retries, bound)
+		}
+	})
+}
+
+func TestBackoffIsJitteredAndBounded(t *testing.T) {
+	assert.Equal(t, Backoff(1, 0), time.Duration(0))
+	assert.Equal(t, Backoff(1, 0.5), 5*time.Millisecond)
+	assert.Equal(t, Backoff(3, 0.5), 20*time.Millisecond)
+	for n := 1; n < 100; n++ {
+		assert.Assert(t, Backoff(n, 0.999) < backoffCap)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,10 +108,10 @@
 	m.serveWhole()
 }
 
-// Service serves a call to a plain service for a customer. path is decoded, as
-// in [net/url.URL]; the query is r's.
+// Service serves a call to a plain service for a customer. path is escaped, as
+// the caller sent it, with its leading slash; the query is r's.
 func (p *Proxy) Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string) {
-	path, ok := canonical(path)
+	decoded, ok := canonical(path)
 	if !ok {
 		problem.Refuse(w, problem.BadRequest, "the path is not canonical", 0)
 		return
@@ -129,14 +129,14 @@
 	if !ok {
 		return
 	}
-	once := isOnce(known.Once, r.Method, path)
+	once := isOnce(known.Once, r.Method, decoded)
 	u, ok := p.newRun(w, r, c, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
 	if !ok {
 		return
 	}
 	defer u.close()
 	u.want.Bytes = len(body)
-	s := serviceRun{run: u, service: known, path: path, body: body, once: once}
+	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
 	s.serve()
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,6 +5,7 @@
 	stderrors "errors"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -97,11 +98,13 @@
 	return slices.Contains(list, name) || slices.Contains(list, allowAll)
 }
 
-// canonical returns the path with its leading slash. A path that servers might
-// read as another one is not accepted: the settings are asked about what the
-// server will see.
-func canonical(path string) (string, bool) {
-	path = "/" + strings.TrimPrefix(path, "/")
+// canonical decodes an escaped path. A path that servers might read as another
+// one is not accepted: the settings are asked about what the server will see.
+func canonical(escaped string) (string, bool) {
+	path, err := url.PathUnescape(escaped)
+	if err != nil || !strings.HasPrefix(path, "/") {
+		return "", false
+	}
 	if strings.Contains(path, "//") || strings.Contains(path, `\`) {
 		return "", false
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -13,7 +13,8 @@
 type serviceRun struct {
 	*run
 	service settings.Service
-	path    string
+	path    string // decoded
+	rawPath string // as it is sent
 	body    []byte
 	once    bool
 	guard   func() error
@@ -37,6 +38,7 @@
 	call := s.call(slot)
 	call.Method = s.r.Method
 	call.Path = s.path
+	call.RawPath = s.rawPath
 	call.Query = s.r.URL.RawQuery
 	call.Header = backend.CleanRequest(s.r.Header)
 	if s.fence != "" {
