--- /dev/null
+++ b/internal/core/burn/report.go
@@ -0,0 +1,237 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// Report is the burn of every customer and group at one moment.
+type Report struct {
+	At      time.Time     `json:"at"`
+	Since   time.Time     `json:"since"` // the oldest reading kept
+	Windows []WindowState `json:"windows"`
+	Rows    []Row         `json:"rows"`
+}
+
+// WindowState says how well the readings cover one window.
+type WindowState struct {
+	Length  time.Duration   `json:"lengthNs"`
+	From    time.Time       `json:"from"` // the reading that the window starts from
+	Span    time.Duration   `json:"spanNs"`
+	Partial bool            `json:"partial"` // shorter than Length, or with outcomes not read
+	Short   bool            `json:"short"`   // the readings do not reach back so far
+	Seen    uint64          `json:"seen"`    // readings of routers in the window
+	Routers []RouterReading `json:"routers"` // with a gap or restart in the window
+}
+
+// gaps says that outcomes of the window may not have been read.
+func (s WindowState) gaps() bool {
+	for _, r := range s.Routers {
+		if r.Lost > 0 || r.MissingNow {
+			return true
+		}
+	}
+	return false
+}
+
+// RouterReading says what is not known of one router within a window.
+type RouterReading struct {
+	Router     msg.RouterID  `json:"router"`
+	Missed     uint64        `json:"missed"` // readings that failed
+	Restarts   uint64        `json:"restarts"`
+	Lost       time.Duration `json:"lostNs"`
+	MissingNow bool          `json:"missingNow"`
+}
+
+// State says what a Burn's rate is worth.
+type State string
+
+// The states of a Burn.
+const (
+	Measured    State = "measured"
+	NoData      State = "no-data"      // none known, and not every router was read
+	NoRequests  State = "no-requests"  // every router was read, and there were none
+	NoObjective State = "no-objective" // the settings promise nothing
+)
+
+// Burn is the burn rate in one window. Rate counts only in state Measured.
+type Burn struct {
+	State  State   `json:"state"`
+	Rate   float64 `json:"rate"`
+	Counts Counts  `json:"counts"`
+}
+
+// Row is one customer's or group's burn of one objective, by window in the
+// order of Report.Windows.
+type Row struct {
+	ID        msg.CustomerID `json:"id"`
+	Group     bool           `json:"group"`
+	Objective Objective      `json:"objective"`
+	Burns     []Burn         `json:"burns"`
+	Alarms    []bool         `json:"alarms"` // by Pairs: both windows at the threshold
+}
+
+// Report computes the burn as of the last round. Customers are those that were
+// counted and those in promises.
+func (h *History) Report(promises map[msg.CustomerID]Promise) Report {
+	if len(h.s.Points) == 0 {
+		return Report{}
+	}
+	now := h.s.Points[len(h.s.Points)-1]
+	r := Report{At: now.At, Since: h.s.Points[0].At}
+	var bases []Point
+	for _, w := range Windows() {
+		base, short := h.base(now.At.Add(-w))
+		bases = append(bases, base)
+		r.Windows = append(r.Windows, windowState(w, base, now, short))
+	}
+	r.Rows = rows(now, bases, r.Windows, promises)
+	return r
+}
+
+// base returns the last point at or before start; short says there is none,
+// and the oldest was taken.
+func (h *History) base(start time.Time) (base Point, short bool) {
+	i, found := slices.BinarySearchFunc(h.s.Points, start, func(p Point, t time.Time) int {
+		return p.At.Compare(t)
+	})
+	switch {
+	case found:
+		return h.s.Points[i], false
+	case i == 0:
+		return h.s.Points[0], true
+	default:
+		return h.s.Points[i-1], false
+	}
+}
+
+func windowState(w time.Duration, base, now Point, short bool) WindowState {
+	s := WindowState{
+		Length: w,
+		From:   base.At,
+		Span:   now.At.Sub(base.At),
+		Short:  short,
+	}
+	for _, id := range slices.Sorted(maps.Keys(now.Routers)) {
+		d := now.Routers[id].minus(base.Routers[id])
+		s.Seen += d.Seen
+		missing := slices.Contains(now.Missing, id)
+		if d.Missed == 0 && d.Restarts == 0 && d.Lost == 0 && !missing {
+			continue
+		}
+		s.Routers = append(s.Routers, RouterReading{
+			Router:     id,
+			Missed:     d.Missed,
+			Restarts:   d.Restarts,
+			Lost:       d.Lost,
+			MissingNow: missing,
+		})
+	}
+	s.Partial = short || s.gaps()
+	return s
+}
+
+// key names a row.
+type key struct {
+	id    msg.CustomerID
+	group bool
+}
+
+// spent is what a row used and was allowed in each window.
+type spent struct {
+	counts  []Counts
+	allowed []float64
+	promise bool
+}
+
+func rows(now Point, bases []Point, windows []WindowState, promises map[msg.CustomerID]Promise) []Row {
+	ids := map[msg.CustomerID]bool{}
+	for id := range now.Totals {
+		ids[id] = true
+	}
+	for id := range promises {
+		ids[id] = true
+	}
+	var out []Row
+	for _, o := range Objectives() {
+		out = append(out, objectiveRows(o, ids, now, bases, windows, promises)...)
+	}
+	slices.SortStableFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func objectiveRows(o Objective, ids map[msg.CustomerID]bool, now Point, bases []Point, windows []WindowState, promises map[msg.CustomerID]Promise) []Row {
+	sums := map[key]*spent{}
+	for id := range ids {
+		p := promises[id]
+		if !p.covers(o) && now.Totals[id][o].Total == 0 {
+			continue
+		}
+		keys := []key{{id: id}}
+		for _, g := range Groups(id) {
+			keys = append(keys, key{id: g, group: true})
+		}
+		for _, k := range keys {
+			add(sums, k, id, o, p, now, bases)
+		}
+	}
+	out := make([]Row, 0, len(sums))
+	for k, s := range sums {
+		out = append(out, row(k, o, s, windows))
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// add adds the customer's counts to the row k.
+func add(sums map[key]*spent, k key, id msg.CustomerID, o Objective, p Promise, now Point, bases []Point) {
+	s, ok := sums[k]
+	if !ok {
+		s = &spent{counts: make([]Counts, len(bases)), allowed: make([]float64, len(bases))}
+		sums[k] = s
+	}
+	s.promise = s.promise || p.allowed(o, 1) > 0
+	if k.group && p.allowed(o, 1) == 0 {
+		return
+	}
+	for w, base := range bases {
+		d := now.Totals[id][o].minus(base.Totals[id][o])
+		s.counts[w] = s.counts[w].plus(d)
+		s.allowed[w] += p.allowed(o, d.Total)
+	}
+}
+
+func row(k key, o Objective, s *spent, windows []WindowState) Row {
+	r := Row{ID: k.id, Group: k.group, Objective: o}
+	for w, state := range windows {
+		b := Burn{State: Measured, Counts: s.counts[w]}
+		switch {
+		case !s.promise:
+			b.State = NoObjective
+		case s.counts[w].Total > 0:
+			b.Rate = float64(s.counts[w].Bad) / s.allowed[w]
+		case state.Seen == 0 || state.gaps():
+			b.State = NoData
+		default:
+			b.State = NoRequests
+		}
+		r.Burns = append(r.Burns, b)
+	}
+	for _, p := range Pairs() {
+		r.Alarms = append(r.Alarms, r.at(p.Short) >= p.Threshold && r.at(p.Long) >= p.Threshold)
+	}
+	return r
+}
+
+// at returns the rate in the window of length w, or 0 when it is not measured.
+func (r Row) at(w time.Duration) float64 {
+	b := r.Burns[slices.Index(Windows(), w)]
+	if b.State != Measured {
+		return 0
+	}
+	return b.Rate
+}
