--- a/internal/core/burn/burn_test.go
+++ b/internal/core/burn/burn_test.go
@@ -300,3 +300,18 @@
 	assert.Equal(t, w.Routers[0].Router, msg.RouterID("leaves"))
 	assert.Assert(t, w.Routers[0].Lost > 0 && w.Routers[0].Lost < 1000*time.Hour)
 }
+
+// TestRouterThatLeaves checks that the end of a router's life, which nothing
+// read, is shown as lost.
+func TestRouterThatLeaves(t *testing.T) {
+	h := New()
+	both := []Sample{{Router: "a", Incarnation: 1, Uptime: time.Hour}, {Router: "b", Incarnation: 1, Uptime: time.Hour}}
+	assert.NilError(t, h.Add(Round{At: epoch, Samples: both}))
+	assert.NilError(t, h.Add(Round{At: epoch.Add(30 * time.Second), Samples: both}))
+	assert.NilError(t, h.Add(Round{At: epoch.Add(60 * time.Second), Samples: both[:1]}))
+	assert.NilError(t, h.Add(Round{At: epoch.Add(90 * time.Second), Samples: both[:1]}))
+	w := h.Report(nil).Windows[0]
+	assert.Equal(t, len(w.Routers), 1)
+	assert.Equal(t, w.Routers[0].Lost, 30*time.Second)
+	assert.Assert(t, abs(w.Read-0.8) < 1e-9, "%v", w.Read)
+}
--- a/internal/core/burn/history.go
+++ b/internal/core/burn/history.go
@@ -27,6 +27,7 @@
 type LastSeen struct {
 	Sample Sample    `cbor:"1,keyasint"`
 	At     time.Time `cbor:"2,keyasint"`
+	Gone   bool      `cbor:"3,keyasint"` // no later round named it
 }
 
 // Reading counts what became of the readings of one router.
@@ -35,7 +36,8 @@
 	Missed   uint64        `cbor:"2,keyasint"`
 	Restarts uint64        `cbor:"3,keyasint"` // new incarnations, and counters that went down
 	Lost     time.Duration `cbor:"4,keyasint"` // served, and never read
-	Latest   time.Time     `cbor:"5,keyasint"` // round that named the router
+	Read     time.Duration `cbor:"5,keyasint"` // served, and read
+	Latest   time.Time     `cbor:"6,keyasint"` // round that named the router
 }
 
 func (r Reading) minus(o Reading) Reading {
@@ -44,6 +46,7 @@
 		Missed:   r.Missed - o.Missed,
 		Restarts: r.Restarts - o.Restarts,
 		Lost:     r.Lost - o.Lost,
+		Read:     r.Read - o.Read,
 	}
 }
 
@@ -100,6 +103,7 @@
 	for _, id := range r.Missing {
 		h.count(id, Reading{Missed: 1, Latest: r.At})
 	}
+	h.leave(r.At)
 	h.s.Points = append(h.s.Points, Point{
 		At:      r.At,
 		Totals:  maps.Clone(h.s.Totals),
@@ -117,30 +121,49 @@
 	r.Missed += d.Missed
 	r.Restarts += d.Restarts
 	r.Lost += d.Lost
+	r.Read += d.Read
 	if d.Latest.After(r.Latest) {
 		r.Latest = d.Latest
 	}
 	h.s.Routers[id] = r
 }
 
+// leave counts what was not read of routers that the round at did not name:
+// they left since their last sample.
+func (h *History) leave(at time.Time) {
+	for id, l := range h.s.Last {
+		if l.Gone || h.s.Routers[id].Latest.Equal(at) {
+			continue
+		}
+		l.Gone = true
+		h.count(id, Reading{Lost: at.Sub(l.At)})
+	}
+}
+
 // addSample adds what the router counted since its last sample.
 func (h *History) addSample(s Sample, at time.Time) {
 	last := h.s.Last[s.Router]
 	h.s.Last[s.Router] = &LastSeen{Sample: s, At: at}
 	started := at.Add(-s.Uptime)
-	h.count(s.Router, Reading{Seen: 1, Latest: at})
+	d := Reading{Seen: 1, Latest: at}
 	switch {
 	case last == nil && started.Before(h.s.Begin):
-		h.count(s.Router, Reading{Lost: at.Sub(h.s.Begin)})
+		d.Lost = at.Sub(h.s.Begin)
 	case last == nil:
+		d.Read = s.Uptime
 		h.increase(s, nil)
 	case last.Sample.Incarnation != s.Incarnation:
-		lost := max(started.Sub(last.At), 0)
-		h.count(s.Router, Reading{Restarts: 1, Lost: lost})
+		d.Restarts = 1
+		d.Read = min(s.Uptime, at.Sub(last.At))
+		d.Lost = at.Sub(last.At) - d.Read
 		h.increase(s, nil)
-	case h.increase(s, last.Sample.Customers):
-		h.count(s.Router, Reading{Restarts: 1})
+	default:
+		d.Read = at.Sub(last.At)
+		if h.increase(s, last.Sample.Customers) {
+			d.Restarts = 1
+		}
 	}
+	h.count(s.Router, d)
 }
 
 // increase adds to the totals what s holds above base, and says whether a
--- a/internal/core/burn/report.go
+++ b/internal/core/burn/report.go
@@ -25,6 +25,7 @@
 	Partial bool            `json:"partial"` // shorter than Length, or with outcomes not read
 	Short   bool            `json:"short"`   // the readings do not reach back so far
 	Seen    uint64          `json:"seen"`    // readings of routers in the window
+	Read    float64         `json:"read"`    // share of the routers' time that was read
 	Routers []RouterReading `json:"routers"` // with a gap or restart in the window
 }
 
@@ -116,10 +117,16 @@
 		Span:   now.At.Sub(base.At),
 		Short:  short,
 	}
+	var read, lost time.Duration
 	for _, id := range slices.Sorted(maps.Keys(now.Routers)) {
 		d := now.Routers[id].minus(base.Routers[id])
 		s.Seen += d.Seen
 		missing := slices.Contains(now.Missing, id)
+		if missing {
+			d.Lost += unread(s.Span, now.Routers[id], d)
+		}
+		read += d.Read
+		lost += d.Lost
 		if d.Missed == 0 && d.Restarts == 0 && d.Lost == 0 && !missing {
 			continue
 		}
@@ -131,10 +138,22 @@
 			MissingNow: missing,
 		})
 	}
+	if read+lost > 0 {
+		s.Read = read.Seconds() / (read + lost).Seconds()
+	}
 	s.Partial = short || s.gaps()
 	return s
 }
 
+// unread is how much of the window is not known of a router that cannot be
+// read now and of which the window holds d.
+func unread(span time.Duration, all, d Reading) time.Duration {
+	if all.Seen == 0 || d.Seen == 0 {
+		return span
+	}
+	return max(span-d.Read-d.Lost, 0)
+}
+
 // key names a row.
 type key struct {
 	id    msg.CustomerID
