Add the sharing core: entries, admitters, directory and counter tree

One Node a router holds the waiting requests, hands out the slots of the servers that rendezvous hashing gives it, and merges service counters along a tree.

--- /dev/null
+++ b/internal/core/share/entrytick.go
@@ -0,0 +1,168 @@
+package share
+
+import (
+	"sort"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// sweepInterval is between two looks for state to forget or repeat.
+const sweepInterval = time.Second
+
+// tick spreads waits that last, gives up those over their time, and keeps held
+// grants alive.
+func (e *entry) tick() {
+	for _, q := range e.sorted() {
+		e.expire(q)
+		e.avoidNoMore(q)
+		e.widen(q)
+	}
+	if e.n.now >= e.keepAt {
+		e.keepAt = e.n.now + e.n.cfg.KeepInterval
+		e.keepAlive()
+	}
+	if e.n.now >= e.sweepAt {
+		e.sweepAt = e.n.now + sweepInterval
+		e.sweep()
+	}
+}
+
+// sorted returns the queues with waiting requests in the order of their
+// numbers.
+func (e *entry) sorted() []*queue {
+	var list []*queue
+	for _, q := range e.queues {
+		if q.size > 0 {
+			list = append(list, q)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].num < list[j].num })
+	return list
+}
+
+// expire refuses the requests at the queue's head whose time is over.
+func (e *entry) expire(q *queue) {
+	for w := q.head(); w != nil; w = q.head() {
+		waited := e.n.now - w.at
+		limit := w.req.Limits.QueueTime
+		switch {
+		case limit > 0 && waited >= limit:
+			e.leave(w)
+			e.refuse(w.req.ID, QueueTimeout)
+		case len(q.pool.admitters) == 0 && waited >= e.n.cfg.NoServerAfter:
+			e.leave(w)
+			e.refuse(w.req.ID, NoServer)
+		default:
+			return
+		}
+	}
+}
+
+// avoidNoMore lets requests that have waited long take any server.
+func (e *entry) avoidNoMore(q *queue) {
+	if len(q.avoid) == 0 {
+		return
+	}
+	for w := q.head(); w != nil && e.n.now-w.at >= avoidFor; w = q.head() {
+		e.leave(w)
+		e.enqueue(q.customer, &waiter{req: w.req, at: w.at}, nil)
+	}
+}
+
+// widen registers a lasting wait with more admitters, up to twice its number
+// of requests, and tells the directory.
+func (e *entry) widen(q *queue) {
+	n := q.eligible()
+	if n == 0 {
+		return
+	}
+	all := len(q.pool.admitters)
+	if all == 0 {
+		e.askFor(q.pool, true)
+		return
+	}
+	if e.n.now-q.spreadAt < e.n.cfg.SpreadDelay {
+		return
+	}
+	e.askFor(q.pool, true)
+	most := min(all, max(minSpread, 2*n))
+	if q.spread >= most {
+		return
+	}
+	for i := range q.spread {
+		q.pool.admitters[(q.start+i)%all].full = e.n.now + fullFor
+	}
+	q.spread = min(most, 2*max(1, q.spread))
+	q.spreadAt = e.n.now
+	e.touch(q)
+}
+
+// keepAlive tells every admitter which of its grants are held. Lower ones are
+// void from then on, should they still come.
+func (e *entry) keepAlive() {
+	ids := make([]msg.RouterID, 0, len(e.peers))
+	for id, p := range e.peers {
+		if len(p.got) > 0 || len(p.held) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	for _, id := range ids {
+		p := e.peers[id]
+		m := e.n.to(id)
+		m.Of, m.Seen, m.Held = p.incarnation, p.seen, p.heldList()
+		p.void = p.seen
+		p.got = map[uint64]bool{}
+	}
+}
+
+func (p *peer) heldList() *Held {
+	h := &Held{}
+	for seq := range p.held {
+		h.Seqs = append(h.Seqs, seq)
+	}
+	sort.Slice(h.Seqs, func(i, j int) bool { return h.Seqs[i] < h.Seqs[j] })
+	for _, seq := range h.Seqs {
+		h.Costs = append(h.Costs, p.held[seq].cost)
+	}
+	return h
+}
+
+// sweep forgets queues long empty and repeats old registrations.
+func (e *entry) sweep() {
+	for _, q := range e.sorted() {
+		e.refresh(q)
+	}
+	for key, q := range e.queues {
+		if q.size == 0 && !q.dirty && e.n.now-q.usedAt > queueIdle {
+			delete(e.queues, key)
+			delete(e.byNum, q.num)
+			q.customer.forget(q)
+		}
+	}
+	for id, c := range e.customers {
+		if c.waiting == 0 && c.running == 0 && len(c.queues) == 0 {
+			delete(e.customers, id)
+		}
+	}
+}
+
+func (c *entryCustomer) forget(q *queue) {
+	for i, x := range c.queues {
+		if x == q {
+			c.queues = append(c.queues[:i], c.queues[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *entry) refresh(q *queue) {
+	for _, a := range q.pool.admitters {
+		t := q.told[a.id]
+		if t != nil && t.count > 0 && e.n.now-t.at >= waitRefresh {
+			t.at = e.n.now
+			e.sendWait(q, a.id, t.count)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/share/grant.go
@@ -0,0 +1,109 @@
+package share
+
+import (
+	"slices"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// grantAll hands out free slots until none is free or nothing waits for one.
+func (a *admitter) grantAll() {
+	if !a.dirty {
+		return
+	}
+	a.dirty = false
+	for a.grantOne() {
+	}
+	for _, p := range a.order {
+		for _, c := range p.heap {
+			c.waited = true
+		}
+	}
+}
+
+// grantOne hands out a slot of the server with the most free ones, and tells
+// whether there was one that something waits for.
+func (a *admitter) grantOne() bool {
+	var best *poolServer
+	var to *registration
+	for _, s := range a.mine {
+		if s.free() <= 0 || (best != nil && s.free() <= best.free()) {
+			continue
+		}
+		if r := a.next(s); r != nil {
+			best, to = s, r
+		}
+	}
+	if best == nil {
+		return false
+	}
+	a.grant(best, to)
+	return true
+}
+
+// next returns the registration that a slot of the server should go to: of
+// the least served customer, the server's pools in turn.
+func (a *admitter) next(s *poolServer) *registration {
+	for i := range s.pools {
+		p := a.pools[s.pools[(s.turn+i)%len(s.pools)]]
+		if r := p.next(s.id); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// next returns the registration of the pool that is next for a slot of the
+// server. The heap's order is followed past its first account only if all
+// that one's registrations avoid the server.
+func (p *admitPool) next(server msg.ServerID) *registration {
+	if len(p.heap) == 0 {
+		return nil
+	}
+	if r := p.heap[0].nextReg(server); r != nil {
+		return r
+	}
+	var best *registration
+	for _, c := range p.heap {
+		if best != nil && c.key >= best.account.key {
+			continue
+		}
+		if r := c.nextReg(server); r != nil {
+			best = r
+		}
+	}
+	return best
+}
+
+// nextReg returns the customer's next registration that takes the server, in
+// turn.
+func (c *account) nextReg(server msg.ServerID) *registration {
+	for i := range c.regs {
+		r := c.regs[(c.turn+i)%len(c.regs)]
+		if r.count > 0 && !slices.Contains(r.avoid, server) {
+			return r
+		}
+	}
+	return nil
+}
+
+// grant gives the registration a slot of the server and charges the estimate.
+func (a *admitter) grant(s *poolServer, r *registration) {
+	c := r.account
+	s.turn++
+	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
+	a.lastSeq++
+	g := &grantRecord{
+		seq: a.lastSeq, server: s, account: c, entry: r.entry,
+		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
+	}
+	a.grants[g.seq] = g
+	a.entries[r.entry].grants[g.seq] = g
+	s.hold(a.n.now, 1)
+	r.count--
+	r.pending = append(r.pending, g.seq)
+	c.charge(g.charged)
+	c.setWaiting(c.waiting - 1)
+	m := a.n.to(r.entry)
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+}
--- /dev/null
+++ b/internal/core/share/member.go
@@ -0,0 +1,75 @@
+package share
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// members is the set of live routers, in the order of the tree.
+type members struct {
+	list []Member
+	byID map[msg.RouterID]int // index in list
+}
+
+func newMembers(list []Member) members {
+	m := members{list: append([]Member(nil), list...), byID: map[msg.RouterID]int{}}
+	sort.Slice(m.list, func(i, j int) bool {
+		a, b := m.list[i], m.list[j]
+		if a.DataCentre != b.DataCentre {
+			return a.DataCentre < b.DataCentre
+		}
+		return a.ID < b.ID
+	})
+	for i, x := range m.list {
+		m.byID[x.ID] = i
+	}
+	return m
+}
+
+func withSelf(list []Member, self Member) []Member {
+	out := []Member{self}
+	for _, m := range list {
+		if m.ID != self.ID {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (m members) has(id msg.RouterID) bool {
+	_, ok := m.byID[id]
+	return ok
+}
+
+// owner is the live router that rendezvous hashing gives the name to: the one
+// with the highest hash of both. A router's leaving moves only what it owned.
+func (m members) owner(kind byte, name string) msg.RouterID {
+	var best msg.RouterID
+	var high uint64
+	h := mix(uint64(kind) ^ xxhash.Sum64String(name))
+	for _, x := range m.list {
+		v := mix(h ^ xxhash.Sum64String(string(x.ID)))
+		if best == "" || v > high || (v == high && x.ID < best) {
+			best, high = x.ID, v
+		}
+	}
+	return best
+}
+
+// What rendezvous hashing gives out.
+const (
+	ownServer byte = 's' // the admitting of a server
+	ownPool   byte = 'p' // the directory of a pool
+)
+
+// mix spreads the bits of a number (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/core/share/merge.go
@@ -0,0 +1,190 @@
+package share
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+)
+
+// deadAfter is how many merges a customer may not wait before it counts as
+// idle.
+const deadAfter = 2
+
+// mergeRoot adds up all that came since the last merge and sends the totals
+// down.
+func (t *tree) mergeRoot() {
+	t.touchOwn()
+	t.merge++
+	rec := t.newRecord()
+	d := &Down{Seq: t.merge, Settings: max(t.settings, t.heard)}
+	for _, id := range t.sortedPools() {
+		p := t.pools[id]
+		p.add(t, id)
+		p.raiseFloor()
+		if list := p.liveCounts(); len(list) > 0 {
+			d.Pools = append(d.Pools, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
+		}
+	}
+	t.apply(d.Pools, &rec)
+	t.forward(d, rec.kids)
+}
+
+// add takes into the totals what was served since the last merge.
+func (p *treePool) add(t *tree, id msg.PoolID) {
+	for hash, c := range p.counters {
+		v := t.value(id, hash, c)
+		c.slots = t.slotsOf(id, hash)
+		switch {
+		case c.slots > 0 && !c.live:
+			c.total, c.live, c.idle = p.floor, true, 0
+		case c.slots > 0:
+			c.idle = 0
+		default:
+			c.idle++
+		}
+		if c.live {
+			c.total += v - c.acked
+		}
+		c.acked = v
+		if c.idle >= deadAfter {
+			c.live = false
+		}
+	}
+}
+
+// raiseFloor moves the floor up to the least total of a backlogged customer.
+func (p *treePool) raiseFloor() {
+	least, any := int64(0), false
+	for _, c := range p.counters {
+		if c.live && (!any || c.total < least) {
+			least, any = c.total, true
+		}
+	}
+	if any && least > p.floor {
+		p.floor = least
+	}
+}
+
+func (p *treePool) liveCounts() []count {
+	var list []count
+	for hash, c := range p.counters {
+		if c.live {
+			list = append(list, count{hash, c.total - p.floor, c.slots})
+		}
+	}
+	return list
+}
+
+// down takes the parent's totals, and passes them on.
+func (t *tree) down(from msg.RouterID, incarnation uint64, d *Down) {
+	t.hear(d.Settings)
+	if from != t.parent || (t.parentInc == incarnation && d.Seq <= t.merge) {
+		return
+	}
+	if t.parentInc != 0 && incarnation != t.parentInc {
+		t.newEdge(incarnation)
+	}
+	t.parentInc = incarnation
+	t.merge = d.Seq
+	t.upAt = t.n.now + t.n.cfg.MergeInterval - time.Duration(t.depth)*levelDelay
+	var rec *record
+	if d.Edge == t.edge {
+		t.acknowledge(d.Ack)
+		rec = t.recordOf(d.Included)
+	}
+	t.apply(d.Pools, rec)
+	kids := map[msg.RouterID]uint64{}
+	if rec != nil {
+		kids = rec.kids
+	}
+	t.forward(d, kids)
+}
+
+// acknowledge moves the base of what is sent up.
+func (t *tree) acknowledge(seq uint64) {
+	rec := t.recordOf(seq)
+	if rec == nil || seq <= t.base {
+		return
+	}
+	t.base = seq
+	for c, v := range rec.values {
+		c.acked = v
+	}
+}
+
+func (t *tree) recordOf(seq uint64) *record {
+	for i := range t.records {
+		if t.records[i].seq == seq {
+			return &t.records[i]
+		}
+	}
+	return nil
+}
+
+// forward sends the totals to the children.
+func (t *tree) forward(d *Down, included map[msg.RouterID]uint64) {
+	for _, id := range t.kids {
+		out := &Down{Seq: d.Seq, Pools: d.Pools, Settings: d.Settings}
+		if c := t.children[id]; c != nil {
+			out.Edge, out.Ack, out.Included = c.edge, c.seq, included[id]
+		}
+		t.n.to(id).Down = out
+	}
+}
+
+// apply puts the totals into the accounts. rec says what they include of this
+// router's own service; nil: not known.
+func (t *tree) apply(pools []PoolCount, rec *record) {
+	listed := map[*account]bool{}
+	live := map[*counter]bool{}
+	for _, pc := range pools {
+		p := t.pool(pc.Pool)
+		p.floor = max(p.floor, pc.Floor)
+		for _, x := range unpack(pc.Data) {
+			c := p.counter(x.hash)
+			c.total, c.slots, c.live = pc.Floor+x.value, x.slots, true
+			live[c] = true
+			if a := t.own(pc.Pool, x.hash); a != nil {
+				listed[a] = true
+				a.merged(c, rec)
+			}
+		}
+	}
+	t.forgetIdle(live)
+	t.resetWaited()
+	for _, p := range t.n.admit.order {
+		if tp := t.pools[p.id]; tp != nil {
+			p.floor = float64(tp.floor)
+		}
+		for _, a := range p.accounts {
+			a.active = listed[a]
+		}
+		for _, a := range p.heap {
+			a.key = a.level()
+		}
+		heap.Init(&p.heap)
+	}
+}
+
+// merged takes a merge's total.
+func (a *account) merged(c *counter, rec *record) {
+	a.total, a.slots = float64(c.total), c.slots
+	if rec == nil {
+		return
+	}
+	if own, ok := rec.own[a]; ok {
+		a.included = own
+	}
+}
+
+// forgetIdle marks the counters that the totals no longer list.
+func (t *tree) forgetIdle(live map[*counter]bool) {
+	for _, p := range t.pools {
+		for _, c := range p.counters {
+			if !live[c] {
+				c.live, c.slots = false, 0
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/share/sim_test.go
@@ -0,0 +1,291 @@
+package share_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+)
+
+// fleet passes messages between Nodes with delay and loss, and plays the
+// backend servers. Time is simulated and runs are repeatable.
+type fleet struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	seq      int
+	delay    time.Duration // one way, plus up to half of it
+	loss     float64
+	cut      map[msg.RouterID]int // side of a partition
+	nodes    map[msg.RouterID]*share.Node
+	ids      []msg.RouterID
+	servers  map[msg.ServerID]*simServer
+	requests map[msg.RequestID]*simRequest
+	served   map[simKey]float64 // cost over weight
+	done     func(*simRequest)
+	refused  func(*simRequest, share.Reason)
+	bytes    int
+	messages int
+	size     bool // encode messages to count bytes
+	tick     time.Duration
+	over     int // most running beyond a server's slots
+	incs     uint64
+}
+
+type simServer struct {
+	id      msg.ServerID
+	pools   []msg.PoolID
+	slots   int
+	rate    float64 // cost a second a slot
+	running []*simRequest
+	queue   []*simRequest
+	busy    time.Duration // slot time used
+	busyAt  time.Duration
+}
+
+type simRequest struct {
+	share.Request
+	entry   msg.RouterID
+	cost    float64
+	server  *simServer
+	arrived time.Duration
+	began   time.Duration
+	first   time.Duration
+	starts  int
+	ended   bool
+	refused bool
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+func newFleet(seed uint64, routers int) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond, tick: 10 * time.Millisecond,
+		cut: map[msg.RouterID]int{}, nodes: map[msg.RouterID]*share.Node{},
+		servers: map[msg.ServerID]*simServer{}, requests: map[msg.RequestID]*simRequest{},
+		served: map[simKey]float64{},
+		done:   func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
+	}
+	for i := range routers {
+		f.startNode(msg.RouterID(fmt.Sprintf("r%d", i)))
+	}
+	f.setMembers(f.ids)
+	return f
+}
+
+// startNode starts a router, or starts it again without memory.
+func (f *fleet) startNode(id msg.RouterID) {
+	f.incs++
+	if _, ok := f.nodes[id]; !ok {
+		f.ids = append(f.ids, id)
+	}
+	n := share.New(share.Config{ID: id, Incarnation: f.incs, DataCentre: "d" + string(id[len(id)-1:])})
+	f.nodes[id] = n
+	f.after(time.Duration(f.rng.Int64N(int64(f.tick))), func() { f.tickNode(id, n) })
+}
+
+func (f *fleet) tickNode(id msg.RouterID, n *share.Node) {
+	if f.nodes[id] != n {
+		return
+	}
+	n.Tick(f.now)
+	f.pump(id)
+	f.after(f.tick, func() { f.tickNode(id, n) })
+}
+
+func (f *fleet) setMembers(ids []msg.RouterID) {
+	var list []share.Member
+	for _, id := range ids {
+		list = append(list, share.Member{ID: id, DataCentre: "d" + string(id[len(id)-1:])})
+	}
+	for _, id := range ids {
+		f.nodes[id].SetMembers(f.now, list)
+		f.pump(id)
+	}
+}
+
+func (f *fleet) addServer(id string, slots int, rate float64, pools ...msg.PoolID) {
+	f.servers[msg.ServerID(id)] = &simServer{id: msg.ServerID(id), pools: pools, slots: slots, rate: rate}
+}
+
+func (f *fleet) setServers() {
+	var list []msg.ServerID
+	for i := range len(f.servers) {
+		list = append(list, msg.ServerID(fmt.Sprintf("s%d", i)))
+	}
+	for _, id := range f.ids {
+		f.nodes[id].SetServers(f.now, list)
+		f.pump(id)
+	}
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now + d, f.seq, do})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+func (f *fleet) latency() time.Duration {
+	return f.delay + time.Duration(f.rng.Int64N(int64(f.delay)/2+1))
+}
+
+// pump carries out what a node wants done.
+func (f *fleet) pump(id msg.RouterID) {
+	n := f.nodes[id]
+	r := n.Ready()
+	for _, out := range r.Send {
+		f.send(id, out)
+	}
+	for _, s := range r.Start {
+		f.start(f.requests[s.Request], f.servers[s.Server])
+	}
+	for _, x := range r.Refuse {
+		req := f.requests[x.Request]
+		req.refused = true
+		f.refused(req, x.Reason)
+	}
+	for _, s := range r.Probe {
+		f.after(f.latency(), func() { f.report(id, n, f.servers[s]) })
+	}
+}
+
+func (f *fleet) send(from msg.RouterID, out share.Outgoing) {
+	f.messages++
+	m := out.Message
+	if f.size {
+		b, err := share.Encode(m)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += len(b)
+	}
+	if f.cut[from] != f.cut[out.To] || f.rng.Float64() < f.loss {
+		return
+	}
+	f.after(f.latency(), func() {
+		if to := f.nodes[out.To]; to != nil {
+			to.Step(f.now, from, m)
+			f.pump(out.To)
+		}
+	})
+}
+
+func (f *fleet) report(id msg.RouterID, n *share.Node, s *simServer) {
+	if f.nodes[id] != n {
+		return
+	}
+	n.Load(f.now, share.LoadReport{
+		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue),
+	})
+	f.pump(id)
+}
+
+func (f *fleet) arrive(r *simRequest) {
+	f.requests[r.ID] = r
+	r.arrived = f.now
+	f.nodes[r.entry].Arrive(f.now, r.Request)
+	f.pump(r.entry)
+}
+
+// start runs a request at a server, or queues it there.
+func (f *fleet) start(r *simRequest, s *simServer) {
+	r.starts++
+	r.server = s
+	r.began = f.now
+	if len(s.running) >= s.slots {
+		s.queue = append(s.queue, r)
+		f.over = max(f.over, len(s.queue))
+		return
+	}
+	f.begin(r)
+}
+
+func (f *fleet) begin(r *simRequest) {
+	s := r.server
+	s.use(f.now)
+	s.running = append(s.running, r)
+	r.first = f.now - r.began + 5*time.Millisecond
+	r.began = f.now
+	n := f.nodes[r.entry]
+	f.after(time.Duration(r.cost/s.rate*float64(time.Second)), func() { f.finish(r, n) })
+}
+
+func (s *simServer) use(now time.Duration) {
+	s.busy += time.Duration(len(s.running)) * (now - s.busyAt)
+	s.busyAt = now
+}
+
+func (f *fleet) finish(r *simRequest, n *share.Node) {
+	s := r.server
+	s.use(f.now)
+	for i, x := range s.running {
+		if x == r {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			break
+		}
+	}
+	r.ended = true
+	f.served[keyOf(r)] += r.cost / r.Weight
+	if len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		f.begin(next)
+	}
+	if f.nodes[r.entry] == n {
+		n.End(f.now, r.ID, share.Result{Cost: msg.Cost(r.cost), First: r.first, Total: f.now - r.began})
+		f.pump(r.entry)
+	}
+	delete(f.requests, r.ID)
+	f.done(r)
+}
+
+// simKey is a customer in a pool.
+type simKey struct {
+	pool     msg.PoolID
+	customer msg.CustomerID
+}
+
+func keyOf(r *simRequest) simKey { return simKey{r.Pool, r.Customer} }
+
+// service is what each customer has got, running requests by their part done.
+func (f *fleet) service() map[simKey]float64 {
+	out := map[simKey]float64{}
+	for k, v := range f.served {
+		out[k] = v
+	}
+	for _, s := range f.servers {
+		for _, r := range s.running {
+			out[keyOf(r)] += (f.now - r.began).Seconds() * s.rate / r.Weight
+		}
+	}
+	return out
+}
