--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,11 +74,13 @@
 	return nil
 }
 
-// servicePath is the path below /services/NAME, as the caller escaped it.
+// servicePath is the decoded path below /services/NAME.
 func servicePath(r *http.Request, name string) string {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
-	_, rest, _ := strings.Cut(path, "/")
-	return "/" + rest
+	rest := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	if rest == "" {
+		return "/"
+	}
+	return rest
 }
 
 // serve names the customer, applies its limits and runs the request.
--- /dev/null
+++ b/internal/router/adminapi.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"encoding/hex"
+
+	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/platform"
+)
+
+// Status implements admin.Router.
+func (r *Router) Status() admin.Status {
+	s := admin.Status{
+		Router:      r.cfg.ID,
+		Incarnation: r.incarnation,
+		DataCentre:  r.cfg.DataCentre,
+		Draining:    r.drain.draining(),
+		Running:     r.running(),
+		Waiting:     r.sharer.Waiting(),
+		Members:     r.members(),
+	}
+	if snap := r.follower.Current(); snap != nil {
+		s.Ready = !s.Draining
+		s.SettingsVersion = snap.Version
+		s.SettingsDigest = hex.EncodeToString(snap.Digest[:])
+	}
+	return s
+}
+
+// running is the number of requests with a slot.
+func (r *Router) running() int { return r.sharer.Running() }
+
+// Backends implements admin.Router.
+func (r *Router) Backends() []admin.Backend {
+	var list []admin.Backend
+	for _, h := range r.hosts.Current().All {
+		if h.Role != platform.RoleServer {
+			continue
+		}
+		id := msg.ServerID(h.ID)
+		b := admin.Backend{ID: id, Addr: h.Addr, DataCentre: h.DataCentre, State: r.servers.state(id)}
+		if rep, ok := r.sharer.Report(id); ok {
+			b.Pools = rep.Pools
+			b.Slots = rep.Slots
+			b.Running = rep.Running
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+// Drain implements admin.Router.
+func (r *Router) Drain() { r.drain.start() }
+
+// SetLink implements admin.Router.
+func (r *Router) SetLink(peer msg.RouterID, cut bool) bool {
+	if !r.cfg.Faults {
+		return false
+	}
+	if cut {
+		r.link.Block(peer)
+	} else {
+		r.link.Unblock(peer)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/router/drain.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/entry"
+	"github.com/windscale/windscale/internal/events"
+)
+
+// lameDuck is how long a draining router says "not ready" and still accepts,
+// so that the platform's balancer stops sending before it meets a closed port.
+const lameDuck = time.Second
+
+// drain is the state of the shutdown.
+type drain struct {
+	begin sync.Once
+	asked chan struct{} // closed when the drain is to begin
+	began atomic.Int64  // Unix nanoseconds; 0: serving
+	ended atomic.Bool
+	cut   atomic.Uint64 // requests cut at the limit
+}
+
+func newDrain() *drain { return &drain{asked: make(chan struct{})} }
+
+// start asks for the drain; only the first call counts.
+func (d *drain) start() {
+	d.begin.Do(func() {
+		d.began.Store(time.Now().UnixNano())
+		close(d.asked)
+	})
+}
+
+func (d *drain) draining() bool { return d.began.Load() != 0 }
+
+// addDrain adds the actor that waits for SIGTERM, SIGINT or an operator, and
+// then shuts the entry down without cutting anything. A second signal, or the
+// drain limit of the settings, cuts what is left.
+func (r *Router) addDrain(g *run.Group, srv *entry.Server) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	failed := make(chan struct{}) // another actor has ended
+	g.Add(func() error {
+		select {
+		case <-signals:
+			r.drain.start()
+		case <-r.drain.asked:
+		case <-failed:
+			return nil
+		}
+		return r.drainNow(srv, signals)
+	}, func(error) { close(failed) })
+}
+
+func (r *Router) drainNow(srv *entry.Server, signals <-chan os.Signal) error {
+	limit := settings.DefaultFleet().DrainLimit
+	if s := r.follower.Current(); s != nil {
+		limit = s.Fleet.DrainLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", r.running(), "waiting", r.sharer.Waiting(), "limit", limit)
+	r.leave()
+	pause(ctx, lameDuck)
+	err := srv.Shutdown(ctx)
+	if err != nil {
+		r.drain.cut.Store(uint64(r.running() + r.sharer.Waiting()))
+	}
+	r.drain.ended.Store(true)
+	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
+	pause(context.Background(), lastWords)
+	return err
+}
+
+// lastWords is the time for the last reports to leave.
+const lastWords = 50 * time.Millisecond
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/router/effects.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+	"github.com/windscale/windscale/internal/events"
+)
+
+// The kinds of message on the link.
+const (
+	kindShare    uint8 = 1 // share.Message
+	kindMember   uint8 = 2 // member.Message
+	kindSettings uint8 = 3 // conversation: the asker's version; the newer settings, if any
+)
+
+// sendShare is called under the sharer's lock; the link does not block.
+func (r *Router) sendShare(to msg.RouterID, m *share.Message) {
+	body, err := share.Encode(m)
+	if err != nil {
+		events.MessageMalformed.Log(r.ctx, r.log, slog.LevelError, "peer", to, "err", err)
+		return
+	}
+	r.metrics.Sharing.Sent(len(body))
+	r.link.Send(to, kindShare, body)
+}
+
+// receive takes a peer's message, on one of the link's goroutines.
+func (r *Router) receive(from msg.RouterID, kind uint8, body []byte) {
+	switch kind {
+	case kindShare:
+		r.receiveShare(from, body)
+	default:
+		events.MessageUnknown.Log(r.ctx, r.log, slog.LevelDebug, "peer", from, "kind", kind)
+	}
+}
+
+func (r *Router) receiveShare(from msg.RouterID, body []byte) {
+	m, err := share.Decode(body)
+	if err != nil {
+		events.MessageMalformed.Log(r.ctx, r.log, slog.LevelWarn, "peer", from, "err", err)
+		return
+	}
+	r.metrics.Sharing.Received(len(body))
+	r.sharer.Step(from, m)
+}
+
+// resolve finds a peer's link address in the host list, else in the seeds.
+func (r *Router) resolve(id msg.RouterID) (string, bool) {
+	if h, ok := r.hosts.Current().Routers[id]; ok {
+		return h.Addr, true
+	}
+	for _, s := range r.cfg.Seeds {
+		if s.ID == id {
+			return s.Addr, true
+		}
+	}
+	return "", false
+}
+
+// probe is called under the sharer's lock.
+func (r *Router) probe(id msg.ServerID) {
+	if addr, ok := r.serverAddr(id); ok {
+		r.prober.Ask(r.ctx, id, addr)
+	}
+}
+
+func (r *Router) serverAddr(id msg.ServerID) (string, bool) {
+	h, ok := r.hosts.Current().Servers[id]
+	return h.Addr, ok
+}
+
+// answer serves the conversations that peers begin.
+func (r *Router) answer(_ context.Context, _ msg.RouterID, kind uint8, req []byte) ([]byte, error) {
+	if kind == kindSettings {
+		return r.answerSettings(req)
+	}
+	return nil, &UnknownKindError{Kind: kind}
+}
--- /dev/null
+++ b/internal/router/errors.go
@@ -0,0 +1,24 @@
+package router
+
+import "strconv"
+
+// UnknownKindError refuses a conversation of a kind that this release does not
+// know.
+type UnknownKindError struct {
+	Kind uint8
+}
+
+// Error implements error.
+func (e *UnknownKindError) Error() string {
+	return "conversation of unknown kind " + strconv.Itoa(int(e.Kind))
+}
+
+// NoPeerError says that no peer gave its settings.
+type NoPeerError struct {
+	Asked int // peers that were asked
+}
+
+// Error implements error.
+func (e *NoPeerError) Error() string {
+	return "none of " + strconv.Itoa(e.Asked) + " peers has given its settings"
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,211 @@
+// Package router puts the parts of a router process together: it builds them
+// from the configuration, connects them, and names the actors of the run
+// group. What the parts decide is theirs.
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+
+	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/config"
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/core/share"
+	"github.com/windscale/windscale/internal/entry"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/fleetcert"
+	"github.com/windscale/windscale/internal/hosts"
+	"github.com/windscale/windscale/internal/link"
+	"github.com/windscale/windscale/internal/metrics"
+	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/platform/httpplatform"
+	"github.com/windscale/windscale/internal/probe"
+	"github.com/windscale/windscale/internal/proxy"
+	"github.com/windscale/windscale/internal/settingsstore"
+	"github.com/windscale/windscale/internal/sharing"
+)
+
+// Router is one process of the fleet.
+type Router struct {
+	cfg         *config.Router
+	log         *slog.Logger
+	incarnation uint64
+	started     time.Time
+	ctx         context.Context // ends with the process's work
+	stop        context.CancelFunc
+
+	metrics  *metrics.Registry
+	platform *httpplatform.Client
+	hosts    *hosts.Follower
+	link     *link.Link
+	follower *settingsstore.Follower
+	sharer   *sharing.Sharer
+	prober   *probe.Prober
+	proxy    *proxy.Proxy
+	drain    *drain
+	servers  *serverWatch
+
+	entryLn net.Listener
+	adminLn net.Listener
+}
+
+// New builds the parts and opens the listeners, so that a taken address is
+// found before anything starts.
+func New(cfg *config.Router, log *slog.Logger) (*Router, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Router{
+		cfg:         cfg,
+		log:         log.With("router", cfg.ID),
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		ctx:         ctx,
+		stop:        stop,
+		metrics:     metrics.New(),
+		platform:    httpplatform.New(cfg.PlatformURL, &http.Client{}),
+		drain:       newDrain(),
+	}
+	r.servers = newServerWatch(r.log)
+	r.hosts = hosts.NewFollower(r.platform, hosts.NewList(seedHosts(cfg)), r.log, r.hostsChanged)
+	r.prober = probe.New(r.loadReported)
+	r.sharer = r.newSharer()
+	r.follower = r.newFollower()
+	r.proxy = r.newProxy()
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
+	r.mirror()
+	return r, nil
+}
+
+// seedHosts are the routers known before the host list is read.
+func seedHosts(cfg *config.Router) []platform.Host {
+	var all []platform.Host
+	for _, s := range cfg.Seeds {
+		h := platform.Host{
+			ID:    string(s.ID),
+			Role:  platform.RoleRouter,
+			Addr:  s.Addr,
+			State: platform.HostLive,
+		}
+		all = append(all, h)
+	}
+	return all
+}
+
+func (r *Router) newSharer() *sharing.Sharer {
+	cfg := share.Config{
+		ID:          r.cfg.ID,
+		Incarnation: r.incarnation,
+		DataCentre:  r.cfg.DataCentre,
+	}
+	effects := sharing.Effects{
+		Send:  r.sendShare,
+		Probe: r.probe,
+		Newer: func(v uint64) { r.follower.Hint(v) },
+		Addr:  r.serverAddr,
+	}
+	return sharing.New(cfg, effects)
+}
+
+func (r *Router) newProxy() *proxy.Proxy {
+	return &proxy.Proxy{
+		Picker:   r.sharer,
+		Snapshot: r.follower.Current,
+		Backend:  backend.New(),
+		Now:      time.Now,
+		Log:      r.log,
+		Observer: &observer{entry: r.metrics.Entry, retries: r.metrics.Retries, snapshot: r.follower.Current},
+	}
+}
+
+func (r *Router) listen() error {
+	cred, err := fleetcert.Load(r.cfg.CA, r.cfg.Cert, r.cfg.Key)
+	if err != nil {
+		return errors.Annotate(err, "fleet identity")
+	}
+	r.link, err = link.New(link.Config{
+		ID:           r.cfg.ID,
+		Listen:       r.cfg.Link,
+		TLS:          cred,
+		Resolve:      r.resolve,
+		Handler:      r.receive,
+		FetchHandler: r.answer,
+		Log:          r.log,
+	})
+	if err != nil {
+		return errors.Annotate(err, "link")
+	}
+	if r.entryLn, err = net.Listen("tcp", r.cfg.Entry); err != nil {
+		return errors.Annotate(err, "entry listener")
+	}
+	if r.adminLn, err = net.Listen("tcp", r.cfg.Admin); err != nil {
+		return errors.Annotate(err, "admin listener")
+	}
+	return nil
+}
+
+// Actors adds the router's parts to the group. The group ends when the drain
+// has ended or a part fails.
+func (r *Router) Actors(g *run.Group) error {
+	conf, err := r.entryTLS()
+	if err != nil {
+		return err
+	}
+	callers := entry.New(r.follower.Current, r.proxy, r.metrics.Entry)
+	srv := entry.NewServer(r.entryLn, conf, callers.Handler(), settings.DefaultFleet(), r.log)
+	r.follower.Notify(func(s *settings.Snapshot) { r.settingsTaken(s, srv) })
+	for _, work := range []func(context.Context) error{r.link.Run, r.sharer.Run, r.hosts.Run, r.follower.Run} {
+		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
+	}
+	g.Add(srv.Run, func(error) { _ = r.entryLn.Close() })
+	adm := &http.Server{Handler: admin.Handler(r, r.cfg.AdminToken), ReadHeaderTimeout: adminTimeout}
+	g.Add(func() error { return closed(adm.Serve(r.adminLn)) }, func(error) { _ = adm.Close() })
+	r.addDrain(g, srv)
+	events.ProcessStarted.Log(r.ctx, r.log, slog.LevelInfo, "incarnation", r.incarnation, "dataCentre", r.cfg.DataCentre)
+	for name, addr := range map[string]net.Addr{"entry": r.entryLn.Addr(), "admin": r.adminLn.Addr(), "link": r.link.Addr()} {
+		events.ListenerStarted.Log(r.ctx, r.log, slog.LevelInfo, "listener", name, "addr", addr.String())
+	}
+	return nil
+}
+
+// adminTimeout bounds the time an operator's request takes to arrive.
+const adminTimeout = 5 * time.Second
+
+// closed makes the regular end of a server no failure.
+func closed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (r *Router) entryTLS() (*tls.Config, error) {
+	if r.cfg.EntryCert == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(r.cfg.EntryCert, r.cfg.EntryKey)
+	if err != nil {
+		return nil, errors.Annotate(err, "callers' certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// settingsTaken puts a new version in force in the parts that keep a copy.
+func (r *Router) settingsTaken(s *settings.Snapshot, srv *entry.Server) {
+	srv.Apply(s.Fleet)
+	r.sharer.SetSettings(s.Version)
+	ids := make([]msg.CustomerID, 0, len(s.Customers))
+	for id := range s.Customers {
+		ids = append(ids, id)
+	}
+	r.metrics.Entry.SetCustomers(ids)
+}
--- /dev/null
+++ b/internal/router/watch.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/hosts"
+	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/probe"
+)
+
+// hostsChanged takes a new reading of the host list.
+func (r *Router) hostsChanged(l *hosts.List) {
+	var live []msg.ServerID
+	var known []msg.ServerID
+	for _, h := range l.All {
+		if h.Role != platform.RoleServer {
+			continue
+		}
+		known = append(known, msg.ServerID(h.ID))
+		if h.State == platform.HostLive {
+			live = append(live, msg.ServerID(h.ID))
+		} else {
+			r.servers.leaving(msg.ServerID(h.ID))
+		}
+	}
+	r.metrics.Sharing.SetServers(known)
+	r.sharer.SetServers(live)
+	r.membersChanged(l)
+}
+
+// loadReported takes a server's answer to a load question, or its silence.
+func (r *Router) loadReported(id msg.ServerID, rep probe.Report, err error) {
+	if err != nil {
+		r.servers.silent(id, err)
+		return
+	}
+	r.servers.answered(id)
+	if rep.Leaving {
+		r.servers.leaving(id)
+	}
+	r.sharer.Load(share.LoadReport{
+		Server:  id,
+		Pools:   rep.Pools(),
+		Slots:   rep.Slots,
+		Running: rep.Running,
+		Queued:  rep.Queued,
+		Age:     time.Duration(rep.AgeMs) * time.Millisecond,
+		Leaving: rep.Leaving,
+	})
+}
+
+// serverWatch logs the changes of backend servers, each once.
+type serverWatch struct {
+	log *slog.Logger
+
+	mu   sync.Mutex
+	last map[msg.ServerID]watched
+}
+
+type watched struct {
+	silent  bool
+	leaving bool
+}
+
+func newServerWatch(log *slog.Logger) *serverWatch {
+	return &serverWatch{log: log, last: map[msg.ServerID]watched{}}
+}
+
+// update changes what is held of a server and returns what was held before.
+func (w *serverWatch) update(id msg.ServerID, change func(*watched)) watched {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.last[id]
+	after := before
+	change(&after)
+	w.last[id] = after
+	return before
+}
+
+func (w *serverWatch) silent(id msg.ServerID, err error) {
+	before := w.update(id, func(s *watched) { s.silent = true })
+	if !before.silent {
+		events.ServerSilent.Log(context.Background(), w.log, slog.LevelWarn, "server", id, "err", err)
+	}
+}
+
+func (w *serverWatch) answered(id msg.ServerID) {
+	before := w.update(id, func(s *watched) { s.silent = false })
+	if before.silent {
+		events.ServerBack.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
+	}
+}
+
+func (w *serverWatch) leaving(id msg.ServerID) {
+	before := w.update(id, func(s *watched) { s.leaving = true })
+	if !before.leaving {
+		events.ServerLeaving.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
+	}
+}
+
+// state is the word for a server in operators' tables.
+func (w *serverWatch) state(id msg.ServerID) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch s := w.last[id]; {
+	case s.leaving:
+		return "leaving"
+	case s.silent:
+		return "silent"
+	}
+	return "live"
+}
