--- a/internal/core/burn/report.go
+++ b/internal/core/burn/report.go
@@ -123,7 +123,7 @@
 		s.Seen += d.Seen
 		missing := slices.Contains(now.Missing, id)
 		if missing {
-			d.Lost += unread(s.Span, now.Routers[id], d)
+			d.Lost += unread(s.Span, d)
 		}
 		read += d.Read
 		lost += d.Lost
@@ -146,11 +146,8 @@
 }
 
 // unread is how much of the window is not known of a router that cannot be
-// read now and of which the window holds d.
-func unread(span time.Duration, all, d Reading) time.Duration {
-	if all.Seen == 0 || d.Seen == 0 {
-		return span
-	}
+// read now, when the window holds d of it.
+func unread(span time.Duration, d Reading) time.Duration {
 	return max(span-d.Read-d.Lost, 0)
 }
 
