--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -51,6 +51,7 @@
 	c.Answered(time.Second)
 	c.Refused("queue-full")
 	c.Refused("caller-gone")
+	c.Refused("rate-limited")
 	c.Unknown()
 	c.Failed()
 	c.FirstToken(2*time.Second, time.Second)
--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -16,14 +16,15 @@
 
 	"github.com/windscale/windscale/internal/core/burn"
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/dispatch"
 	"github.com/windscale/windscale/internal/metrics"
+	"github.com/windscale/windscale/internal/problem"
 )
 
 const (
 	scrapeParallel = 16       // routers read at once
 	maxPage        = 64 << 20 // bytes of one router's page
 	varsPath       = "/debug/vars"
-	callerGone     = "caller-gone" // the one refusal that is not the fleet's
 )
 
 // Target is a router to read.
@@ -152,12 +153,32 @@
 	return s, nil
 }
 
-// totals judges a customer's counters. A request that the caller gave up is
-// not the fleet's refusal; one whose answer is unknown to the caller failed.
+// callers holds the reasons of refusals that are the caller's own doing: they
+// are no outcome of the fleet's. What a customer's own rate and concurrency
+// limits turn away is among them; a full queue is not.
+var callers = map[string]bool{
+	dispatch.Gone.String():        true,
+	problem.BadRequest.Name:       true,
+	problem.BadTimeout.Name:       true,
+	problem.BadKey.Name:           true,
+	problem.Forbidden.Name:        true,
+	problem.NotFound.Name:         true,
+	problem.MethodNotAllowed.Name: true,
+	problem.RequestTimeout.Name:   true,
+	problem.ClaimRunning.Name:     true,
+	problem.ClaimMismatch.Name:    true,
+	problem.BodyTooLarge.Name:     true,
+	problem.HeaderTooLarge.Name:   true,
+	problem.RateLimited.Name:      true,
+	problem.ConcurrencyFull.Name:  true,
+}
+
+// totals judges a customer's counters. One whose answer is unknown to the
+// caller failed.
 func totals(c metrics.CustomerCounters) burn.Totals {
 	var refused uint64
 	for reason, n := range c.Refused {
-		if reason != callerGone {
+		if !callers[reason] {
 			refused += n
 		}
 	}
