--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -34,6 +34,7 @@
 type client struct {
 	http    *http.Client
 	section *Section
+	report  progress
 }
 
 // send sends a request once.
@@ -86,13 +87,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
+	if r.stream {
+		return result{verdict: checkStream(r, resp.Body, c.report)}
+	}
+	check := checkWhole
 	if r.want != nil {
-		return result{verdict: checkBody(r, resp.Body)}
+		check = checkBody
 	}
-	if r.stream {
-		return result{verdict: checkStream(r, resp.Body)}
+	out := result{verdict: check(r, resp.Body)}
+	if out.class == Whole {
+		c.report(r.cost())
 	}
-	return result{verdict: checkWhole(r, resp.Body)}
+	return out
 }
 
 func refusal(resp *http.Response) result {
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -7,6 +7,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"github.com/windscale/windscale/internal/standin/answer"
 )
 
 // Class is what became of one request, as its caller sees it.
@@ -81,18 +83,18 @@
 		return v.end(Broken, "body cut")
 	}
 	v.first = time.Now()
-	var answer completionChunk
-	if json.Unmarshal(got, &answer) != nil || len(answer.Choices) != 1 {
+	var whole completionChunk
+	if json.Unmarshal(got, &whole) != nil || len(whole.Choices) != 1 {
 		return v.end(Wrong, "not a completion")
 	}
-	choice := answer.Choices[0]
+	choice := whole.Choices[0]
 	if choice.Message.Content != r.completion.Text(0, r.completion.Len()) {
 		return v.end(Wrong, "bytes differ")
 	}
 	if choice.FinishReason != r.completion.FinishReason() {
 		return v.end(Wrong, "finish reason")
 	}
-	if !r.usageRight(answer.Usage) {
+	if !r.usageRight(whole.Usage) {
 		return v.end(Wrong, "usage")
 	}
 	return v.end(Whole, "")
@@ -108,9 +110,15 @@
 	return v
 }
 
+// progress is told of service as it is received: the cost of a token, or of a
+// whole answer that does not come in tokens. It may be called from any
+// goroutine.
+type progress func(cost int64)
+
 // streamCheck follows a streamed answer.
 type streamCheck struct {
 	request  *request
+	progress progress
 	want     string // what is still to come
 	last     time.Time
 	finished bool // the finish reason and the usage came
@@ -119,8 +127,8 @@
 
 // checkStream compares a model's stream token by token. A stream is whole only
 // after its finish reason, its usage and "[DONE]".
-func checkStream(r *request, body io.Reader) verdict {
-	c := &streamCheck{request: r, want: r.completion.Text(0, r.completion.Len())}
+func checkStream(r *request, body io.Reader, report progress) verdict {
+	c := &streamCheck{request: r, progress: report, want: r.completion.Text(0, r.completion.Len())}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
 	event := ""
@@ -189,10 +197,12 @@
 	now := time.Now()
 	if c.verdict.first.IsZero() {
 		c.verdict.first = now
+		c.progress(int64(c.request.promptTokens * promptCost))
 	} else {
 		c.verdict.gaps = append(c.verdict.gaps, now.Sub(c.last))
 	}
 	c.last = now
+	c.progress(int64(answer.PromptTokens(text) * completionCost))
 	rest, ok := strings.CutPrefix(c.want, text)
 	c.want = rest
 	return ok
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -44,6 +44,7 @@
 	Start       time.Duration // after the beginning of the run
 	Stop        time.Duration // after the beginning of the run; 0: at its end
 	Weight      float64       // the customer's weight, for the report alone
+	Direct      bool          // targets are backend servers, without a router between
 }
 
 // Fault is one fault of a plan.
@@ -77,7 +78,7 @@
 var knownKeys = map[string]bool{
 	"customer": true, "key": true, "targets": true, "ca": true, "kind": true, "mode": true, "prompt": true,
 	"prefix": true, "tokens": true, "stream": true, "idempotency": true, "timeout": true, "retries": true,
-	"count": true, "start": true, "stop": true, "weight": true,
+	"count": true, "start": true, "stop": true, "weight": true, "direct": true,
 }
 
 // ParsePlan reads a plan: one section per stream of callers; keys before the
@@ -143,6 +144,7 @@
 		Start:       r.duration("start", "0s"),
 		Stop:        r.duration("stop", "0s"),
 		Weight:      r.fraction("weight", "1"),
+		Direct:      r.flag("direct", "false"),
 	}
 	s.Prefix = r.number("prefix", strconv.Itoa(s.Prompt/2), 0)
 	r.kind(&s)
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -112,20 +112,28 @@
 func (g *generator) status(r *request) {
 	path := "/jobs/" + g.name()
 	r.method = http.MethodGet
-	r.path = "/services/" + g.section.Subject + path
+	r.path = g.servicePath(path)
 	r.want = answer.Body(path, nil)
 }
 
 func (g *generator) booking(r *request) error {
 	const path = "/bookings"
 	r.method = http.MethodPost
-	r.path = "/services/" + g.section.Subject + path
+	r.path = g.servicePath(path)
 	var err error
 	r.body, err = json.Marshal(bookingRequest{Item: g.name(), Count: 1 + g.rng.IntN(maxItems)})
 	r.want = answer.Body(path, r.body)
 	return err
 }
 
+// servicePath is where callers find a path of the section's service.
+func (g *generator) servicePath(path string) string {
+	if g.section.Direct {
+		return path
+	}
+	return "/services/" + g.section.Subject + path
+}
+
 const (
 	maxItems = 9
 	nameBase = 36
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -95,9 +95,10 @@
 	if left == 0 {
 		left = -1
 	}
+	tally := newTally(start)
 	return &player{
-		section: s, opts: opts, start: start, tally: newTally(start), left: left,
-		client: client{http: &http.Client{Transport: transport}, section: s},
+		section: s, opts: opts, start: start, tally: tally, left: left,
+		client: client{http: &http.Client{Transport: transport}, section: s, report: tally.noteProgress},
 	}, nil
 }
 
@@ -148,9 +149,10 @@
 	gen := newGenerator(p.section, p.opts.Seed, 0)
 	slots := make(chan struct{}, p.opts.MaxOutstanding)
 	var group errgroup.Group
-	due := time.Now()
+	last := time.Now()
 	for p.draw() {
-		due = due.Add(time.Duration(gen.rng.ExpFloat64() / p.section.Rate * float64(time.Second)))
+		due := last.Add(time.Duration(gen.rng.ExpFloat64() / p.section.Rate * float64(time.Second)))
+		last = due
 		if !sleep(sending, time.Until(due)) {
 			break
 		}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -20,7 +20,7 @@
 	Answered int   `json:"answered"`
 	Refused  int   `json:"refused"`
 	Failed   int   `json:"failed"` // broken, wrong, late or not sent
-	Cost     int64 `json:"cost"`   // of what was answered
+	Cost     int64 `json:"cost"`   // service received, token by token, also of answers that failed later
 }
 
 // tally gathers the results of one section. Its methods may be called from
@@ -82,6 +82,13 @@
 	t.keys[r.key] += 0
 }
 
+// noteProgress counts service as it is received.
+func (t *tally) noteProgress(cost int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.second(time.Now()).Cost += cost
+}
+
 func (t *tally) noteSkipped() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -104,7 +111,6 @@
 		t.noteRefusal(due, res)
 	case Whole:
 		second.Answered++
-		second.Cost += r.cost()
 		t.noteAnswer(r, due, res)
 	default:
 		second.Failed++
