--- a/internal/core/attempt/exchange.go
+++ b/internal/core/attempt/exchange.go
@@ -209,6 +209,7 @@
 // cut resumes where part of the answer went out and the server can.
 func (x *Exchange) cut() Action {
 	if x.rule.Resume && x.next > 0 && x.resumes < x.rule.MaxResumes {
+		x.last = Unknown
 		return Resume
 	}
 	return x.lost()
--- a/internal/core/attempt/exchange_test.go
+++ b/internal/core/attempt/exchange_test.go
@@ -118,6 +118,9 @@
 
 // judge returns what is wrong with an action in view of what really happened.
 func (w *world) judge(r Rule, x *Exchange, action Action) string {
+	if x.Last() == 0 {
+		return "the attempt has no outcome"
+	}
 	switch action {
 	case Retry:
 		if !r.Repeat && w.mayHaveRun > 0 {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -26,14 +26,18 @@
 	status int
 	header http.Header
 	body   []byte
+	length int64 // what the server told; -1: nothing. It differs for HEAD.
 }
 
 // send writes a whole answer to the caller.
 func (u *run) send(a wholeAnswer) {
 	copyHeader(u.w.Header(), a.header)
 	u.w.Header().Set(problem.HeaderRequest, string(u.want.ID))
-	if mayHaveLength(a.status) && u.r.Method != http.MethodHead {
-		u.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if u.r.Method != http.MethodHead {
+		a.length = int64(len(a.body))
+	}
+	if a.length >= 0 && mayHaveLength(a.status) {
+		u.w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	u.limitWrite()
 	u.w.WriteHeader(a.status)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -222,9 +222,13 @@
 	dispatch.Draining:     problem.Draining,
 }
 
-// noSlot tells the caller that no slot was had. An earlier attempt may have
-// run; the exchange knows.
+// noSlot tells the caller that no slot was had. After an earlier attempt it
+// tells what became of that one.
 func (u *run) noSlot(r *dispatch.Refusal) {
+	if u.x.Attempts() > 0 {
+		u.fail()
+		return
+	}
 	t := slotProblems[r.Reason]
 	if u.expired() {
 		t = problem.Deadline
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -71,7 +71,7 @@
 	if failure != nil {
 		return s.failed(failure)
 	}
-	s.answer = wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	s.answer = wholeAnswer{status: answer.Status, header: answer.Header, body: body, length: answer.Length}
 	return s.x.Step(s.event(attempt.Closing))
 }
 
--- /dev/null
+++ b/internal/proxy/service_test.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/standin/service"
+)
+
+// What may run at each fault, and what the caller is told.
+func TestServiceUnderFaults(t *testing.T) {
+	const job, booking, other = "GET /jobs/7", "POST /bookings", "POST /notes"
+	for _, c := range []struct {
+		mode    service.Mode
+		call    string
+		status  int
+		problem string
+		run     string // Windscale-Run
+		runs    int    // executions at both servers
+	}{
+		{service.OK, job, 200, "", "", 1},
+		{service.OK, booking, 200, "", "", 1},
+		{service.CutBefore, job, 200, "", "", 2},
+		{service.CutWithin, job, 200, "", "", 2},
+		{service.CutBefore, booking, 502, "server-lost", "unknown", 1},
+		{service.CutWithin, booking, 502, "answer-cut", "unknown", 1},
+		{service.CutBefore, other, 502, "server-lost", "unknown", 1},
+		{service.Refuse, booking, 200, "", "", 1},
+		{service.Busy, booking, 200, "", "", 1},
+		{service.Leaving, booking, 200, "", "", 1},
+		{service.Die, job, 200, "", "", 1},
+		{service.Die, booking, 502, "server-lost", "unknown", 0},
+	} {
+		t.Run(fmt.Sprint(c.mode, " ", c.call), func(t *testing.T) {
+			bad, good := newService(), newService()
+			rig := newRig(t, bad, good)
+			fault(t, bad, service.Fault{Mode: c.mode})
+			method, path, _ := strings.Cut(c.call, " ")
+			got := send(t, method, rig.URL+"/services/dispatch"+path, "two trucks", nil)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.problem(), c.problem)
+			assert.Equal(t, got.header.Get("Windscale-Run"), c.run)
+			assert.Equal(t, runs(t, bad)+runs(t, good), c.runs)
+			rig.picker.results(t)
+		})
+	}
+}
+
+// Good answers are those of a plain forward, whatever the caller sends.
+func TestServiceAgainstPlainForward(t *testing.T) {
+	rig := newRig(t, newService())
+	direct := newRig(t, newService()).picker.servers[0].Addr
+	for _, c := range []struct{ method, path, body string }{
+		{"GET", "/jobs/7", ""}, {"GET", "/jobs/a%2Fb?x=1&y=%20", ""}, {"POST", "/bookings", "b"},
+		{"PUT", "/stock/rice%20and%20beans", strings.Repeat("x", 100_000)}, {"DELETE", "/jobs/7", ""},
+		{"HEAD", "/jobs/7", ""}, {"POST", "/", ""}, {"GET", "/jobs/;v=1", ""},
+	} {
+		got := send(t, c.method, rig.URL+"/services/dispatch"+c.path, c.body, nil)
+		want := send(t, c.method, "http://"+direct+c.path, c.body, nil)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, want.status, c.path)
+		assert.Equal(t, got.body, want.body, c.path)
+		assert.Equal(t, got.header.Get("Content-Type"), want.header.Get("Content-Type"))
+		assert.Equal(t, got.header.Get("Content-Length"), want.header.Get("Content-Length"), c.method)
+	}
+	for _, path := range []string{"/a/../bookings", "//bookings", "/./bookings", "/%2e%2e/bookings", `/a%5Cb`, "/a%0d%0ab", "/..;x/bookings"} {
+		got := send(t, "POST", rig.URL+"/services/dispatch"+path, "b", nil)
+		assert.Equal(t, got.problem(), "bad-request", path)
+	}
+}
+
+// An answer too long to be held goes out as it comes; if it is cut, the
+// caller's connection is broken.
+func TestLongAnswers(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		for _, chunked := range []bool{false, true} {
+			const size = maxBuffered + 100_000
+			rig := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !chunked {
+					w.Header().Set("Content-Length", fmt.Sprint(size))
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", size-1))
+				if cut {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, "y")
+			}))
+			got := send(t, "GET", rig.URL+"/services/dispatch/long", "", nil)
+			assert.Equal(t, got.err != nil, cut)
+			if !cut {
+				assert.Equal(t, len(got.body), size)
+			}
+			rig.Close()
+			want := attempt.Ended
+			if cut {
+				want = attempt.Unknown
+			}
+			assert.DeepEqual(t, rig.picker.results(t), []attempt.Outcome{want})
+		}
+	}
+}
+
+// Calls that servers may take for one another are not to be repeated either.
+func TestOnceMatchesEveryForm(t *testing.T) {
+	list := []string{"POST /bookings", "POST /stock/*", "put /Hold/"}
+	for call, want := range map[string]bool{
+		"POST /bookings": true, "POST /bookings/": true, "post /Bookings": true, "POST /bookings;v=1": true,
+		"POST /bookings2": false, "GET /bookings": false, "POST /bookings/7": false,
+		"POST /stock": true, "POST /stock/": true, "POST /stock/beans": true, "POST /STOCK;x/beans/2": true,
+		"POST /stocks": false, "PUT /hold": true, "PUT /hold/": true,
+	} {
+		method, path, _ := strings.Cut(call, " ")
+		assert.Equal(t, isOnce(list, method, path), want, call)
+	}
+}
