--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -194,7 +194,11 @@
 // sendError classes a failure before the answer's header. Sealing the gate
 // first makes "not sent" certain.
 func sendError(g *gate, err error) *Error {
-	if g.seal() {
+	touched := g.seal()
+	if refusal := g.refusal(); refusal != nil {
+		err = refusal
+	}
+	if touched {
 		return &Error{Stage: StageSend, Outcome: attempt.Unknown, Err: err}
 	}
 	return &Error{Stage: StageDial, Outcome: attempt.NotSent, Leaving: isDial(err), Err: err}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,8 +12,9 @@
 	stop  func(error)  // ends the transport's work on the attempt
 
 	mu      sync.Mutex
-	sealed  bool // no byte may leave any more
-	started int  // writes begun that may have sent a byte
+	sealed  bool  // no byte may leave any more
+	started int   // writes begun that may have sent a byte
+	refused error // what the guard said
 }
 
 // enter is called before a write.
@@ -26,6 +27,7 @@
 	if g.guard != nil {
 		if err := g.guard(); err != nil {
 			g.sealed = true
+			g.refused = err
 			g.stop(err) // the transport would try another connection
 			return err
 		}
@@ -60,6 +62,13 @@
 	return g.started > 0
 }
 
+// refusal returns what the guard said when it stopped the request, or nil.
+func (g *gate) refusal() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused
+}
+
 // conn is a connection to a backend server whose writes pass the gate of the
 // attempt that holds it.
 type conn struct {
