--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -27,6 +27,7 @@
 	HeaderFence   = "Windscale-Fence"
 	HeaderTimeout = "Windscale-Timeout"
 	HeaderLeaving = "Windscale-Leaving"
+	HeaderFenced  = "Windscale-Fence-Refused"
 )
 
 const (
@@ -35,7 +36,7 @@
 	idleTimeout     = 30 * time.Second
 	maxHeaderBytes  = 64 << 10
 	cancelTimeout   = time.Second
-	leavingTrue     = "true"
+	headerTrue      = "true"
 	scheme          = "http"
 	streamsPath     = "/v1/streams/"
 	writeBufferSize = 64 << 10
@@ -61,6 +62,9 @@
 	Guard func() error
 	// Refused lists the statuses by which the server refuses before running.
 	Refused []int
+	// ChecksFence says that the server refuses an old fencing number, by status
+	// 409 and Windscale-Fence-Refused.
+	ChecksFence bool
 	// Echo demands that the answer names the request and the attempt.
 	Echo bool
 }
@@ -206,10 +210,13 @@
 
 // refusedBy returns the refusal that the status is, or nil.
 func refusedBy(resp *http.Response, call Call) *Error {
+	if call.ChecksFence && resp.StatusCode == http.StatusConflict && resp.Header.Get(HeaderFenced) == headerTrue {
+		return &Error{Stage: StageStatus, Outcome: attempt.Refused, Err: ErrFence}
+	}
 	if !slices.Contains(call.Refused, resp.StatusCode) {
 		return nil
 	}
-	leaving := resp.Header.Get(HeaderLeaving) == leavingTrue
+	leaving := resp.Header.Get(HeaderLeaving) == headerTrue
 	return &Error{
 		Stage:      StageStatus,
 		Outcome:    attempt.Refused,
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -57,6 +57,7 @@
 	errSealed       Fault = "attempt is over"
 	errReplayed     Fault = "connection was replaced after a byte had left"
 	ErrStatus       Fault = "refused by status"
+	ErrFence        Fault = "refused for an old fencing number"
 	ErrForeign      Fault = "answer of another request"
 	ErrUnframed     Fault = "answer has neither length nor chunks"
 	ErrTooLarge     Fault = "answer is too large"
--- /dev/null
+++ b/internal/events/claims.go
@@ -0,0 +1,9 @@
+package events
+
+// The events of the claims of Idempotency-Keys.
+var (
+	ClaimTableFailed = Event{601, "claim table failed"}
+	ClaimResultLost  = Event{602, "claim result not written"}
+	ClaimLapsed      = Event{603, "claim lapsed before the request was sent"}
+	ClaimFenced      = Event{604, "backend server refused an old fencing number"}
+)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,6 +70,7 @@
 	Picker   dispatch.Picker
 	Snapshot func() *settings.Snapshot
 	Backend  *backend.Client
+	Claims   Claims // nil: calls with a key that may not be repeated are refused
 	Now      func() time.Time
 	Log      *slog.Logger
 	Observer Observer
@@ -130,6 +131,11 @@
 		return
 	}
 	once := isOnce(known.Once, r.Method, decoded)
+	key, ok := idempotencyKey(r.Header.Values(headerKey))
+	if once && !ok {
+		problem.Refuse(w, problem.BadKey, "", 0)
+		return
+	}
 	u, ok := p.newRun(w, r, c, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
 	if !ok {
 		return
@@ -137,6 +143,11 @@
 	defer u.close()
 	u.want.Bytes = len(body)
 	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
+	if once && key != "" {
+		u.keepRunning()
+		s.serveClaimed(key)
+		return
+	}
 	s.serve()
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/dispatch"
@@ -27,6 +28,7 @@
 	customer *settings.Customer
 	ctx      context.Context // ends with the deadline, or when the caller goes
 	cancel   context.CancelFunc
+	queueCtx context.Context // ends when it is too late to begin
 	began    time.Time
 	deadline time.Time
 	want     dispatch.Request
@@ -45,7 +47,7 @@
 	began := p.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	u := &run{
-		p: p, w: w, r: r, customer: c, ctx: ctx, cancel: cancel,
+		p: p, w: w, r: r, customer: c, ctx: ctx, cancel: cancel, queueCtx: ctx,
 		began: began, deadline: began.Add(limit),
 		x: attempt.NewExchange(rule),
 		want: dispatch.Request{
@@ -64,6 +66,14 @@
 	return u, true
 }
 
+// keepRunning lets the request run to its end when its caller goes.
+func (u *run) keepRunning() {
+	u.cancel()
+	ctx := context.WithoutCancel(u.r.Context())
+	u.ctx, u.cancel = context.WithDeadline(ctx, u.deadline)
+	u.queueCtx = u.ctx
+}
+
 // close tells the observer how the request ended.
 func (u *run) close() {
 	u.cancel()
@@ -125,7 +135,7 @@
 // acquire waits for a slot.
 func (u *run) acquire() (*slot, *dispatch.Refusal) {
 	asked := u.p.Now()
-	granted, err := u.p.Picker.Acquire(u.ctx, u.want)
+	granted, err := u.p.Picker.Acquire(u.queueCtx, u.want)
 	u.finish.Wait += u.p.Now().Sub(asked)
 	if err == nil {
 		return &slot{Slot: granted, now: u.p.Now, began: u.p.Now()}, nil
@@ -230,8 +240,8 @@
 		return
 	}
 	t := slotProblems[r.Reason]
-	if u.expired() {
-		t = problem.Deadline
+	if r.Reason == dispatch.Gone && u.ctx.Err() == nil {
+		t = problem.QueueTimeout
 	}
 	after := r.RetryAfter
 	if after <= 0 {
@@ -251,7 +261,10 @@
 
 // problem returns the type of a failure after all attempts.
 func (u *run) problem() problem.Type {
+	var lapsed claim.Lapsed
 	switch {
+	case u.last != nil && (stderrors.As(u.last, &lapsed) || stderrors.Is(u.last, backend.ErrFence)):
+		return problem.ClaimLapsed
 	case u.expired():
 		return problem.Deadline
 	case u.x.Outcome() == attempt.Refused:
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -1,12 +1,15 @@
 package proxy
 
 import (
+	stderrors "errors"
 	"time"
 
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/events"
 )
 
 // serviceRun is a call to a plain service on its way.
@@ -20,7 +23,8 @@
 	guard   func() error
 	fence   string
 	answer  wholeAnswer
-	sent    bool // the answer was long and went out as it came
+	sent    bool     // the answer was long and went out as it came
+	claim   *claimed // nil: no key, or it need not be claimed
 }
 
 // serve runs the call and answers.
@@ -47,11 +51,12 @@
 	call.Body = s.body
 	call.Fresh = s.once
 	call.Guard = s.guard
+	call.ChecksFence = s.fence != ""
 	call.Refused = s.service.RefusedStatus
 	answer, failure := s.p.Backend.Do(s.ctx, call)
 	if failure != nil {
 		slot.progress(busy(slot))
-		return s.failed(failure)
+		return s.notAnswered(failure)
 	}
 	defer answer.Close()
 	s.x.Step(s.event(attempt.Header))
@@ -60,6 +65,25 @@
 	return s.read(slot, answer)
 }
 
+// notAnswered steps the exchange by a failure before the answer. A lapsed claim
+// is over: another server would get the call too late as well.
+func (s *serviceRun) notAnswered(failure *backend.Error) attempt.Action {
+	var lapsed claim.Lapsed
+	switch {
+	case stderrors.As(failure, &lapsed):
+		s.logLapsed(events.ClaimLapsed)
+	case stderrors.Is(failure, backend.ErrFence):
+		s.logLapsed(events.ClaimFenced)
+	default:
+		return s.failed(failure)
+	}
+	action := s.failed(failure)
+	if action == attempt.Retry {
+		action = s.x.Step(s.event(attempt.Denied))
+	}
+	return action
+}
+
 // read takes the answer whole before any of it goes out, if it is not too long.
 func (s *serviceRun) read(slot *slot, answer *backend.Answer) attempt.Action {
 	body, whole, failure := answer.ReadUpTo(maxBuffered)
