--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -322,3 +322,18 @@
 	assert.Equal(t, req.Host, srv.ln.Addr().String())
 	assert.Equal(t, req.RequestURI, "/a%2Fb%20c")
 }
+
+// After a gate was sealed without a byte having left, none leaves.
+func TestSealedGateLetsNothingOut(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	g := &gate{}
+	c := &conn{Conn: near}
+	c.hold(g)
+	assert.Assert(t, !g.seal())
+	n, err := c.Write([]byte("x"))
+	assert.Equal(t, n, 0)
+	assert.ErrorIs(t, err, errSealed)
+	assert.Assert(t, !g.touched())
+}
