--- /dev/null
+++ b/cmd/windscale-router/main.go
@@ -0,0 +1,111 @@
+// Command windscale-router is one router of the fleet: the entry for callers,
+// the admission to backend servers and the link to the other routers.
+//
+// Exit codes: 0 a graceful end, 1 a failure while running, 2 wrong arguments
+// or configuration.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+
+	"github.com/windscale/windscale/internal/config"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/router"
+	"github.com/windscale/windscale/internal/version"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const help = `One router of the fleet. It reads its own INI file and serves until SIGTERM,
+which ends it gracefully: no request in progress is cut. A second SIGTERM cuts.
+
+Examples:
+  windscale-router --config r1.ini --check-config
+  windscale-router --config r1.ini
+
+Exit codes: 0 graceful end, 1 failure while running, 2 wrong arguments or configuration.`
+
+// options are the command line.
+type options struct {
+	Config  string `long:"config" short:"c" value-name:"FILE" description:"the router's INI file"`
+	Check   bool   `long:"check-config" description:"check the file, print every fault, and end"`
+	Version bool   `long:"version" description:"print the version and end"`
+}
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func command(args []string, out, errOut io.Writer) int {
+	var o options
+	p := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = help
+	if _, err := p.ParseArgs(args); err != nil {
+		return usage(err, out, errOut)
+	}
+	if o.Version {
+		_, _ = fmt.Fprintln(out, version.String())
+		return 0
+	}
+	if o.Config == "" {
+		_, _ = fmt.Fprintln(errOut, "--config is needed; see --help")
+		return exitUsage
+	}
+	cfg, err := config.Load(o.Config)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	if o.Check {
+		_, _ = fmt.Fprintln(out, o.Config+": no faults")
+		return 0
+	}
+	return serve(cfg, errOut)
+}
+
+// usage prints help to out, a wrong call to errOut.
+func usage(err error, out, errOut io.Writer) int {
+	if e, ok := errors.AsType[*flags.Error](err); ok && e.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(out, e.Message)
+		return 0
+	}
+	_, _ = fmt.Fprintln(errOut, err)
+	return exitUsage
+}
+
+func serve(cfg *config.Router, errOut io.Writer) int {
+	log := logger(cfg, errOut)
+	r, err := router.New(cfg, log)
+	if err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return exitFailed
+	}
+	var g run.Group
+	if err := r.Actors(&g); err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return exitFailed
+	}
+	if err := g.Run(); err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func logger(cfg *config.Router, w io.Writer) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: cfg.LogLevel}
+	if cfg.LogFormat == "text" {
+		return slog.New(slog.NewTextHandler(w, opts))
+	}
+	return slog.New(slog.NewJSONHandler(w, opts))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,7 +66,7 @@
 
 func (e *Entry) service(c *echo.Context) error {
 	name := c.Param("name")
-	path := servicePath(c.Request(), name)
+	path := servicePath(c.Request())
 	run := func(w http.ResponseWriter, r *http.Request, cust *settings.Customer) {
 		e.proxy.Service(w, r, cust, name, path)
 	}
@@ -74,13 +74,11 @@
 	return nil
 }
 
-// servicePath is the decoded path below /services/NAME.
-func servicePath(r *http.Request, name string) string {
-	rest := strings.TrimPrefix(r.URL.Path, "/services/"+name)
-	if rest == "" {
-		return "/"
-	}
-	return rest
+// servicePath is the path below /services/NAME, as the caller escaped it.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
+	_, path, _ := strings.Cut(rest, "/")
+	return "/" + path
 }
 
 // serve names the customer, applies its limits and runs the request.
--- a/internal/metrics/mechanisms.go
+++ b/internal/metrics/mechanisms.go
@@ -7,40 +7,14 @@
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
-// Link counts the traffic between routers, at the sender's and receiver's
-// message layer: headers of QUIC, UDP and IP are not in it.
+// Link mirrors the traffic between routers.
 type Link struct {
-	sent, sentBytes         atomic.Uint64
-	received, receivedBytes atomic.Uint64
-	dropped, denied         atomic.Uint64
-	peers                   mirror[int]
+	mirror[LinkState]
 }
 
-func newLink() *Link { return &Link{} }
-
-// Sent counts a message given to the network.
-func (l *Link) Sent(bytes int) {
-	l.sent.Add(1)
-	l.sentBytes.Add(uint64(bytes))
-}
-
-// Received counts a message taken from the network.
-func (l *Link) Received(bytes int) {
-	l.received.Add(1)
-	l.receivedBytes.Add(uint64(bytes))
-}
-
-// Dropped counts a message that was not sent: no connection, or a full queue.
-func (l *Link) Dropped() { l.dropped.Add(1) }
-
-// Denied counts a peer that did not prove its identity.
-func (l *Link) Denied() { l.denied.Add(1) }
-
-// MirrorPeers sets the function that counts the open connections.
-func (l *Link) MirrorPeers(f func() int) { l.peers.Mirror(f) }
-
-// LinkView is what Link publishes.
-type LinkView struct {
+// LinkState counts what the link carried. Bytes are those of the messages;
+// wire bytes have all of QUIC's own besides, but no UDP and IP headers.
+type LinkState struct {
 	Sent          uint64 `json:"sent_total"`
 	SentBytes     uint64 `json:"sent_bytes_total"`
 	Received      uint64 `json:"received_total"`
@@ -48,18 +22,10 @@
 	Dropped       uint64 `json:"dropped_total"`
 	Denied        uint64 `json:"denied_total"`
 	Peers         int    `json:"connections"`
-}
-
-func (l *Link) view() LinkView {
-	return LinkView{
-		Sent:          l.sent.Load(),
-		SentBytes:     l.sentBytes.Load(),
-		Received:      l.received.Load(),
-		ReceivedBytes: l.receivedBytes.Load(),
-		Dropped:       l.dropped.Load(),
-		Denied:        l.denied.Load(),
-		Peers:         l.peers.view(),
-	}
+	WireSent      uint64 `json:"wire_sent_bytes_total"`
+	WireReceived  uint64 `json:"wire_received_bytes_total"`
+	PacketsSent   uint64 `json:"packets_sent_total"`
+	PacketsLost   uint64 `json:"packets_lost_total"`
 }
 
 // Members mirrors what the router holds of the others.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,7 +42,7 @@
 		Process:  &Process{},
 		Entry:    newEntry(),
 		Sharing:  newSharing(),
-		Link:     newLink(),
+		Link:     &Link{},
 		Members:  &Members{},
 		Settings: &Settings{},
 		Claims:   &Claims{},
--- a/internal/router/adminapi.go
+++ b/internal/router/adminapi.go
@@ -10,13 +10,14 @@
 
 // Status implements admin.Router.
 func (r *Router) Status() admin.Status {
+	waiting, running := r.sharer.Counts()
 	s := admin.Status{
 		Router:      r.cfg.ID,
 		Incarnation: r.incarnation,
 		DataCentre:  r.cfg.DataCentre,
 		Draining:    r.drain.draining(),
-		Running:     r.running(),
-		Waiting:     r.sharer.Waiting(),
+		Running:     running,
+		Waiting:     waiting,
 		Members:     r.members(),
 	}
 	if snap := r.follower.Current(); snap != nil {
@@ -27,9 +28,6 @@
 	return s
 }
 
-// running is the number of requests with a slot.
-func (r *Router) running() int { return r.sharer.Running() }
-
 // Backends implements admin.Router.
 func (r *Router) Backends() []admin.Backend {
 	var list []admin.Backend
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -75,12 +75,14 @@
 		case <-ctx.Done():
 		}
 	}()
-	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", r.running(), "waiting", r.sharer.Waiting(), "limit", limit)
+	waiting, running := r.sharer.Counts()
+	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", running, "waiting", waiting, "limit", limit)
 	r.leave()
 	pause(ctx, lameDuck)
 	err := srv.Shutdown(ctx)
 	if err != nil {
-		r.drain.cut.Store(uint64(r.running() + r.sharer.Waiting()))
+		waiting, running = r.sharer.Counts()
+		r.drain.cut.Store(uint64(running + waiting))
 	}
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -12,6 +12,7 @@
 // membersChanged takes the routers of the host list as the live members.
 func (r *Router) membersChanged(l *hosts.List) {
 	if r.cfg.Sharing == config.SharingAlone {
+		r.sharer.SetSplit(len(l.Routers))
 		return
 	}
 	var list []share.Member
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -203,6 +203,7 @@
 func (r *Router) settingsTaken(s *settings.Snapshot, srv *entry.Server) {
 	srv.Apply(s.Fleet)
 	r.sharer.SetSettings(s.Version)
+	r.sharer.SetQueueLimits(s.Fleet.QueueBytes, s.Fleet.QueueRequests)
 	ids := make([]msg.CustomerID, 0, len(s.Customers))
 	for id := range s.Customers {
 		ids = append(ids, id)
--- a/internal/sharing/inputs.go
+++ b/internal/sharing/inputs.go
@@ -29,18 +29,32 @@
 
 // Load takes a server's load report.
 func (s *Sharer) Load(r share.LoadReport) {
-	r.Slots = (r.Slots + s.split - 1) / s.split
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.Slots = (r.Slots + s.split - 1) / s.split
 	s.reports[r.Server] = r
 	s.locked(func(n *share.Node, now time.Duration) { n.Load(now, r) })
 }
 
-// Waiting is the number of requests in Acquire.
-func (s *Sharer) Waiting() int {
+// SetSplit divides the slots of every server among n routers that share alone.
+// It is the naive baseline that measurements compare with.
+func (s *Sharer) SetSplit(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.split = max(n, 1)
+}
+
+// SetQueueLimits bounds the waiting requests of this router, in bytes and
+// number.
+func (s *Sharer) SetQueueLimits(bytes int64, requests int) {
+	s.do(func(n *share.Node, _ time.Duration) { n.SetQueueLimits(bytes, requests) })
+}
+
+// Counts returns the numbers of waiting and of running requests.
+func (s *Sharer) Counts() (waiting, running int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiting)
+	return s.node.Counts()
 }
 
 // Report returns the last load report that this router had of a server.
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -32,12 +32,9 @@
 type Sharer struct {
 	effects Effects
 	start   time.Time
-	// split divides each server's slots: 1, or the number of routers when
-	// each shares alone.
-	split int
-
 	mu      sync.Mutex
 	node    *share.Node
+	split   int // divides each server's slots: above 1 only where routers share alone
 	waiting map[msg.RequestID]*waiter
 	reports map[msg.ServerID]share.LoadReport
 }
@@ -53,13 +50,13 @@
 	refusal *dispatch.Refusal
 }
 
-// New returns a Sharer. split is 1 unless routers share alone.
-func New(cfg share.Config, split int, effects Effects) *Sharer {
+// New returns a Sharer.
+func New(cfg share.Config, effects Effects) *Sharer {
 	return &Sharer{
 		effects: effects,
 		start:   time.Now(),
-		split:   split,
 		node:    share.New(cfg),
+		split:   1,
 		waiting: map[msg.RequestID]*waiter{},
 		reports: map[msg.ServerID]share.LoadReport{},
 	}
