--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -6,6 +6,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -47,6 +48,9 @@
 	Once []string
 	// ChecksFence says that its servers refuse an old fencing number.
 	ChecksFence bool
+	// RefusedStatus lists the HTTP statuses by which its servers say that they
+	// have not run a request.
+	RefusedStatus []int
 }
 
 // Fleet is what holds for every router.
@@ -72,6 +76,7 @@
 	Services  map[string]Service
 	Customers map[msg.CustomerID]*Customer
 	byKey     map[KeyHash]*Customer
+	tree      *tree
 }
 
 // ByKey returns the customer whose key hashes to h.
@@ -79,3 +84,16 @@
 	c, ok := s.byKey[h]
 	return c, ok
 }
+
+// All, in a list of models or services, allows every one.
+const All = "*"
+
+// AllowsModel says whether the customer may use the model.
+func (c *Customer) AllowsModel(name string) bool { return allows(c.Models, name) }
+
+// AllowsService says whether the customer may use the plain service.
+func (c *Customer) AllowsService(name string) bool { return allows(c.Services, name) }
+
+func allows(list []string, name string) bool {
+	return slices.Contains(list, All) || slices.Contains(list, name)
+}
