--- a/internal/settingsstore/machine_test.go
+++ b/internal/settingsstore/machine_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -61,7 +62,11 @@
 
 func (m *machine) failures(t *rapid.T) []failure {
 	one := rapid.SampledFrom([]failure{fine, fine, down, lostReply, lostCall})
-	return rapid.SliceOfN(one, 0, 8).Draw(t, "failures")
+	out := rapid.SliceOfN(one, 0, 8).Draw(t, "failures")
+	if rapid.Bool().Draw(t, "then down") {
+		out = append(out, slices.Repeat([]failure{down}, 3*attempts)...)
+	}
+	return out
 }
 
 func (m *machine) newEdit(base uint64, weight int) Edit {
