--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -48,8 +48,8 @@
 	Once []string
 	// ChecksFence says that its servers refuse an old fencing number.
 	ChecksFence bool
-	// RefusedStatus lists the HTTP statuses by which its servers say that they
-	// have not run a request.
+	// RefusedStatus lists the statuses by which its servers refuse a call
+	// before running it, such as 429 and 503.
 	RefusedStatus []int
 }
 
--- a/internal/settingsstore/fake_test.go
+++ b/internal/settingsstore/fake_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 
 	"github.com/windscale/windscale/internal/platform"
 )
@@ -18,12 +20,13 @@
 	lostCall          // no effect, but the caller can't know
 )
 
-// fake is the platform in memory, for one goroutine.
+// fake is the platform in memory. One goroutine changes it and its failures.
 type fake struct {
+	mu      sync.Mutex // guards rows and objects
 	rows    map[string]platform.Row
 	objects map[string][]byte
 	version uint64
-	outage  bool
+	outage  atomic.Bool
 	next    []failure // of the calls to come
 	race    func()    // runs once before the next commit
 	heads   []Record  // every head that was ever committed
@@ -39,12 +42,14 @@
 
 // call performs effect as the next failure has it.
 func (f *fake) call(op string, effect func() error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	mode := fine
 	if len(f.next) > 0 {
 		mode, f.next = f.next[0], f.next[1:]
 	}
 	switch {
-	case f.outage || mode == down:
+	case f.outage.Load() || mode == down:
 		return failed(op, platform.KindUnavailable)
 	case mode == lostCall:
 		return failed(op, platform.KindUnknown)
--- a/internal/settingsstore/follower_test.go
+++ b/internal/settingsstore/follower_test.go
@@ -37,12 +37,12 @@
 		synctest.Wait()
 		assert.Equal(t, f.version(), uint64(1))
 		p.accept(t, "[fleet]")
-		p.outage = true
+		p.outage.Store(true)
 		time.Sleep(10 * DefaultInterval)
 		synctest.Wait()
 		assert.Equal(t, f.version(), uint64(1))
 		assert.Assert(t, f.Stats().StoreDown)
-		p.outage = false
+		p.outage.Store(false)
 		time.Sleep(DefaultInterval)
 		synctest.Wait()
 		assert.DeepEqual(t, got, []uint64{1, 2})
--- a/internal/settingsstore/machine_test.go
+++ b/internal/settingsstore/machine_test.go
@@ -134,7 +134,7 @@
 func (m *machine) Poll(t *rapid.T) {
 	r := m.router(t)
 	m.platform.next = m.failures(t)
-	calm := len(m.platform.next) == 0 && !m.platform.outage
+	calm := len(m.platform.next) == 0 && !m.platform.outage.Load()
 	r.follower.poll(context.Background())
 	m.platform.next = nil
 	if head := uint64(len(m.platform.heads)); calm && r.follower.version() != head {
@@ -180,7 +180,7 @@
 	}
 }
 
-func (m *machine) Outage(*rapid.T) { m.platform.outage = !m.platform.outage }
+func (m *machine) Outage(*rapid.T) { m.platform.outage.Store(!m.platform.outage.Load()) }
 
 func (m *machine) Check(t *rapid.T) {
 	m.checkHistory(t)
