--- a/internal/settingsstore/follower.go
+++ b/internal/settingsstore/follower.go
@@ -48,10 +48,6 @@
 	ReadTimeout time.Duration // of the head row and the object together
 	PeerTimeout time.Duration // of asking the peers
 
-	// OnChange, if set, is told each snapshot that comes in force, in order.
-	// It is called from the goroutine that offered it, and must neither
-	// block nor call the Follower's methods other than Current.
-	OnChange func(*settings.Snapshot)
 	// Rand returns numbers from 0 up to 1 for the jitter; nil: math/rand/v2.
 	Rand func() float64
 }
@@ -66,9 +62,10 @@
 	wake    chan struct{}
 	stats   counters
 
-	mu      sync.Mutex // guards holder and refused
+	mu      sync.Mutex // guards what follows
 	holder  settings.Holder
 	refused refusal
+	notify  func(*settings.Snapshot)
 }
 
 // refusal is the last offer that was refused, so that it is logged, and a
@@ -111,6 +108,19 @@
 // not ready.
 func (f *Follower) Ready() bool { return f.Current() != nil }
 
+// Notify has fn told the snapshot in force, if there is one, and each one that
+// comes in force from now on, in order. fn is called from the goroutine that
+// offered it and must neither block nor call Notify or OfferPeer. One fn is
+// told at a time.
+func (f *Follower) Notify(fn func(*settings.Snapshot)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify = fn
+	if s := f.holder.Current(); s != nil {
+		fn(s)
+	}
+}
+
 // Hint tells of a version that a peer has. A higher one than any before
 // causes a read soon.
 func (f *Follower) Hint(version uint64) {
@@ -243,7 +253,7 @@
 }
 
 // offer lets the holder decide. The lock keeps the holder, the published
-// snapshot and the order of OnChange together.
+// snapshot and the order of notices together.
 func (f *Follower) offer(from string, o settings.Offer) settings.Verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -264,8 +274,8 @@
 	f.current.Store(s)
 	events.SettingsTaken.Log(context.Background(), f.config.Log, slog.LevelInfo,
 		"version", s.Version, "digest", Digest(s.Digest).String(), "from", from)
-	if f.config.OnChange != nil {
-		f.config.OnChange(s)
+	if f.notify != nil {
+		f.notify(s)
 	}
 }
 
--- a/internal/settingsstore/follower_test.go
+++ b/internal/settingsstore/follower_test.go
@@ -26,8 +26,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newFake()
 		var got []uint64
-		f := NewFollower(Config{Table: p, Objects: p, Rand: half,
-			OnChange: func(s *settings.Snapshot) { got = append(got, s.Version) }})
+		f := NewFollower(Config{Table: p, Objects: p, Rand: half})
+		f.Notify(func(s *settings.Snapshot) { got = append(got, s.Version) })
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Run(ctx) }()
 		synctest.Wait()
