--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -79,7 +79,7 @@
 
 // Error implements error.
 func (e *LaggingError) Error() string {
-	if e.Err != nil {
+	if e.Err != nil && len(e.Routers) == 0 {
 		return fmt.Sprintf("version %d is accepted, but where it is in force can't be seen: %v", e.Version, e.Err)
 	}
 	if len(e.Routers) == 0 {
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -3,69 +3,186 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"net/http"
+	"slices"
 	"time"
+
+	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/platform"
 )
 
-const lookEvery = 200 * time.Millisecond
+const (
+	lookEvery = 200 * time.Millisecond // at one router
+	listEvery = time.Second            // at the host list
+)
 
-// waitInForce looks at the live routers until each has the version or a
-// higher one, and shows progress. The result goes to out.
+// sighting is what a router said of its settings.
+type sighting struct {
+	router  string
+	version uint64
+	err     error
+}
+
+// follow is a live router that is looked at on its own, so that a slow one
+// holds up no other.
+type follow struct {
+	stop context.CancelFunc
+	last sighting
+}
+
+// waiter waits until a version is in force on every live router.
+type waiter struct {
+	app     *app
+	version uint64
+	wait    time.Duration
+	start   time.Time
+	routers map[string]*follow
+	seen    chan sighting
+	listErr error
+	line    string // of progress, the last shown
+}
+
+// waitInForce waits until each live router has the version or a higher one,
+// and shows progress. The result goes to out.
 func (a *app) waitInForce(ctx context.Context, version uint64, wait time.Duration, out *applied) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	start := time.Now()
-	last := ""
-	lag := &LaggingError{Version: version, After: wait}
-	for looks := 0; ; looks++ {
-		routers, err := a.routers(ctx)
-		// A later look that the wait cuts short knows less than the one before.
-		if ctx.Err() != nil && looks > 0 {
-			return lag
+	w := &waiter{
+		app:     a,
+		version: version,
+		wait:    wait,
+		start:   time.Now(),
+		routers: map[string]*follow{},
+		seen:    make(chan sighting),
+	}
+	err := w.run(ctx)
+	out.InForce, out.Lagging = w.split()
+	return err
+}
+
+func (w *waiter) run(ctx context.Context) error {
+	relist := time.NewTicker(listEvery)
+	defer relist.Stop()
+	w.list(ctx)
+	for !w.done() {
+		w.progress()
+		select {
+		case s := <-w.seen:
+			w.note(s)
+		case <-relist.C:
+			w.list(ctx)
+		case <-ctx.Done():
+			_, lagging := w.split()
+			return &LaggingError{Version: w.version, Routers: lagging, After: w.wait, Err: w.listErr}
 		}
-		lag.Err = err
-		if err == nil {
-			out.InForce, out.Lagging = split(routers, version)
-			lag.Routers = out.Lagging
+	}
+	w.progress()
+	return nil
+}
+
+// list reads the host list, follows the live routers that are new in it and
+// no longer waits for those that are not live any more.
+func (w *waiter) list(ctx context.Context) {
+	hosts, err := w.app.hosts(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	w.listErr = err
+	if err != nil {
+		return
+	}
+	live := map[string]bool{}
+	for _, h := range hosts {
+		if h.State != platform.HostLive {
+			continue
 		}
-		line := progress(len(out.InForce), len(out.Lagging), err)
-		if line != last {
-			a.printf(a.note, "%5.1f s  version %d %s\n", time.Since(start).Seconds(), version, line)
-			last = line
+		live[h.ID] = true
+		if w.routers[h.ID] == nil {
+			w.follow(ctx, h)
 		}
-		if err == nil && len(out.InForce) > 0 && len(out.Lagging) == 0 {
-			return nil
+	}
+	maps.DeleteFunc(w.routers, func(id string, f *follow) bool {
+		if !live[id] {
+			f.stop()
+		}
+		return !live[id]
+	})
+}
+
+func (w *waiter) follow(ctx context.Context, h platform.Host) {
+	ctx, stop := context.WithCancel(ctx)
+	w.routers[h.ID] = &follow{stop: stop, last: sighting{router: h.ID, err: &RouterError{Router: h.ID}}}
+	go w.look(ctx, h)
+}
+
+// look asks one router until it has the version or ctx ends.
+func (w *waiter) look(ctx context.Context, h platform.Host) {
+	for {
+		var status admin.Status
+		err := w.app.call(ctx, h, http.MethodGet, "/v1/status", &status)
+		s := sighting{router: h.ID, version: status.SettingsVersion, err: err}
+		select {
+		case w.seen <- s:
+		case <-ctx.Done():
+			return
 		}
-		if !pause(ctx, lookEvery) {
-			return lag
+		if w.has(s) || !pause(ctx, lookEvery) {
+			return
 		}
 	}
 }
 
-func progress(done, lagging int, err error) string {
-	if err != nil {
-		return "cannot be looked for: " + err.Error()
+func (w *waiter) note(s sighting) {
+	if f := w.routers[s.router]; f != nil {
+		f.last = s
+	}
+}
+
+func (w *waiter) has(s sighting) bool { return s.err == nil && s.version >= w.version }
+
+// done says whether each of the live routers, of which there must be one, has
+// the version.
+func (w *waiter) done() bool {
+	for _, f := range w.routers {
+		if !w.has(f.last) {
+			return false
+		}
 	}
-	return fmt.Sprintf("is in force on %d of %d live routers", done, done+lagging)
+	return len(w.routers) > 0
 }
 
-// split names the live routers that have the version, and those that don't
-// with what they have. Leaving routers are not waited for.
-func split(routers []router, version uint64) (done, lagging []string) {
+// split names the routers that have the version, and those that don't with
+// what they have.
+func (w *waiter) split() (done, lagging []string) {
 	done, lagging = []string{}, []string{}
-	for _, r := range routers {
+	for _, id := range slices.Sorted(maps.Keys(w.routers)) {
+		last := w.routers[id].last
 		switch {
-		case r.Leaving:
-		case r.Error != "":
-			lagging = append(lagging, r.ID+" (no answer)")
-		case r.Status.SettingsVersion < version:
-			lagging = append(lagging, fmt.Sprintf("%s (version %d)", r.ID, r.Status.SettingsVersion))
+		case w.has(last):
+			done = append(done, id)
+		case last.err != nil:
+			lagging = append(lagging, id+" (no answer)")
 		default:
-			done = append(done, r.ID)
+			lagging = append(lagging, fmt.Sprintf("%s (version %d)", id, last.version))
 		}
 	}
 	return done, lagging
 }
 
+func (w *waiter) progress() {
+	done, _ := w.split()
+	line := fmt.Sprintf("is in force on %d of %d live routers", len(done), len(w.routers))
+	if w.listErr != nil {
+		line += "; the host list can't be read: " + w.listErr.Error()
+	}
+	if line == w.line {
+		return
+	}
+	w.line = line
+	w.app.printf(w.app.note, "%5.1f s  version %d %s\n", time.Since(w.start).Seconds(), w.version, line)
+}
+
 // pause returns false when ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
