--- /dev/null
+++ b/internal/core/share/bench_test.go
@@ -0,0 +1,108 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+)
+
+// fleetOf builds a fleet for a workload, with the pools divided evenly over
+// the servers.
+func fleetOf(w workload) *fleet {
+	f := newFleet(1, w.routers)
+	for i := range w.servers {
+		f.addServer(fmt.Sprintf("s%d", i), w.slots, w.rate, poolName(i%w.pools))
+	}
+	f.setServers()
+	f.run(2 * time.Second)
+	return f
+}
+
+func workloadOf(routers, servers int) workload {
+	return workload{
+		routers: routers, servers: servers, slots: 8, pools: 4, customers: 1000, backlogged: 100,
+		rate: 200, trickle: 0.05, weights: []float64{1, 1, 1, 2},
+	}
+}
+
+// BenchmarkSharing plays a workload of 100 backlogged customers among 1,000 on
+// simulated fleets, and compares with the references.
+func BenchmarkSharing(b *testing.B) {
+	for _, size := range []struct {
+		routers, servers int
+		length           time.Duration
+	}{{8, 20, 200 * time.Second}, {40, 60, 100 * time.Second}, {410, 412, 60 * time.Second}} {
+		b.Run(fmt.Sprint("routers=", size.routers), func(b *testing.B) {
+			for range b.N {
+				measure(b, workloadOf(size.routers, size.servers), size.length)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, w workload, length time.Duration) {
+	ideal := w.play(newCells(w, false), 0, length)
+	naive := w.play(newCells(w, true), 0, length)
+	f := fleetOf(w)
+	f.size = true
+	bytes, messages := 0, 0
+	f.after(warmUp, func() { bytes, messages = f.bytes, f.messages })
+	began := time.Now()
+	got := w.play(f, f.now, length)
+	spent := time.Since(began)
+	seconds := (length - warmUp).Seconds() * float64(w.routers)
+	b.ReportMetric(got.gap, "gap")
+	b.ReportMetric(got.gap/ideal.gap, "gap/ideal")
+	b.ReportMetric(got.gapMean/ideal.gapMean, "gapMean/ideal")
+	b.ReportMetric(got.gap/naive.gap, "gap/naive")
+	b.ReportMetric(got.util/ideal.util, "util/ideal")
+	b.ReportMetric(float64(f.bytes-bytes)/seconds, "ctlB/router/s")
+	b.ReportMetric(float64(f.messages-messages)/seconds, "ctlMsg/router/s")
+	b.ReportMetric(float64(got.finished)/length.Seconds()/float64(w.routers), "req/router/s")
+	b.ReportMetric(got.longest.Seconds(), "smallestWait-s")
+	b.ReportMetric(ideal.longest.Seconds(), "smallestWaitIdeal-s")
+	b.ReportMetric(float64(spent.Microseconds())/float64(got.finished), "us/req")
+	b.ReportMetric(float64(f.over), "overSlots")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkGrant measures one decision: a slot comes free and is granted to
+// the least served of the customers that wait.
+func BenchmarkGrant(b *testing.B) {
+	for _, customers := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint("customers=", customers), func(b *testing.B) { benchGrant(b, customers) })
+	}
+}
+
+func benchGrant(b *testing.B, customers int) {
+	n := share.New(share.Config{ID: "r0", Incarnation: 1})
+	n.SetMembers(0, []share.Member{{ID: "r0"}, {ID: "e0"}})
+	var servers []msg.ServerID
+	for i := range 64 {
+		servers = append(servers, msg.ServerID(fmt.Sprint("s", i)))
+	}
+	n.SetServers(0, servers)
+	server := n.Ready().Probe[0]
+	n.Load(0, share.LoadReport{Server: server, Pools: []msg.PoolID{pool}, Slots: 1})
+	var waits []share.Wait
+	for i := range customers {
+		waits = append(waits, share.Wait{
+			Queue: uint64(i + 1), Pool: pool, Customer: msg.CustomerID(fmt.Sprint("c", i)), Weight: 1, Count: 1 << 40,
+		})
+	}
+	n.Step(0, "e0", &share.Message{Incarnation: 1, Seq: 1, Waits: waits})
+	n.Ready()
+	end := &share.Message{Incarnation: 1, Of: 1, Ends: make([]share.End, 1)}
+	seq := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		seq++
+		end.Seq = seq + 1
+		end.Ends[0] = share.End{Seq: seq, Cost: msg.Cost(100 + seq%97)}
+		n.Step(time.Duration(seq), "e0", end)
+		n.Ready()
+	}
+}
--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -13,7 +14,7 @@
 // tick spreads waits that last, gives up those over their time, and keeps held
 // grants alive.
 func (e *entry) tick() {
-	for _, q := range e.sorted() {
+	for _, q := range e.waitingQueues() {
 		e.expire(q)
 		e.avoidNoMore(q)
 		e.widen(q)
@@ -28,16 +29,19 @@
 	}
 }
 
-// sorted returns the queues with waiting requests in the order of their
-// numbers.
-func (e *entry) sorted() []*queue {
-	var list []*queue
-	for _, q := range e.queues {
+// waitingQueues returns the queues with waiting requests, and forgets which
+// have none left. Queues that become active meanwhile are not in it.
+func (e *entry) waitingQueues() []*queue {
+	list := e.active[:0]
+	for _, q := range e.active {
 		if q.size > 0 {
 			list = append(list, q)
+			continue
 		}
+		q.listed = false
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].num < list[j].num })
+	clear(e.active[len(list):])
+	e.active = list
 	return list
 }
 
@@ -131,16 +135,10 @@
 
 // sweep forgets queues long empty and repeats old registrations.
 func (e *entry) sweep() {
-	for _, q := range e.sorted() {
+	for _, q := range e.waitingQueues() {
 		e.refresh(q)
 	}
-	for key, q := range e.queues {
-		if q.size == 0 && !q.dirty && e.n.now-q.usedAt > queueIdle {
-			delete(e.queues, key)
-			delete(e.byNum, q.num)
-			q.customer.forget(q)
-		}
-	}
+	e.list = slices.DeleteFunc(e.list, e.forgetIdle)
 	for id, c := range e.customers {
 		if c.waiting == 0 && c.running == 0 && len(c.queues) == 0 {
 			delete(e.customers, id)
@@ -148,6 +146,18 @@
 	}
 }
 
+// forgetIdle forgets a queue that has long been empty, and tells whether it
+// did.
+func (e *entry) forgetIdle(q *queue) bool {
+	if q.size > 0 || q.dirty || q.listed || e.n.now-q.usedAt <= queueIdle {
+		return false
+	}
+	delete(e.queues, q.key)
+	delete(e.byNum, q.num)
+	q.customer.forget(q)
+	return true
+}
+
 func (c *entryCustomer) forget(q *queue) {
 	for i, x := range c.queues {
 		if x == q {
--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -7,9 +7,9 @@
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
-// deadAfter is how many merges a customer may not wait before it counts as
-// idle.
-const deadAfter = 2
+// lasting is how many more merges a customer must wait at than not to count as
+// backlogged.
+const lasting = 2
 
 // mergeRoot adds up all that came since the last merge and sends the totals
 // down.
@@ -21,7 +21,7 @@
 	for _, id := range t.sortedPools() {
 		p := t.pools[id]
 		p.add(t, id)
-		p.raiseFloor()
+		p.settle()
 		if list := p.liveCounts(); len(list) > 0 {
 			d.Pools = append(d.Pools, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
 		}
@@ -35,35 +35,43 @@
 	for hash, c := range p.counters {
 		v := t.value(id, hash, c)
 		c.slots = t.slotsOf(id, hash)
-		switch {
-		case c.slots > 0 && !c.live:
-			c.total, c.live, c.idle = p.floor, true, 0
-		case c.slots > 0:
-			c.idle = 0
-		default:
-			c.idle++
-		}
-		if c.live {
-			c.total += v - c.acked
+		c.observe(c.slots > 0)
+		if !c.live {
+			c.total = p.floor
 		}
+		c.total += v - c.acked
 		c.acked = v
-		if c.idle >= deadAfter {
-			c.live = false
-		}
 	}
 }
 
-// raiseFloor moves the floor up to the least total of a backlogged customer.
-func (p *treePool) raiseFloor() {
+// observe judges whether the customer is backlogged or waits by chance.
+func (c *counter) observe(waits bool) {
+	if waits {
+		c.seen = min(c.seen+1, lasting)
+	} else {
+		c.seen = max(c.seen-1, 0)
+	}
+	if c.seen == 0 || c.seen == lasting {
+		c.long = c.seen == lasting
+	}
+}
+
+// settle raises the floor to the least total of the backlogged customers, and
+// drops those at or below it that are not backlogged: whoever comes back gets
+// the floor.
+func (p *treePool) settle() {
 	least, any := int64(0), false
 	for _, c := range p.counters {
-		if c.live && (!any || c.total < least) {
+		if c.long && (!any || c.total < least) {
 			least, any = c.total, true
 		}
 	}
 	if any && least > p.floor {
 		p.floor = least
 	}
+	for _, c := range p.counters {
+		c.live = c.long || c.total > p.floor
+	}
 }
 
 func (p *treePool) liveCounts() []count {
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -23,9 +23,12 @@
 	running   map[msg.RequestID]*run
 	queues    map[queueKey]*queue
 	byNum     map[uint64]*queue
+	list      []*queue // all, by number
+	active    []*queue // with requests waiting; some may have none left
 	dirty     []*queue
 	customers map[msg.CustomerID]*entryCustomer
 	pools     map[msg.PoolID]*entryPool
+	poolList  []*entryPool // in the order they were met
 	peers     map[msg.RouterID]*peer
 	bytes     int64
 	lastNum   uint64
@@ -53,9 +56,11 @@
 	told     map[msg.RouterID]*told
 	start    int // index in the pool's admitters of the first told
 	spread   int // how many admitters are told
+	slots    int // of those told
 	spreadAt time.Duration
 	usedAt   time.Duration
 	dirty    bool
+	listed   bool // in the entry's active queues
 }
 
 // told is what an admitter was last told of a queue.
@@ -133,6 +138,10 @@
 	q.size++
 	q.pool.waiting++
 	c.waiting++
+	if !q.listed {
+		q.listed = true
+		e.active = append(e.active, q)
+	}
 	e.bytes += int64(w.req.Bytes)
 	e.waiting[w.req.ID] = w
 	e.touch(q)
@@ -160,6 +169,7 @@
 		}
 		e.queues[key] = q
 		e.byNum[q.num] = q
+		e.list = append(e.list, q)
 		c.queues = append(c.queues, q)
 	}
 	q.weight = r.Weight
@@ -300,7 +310,7 @@
 
 // untell forgets what a restarted or gone admitter was told.
 func (e *entry) untell(id msg.RouterID) {
-	for _, q := range e.queues {
+	for _, q := range e.list {
 		if q.told[id] != nil {
 			delete(q.told, id)
 			e.touch(q)
--- a/internal/core/share/server.go
+++ b/internal/core/share/server.go
@@ -25,7 +25,6 @@
 	peakAt   time.Duration
 	foreign  int // running there without a grant of this router
 	probeAt  time.Duration
-	busyTime mean // microseconds a slot is held
 }
 
 // free is how many more requests may run there.
@@ -53,12 +52,3 @@
 	s.limit.report(now, r.Slots, r.Queued)
 	s.foreign = max(0, r.Running+r.Queued-max(s.peak, s.lastPeak))
 }
-
-func (s *poolServer) holds(pool msg.PoolID) bool {
-	for _, p := range s.pools {
-		if p == pool {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/share/sim_test.go
+++ b/internal/core/share/sim_test.go
@@ -31,6 +31,8 @@
 	messages int
 	size     bool // encode messages to count bytes
 	tick     time.Duration
+	merge    time.Duration // 0: the default
+	spy      func(*share.Message)
 	over     int // most running beyond a server's slots
 	incs     uint64
 }
@@ -79,8 +81,11 @@
 	return x
 }
 
+var mergeInterval time.Duration
+
 func newFleet(seed uint64, routers int) *fleet {
 	f := &fleet{
+		incs: 1_790_000_000, merge: mergeInterval,
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond, tick: 10 * time.Millisecond,
 		cut: map[msg.RouterID]int{}, nodes: map[msg.RouterID]*share.Node{},
 		servers: map[msg.ServerID]*simServer{}, requests: map[msg.RequestID]*simRequest{},
@@ -100,7 +105,7 @@
 	if _, ok := f.nodes[id]; !ok {
 		f.ids = append(f.ids, id)
 	}
-	n := share.New(share.Config{ID: id, Incarnation: f.incs, DataCentre: "d" + string(id[len(id)-1:])})
+	n := share.New(share.Config{ID: id, Incarnation: f.incs, DataCentre: "d" + string(id[len(id)-1:]), MergeInterval: f.merge})
 	f.nodes[id] = n
 	f.after(time.Duration(f.rng.Int64N(int64(f.tick))), func() { f.tickNode(id, n) })
 }
@@ -181,6 +186,9 @@
 func (f *fleet) send(from msg.RouterID, out share.Outgoing) {
 	f.messages++
 	m := out.Message
+	if f.spy != nil {
+		f.spy(m)
+	}
 	if f.size {
 		b, err := share.Encode(m)
 		if err != nil {
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -36,6 +36,7 @@
 	if !ok {
 		p = &entryPool{id: id}
 		e.pools[id] = p
+		e.poolList = append(e.poolList, p)
 	}
 	return p
 }
@@ -69,7 +70,7 @@
 
 // restart lets the pool's queues spread anew over a changed list.
 func (e *entry) restart(p *entryPool) {
-	for _, q := range e.queues {
+	for _, q := range e.active {
 		if q.pool == p && q.size > 0 {
 			q.start, q.spread = p.pick(e.pickSeed()), 0
 			e.touch(q)
@@ -154,9 +155,12 @@
 	if q.lasting(e.n) {
 		want = n
 	}
+	q.slots = 0
 	for i := range q.spread {
-		a := &q.pool.admitters[(q.start+i)%all]
-		e.tellOne(q, a.id, want, false)
+		q.slots += q.pool.admitters[(q.start+i)%all].slots
+	}
+	for i := range q.spread {
+		e.tellOne(q, q.pool.admitters[(q.start+i)%all].id, want, false)
 	}
 }
 
@@ -200,7 +204,7 @@
 	}
 	m.Waits = append(m.Waits, Wait{
 		Queue: q.num, Pool: q.pool.id, Customer: q.key.customer,
-		Weight: q.weight, Count: count, Avoid: q.avoid,
+		Weight: q.weight, Count: count, Slots: q.slots, Avoid: q.avoid,
 	})
 }
 
@@ -244,7 +248,7 @@
 // their oldest request.
 func (e *entry) oldest(p *entryPool) []*queue {
 	var list []*queue
-	for _, q := range e.queues {
+	for _, q := range e.active {
 		if q.pool == p && q.eligible() > 0 {
 			list = append(list, q)
 		}
@@ -269,7 +273,7 @@
 			e.peerOf(id, inc)
 		}
 	}
-	for _, p := range e.pools {
+	for _, p := range e.poolList {
 		e.dropGone(p)
 		p.everAsked = false
 	}
--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -63,9 +63,10 @@
 	below int64 // from the children
 	acked int64 // of value: acknowledged by the parent, or added by the root
 	total int64 // at the last merge; roots keep it up
-	idle  int   // merges since it was last backlogged
-	live  bool  // backlogged at the last merge
-	slots int
+	live  bool  // among the totals of the last merge
+	slots int   // of the admitters where the customer waits
+	seen  int   // root: merges at which it waited, less those at which it did not
+	long  bool  // root: it is backlogged, not waiting by chance
 }
 
 // record is what an Up carried.
@@ -173,10 +174,10 @@
 }
 
 // slotsOf is how many slots the admitters have, here and below, where the
-// customer waits.
+// customer waits just now.
 func (t *tree) slotsOf(pool msg.PoolID, hash uint64) int {
 	n := 0
-	if a := t.own(pool, hash); a != nil && a.waited {
+	if a := t.own(pool, hash); a != nil && a.waiting > 0 {
 		n = a.pool.slots
 	}
 	for _, c := range t.children {
