Spread what admitters grant between merges over customers and admitters

Cause: admitters that grant each customer less than one request between two merges all chose the same customers. Each now orders its accounts by a part of a request as well, evenly spread over customers and admitters.

--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,9 @@
 // of a pool whose hashes are equal would be counted as one.
 const hashBits = 40
 
+// rankStep spreads consecutive ranks evenly over 0 to 1 (the golden ratio).
+const rankStep = 0.6180339887498949
+
 func customerHash(id msg.CustomerID) uint64 {
 	return xxhash.Sum64String(string(id)) >> (64 - hashBits)
 }
@@ -33,6 +37,7 @@
 	included float64 // of own, what total includes
 	total    float64 // served by the fleet, at the last merge
 	slots    int     // of the admitters where the customer waits
+	rank     float64 // place among the pool's backlogged customers, 0 to 1
 	active   bool    // backlogged at the last merge
 	waited   bool    // has waited here since the last Up
 	key      float64
@@ -63,6 +68,7 @@
 	sorted   []*poolServer // the servers that hold it
 	told     Have          // to the directory
 	toldAt   time.Duration
+	position float64 // place among the pool's admitters, 0 to 1
 }
 
 // share is the part of the customer's service that this admitter answers for.
@@ -86,6 +92,34 @@
 	return a.total + (a.own-a.included)/a.share()
 }
 
+// order is what the pool's accounts are ordered by: the level with a part of a
+// request added, spread evenly over the customers at an admitter, and over the
+// admitters for a customer. Without it, admitters that each grant a customer
+// less than one request between merges would all choose the same few
+// customers.
+func (a *account) order() float64 {
+	if !a.active {
+		return a.level()
+	}
+	_, phase := math.Modf(a.pool.position + a.rank)
+	part := (phase - 0.5) * float64(estimate(a.mean, a.pool.mean)) / a.weight
+	return a.level() + part/a.share()
+}
+
+// place takes the admitter's place in the directory's list.
+func (p *admitPool) place(self msg.RouterID, list Admitters) {
+	all, before := 0, 0
+	for i, id := range list.Routers {
+		if id == self {
+			before = all + list.Slots[i]/2
+		}
+		all += list.Slots[i]
+	}
+	if all > 0 {
+		p.position = float64(before) / float64(all)
+	}
+}
+
 // charge adds service and puts the account in its new place. What a customer
 // gets while it is backlogged nowhere is free: it takes from nobody.
 func (a *account) charge(cost msg.Cost) {
@@ -97,7 +131,7 @@
 }
 
 func (a *account) rekey() {
-	a.key = a.level()
+	a.key = a.order()
 	if a.index >= 0 {
 		heap.Fix(&a.pool.heap, a.index)
 	}
@@ -109,29 +143,24 @@
 	switch {
 	case n > 0 && a.index < 0:
 		a.lift()
-		a.key = a.level()
+		a.key = a.order()
 		heap.Push(&a.pool.heap, a)
 	case n == 0 && a.index >= 0:
 		heap.Remove(&a.pool.heap, a.index)
 	}
 }
 
-// lift gives a customer that comes back from idle the pool's floor: no credit
-// for the past, and no debt.
+// lift puts a customer that comes back from idle level with the one that is
+// next: it has no credit for the past, and no debt.
 func (a *account) lift() {
 	if a.active || a.waited {
 		return
 	}
-	a.total = a.pool.localFloor()
 	a.included = a.own
-}
-
-// localFloor is the least service among those waiting here.
-func (p *admitPool) localFloor() float64 {
-	if len(p.heap) == 0 {
-		return p.floor
+	a.total = a.pool.floor
+	if len(a.pool.heap) > 0 {
+		a.total = a.pool.heap[0].key
 	}
-	return max(p.floor, p.heap[0].level())
 }
 
 func (p *admitPool) account(id msg.CustomerID) *account {
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -330,7 +330,7 @@
 // they change, when some become idle, and now and then.
 func (a *admitter) tellDirectories() {
 	for _, p := range a.order {
-		h := Have{Pool: p.id, Slots: p.slots}
+		h := Have{Pool: p.id, Slots: p.slots, Version: a.n.entry.pool(p.id).version}
 		if len(p.heap) == 0 {
 			h.Idle = p.idle()
 		}
--- a/internal/core/share/directory.go
+++ b/internal/core/share/directory.go
@@ -84,6 +84,8 @@
 	a.slots, a.idle, a.at = h.Slots, h.Idle, d.n.now
 	if changed {
 		d.changed(p)
+	} else if h.Version != p.version {
+		d.send(p, from)
 	}
 	d.offer(p)
 }
@@ -128,12 +130,16 @@
 		return
 	}
 	e.knows = p.version
+	d.send(p, e.id)
+}
+
+func (d *directory) send(p *dirPool, to msg.RouterID) {
 	a := Admitters{Pool: p.id, Version: p.version}
 	for _, x := range p.admitters {
 		a.Routers = append(a.Routers, x.id)
 		a.Slots = append(a.Slots, x.slots)
 	}
-	m := d.n.to(e.id)
+	m := d.n.to(to)
 	m.Admitters = append(m.Admitters, a)
 }
 
--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -149,13 +149,14 @@
 	for _, pc := range pools {
 		p := t.pool(pc.Pool)
 		p.floor = max(p.floor, pc.Floor)
-		for _, x := range unpack(pc.Data) {
+		for i, x := range unpack(pc.Data) {
 			c := p.counter(x.hash)
 			c.total, c.slots, c.live = pc.Floor+x.value, x.slots, true
 			live[c] = true
 			if a := t.own(pc.Pool, x.hash); a != nil {
 				listed[a] = true
 				a.merged(c, rec)
+				a.rank = rankStep * float64(i)
 			}
 		}
 	}
@@ -169,7 +170,7 @@
 			a.active = listed[a]
 		}
 		for _, a := range p.heap {
-			a.key = a.level()
+			a.key = a.order()
 		}
 		heap.Init(&p.heap)
 	}
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -79,9 +79,10 @@
 // Have tells a pool's directory how many slots the sender admits to, and how
 // many of them are free with nothing registered for them.
 type Have struct {
-	Pool  msg.PoolID `cbor:"1,keyasint"`
-	Slots int        `cbor:"2,keyasint,omitempty"`
-	Idle  int        `cbor:"3,keyasint,omitempty"`
+	Pool    msg.PoolID `cbor:"1,keyasint"`
+	Slots   int        `cbor:"2,keyasint,omitempty"`
+	Idle    int        `cbor:"3,keyasint,omitempty"`
+	Version uint64     `cbor:"4,keyasint,omitempty"` // of the list of admitters it knows
 }
 
 // Admitters is a directory's list of the routers that admit to a pool.
--- a/internal/core/share/reference_test.go
+++ b/internal/core/share/reference_test.go
@@ -29,7 +29,6 @@
 	mean     float64
 	rng      *rand.Rand
 	count    int
-	wait     time.Duration // the longest wait seen
 }
 
 func (s *stream) next() *simRequest {
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -47,6 +47,7 @@
 	if len(a.Routers) != len(a.Slots) || (p.version == a.Version && len(p.admitters) > 0) {
 		return
 	}
+	e.n.admit.pool(a.Pool).place(e.n.cfg.ID, a)
 	p.version, p.slots = a.Version, 0
 	p.admitters = p.admitters[:0]
 	for i, id := range a.Routers {
