--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -52,6 +52,7 @@
 	seq     uint64 // of the message that told it
 	count   int
 	slots   int
+	at      time.Duration // last told
 	avoid   []msg.ServerID
 	pending []uint64 // grants that the entry had not seen when it last told
 }
@@ -62,6 +63,7 @@
 	accounts map[msg.CustomerID]*account
 	byHash   map[uint64]*account
 	heap     accountHeap // accounts with waiting requests, least served first
+	fresh    []*account  // put into the heap since the last grants
 	mean     mean
 	slots    int           // this admitter's
 	floor    float64       // the fleet's floor at the last merge
@@ -145,6 +147,7 @@
 		a.lift()
 		a.key = a.order()
 		heap.Push(&a.pool.heap, a)
+		a.pool.fresh = append(a.pool.fresh, a)
 	case n == 0 && a.index >= 0:
 		heap.Remove(&a.pool.heap, a.index)
 	}
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -10,6 +10,9 @@
 // graceScan is between two looks for grants that are not kept alive.
 const graceScan = 250 * time.Millisecond
 
+// regIdle is how long a registration is kept that the entry does not repeat.
+const regIdle = 4 * waitRefresh
+
 // admitter hands out the slots of the servers that are this router's.
 type admitter struct {
 	n       *Node
@@ -22,6 +25,7 @@
 	lastSeq uint64
 	dirty   bool
 	scanAt  time.Duration
+	sweepAt time.Duration
 }
 
 // grantRecord is a grant that has not ended.
@@ -189,37 +193,43 @@
 
 // wait takes a registration.
 func (a *admitter) wait(from msg.RouterID, m *Message, w Wait) {
-	e := a.entries[from]
-	r := e.regs[w.Queue]
-	if r == nil {
-		if w.Count == 0 {
-			return
-		}
-		c := a.pool(w.Pool).account(w.Customer)
-		r = &registration{entry: from, queue: w.Queue, account: c}
-		e.regs[w.Queue] = r
-		c.regs = append(c.regs, r)
-	}
-	if m.Seq < r.seq {
+	r := a.registration(from, w)
+	if r == nil || m.Seq < r.seq {
 		return
 	}
-	r.seq, r.avoid, r.slots = m.Seq, w.Avoid, w.Slots
+	c := r.account
+	r.seq, r.slots, r.at = m.Seq, w.Slots, a.n.now
 	if w.Weight > 0 {
-		r.account.weight = w.Weight
+		c.weight = w.Weight
 	}
 	if m.Of == a.n.cfg.Incarnation {
 		r.forgetSeen(m.Seen)
 	}
 	was := r.count
 	r.count = max(0, w.Count-len(r.pending))
-	r.account.setWaiting(r.account.waiting + r.count - was)
-	if w.Count == 0 {
-		delete(e.regs, w.Queue)
-		r.account.dropReg(r)
-	}
+	c.setWaiting(c.waiting + r.count - was)
 	a.dirty = true
 }
 
+// registration finds or makes the registration that the entry means. It is
+// nil if the entry must say more.
+func (a *admitter) registration(from msg.RouterID, w Wait) *registration {
+	e := a.entries[from]
+	if r := e.regs[w.Queue]; r != nil {
+		return r
+	}
+	if w.Pool == "" {
+		m := a.n.to(from)
+		m.Forgot = append(m.Forgot, w.Queue)
+		return nil
+	}
+	c := a.pool(w.Pool).account(w.Customer)
+	r := &registration{entry: from, queue: w.Queue, account: c, avoid: w.Avoid}
+	e.regs[w.Queue] = r
+	c.regs = append(c.regs, r)
+	return r
+}
+
 func (r *registration) forgetSeen(seen uint64) {
 	i := 0
 	for i < len(r.pending) && r.pending[i] <= seen {
@@ -311,10 +321,26 @@
 			}
 		}
 	}
+	if a.n.now >= a.sweepAt {
+		a.sweepAt = a.n.now + regIdle/4
+		a.sweep()
+	}
 	a.probe()
 	a.tellDirectories()
 }
 
+// sweep forgets registrations that have long been empty or not repeated.
+func (a *admitter) sweep() {
+	for _, e := range a.entries {
+		for q, r := range e.regs {
+			if a.n.now-r.at > regIdle {
+				delete(e.regs, q)
+				r.account.dropReg(r)
+			}
+		}
+	}
+}
+
 // probe asks for the load reports that are due.
 func (a *admitter) probe() {
 	for _, s := range a.mine {
--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -90,7 +90,7 @@
 		return
 	}
 	e.askFor(q.pool, true)
-	most := min(all, max(minSpread, 2*n))
+	most := min(all, max(minSpread, n))
 	if q.spread >= most {
 		return
 	}
@@ -172,7 +172,7 @@
 		t := q.told[a.id]
 		if t != nil && t.count > 0 && e.n.now-t.at >= waitRefresh {
 			t.at = e.n.now
-			e.sendWait(q, a.id, t.count)
+			e.sendWait(q, a.id, t)
 		}
 	}
 }
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -15,10 +15,16 @@
 	for a.grantOne() {
 	}
 	for _, p := range a.order {
-		for _, c := range p.heap {
-			c.waited = true
-		}
+		p.markWaited()
+	}
+}
+
+// markWaited notes who was not granted a slot at once.
+func (p *admitPool) markWaited() {
+	for _, c := range p.fresh {
+		c.waited = c.waited || c.waiting > 0
 	}
+	p.fresh = p.fresh[:0]
 }
 
 // grantOne hands out a slot of the server with the most free ones, and tells
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -24,16 +24,18 @@
 	Offers      []Offer     `cbor:"12,keyasint,omitempty"`
 	Up          *Up         `cbor:"13,keyasint,omitempty"`
 	Down        *Down       `cbor:"14,keyasint,omitempty"`
+	Forgot      []uint64    `cbor:"15,keyasint,omitempty"` // queues of which the sender has no registration
 }
 
 // Wait registers a customer's waiting requests with an admitter. It replaces
-// what an earlier message said of the same queue.
+// what an earlier message said of the same queue. An admitter that is known to
+// have the registration is sent only what changes, without the pool.
 type Wait struct {
 	Queue    uint64         `cbor:"1,keyasint"` // the entry's number for it
-	Pool     msg.PoolID     `cbor:"2,keyasint"`
-	Customer msg.CustomerID `cbor:"3,keyasint"`
-	Weight   float64        `cbor:"4,keyasint"`
-	Count    int            `cbor:"5,keyasint"`
+	Pool     msg.PoolID     `cbor:"2,keyasint,omitempty"`
+	Customer msg.CustomerID `cbor:"3,keyasint,omitempty"`
+	Weight   float64        `cbor:"4,keyasint,omitempty"`
+	Count    int            `cbor:"5,keyasint,omitempty"`
 	Slots    int            `cbor:"6,keyasint,omitempty"` // of all the admitters told
 	Avoid    []msg.ServerID `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -157,6 +157,9 @@
 	for _, a := range m.Admitters {
 		n.entry.admitters(a)
 	}
+	for _, num := range m.Forgot {
+		n.entry.forgot(from, num)
+	}
 	for _, g := range m.Grants {
 		n.entry.grant(from, m.Incarnation, g)
 	}
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -65,8 +65,10 @@
 
 // told is what an admitter was last told of a queue.
 type told struct {
-	count int // less the grants received since
-	at    time.Duration
+	count  int // less the grants received since
+	at     time.Duration
+	weight float64
+	known  bool // the admitter has granted to the queue, so it knows what it is
 }
 
 type waiter struct {
@@ -334,6 +336,7 @@
 	}
 	if t := q.told[from]; t != nil {
 		t.count = max(0, t.count-1)
+		t.known = true
 	}
 	q.pool.granted(from)
 	w := q.head()
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -184,7 +184,7 @@
 		return
 	}
 	t.count, t.at = want, e.n.now
-	e.sendWait(q, to, want)
+	e.sendWait(q, to, t)
 }
 
 // withdraw tells all admitters that nothing waits.
@@ -192,21 +192,34 @@
 	for _, a := range q.pool.admitters {
 		if t := q.told[a.id]; t != nil && t.count > 0 {
 			t.count, t.at = 0, e.n.now
-			e.sendWait(q, a.id, 0)
+			e.sendWait(q, a.id, t)
 		}
 	}
 	q.spread = 0
 }
 
-func (e *entry) sendWait(q *queue, to msg.RouterID, count int) {
+// sendWait sends what the admitter is now told.
+func (e *entry) sendWait(q *queue, to msg.RouterID, t *told) {
 	m := e.n.to(to)
 	if p := e.peers[to]; p != nil {
 		m.Of, m.Seen = p.incarnation, p.seen
 	}
-	m.Waits = append(m.Waits, Wait{
-		Queue: q.num, Pool: q.pool.id, Customer: q.key.customer,
-		Weight: q.weight, Count: count, Slots: q.slots, Avoid: q.avoid,
-	})
+	w := Wait{Queue: q.num, Count: t.count, Slots: q.slots}
+	if !t.known {
+		w.Pool, w.Customer, w.Avoid = q.pool.id, q.key.customer, q.avoid
+	}
+	if !t.known || t.weight != q.weight {
+		w.Weight, t.weight = q.weight, q.weight
+	}
+	m.Waits = append(m.Waits, w)
+}
+
+// forgot takes an admitter's word that it has no registration of a queue.
+func (e *entry) forgot(from msg.RouterID, num uint64) {
+	if q := e.byNum[num]; q != nil && q.told[from] != nil {
+		delete(q.told, from)
+		e.touch(q)
+	}
 }
 
 // askFor tells the pool's directory how many requests wait, when it does not
