--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -36,6 +36,7 @@
 	if !ok {
 		p = &entryPool{id: id}
 		e.pools[id] = p
+		e.poolList = append(e.poolList, p)
 	}
 	return p
 }
@@ -46,6 +47,7 @@
 	if len(a.Routers) != len(a.Slots) || (p.version == a.Version && len(p.admitters) > 0) {
 		return
 	}
+	e.n.admit.pool(a.Pool).place(e.n.cfg.ID, a)
 	p.version, p.slots = a.Version, 0
 	p.admitters = p.admitters[:0]
 	for i, id := range a.Routers {
@@ -69,7 +71,7 @@
 
 // restart lets the pool's queues spread anew over a changed list.
 func (e *entry) restart(p *entryPool) {
-	for _, q := range e.queues {
+	for _, q := range e.active {
 		if q.pool == p && q.size > 0 {
 			q.start, q.spread = p.pick(e.pickSeed()), 0
 			e.touch(q)
@@ -154,9 +156,12 @@
 	if q.lasting(e.n) {
 		want = n
 	}
+	q.slots = 0
 	for i := range q.spread {
-		a := &q.pool.admitters[(q.start+i)%all]
-		e.tellOne(q, a.id, want, false)
+		q.slots += q.pool.admitters[(q.start+i)%all].slots
+	}
+	for i := range q.spread {
+		e.tellOne(q, q.pool.admitters[(q.start+i)%all].id, want, false)
 	}
 }
 
@@ -179,7 +184,7 @@
 		return
 	}
 	t.count, t.at = want, e.n.now
-	e.sendWait(q, to, want)
+	e.sendWait(q, to, t)
 }
 
 // withdraw tells all admitters that nothing waits.
@@ -187,21 +192,34 @@
 	for _, a := range q.pool.admitters {
 		if t := q.told[a.id]; t != nil && t.count > 0 {
 			t.count, t.at = 0, e.n.now
-			e.sendWait(q, a.id, 0)
+			e.sendWait(q, a.id, t)
 		}
 	}
 	q.spread = 0
 }
 
-func (e *entry) sendWait(q *queue, to msg.RouterID, count int) {
+// sendWait sends what the admitter is now told.
+func (e *entry) sendWait(q *queue, to msg.RouterID, t *told) {
 	m := e.n.to(to)
 	if p := e.peers[to]; p != nil {
 		m.Of, m.Seen = p.incarnation, p.seen
 	}
-	m.Waits = append(m.Waits, Wait{
-		Queue: q.num, Pool: q.pool.id, Customer: q.key.customer,
-		Weight: q.weight, Count: count, Avoid: q.avoid,
-	})
+	w := Wait{Queue: q.num, Count: t.count, Slots: q.slots}
+	if !t.known {
+		w.Pool, w.Customer, w.Avoid = q.pool.id, q.key.customer, q.avoid
+	}
+	if !t.known || t.weight != q.weight {
+		w.Weight, t.weight = q.weight, q.weight
+	}
+	m.Waits = append(m.Waits, w)
+}
+
+// forgot takes an admitter's word that it has no registration of a queue.
+func (e *entry) forgot(from msg.RouterID, num uint64) {
+	if q := e.byNum[num]; q != nil && q.told[from] != nil {
+		delete(q.told, from)
+		e.touch(q)
+	}
 }
 
 // askFor tells the pool's directory how many requests wait, when it does not
@@ -244,7 +262,7 @@
 // their oldest request.
 func (e *entry) oldest(p *entryPool) []*queue {
 	var list []*queue
-	for _, q := range e.queues {
+	for _, q := range e.active {
 		if q.pool == p && q.eligible() > 0 {
 			list = append(list, q)
 		}
@@ -269,7 +287,7 @@
 			e.peerOf(id, inc)
 		}
 	}
-	for _, p := range e.pools {
+	for _, p := range e.poolList {
 		e.dropGone(p)
 		p.everAsked = false
 	}
