--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -97,6 +97,9 @@
 // do makes the call and reads its answer. A failure to get an answer is an
 // error; any status is not.
 func (c *Client) do(ctx context.Context, k call) (answer, error) {
+	if err := ctx.Err(); err != nil {
+		return answer{}, &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
+	}
 	var sent sentWatch
 	req, err := http.NewRequestWithContext(sent.watch(ctx), k.method, c.base+k.path, bytes.NewReader(k.body))
 	if err != nil {
