--- /dev/null
+++ b/test/cmd/slopes/reports.go
@@ -0,0 +1,3 @@
+package main
+
+func measureReports() ([]Slope, error) { return nil, nil }
