--- a/test/cmd/slopes/fleet.go
+++ b/test/cmd/slopes/fleet.go
@@ -123,7 +123,12 @@
 	f.later[at] = append(f.later[at], do)
 }
 
+var partsHook func(*share.Message)
+
 func (f *fleet) send(from int, out share.Outgoing) {
+	if partsHook != nil {
+		partsHook(out.Message)
+	}
 	at := time.Now()
 	body, err := wire.Marshal(out.Message)
 	if err != nil {
