--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -30,6 +30,7 @@
 	{"entry", measureEntry},
 	{"admission", measureAdmission},
 	{"counters", measureCounters},
+	{"claims", measureClaims},
 	{"membership", measureMembers},
 	{"reports", measureReports},
 }
