--- a/test/cmd/slopes/fleet.go
+++ b/test/cmd/slopes/fleet.go
@@ -43,8 +43,9 @@
 	srvs  map[msg.ServerID]*simServer
 
 	messages, bytes, grants, probes int
-	compute                         time.Duration  // within the nodes and the codec
-	parts                           map[string]int // bytes by part of the messages
+	compute                         time.Duration   // within the nodes and the codec
+	parts                           map[string]int  // bytes by part of the messages
+	pairs                           map[[2]int]bool // routers that have sent each other anything
 }
 
 type simServer struct {
@@ -69,6 +70,7 @@
 		reqs:  map[msg.RequestID]*simRequest{},
 		srvs:  map[msg.ServerID]*simServer{},
 		parts: map[string]int{},
+		pairs: map[[2]int]bool{},
 	}
 	var members []share.Member
 	var servers []msg.ServerID
@@ -140,6 +142,7 @@
 	f.bytes += len(data)
 	f.countParts(out.Message)
 	to := f.index[out.To]
+	f.pairs[[2]int{min(from, to), max(from, to)}] = true
 	f.after(simStep, func() { f.receive(from, to, body) })
 }
 
@@ -238,6 +241,7 @@
 	core     float64            // of a processor core
 	memory   float64            // live bytes
 	grants   float64            // a second, by the whole fleet
+	peers    float64            // routers that a router exchanges messages with
 	parts    map[string]float64 // of bytes
 }
 
@@ -247,6 +251,7 @@
 	f.run(warm)
 	f.messages, f.bytes, f.grants, f.compute = 0, 0, 0, 0
 	f.parts = map[string]int{}
+	f.pairs = map[[2]int]bool{}
 	f.run(d)
 	per := d.Seconds() * float64(f.size.routers)
 	c := control{
@@ -254,6 +259,7 @@
 		messages: float64(f.messages) / per,
 		core:     f.compute.Seconds() / per,
 		grants:   float64(f.grants) / d.Seconds(),
+		peers:    2 * float64(len(f.pairs)) / float64(f.size.routers),
 		parts:    map[string]float64{},
 	}
 	for name, n := range f.parts {
--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -32,6 +32,7 @@
 	{"counters", measureCounters},
 	{"claims", measureClaims},
 	{"membership", measureMembers},
+	{"link", measureLinks},
 	{"reports", measureReports},
 }
 
--- a/test/cmd/slopes/slope.go
+++ b/test/cmd/slopes/slope.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,9 @@
 	}
 	s.A, s.B = stat.LinearRegression(x, s.Y, nil, false)
 	s.R2 = stat.RSquared(x, s.Y, nil, s.A, s.B)
+	if slices.Max(s.Y) == slices.Min(s.Y) {
+		s.R2 = 1 // all values lie on the line
+	}
 	return s
 }
 
