--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -81,5 +81,6 @@
 	if opts.Page == "" {
 		return nil
 	}
-	return writePage(opts.Page, map[string]string{"slopes": slopeTable(all), "design": design})
+	tables := map[string]string{"slopes": slopeTable(all), "design": design, "parts": partsTable(largest)}
+	return writePage(opts.Page, tables)
 }
