--- /dev/null
+++ b/test/fleet/client.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// callLimit bounds one call of the scaffolding to a process.
+const callLimit = 3 * time.Second
+
+var client = &http.Client{Timeout: callLimit}
+
+// call makes one request with the admin token and returns the answer's body;
+// a status of 300 or more is an error.
+func call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fail(err, "%s %s", method, url)
+	}
+	req.Header.Set("Authorization", "Bearer "+adminToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fail(err, "%s %s", method, url)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fail(err, "%s %s", method, url)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fail(nil, "%s %s: %s: %s", method, url, resp.Status, b)
+	}
+	return b, nil
+}
+
+// getJSON decodes the answer into v, unless v is nil.
+func getJSON(ctx context.Context, url string, v any) error {
+	b, err := call(ctx, http.MethodGet, url, nil)
+	if err != nil || v == nil {
+		return err
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return fail(err, "answer of %s", url)
+	}
+	return nil
+}
+
+func sendJSON(ctx context.Context, method, url string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fail(err, "%s %s", method, url)
+	}
+	_, err = call(ctx, method, url, b)
+	return err
+}
+
+// Status is what a router says of itself.
+type Status struct {
+	Ready           bool   `json:"ready"`
+	Draining        bool   `json:"draining"`
+	SettingsVersion uint64 `json:"settingsVersion"`
+	Running         int    `json:"running"`
+	Waiting         int    `json:"waiting"`
+}
+
+// Ready says whether the router takes requests.
+func (r *Router) Ready(ctx context.Context) bool {
+	return getJSON(ctx, "http://"+r.Admin+"/readyz", nil) == nil
+}
+
+// Status asks the router.
+func (r *Router) Status(ctx context.Context) (s Status, err error) {
+	err = getJSON(ctx, "http://"+r.Admin+"/v1/status", &s)
+	return s, err
+}
+
+// Vars returns the router's numeric metrics.
+func (r *Router) Vars(ctx context.Context) (map[string]float64, error) {
+	var v struct {
+		Windscale map[string]any `json:"windscale"`
+	}
+	if err := getJSON(ctx, "http://"+r.Admin+"/debug/vars", &v); err != nil {
+		return nil, err
+	}
+	out := make(map[string]float64)
+	for name, value := range v.Windscale {
+		if n, ok := value.(float64); ok {
+			out[name] = n
+		}
+	}
+	return out, nil
+}
+
+// Post calls a router's admin API.
+func (r *Router) Post(ctx context.Context, path string, v any) error {
+	return sendJSON(ctx, http.MethodPost, "http://"+r.Admin+path, v)
+}
+
+// Load is a backend server's own load report.
+type Load struct {
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+}
+
+// Load asks the server.
+func (b *Backend) Load(ctx context.Context) (l Load, err error) {
+	err = getJSON(ctx, "http://"+b.Addr+"/v1/load", &l)
+	return l, err
+}
+
+// Fault orders a fault of the server.
+func (b *Backend) Fault(ctx context.Context, v any) error {
+	return sendJSON(ctx, http.MethodPost, "http://"+b.Addr+"/_fault", v)
+}
+
+// PlatformFault orders a fault of one of the platform's services.
+func (f *Fleet) PlatformFault(ctx context.Context, service, mode string, delay time.Duration) error {
+	return sendJSON(ctx, http.MethodPost, f.URL+"/_fault", struct {
+		Service string `json:"service"`
+		Mode    string `json:"mode"`
+		DelayMs int64  `json:"delayMs"`
+	}{service, mode, delay.Milliseconds()})
+}
