--- a/test/fleet/files.go
+++ b/test/fleet/files.go
@@ -44,6 +44,7 @@
 link = %s
 admin = %s
 admin_token_file = %s
+faults = true
 %s
 [platform]
 url = %s
