--- /dev/null
+++ b/test/cmd/fleet/main.go
@@ -0,0 +1,111 @@
+// Command fleet runs demonstrations and trials of windscale on real processes
+// on loopback: demo, up, faults and measure. It is test scaffolding. It exits
+// with 0 if all was as it must be, 1 if anything was not, 2 on wrong usage.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/test/fleet"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// options are common to the commands.
+type options struct {
+	Bin  string `long:"bin" default:"bin" description:"folder of the programs"`
+	Out  string `long:"out" default:"out" description:"folder for the working folders and the JSON results"`
+	Seed uint64 `long:"seed" default:"1" description:"seed of the load and of the faults' order"`
+
+	Demo    struct{}       `command:"demo" description:"show the whole path at work; ends by itself"`
+	Up      struct{}       `command:"up" description:"leave a fleet running until Ctrl-C"`
+	Faults  faultsOptions  `command:"faults" description:"provoke failures one by one and in pairs"`
+	Measure measureOptions `command:"measure" description:"measure fairness, utilisation and control traffic"`
+}
+
+func main() {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	commands := map[string]struct {
+		run   func(context.Context, options) error
+		limit time.Duration
+	}{
+		"demo":    {demo, time.Minute},
+		"up":      {up, 24 * time.Hour},
+		"faults":  {faults, 3 * time.Minute},
+		"measure": {measure, 2 * time.Minute},
+	}
+	c := commands[parser.Active.Name]
+	ctx, cancel := context.WithTimeout(context.Background(), c.limit)
+	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx, o); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: FAILED: %v\n", parser.Active.Name, err)
+		os.Exit(exitFailed)
+	}
+}
+
+// config returns the common parts of a fleet's configuration.
+func (o options) config(name string) (fleet.Config, error) {
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		return fleet.Config{}, err
+	}
+	dir, err := filepath.Abs(filepath.Join(o.Out, name))
+	return fleet.Config{Bin: bin, Dir: dir}, err
+}
+
+// writeJSON writes a result to out/NAME.json.
+func (o options) writeJSON(name string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(o.Out, name+".json")
+	fmt.Println("written:", path)
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// checklist collects what must hold and what did not.
+type checklist struct{ failed []error }
+
+// check prints whether what holds.
+func (c *checklist) check(ok bool, format string, args ...any) {
+	what := fmt.Sprintf(format, args...)
+	if ok {
+		fmt.Println("  ok     ", what)
+		return
+	}
+	fmt.Println("  FAILED ", what)
+	c.failed = append(c.failed, &fleet.Error{What: what})
+}
+
+func (c *checklist) err() error { return errors.Join(c.failed...) }
--- a/test/fleet/check.go
+++ b/test/fleet/check.go
@@ -36,8 +36,8 @@
 // Execution is one entry of a backend server's record: an attempt that began
 // to run.
 type Execution struct {
-	ID      string `json:"request"`
-	Attempt int    `json:"attempt"`
+	ID      string `json:"id"`
+	Attempt string `json:"attempt"`
 	Key     string `json:"key"`
 	Ended   bool   `json:"ended"`
 	Server  string `json:"-"`
--- a/test/fleet/check_test.go
+++ b/test/fleet/check_test.go
@@ -16,11 +16,11 @@
 		{ID: "e", Kind: "booking:dispatch", Key: "k2", Outcome: Unknown},
 	}
 	ran := []Execution{
-		{ID: "a", Attempt: 1, Ended: false},
-		{ID: "a", Attempt: 2, Ended: true},
-		{ID: "b", Attempt: 1, Key: "k1", Ended: true},
-		{ID: "c", Attempt: 1, Ended: true},
-		{ID: "e", Attempt: 1, Key: "k2", Ended: true},
+		{ID: "a", Attempt: "1", Ended: false},
+		{ID: "a", Attempt: "2", Ended: true},
+		{ID: "b", Attempt: "1", Key: "k1", Ended: true},
+		{ID: "c", Attempt: "1", Ended: true},
+		{ID: "e", Attempt: "1", Key: "k2", Ended: true},
 	}
 	return requests, ran
 }
@@ -40,10 +40,10 @@
 			return r, append(e, Execution{ID: "other", Key: "k1"})
 		}, func(v Verdict) int { return v.Doubled }},
 		{"a booking without a key executed twice", func(r []Request, e []Execution) ([]Request, []Execution) {
-			return r, append(e, Execution{ID: "c", Attempt: 2})
+			return r, append(e, Execution{ID: "c", Attempt: "2"})
 		}, func(v Verdict) int { return v.Doubled }},
 		{"a request said not to have run in the record", func(r []Request, e []Execution) ([]Request, []Execution) {
-			return r, append(e, Execution{ID: "d", Attempt: 1})
+			return r, append(e, Execution{ID: "d", Attempt: "1"})
 		}, func(v Verdict) int { return v.FalseNotRun }},
 		{"a wrong answer", func(r []Request, e []Execution) ([]Request, []Execution) {
 			r[0].Outcome = Wrong
--- a/test/fleet/client.go
+++ b/test/fleet/client.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -119,11 +122,54 @@
 	return sendJSON(ctx, http.MethodPost, "http://"+b.Addr+"/_fault", v)
 }
 
-// PlatformFault orders a fault of one of the platform's services.
-func (f *Fleet) PlatformFault(ctx context.Context, service, mode string, delay time.Duration) error {
+// PlatformFault puts one of the platform's services into a mode.
+func (f *Fleet) PlatformFault(ctx context.Context, service, mode string) error {
 	return sendJSON(ctx, http.MethodPost, f.URL+"/_fault", struct {
 		Service string `json:"service"`
 		Mode    string `json:"mode"`
-		DelayMs int64  `json:"delayMs"`
-	}{service, mode, delay.Milliseconds()})
+	}{service, mode})
 }
+
+// Probe sends one request of each kind to every router and returns the first
+// that is not answered with success.
+func (f *Fleet) Probe(ctx context.Context, c Customer, model, service string) error {
+	chat := `{"model":"` + model + `","max_tokens":2,"messages":[{"role":"user","content":"probe"}]}`
+	calls := []struct{ method, path, body string }{
+		{http.MethodPost, "/v1/chat/completions", chat},
+		{http.MethodGet, "/services/" + service + "/jobs/probe", ""},
+		{http.MethodPost, "/services/" + service + "/bookings", `{"probe":true}`},
+	}
+	for _, r := range f.Routers {
+		for _, call := range calls {
+			if err := probe(ctx, c, call.method, "http://"+r.Entry+call.path, call.body); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func probe(ctx context.Context, c Customer, method, url, body string) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return fail(err, "probe %s", url)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key())
+	req.Header.Set("Content-Type", "application/json")
+	if method == http.MethodPost {
+		req.Header.Set("Idempotency-Key", fmt.Sprintf("probe-%d", probes.Add(1)))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fail(err, "probe %s", url)
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return fail(err, "probe %s: %s", url, resp.Status)
+	}
+	return nil
+}
+
+// probes numbers the probes, so that none repeats another's key.
+var probes atomic.Uint64
--- a/test/fleet/load.go
+++ b/test/fleet/load.go
@@ -85,14 +85,29 @@
 func (f *Fleet) Record(ctx context.Context) ([]Execution, error) {
 	var all []Execution
 	for _, b := range f.Backends {
-		var ran []Execution
-		if err := getJSON(ctx, "http://"+b.Addr+"/_record", &ran); err != nil {
+		ran, err := f.RecordOf(ctx, b)
+		if err != nil {
 			return nil, err
 		}
-		for i := range ran {
-			ran[i].Server = b.ID
-		}
 		all = append(all, ran...)
 	}
 	return all, nil
 }
+
+// RecordOf is one server's record.
+func (f *Fleet) RecordOf(ctx context.Context, b *Backend) ([]Execution, error) {
+	var log struct {
+		Dropped int         `json:"dropped"`
+		Runs    []Execution `json:"runs"`
+	}
+	if err := getJSON(ctx, "http://"+b.Addr+"/_record", &log); err != nil {
+		return nil, err
+	}
+	if log.Dropped > 0 {
+		return nil, fail(nil, "the record of %s is not whole: %d runs dropped", b.ID, log.Dropped)
+	}
+	for i := range log.Runs {
+		log.Runs[i].Server = b.ID
+	}
+	return log.Runs, nil
+}
