--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -31,9 +31,9 @@
 	Sharing           string  `json:"sharing"`
 	Requests          int     `json:"requests"`
 	Breaches          int     `json:"breaches"`
-	GapTokens         float64 `json:"gapTokens"`  // largest difference of weighted service
-	GapSeconds        float64 `json:"gapSeconds"` // the same, in seconds of a mean customer's service
-	TokensPerSecond   float64 `json:"tokensPerSecond"`
+	Gap               float64 `json:"gap"`        // largest difference of service over weight, in weighted tokens
+	GapSeconds        float64 `json:"gapSeconds"` // the same, in seconds of a customer's fair share
+	CostPerSecond     float64 `json:"costPerSecond"`
 	EngineUse         float64 `json:"engineUse"`  // of slots, while work waited
 	ServiceUse        float64 `json:"serviceUse"` // the same, of the plain services
 	SmallestWaitMs    float64 `json:"smallestWaitMs"`
