--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 STATICCHECK := bin/staticcheck
 FUZZTIME ?= 20s
 
+# rapid draws from this seed, so that every run gives the same verdict.
+export RAPID_SEED ?= 20261202
+
 .PHONY: all build test lint race clean
 
 all: build
--- a/internal/core/attempt/outcome.go
+++ b/internal/core/attempt/outcome.go
@@ -23,11 +23,14 @@
 // String returns the outcome's name as metrics and logs show it.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// MayHaveRun says whether the request may have run, wholly or in part.
+func (o Outcome) MayHaveRun() bool { return o != NotSent && o != Refused }
+
 // Ran says what a refusal may tell the caller in Windscale-Run: "no" only if
 // the request has certainly not run.
 func (o Outcome) Ran() string {
-	if o == NotSent || o == Refused {
-		return "no"
+	if o.MayHaveRun() {
+		return "unknown"
 	}
-	return "unknown"
+	return "no"
 }
--- a/internal/core/share/member.go
+++ b/internal/core/share/member.go
@@ -12,10 +12,12 @@
 type members struct {
 	list []Member
 	byID map[msg.RouterID]int // index in list
+
+	allLeaving bool
 }
 
 func newMembers(list []Member) members {
-	m := members{list: append([]Member(nil), list...), byID: map[msg.RouterID]int{}}
+	m := members{list: append([]Member(nil), list...), byID: map[msg.RouterID]int{}, allLeaving: true}
 	sort.Slice(m.list, func(i, j int) bool {
 		a, b := m.list[i], m.list[j]
 		if a.DataCentre != b.DataCentre {
@@ -25,6 +27,7 @@
 	})
 	for i, x := range m.list {
 		m.byID[x.ID] = i
+		m.allLeaving = m.allLeaving && x.Leaving
 	}
 	return m
 }
@@ -32,9 +35,11 @@
 func withSelf(list []Member, self Member) []Member {
 	out := []Member{self}
 	for _, m := range list {
-		if m.ID != self.ID {
-			out = append(out, m)
+		if m.ID == self.ID {
+			out[0].Leaving = m.Leaving
+			continue
 		}
+		out = append(out, m)
 	}
 	return out
 }
@@ -46,11 +51,15 @@
 
 // owner is the live router that rendezvous hashing gives the name to: the one
 // with the highest hash of both. A router's leaving moves only what it owned.
+// A leaving router owns nothing, unless all are leaving.
 func (m members) owner(kind byte, name string) msg.RouterID {
 	var best msg.RouterID
 	var high uint64
 	h := mix(uint64(kind) ^ xxhash.Sum64String(name))
 	for _, x := range m.list {
+		if x.Leaving && !m.allLeaving {
+			continue
+		}
 		v := mix(h ^ xxhash.Sum64String(string(x.ID)))
 		if best == "" || v > high || (v == high && x.ID < best) {
 			best, high = x.ID, v
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -110,6 +110,7 @@
 	ID          msg.RouterID
 	Incarnation uint64 // 0: not known
 	DataCentre  string
+	Leaving     bool // finishes its own requests and admits no more
 }
 
 // LoadReport is what a backend server says of itself.
--- a/internal/metrics/mechanisms.go
+++ b/internal/metrics/mechanisms.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
@@ -43,68 +42,23 @@
 	ListErrs uint64  `json:"host_list_errors_total"`
 }
 
-// Settings shows the settings in force and the fetching of newer ones.
+// Settings mirrors the settings in force and the fetching of newer ones.
 type Settings struct {
-	current atomic.Pointer[settingsInForce]
-	failed  atomic.Pointer[settingsFailure]
-	taken   atomic.Uint64
-	errors  atomic.Uint64
-	older   atomic.Uint64
-}
-
-type settingsInForce struct {
-	version uint64
-	digest  string
-	at      time.Time
-}
-
-type settingsFailure struct {
-	text string
-	at   time.Time
-}
-
-// Taken says that version, with the digest in hex, is in force from now.
-func (s *Settings) Taken(version uint64, digest string, now time.Time) {
-	s.current.Store(&settingsInForce{version: version, digest: digest, at: now})
-	s.taken.Add(1)
-}
-
-// Failed says that a look for newer settings failed now.
-func (s *Settings) Failed(err error, now time.Time) {
-	s.failed.Store(&settingsFailure{text: err.Error(), at: now})
-	s.errors.Add(1)
-}
-
-// Older counts an offer of settings older than those in force.
-func (s *Settings) Older() { s.older.Add(1) }
-
-// SettingsView is what Settings publishes. Ages are at the scrape.
-type SettingsView struct {
-	Version      uint64  `json:"version"`
-	Digest       string  `json:"digest"`
-	Age          Seconds `json:"in_force_seconds"`
-	Taken        uint64  `json:"taken_total"`
-	Older        uint64  `json:"older_offers_total"`
-	Errors       uint64  `json:"errors_total"`
-	LastError    string  `json:"last_error"`
-	LastErrorAge Seconds `json:"last_error_age_seconds"`
-}
-
-func (s *Settings) view() SettingsView {
-	v := SettingsView{
-		Taken:  s.taken.Load(),
-		Older:  s.older.Load(),
-		Errors: s.errors.Load(),
-	}
-	if c := s.current.Load(); c != nil {
-		v.Version, v.Digest = c.version, c.digest
-		v.Age = InSeconds(time.Since(c.at))
-	}
-	if f := s.failed.Load(); f != nil {
-		v.LastError = f.text
-		v.LastErrorAge = InSeconds(time.Since(f.at))
-	}
-	return v
+	mirror[SettingsState]
+}
+
+// SettingsState is what the settings' follower knows.
+type SettingsState struct {
+	Version    uint64  `json:"version"`
+	Digest     string  `json:"digest"`
+	Age        Seconds `json:"in_force_seconds"`
+	Taken      uint64  `json:"taken_total"`
+	Older      uint64  `json:"older_offers_total"`
+	Refused    uint64  `json:"refused_offers_total"`
+	PeerOffers uint64  `json:"peer_offers_total"`
+	Polls      uint64  `json:"polls_total"`
+	Errors     uint64  `json:"errors_total"`
+	StoreDown  bool    `json:"store_down"`
 }
 
 // Claims counts the claims of requests that may run at most once.
--- a/internal/router/adminapi.go
+++ b/internal/router/adminapi.go
@@ -5,6 +5,7 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -18,7 +19,7 @@
 		Draining:    r.drain.draining(),
 		Running:     running,
 		Waiting:     waiting,
-		Members:     r.members(),
+		Members:     r.membersView(),
 	}
 	if snap := r.follower.Current(); snap != nil {
 		s.Ready = !s.Draining
@@ -28,8 +29,13 @@
 	return s
 }
 
-// Backends implements admin.Router.
+// Backends implements admin.Router. Only the servers that this router admits
+// to have slots in its answer.
 func (r *Router) Backends() []admin.Backend {
+	mine := map[msg.ServerID]share.ServerView{}
+	for _, v := range r.sharer.ServerViews() {
+		mine[v.Server] = v
+	}
 	var list []admin.Backend
 	for _, h := range r.hosts.Current().All {
 		if h.Role != platform.RoleServer {
@@ -37,10 +43,12 @@
 		}
 		id := msg.ServerID(h.ID)
 		b := admin.Backend{ID: id, Addr: h.Addr, DataCentre: h.DataCentre, State: r.servers.state(id)}
-		if rep, ok := r.sharer.Report(id); ok {
-			b.Pools = rep.Pools
-			b.Slots = rep.Slots
-			b.Running = rep.Running
+		if v, ok := mine[id]; ok {
+			b.AdmittedBy = r.cfg.ID
+			b.Pools = v.Pools
+			b.Slots = v.Slots
+			b.Limit = v.Limit
+			b.Running = v.Running
 		}
 		list = append(list, b)
 	}
@@ -62,3 +70,8 @@
 	}
 	return true
 }
+
+// Explain implements admin.Router.
+func (r *Router) Explain(c msg.CustomerID) any {
+	return r.sharer.Explain(c)
+}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -77,7 +77,7 @@
 	}()
 	waiting, running := r.sharer.Counts()
 	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", running, "waiting", waiting, "limit", limit)
-	r.leave()
+	r.members.Leave()
 	pause(ctx, lameDuck)
 	err := srv.Shutdown(ctx)
 	if err != nil {
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -14,6 +14,7 @@
 	kindShare    uint8 = 1 // share.Message
 	kindMember   uint8 = 2 // member.Message
 	kindSettings uint8 = 3 // conversation: the asker's version; the newer settings, if any
+	kindMembers  uint8 = 4 // conversation: the asker's view; what it lacks
 )
 
 // sendShare is called under the sharer's lock; the link does not block.
@@ -32,6 +33,8 @@
 	switch kind {
 	case kindShare:
 		r.receiveShare(from, body)
+	case kindMember:
+		r.receiveMember(from, body)
 	default:
 		events.MessageUnknown.Log(r.ctx, r.log, slog.LevelDebug, "peer", from, "kind", kind)
 	}
@@ -47,6 +50,16 @@
 	r.sharer.Step(from, m)
 }
 
+func (r *Router) receiveMember(from msg.RouterID, body []byte) {
+	if err := r.members.Step(from, body); err != nil {
+		events.MessageMalformed.Log(r.ctx, r.log, slog.LevelWarn, "peer", from, "err", err)
+	}
+}
+
+func (r *Router) syncMembers(ctx context.Context, to msg.RouterID, req []byte) ([]byte, error) {
+	return r.link.Fetch(ctx, to, kindMembers, req)
+}
+
 // resolve finds a peer's link address in the host list, else in the seeds.
 func (r *Router) resolve(id msg.RouterID) (string, bool) {
 	if h, ok := r.hosts.Current().Routers[id]; ok {
@@ -74,8 +87,11 @@
 
 // answer serves the conversations that peers begin.
 func (r *Router) answer(_ context.Context, _ msg.RouterID, kind uint8, req []byte) ([]byte, error) {
-	if kind == kindSettings {
+	switch kind {
+	case kindSettings:
 		return r.answerSettings(req)
+	case kindMembers:
+		return r.members.Answer(req)
 	}
 	return nil, &UnknownKindError{Kind: kind}
 }
--- a/internal/router/mirror.go
+++ b/internal/router/mirror.go
@@ -1,9 +1,10 @@
 package router
 
 import (
+	"encoding/hex"
 	"time"
 
-	"github.com/windscale/windscale/internal/core/member"
+	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/link"
 	"github.com/windscale/windscale/internal/metrics"
 )
@@ -14,6 +15,8 @@
 	r.metrics.Link.Mirror(func() metrics.LinkState { return linkState(r.link.Stats()) })
 	r.metrics.Drain.Mirror(r.drainState)
 	r.metrics.Members.Mirror(r.membersState)
+	r.metrics.Settings.Mirror(r.settingsState)
+	r.metrics.Sharing.Mirror(r.sharingState)
 }
 
 func (r *Router) processState() metrics.ProcessState {
@@ -56,3 +59,50 @@
 	}
 	return state
 }
+
+func (r *Router) settingsState() metrics.SettingsState {
+	stats := r.follower.Stats()
+	state := metrics.SettingsState{
+		Taken:      stats.Taken,
+		Older:      stats.Older,
+		Refused:    stats.Refused,
+		PeerOffers: stats.PeerOffers,
+		Polls:      stats.Polls,
+		Errors:     stats.StoreErrors,
+		StoreDown:  stats.StoreDown,
+	}
+	if s := r.follower.Current(); s != nil {
+		state.Version = s.Version
+		state.Digest = hex.EncodeToString(s.Digest[:])
+		state.Age = metrics.InSeconds(time.Since(time.Unix(0, r.settingsAt.Load())))
+	}
+	return state
+}
+
+func (r *Router) sharingState() metrics.SharingState {
+	state := metrics.SharingState{
+		Pools:   map[msg.PoolID]map[msg.CustomerID]metrics.Share{},
+		Servers: map[msg.ServerID]metrics.ServerState{},
+	}
+	for _, v := range r.sharer.Views() {
+		if state.Pools[v.Pool] == nil {
+			state.Pools[v.Pool] = map[msg.CustomerID]metrics.Share{}
+		}
+		state.Pools[v.Pool][v.Customer] = metrics.Share{
+			Service:  msg.Cost(v.Served * v.Weight),
+			Weighted: v.Served,
+			Backlog:  v.Waiting,
+			Wait:     metrics.InSeconds(v.LongestNs),
+			Reason:   v.WaitingFor,
+		}
+	}
+	for _, v := range r.sharer.ServerViews() {
+		state.Servers[v.Server] = metrics.ServerState{
+			Slots:   v.Slots,
+			Limit:   v.Limit,
+			Running: v.Running,
+			State:   r.servers.state(v.Server),
+		}
+	}
+	return state
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"time"
-
 	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
@@ -47,7 +45,7 @@
 		c.Failed()
 	case f.Problem == "":
 		c.Answered(f.Total)
-	case f.Outcome.Ran() == attempt.RanNo:
+	case !f.Outcome.MayHaveRun():
 		c.Refused(f.Problem)
 	default:
 		c.Unknown()
@@ -77,6 +75,3 @@
 	}
 	return c.Objective
 }
-
-// uptime is how long the process runs.
-func (r *Router) uptime() time.Duration { return time.Since(r.started) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +17,7 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/claims"
 	"github.com/windscale/windscale/internal/config"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
@@ -25,6 +27,7 @@
 	"github.com/windscale/windscale/internal/fleetcert"
 	"github.com/windscale/windscale/internal/hosts"
 	"github.com/windscale/windscale/internal/link"
+	"github.com/windscale/windscale/internal/members"
 	"github.com/windscale/windscale/internal/metrics"
 	"github.com/windscale/windscale/internal/platform"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
@@ -51,9 +54,13 @@
 	sharer   *sharing.Sharer
 	prober   *probe.Prober
 	proxy    *proxy.Proxy
+	members  *members.Members
+	claims   *claims.Claims
 	drain    *drain
 	servers  *serverWatch
 
+	settingsAt atomic.Int64 // when the version in force was taken, Unix nanoseconds
+
 	entryLn net.Listener
 	adminLn net.Listener
 }
@@ -77,7 +84,9 @@
 	r.hosts = hosts.NewFollower(r.platform, hosts.NewList(seedHosts(cfg)), r.log, r.hostsChanged)
 	r.prober = probe.New(r.loadReported)
 	r.sharer = r.newSharer()
+	r.members = r.newMembers()
 	r.follower = r.newFollower()
+	r.claims = claims.New(r.platform, time.Now, r.log)
 	r.proxy = r.newProxy()
 	if err := r.listen(); err != nil {
 		return nil, err
@@ -110,7 +119,7 @@
 	effects := sharing.Effects{
 		Send:  r.sendShare,
 		Probe: r.probe,
-		Newer: func(v uint64) { r.follower.Hint(v) },
+		Newer: r.newerSettings,
 		Addr:  r.serverAddr,
 	}
 	return sharing.New(cfg, effects)
@@ -121,6 +130,7 @@
 		Picker:   r.sharer,
 		Snapshot: r.follower.Current,
 		Backend:  backend.New(),
+		Claims:   r.claims,
 		Now:      time.Now,
 		Log:      r.log,
 		Observer: &observer{entry: r.metrics.Entry, retries: r.metrics.Retries, snapshot: r.follower.Current},
@@ -163,7 +173,9 @@
 	callers := entry.New(r.follower.Current, r.proxy, r.metrics.Entry)
 	srv := entry.NewServer(r.entryLn, conf, callers.Handler(), settings.DefaultFleet(), r.log)
 	r.follower.Notify(func(s *settings.Snapshot) { r.settingsTaken(s, srv) })
-	for _, work := range []func(context.Context) error{r.link.Run, r.sharer.Run, r.hosts.Run, r.follower.Run} {
+	for _, work := range []func(context.Context) error{
+		r.link.Run, r.sharer.Run, r.members.Run, r.hosts.Run, r.follower.Run, r.claims.Run,
+	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
 	g.Add(srv.Run, func(error) { _ = r.entryLn.Close() })
@@ -201,7 +213,9 @@
 
 // settingsTaken puts a new version in force in the parts that keep a copy.
 func (r *Router) settingsTaken(s *settings.Snapshot, srv *entry.Server) {
+	r.settingsAt.Store(time.Now().UnixNano())
 	srv.Apply(s.Fleet)
+	r.members.SetSettings(s.Version)
 	r.sharer.SetSettings(s.Version)
 	r.sharer.SetQueueLimits(s.Fleet.QueueBytes, s.Fleet.QueueRequests)
 	ids := make([]msg.CustomerID, 0, len(s.Customers))
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -31,7 +31,7 @@
 	}
 	r.metrics.Sharing.SetServers(known)
 	r.sharer.SetServers(live)
-	r.membersChanged(l)
+	r.setCandidates(l)
 }
 
 // loadReported takes a server's answer to a load question, or its silence.
--- a/internal/sharing/inputs.go
+++ b/internal/sharing/inputs.go
@@ -32,7 +32,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Slots = (r.Slots + s.split - 1) / s.split
-	s.reports[r.Server] = r
 	s.locked(func(n *share.Node, now time.Duration) { n.Load(now, r) })
 }
 
@@ -57,10 +56,33 @@
 	return s.node.Counts()
 }
 
-// Report returns the last load report that this router had of a server.
-func (s *Sharer) Report(id msg.ServerID) (share.LoadReport, bool) {
+// Views returns what the core holds of waiting and served customers.
+func (s *Sharer) Views() []share.View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.reports[id]
-	return r, ok
+	return s.node.Views()
+}
+
+// ServerViews returns the backend servers that this router admits to.
+func (s *Sharer) ServerViews() []share.ServerView {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.ServerViews()
+}
+
+// Explanation says what a customer's requests wait for at this router.
+type Explanation struct {
+	Customer msg.CustomerID `json:"customer"`
+	Pools    []share.View   `json:"pools"`
+}
+
+// Explain returns why the customer's requests wait now.
+func (s *Sharer) Explain(c msg.CustomerID) Explanation {
+	e := Explanation{Customer: c}
+	for _, v := range s.Views() {
+		if v.Customer == c {
+			e.Pools = append(e.Pools, v)
+		}
+	}
+	return e
 }
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -36,7 +36,6 @@
 	node    *share.Node
 	split   int // divides each server's slots: above 1 only where routers share alone
 	waiting map[msg.RequestID]*waiter
-	reports map[msg.ServerID]share.LoadReport
 }
 
 // waiter is a request in Acquire. verdict has room for the one answer.
@@ -58,7 +57,6 @@
 		node:    share.New(cfg),
 		split:   1,
 		waiting: map[msg.RequestID]*waiter{},
-		reports: map[msg.ServerID]share.LoadReport{},
 	}
 }
 
--- a/test/fleet/files.go
+++ b/test/fleet/files.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -90,7 +91,10 @@
 		return 0, fail(err, "write the settings")
 	}
 	began := time.Now()
-	err := f.Ctl(ctx, "settings", "apply", path)
+	err := f.Ctl(ctx, "settings", "apply", "--base", strconv.Itoa(f.version), path)
+	if err == nil {
+		f.version++
+	}
 	return time.Since(began), err
 }
 
