--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -90,6 +90,9 @@
 // each asks every router for a page and returns the answers of those that
 // gave one, by router ID.
 func each[V any](ctx context.Context, a *app, path string) (map[string]V, error) {
+	if _, err := a.token(); err != nil {
+		return nil, err
+	}
 	hosts, err := a.hosts(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -27,8 +27,9 @@
 // follow is a live router that is looked at on its own, so that a slow one
 // holds up no other.
 type follow struct {
-	stop context.CancelFunc
-	last sighting
+	admin string // its address
+	stop  context.CancelFunc
+	last  sighting
 }
 
 // waiter waits until a version is in force on every live router.
@@ -98,9 +99,14 @@
 			continue
 		}
 		live[h.ID] = true
-		if w.routers[h.ID] == nil {
-			w.follow(ctx, h)
+		f := w.routers[h.ID]
+		if f != nil && f.admin == h.Admin {
+			continue
+		}
+		if f != nil {
+			f.stop()
 		}
+		w.follow(ctx, h)
 	}
 	maps.DeleteFunc(w.routers, func(id string, f *follow) bool {
 		if !live[id] {
@@ -112,7 +118,11 @@
 
 func (w *waiter) follow(ctx context.Context, h platform.Host) {
 	ctx, stop := context.WithCancel(ctx)
-	w.routers[h.ID] = &follow{stop: stop, last: sighting{router: h.ID, err: &RouterError{Router: h.ID}}}
+	w.routers[h.ID] = &follow{
+		admin: h.Admin,
+		stop:  stop,
+		last:  sighting{router: h.ID, err: &RouterError{Router: h.ID}},
+	}
 	go w.look(ctx, h)
 }
 
