--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -35,6 +35,9 @@
 	if f.Base != nil {
 		e.Base = *f.Base
 	}
+	if e.Editor == "" {
+		e.Editor = "unknown"
+	}
 	if e.ID == "" {
 		e.ID = settingsstore.NewEditID()
 	}
