--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -115,6 +115,14 @@
 	assert.NilError(f.t, resp.Body.Close())
 }
 
+// fault makes the platform fail as order says.
+func (f *fleetUnderTest) fault(order string) {
+	resp, err := http.Post(f.url+"/_fault", "application/json", strings.NewReader(order))
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, resp.Body.Close())
+	assert.Assert(f.t, resp.StatusCode < http.StatusBadRequest)
+}
+
 func (f *fleetUnderTest) write(name, text string) string {
 	path := filepath.Join(f.dir, name)
 	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
@@ -163,6 +171,17 @@
 	assert.Assert(t, cmp.Contains(f.ok("settings", "apply", one, "--base", "3"), "has this text already"))
 }
 
+// A lost reply of the table is settled by reading: the edit is accepted, once.
+func TestLostReplyIsSettled(t *testing.T) {
+	f := newFleet(t)
+	one := f.write("1.ini", "[tree]\n")
+	f.fault(`{"service":"table","mode":"lost-reply","count":3}`)
+	f.ok("settings", "apply", one)
+	var all []settingsstore.Record
+	assert.NilError(t, json.Unmarshal([]byte(f.ok("--output", "json", "settings", "history")), &all))
+	assert.Equal(t, len(all), 1)
+}
+
 func TestSecondOperatorGetsTheDiff(t *testing.T) {
 	f := newFleet(t)
 	f.ok("settings", "apply", f.write("1.ini", "[tree]\nweight = 1\n"))
--- a/internal/settingsstore/accept.go
+++ b/internal/settingsstore/accept.go
@@ -167,7 +167,7 @@
 	if versionOf(head) < e.Base {
 		return Accepted{}, &NoVersionError{Version: e.Base}
 	}
-	rows, err := s.table.Read(ctx, versionKey(next.Version))
+	rows, err := s.read(ctx, versionKey(next.Version))
 	if err != nil {
 		return Accepted{}, errors.Trace(err)
 	}
--- a/internal/settingsstore/fake_test.go
+++ b/internal/settingsstore/fake_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/windscale/windscale/internal/platform"
 )
@@ -27,9 +28,10 @@
 	objects map[string][]byte
 	version uint64
 	outage  atomic.Bool
-	next    []failure // of the calls to come
-	race    func()    // runs once before the next commit
-	heads   []Record  // every head that was ever committed
+	delay   atomic.Int64 // nanoseconds that each call takes
+	next    []failure    // of the calls to come
+	race    func()       // runs once before the next commit
+	heads   []Record     // every head that was ever committed
 }
 
 func newFake() *fake {
@@ -41,7 +43,14 @@
 }
 
 // call performs effect as the next failure has it.
-func (f *fake) call(op string, effect func() error) error {
+func (f *fake) call(ctx context.Context, op string, effect func() error) error {
+	if d := time.Duration(f.delay.Load()); d > 0 {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return failed(op, platform.KindUnknown)
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	mode := fine
@@ -60,9 +69,9 @@
 	return effect()
 }
 
-func (f *fake) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fake) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	var out []platform.Row
-	err := f.call("read", func() error {
+	err := f.call(ctx, "read", func() error {
 		for _, k := range keys {
 			row := f.rows[k]
 			row.Key = k
@@ -73,12 +82,12 @@
 	return out, err
 }
 
-func (f *fake) Commit(_ context.Context, writes ...platform.Write) error {
+func (f *fake) Commit(ctx context.Context, writes ...platform.Write) error {
 	if race := f.race; race != nil {
 		f.race = nil
 		race()
 	}
-	return f.call("commit", func() error {
+	return f.call(ctx, "commit", func() error {
 		for _, w := range writes {
 			if f.rows[w.Key].Version != w.IfVersion {
 				return failed("commit", platform.KindConflict)
@@ -104,8 +113,8 @@
 	f.heads = append(f.heads, r)
 }
 
-func (f *fake) PutIfAbsent(_ context.Context, key string, body []byte) error {
-	return f.call("put", func() error {
+func (f *fake) PutIfAbsent(ctx context.Context, key string, body []byte) error {
+	return f.call(ctx, "put", func() error {
 		if _, taken := f.objects[key]; taken {
 			return failed("put", platform.KindConflict)
 		}
@@ -114,9 +123,9 @@
 	})
 }
 
-func (f *fake) Get(_ context.Context, key string) ([]byte, error) {
+func (f *fake) Get(ctx context.Context, key string) ([]byte, error) {
 	var body []byte
-	err := f.call("get", func() error {
+	err := f.call(ctx, "get", func() error {
 		var ok bool
 		if body, ok = f.objects[key]; !ok {
 			return failed("get", platform.KindAbsent)
--- a/internal/settingsstore/follower.go
+++ b/internal/settingsstore/follower.go
@@ -19,10 +19,13 @@
 const (
 	DefaultInterval    = time.Second
 	DefaultHintSpread  = 500 * time.Millisecond
-	DefaultReadTimeout = 5 * time.Second
+	DefaultReadTimeout = 2 * time.Second
 	DefaultPeerTimeout = time.Second
 )
 
+// maxDoublings bounds how often the read timeout doubles while reads fail.
+const maxDoublings = 3
+
 // PeerSource asks the other routers for the highest version that one of them
 // has in force.
 type PeerSource interface {
@@ -44,8 +47,11 @@
 	Interval time.Duration
 	// HintSpread is the longest wait from a hint to the read that it
 	// causes, so that the routers that a hint reaches don't read all at once.
-	HintSpread  time.Duration
-	ReadTimeout time.Duration // of the head row and the object together
+	HintSpread time.Duration
+	// ReadTimeout is the time to read the head row and the object together.
+	// It doubles while reads fail, up to 8 times this, so that a slow store
+	// is followed too.
+	ReadTimeout time.Duration
 	PeerTimeout time.Duration // of asking the peers
 
 	// Rand returns numbers from 0 up to 1 for the jitter; nil: math/rand/v2.
@@ -61,6 +67,7 @@
 	hinted  atomic.Uint64
 	wake    chan struct{}
 	stats   counters
+	fails   int // reads that failed in a row; of the goroutine that polls
 
 	mu      sync.Mutex // guards what follows
 	holder  settings.Holder
@@ -88,9 +95,11 @@
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
+	store := New(c.Table, c.Objects)
+	store.tries = 1 // the next poll tries again
 	return &Follower{
 		config: c,
-		store:  New(c.Table, c.Objects),
+		store:  store,
 		wake:   make(chan struct{}, 1),
 	}
 }
@@ -190,6 +199,9 @@
 		f.askPeers(ctx)
 	}
 	offer, err := f.fetch(ctx)
+	if f.fails++; err == nil {
+		f.fails = 0
+	}
 	f.noteStore(ctx, err)
 	if err != nil && ctx.Err() == nil && f.hinted.Load() > f.version() {
 		f.askPeers(ctx)
@@ -202,7 +214,8 @@
 // fetch reads the head, and the text if it is of a higher version. It returns
 // nil when there is nothing to offer.
 func (f *Follower) fetch(ctx context.Context) (*settings.Offer, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+	timeout := f.config.ReadTimeout << min(f.fails, maxDoublings)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.stats.polls.Add(1)
 	head, err := f.store.Head(ctx)
--- a/internal/settingsstore/follower_test.go
+++ b/internal/settingsstore/follower_test.go
@@ -74,6 +74,21 @@
 	})
 }
 
+func TestSlowStoreIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFake()
+		p.accept(t, "[tree]")
+		p.delay.Store(int64(3 * DefaultReadTimeout)) // each of two calls
+		f := NewFollower(Config{Table: p, Objects: p, Rand: half})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Equal(t, f.version(), uint64(1))
+		cancel()
+	})
+}
+
 func TestFaultyVersionIsFetchedOnce(t *testing.T) {
 	p := newFake()
 	p.accept(t, "[tree]")
--- a/internal/settingsstore/store.go
+++ b/internal/settingsstore/store.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	attempts  = 5 // of a call to the platform
+	attempts  = 5 // of a write
+	readTries = 3 // of a read
 	firstWait = 100 * time.Millisecond
 )
 
@@ -22,13 +23,14 @@
 type Store struct {
 	table   platform.Table
 	objects platform.Objects
+	tries   int // of a read
 	now     func() time.Time
 	wait    func(ctx context.Context, attempt int)
 }
 
 // New returns a store on the platform's services.
 func New(table platform.Table, objects platform.Objects) *Store {
-	return &Store{table: table, objects: objects, now: time.Now, wait: backoff}
+	return &Store{table: table, objects: objects, tries: readTries, now: time.Now, wait: backoff}
 }
 
 // backoff waits with full jitter, longer at each attempt, or until ctx ends.
@@ -42,6 +44,27 @@
 	}
 }
 
+// again does a read until it succeeds, its tries are used up or ctx ends.
+func (s *Store) again(ctx context.Context, do func() error) error {
+	for i := 1; ; i++ {
+		err := do()
+		if err == nil || i >= s.tries || ctx.Err() != nil {
+			return err
+		}
+		s.wait(ctx, i)
+	}
+}
+
+func (s *Store) read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := s.again(ctx, func() error {
+		var err error
+		rows, err = s.table.Read(ctx, keys...)
+		return err
+	})
+	return rows, err
+}
+
 // Head returns the record in force, nil before the first version.
 func (s *Store) Head(ctx context.Context) (*Record, error) {
 	_, head, err := s.readHead(ctx)
@@ -49,7 +72,7 @@
 }
 
 func (s *Store) readHead(ctx context.Context) (platform.Row, *Record, error) {
-	rows, err := s.table.Read(ctx, headKey)
+	rows, err := s.read(ctx, headKey)
 	if err != nil {
 		return platform.Row{}, nil, errors.Trace(err)
 	}
@@ -59,7 +82,7 @@
 
 // Record returns the record of a version.
 func (s *Store) Record(ctx context.Context, version uint64) (*Record, error) {
-	rows, err := s.table.Read(ctx, versionKey(version))
+	rows, err := s.read(ctx, versionKey(version))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -83,7 +106,7 @@
 	for v := head.Version; v > 0 && len(keys) < limit; v-- {
 		keys = append(keys, versionKey(v))
 	}
-	rows, err := s.table.Read(ctx, keys...)
+	rows, err := s.read(ctx, keys...)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -103,7 +126,12 @@
 
 // Source returns the text of a version and checks its digest.
 func (s *Store) Source(ctx context.Context, r *Record) ([]byte, error) {
-	source, err := s.objects.Get(ctx, r.Object)
+	var source []byte
+	err := s.again(ctx, func() error {
+		var err error
+		source, err = s.objects.Get(ctx, r.Object)
+		return err
+	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
