--- a/internal/settingsstore/fake_test.go
+++ b/internal/settingsstore/fake_test.go
@@ -31,6 +31,7 @@
 	delay   atomic.Int64 // nanoseconds that each call takes
 	next    []failure    // of the calls to come
 	race    func()       // runs once before the next commit
+	breaks  bool         // the next commit loses its reply and an outage begins
 	heads   []Record     // every head that was ever committed
 }
 
@@ -87,6 +88,11 @@
 		f.race = nil
 		race()
 	}
+	if f.breaks {
+		f.breaks = false
+		f.next = []failure{lostReply}
+		defer f.outage.Store(true)
+	}
 	return f.call(ctx, "commit", func() error {
 		for _, w := range writes {
 			if f.rows[w.Key].Version != w.IfVersion {
--- a/internal/settingsstore/machine_test.go
+++ b/internal/settingsstore/machine_test.go
@@ -112,7 +112,11 @@
 		rival := m.newEdit(base, rapid.IntRange(6, 9).Draw(t, "rival"))
 		m.platform.race = func() { m.accept(t, rival) }
 	}
+	wasOut := m.platform.outage.Load()
+	m.platform.breaks = rapid.Bool().Draw(t, "breaks")
 	m.accept(t, e)
+	m.platform.outage.Store(wasOut)
+	m.platform.breaks = false
 	m.platform.race = nil
 	m.platform.next = nil
 }
