--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -27,6 +27,7 @@
 	HeaderFence   = "Windscale-Fence"
 	HeaderTimeout = "Windscale-Timeout"
 	HeaderLeaving = "Windscale-Leaving"
+	HeaderFenced  = "Windscale-Fence-Refused"
 )
 
 const (
@@ -35,7 +36,7 @@
 	idleTimeout     = 30 * time.Second
 	maxHeaderBytes  = 64 << 10
 	cancelTimeout   = time.Second
-	leavingTrue     = "true"
+	headerTrue      = "true"
 	scheme          = "http"
 	streamsPath     = "/v1/streams/"
 	writeBufferSize = 64 << 10
@@ -48,6 +49,7 @@
 	Attempt int
 	Method  string
 	Path    string // decoded, with the leading slash
+	RawPath string // the path's escaped form; empty: the usual one
 	Query   string // raw
 	Header  http.Header
 	Body    []byte
@@ -60,6 +62,9 @@
 	Guard func() error
 	// Refused lists the statuses by which the server refuses before running.
 	Refused []int
+	// ChecksFence says that the server refuses an old fencing number, by status
+	// 409 and Windscale-Fence-Refused.
+	ChecksFence bool
 	// Echo demands that the answer names the request and the attempt.
 	Echo bool
 }
@@ -165,7 +170,7 @@
 	}
 	req := &http.Request{
 		Method:        call.Method,
-		URL:           &url.URL{Scheme: scheme, Host: call.Server.Addr, Path: call.Path, RawQuery: call.Query},
+		URL:           callURL(call),
 		Host:          call.Server.Addr,
 		Header:        header,
 		ContentLength: int64(len(call.Body)),
@@ -179,10 +184,25 @@
 	return req.WithContext(ctx)
 }
 
+// callURL returns where the call goes.
+func callURL(call Call) *url.URL {
+	return &url.URL{
+		Scheme:   scheme,
+		Host:     call.Server.Addr,
+		Path:     call.Path,
+		RawPath:  call.RawPath,
+		RawQuery: call.Query,
+	}
+}
+
 // sendError classes a failure before the answer's header. Sealing the gate
 // first makes "not sent" certain.
 func sendError(g *gate, err error) *Error {
-	if g.seal() {
+	touched := g.seal()
+	if refusal := g.refusal(); refusal != nil {
+		err = refusal
+	}
+	if touched {
 		return &Error{Stage: StageSend, Outcome: attempt.Unknown, Err: err}
 	}
 	return &Error{Stage: StageDial, Outcome: attempt.NotSent, Leaving: isDial(err), Err: err}
@@ -190,10 +210,13 @@
 
 // refusedBy returns the refusal that the status is, or nil.
 func refusedBy(resp *http.Response, call Call) *Error {
+	if call.ChecksFence && resp.StatusCode == http.StatusConflict && resp.Header.Get(HeaderFenced) == headerTrue {
+		return &Error{Stage: StageStatus, Outcome: attempt.Refused, Err: ErrFence}
+	}
 	if !slices.Contains(call.Refused, resp.StatusCode) {
 		return nil
 	}
-	leaving := resp.Header.Get(HeaderLeaving) == leavingTrue
+	leaving := resp.Header.Get(HeaderLeaving) == headerTrue
 	return &Error{
 		Stage:      StageStatus,
 		Outcome:    attempt.Refused,
--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -6,6 +6,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -75,6 +76,7 @@
 	Services  map[string]Service
 	Customers map[msg.CustomerID]*Customer
 	byKey     map[KeyHash]*Customer
+	tree      *tree
 }
 
 // ByKey returns the customer whose key hashes to h.
@@ -82,3 +84,16 @@
 	c, ok := s.byKey[h]
 	return c, ok
 }
+
+// All, in a list of models or services, allows every one.
+const All = "*"
+
+// AllowsModel says whether the customer may use the model.
+func (c *Customer) AllowsModel(name string) bool { return allows(c.Models, name) }
+
+// AllowsService says whether the customer may use the plain service.
+func (c *Customer) AllowsService(name string) bool { return allows(c.Services, name) }
+
+func allows(list []string, name string) bool {
+	return slices.Contains(list, All) || slices.Contains(list, name)
+}
