--- a/cmd/windscale-load/main.go
+++ b/cmd/windscale-load/main.go
@@ -14,7 +14,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -23,6 +22,7 @@
 
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/load"
+	"github.com/windscale/windscale/internal/version"
 )
 
 const (
@@ -56,7 +56,7 @@
 func main() {
 	var opts options
 	opts.Version = func() {
-		fmt.Println("windscale-load", version())
+		fmt.Println("windscale-load", version.String())
 		os.Exit(0)
 	}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
@@ -80,28 +80,28 @@
 
 // play runs the plan and returns the exit code.
 func play(opts options) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	fail := func(code int, err error) int {
+		events.ProcessFailed.Log(ctx, log, slog.LevelError, "err", err)
+		return code
+	}
 	data, err := os.ReadFile(opts.Plan)
 	if err != nil {
-		log.Error("failed", "err", err)
-		return exitUsage
+		return fail(exitUsage, err)
 	}
 	sections, err := load.ParsePlan(data)
 	if err != nil {
-		log.Error("failed", "err", err)
-		return exitUsage
+		return fail(exitUsage, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	report, err := load.Run(ctx, sections, opts.load())
 	if err != nil {
-		log.Error("failed", "err", err)
-		return exitFailed
+		return fail(exitFailed, err)
 	}
 	events.LoadEnded.Log(ctx, log, slog.LevelInfo, "wrong", report.Wrong)
 	if err := opts.write(report); err != nil {
-		log.Error("failed", "err", err)
-		return exitFailed
+		return fail(exitFailed, err)
 	}
 	if report.Wrong > 0 {
 		return exitFailed
@@ -148,11 +148,3 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(report)
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- a/cmd/windscale-standin/main.go
+++ b/cmd/windscale-standin/main.go
@@ -6,13 +6,16 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/version"
 )
 
 const (
@@ -41,7 +44,7 @@
 func main() {
 	var opts options
 	opts.Version = func() {
-		fmt.Println("windscale-standin", version())
+		fmt.Println("windscale-standin", version.String())
 		os.Exit(0)
 	}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
@@ -55,9 +58,14 @@
 	if err == nil {
 		return 0
 	}
+	var option *usageError
+	if errors.As(err, &option) {
+		fmt.Fprintln(os.Stderr, option)
+		return exitUsage
+	}
 	var usage *flags.Error
 	if !errors.As(err, &usage) {
-		slog.Error("failed", "err", err)
+		events.ProcessFailed.Log(context.Background(), logger(), slog.LevelError, "err", err)
 		return exitFailed
 	}
 	if usage.Type == flags.ErrHelp {
@@ -68,10 +76,4 @@
 	return exitUsage
 }
 
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
+func logger() *slog.Logger { return slog.New(slog.NewJSONHandler(os.Stderr, nil)) }
--- a/cmd/windscale-standin/serve.go
+++ b/cmd/windscale-standin/serve.go
@@ -59,8 +59,7 @@
 	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 	p.addServer(&g, listener)
 	p.addRun(&g)
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	events.StandinReady.Log(context.Background(), log, slog.LevelInfo, "id", p.id, "addr", listener.Addr().String())
+	events.StandinReady.Log(context.Background(), logger(), slog.LevelInfo, "id", p.id, "addr", listener.Addr().String())
 	err = g.Run()
 	var signal run.SignalError
 	if errors.As(err, &signal) || errors.Is(err, http.ErrServerClosed) {
