--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -96,7 +96,7 @@
 	}
 	out := result{verdict: check(r, resp.Body)}
 	if out.class == Whole {
-		c.report(r.cost())
+		c.report(r.completion.Len(), r.cost())
 	}
 	return out
 }
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -110,10 +110,10 @@
 	return v
 }
 
-// progress is told of service as it is received: the cost of a token, or of a
-// whole answer that does not come in tokens. It may be called from any
-// goroutine.
-type progress func(cost int64)
+// progress is told of service as it is received: completion tokens and cost, of
+// a token or of a whole answer that does not come in tokens. It may be called
+// from any goroutine.
+type progress func(tokens int, cost int64)
 
 // streamCheck follows a streamed answer.
 type streamCheck struct {
@@ -197,12 +197,13 @@
 	now := time.Now()
 	if c.verdict.first.IsZero() {
 		c.verdict.first = now
-		c.progress(int64(c.request.promptTokens * promptCost))
+		c.progress(0, int64(c.request.promptTokens*promptCost))
 	} else {
 		c.verdict.gaps = append(c.verdict.gaps, now.Sub(c.last))
 	}
 	c.last = now
-	c.progress(int64(answer.PromptTokens(text) * completionCost))
+	tokens := answer.PromptTokens(text)
+	c.progress(tokens, int64(tokens*completionCost))
 	rest, ok := strings.CutPrefix(c.want, text)
 	c.want = rest
 	return ok
--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -31,7 +31,7 @@
 }
 
 func check(r *request, body string) Class {
-	return checkStream(r, strings.NewReader(body), func(int64) {}).class
+	return checkStream(r, strings.NewReader(body), func(int, int64) {}).class
 }
 
 // TestStreamCheck changes a right stream at random: only the right stream is
@@ -63,7 +63,7 @@
 
 func TestErrorEvent(t *testing.T) {
 	r := modelRequest(5)
-	v := checkStream(r, strings.NewReader(streamEvents(r)[0]+"event: error\ndata: {\"type\":\"urn:x\"}\n\n"), func(int64) {})
+	v := checkStream(r, strings.NewReader(streamEvents(r)[0]+"event: error\ndata: {\"type\":\"urn:x\"}\n\n"), func(int, int64) {})
 	assert.Equal(t, v.class, Broken)
 	assert.Equal(t, v.reason, "error event urn:x")
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -24,7 +24,8 @@
 
 // SectionReport is what became of one section's requests. Answered counts
 // whole right answers in time; latencies and cost are those of answered
-// requests, from when the request was due.
+// requests, from when the request was due. Rates count what callers received
+// while requests were sent, also of answers that ended later.
 type SectionReport struct {
 	Name             string         `json:"name"`
 	Customer         string         `json:"customer"`
@@ -44,8 +45,8 @@
 	Reasons          map[string]int `json:"reasons"`    // of what was late, broken, wrong or not sent
 	PromptTokens     int64          `json:"promptTokens"`
 	CompletionTokens int64          `json:"completionTokens"`
-	Cost             int64          `json:"cost"` // models: prompt tokens + 2 × completion tokens; services: requests
-	CostPerSecond    float64        `json:"costPerSecond"`
+	Cost             int64          `json:"cost"`          // models: prompt tokens + 2 × completion tokens; services: requests
+	CostPerSecond    float64        `json:"costPerSecond"` // while the section sent
 	Weight           float64        `json:"weight"`
 	FirstToken       Latency        `json:"firstToken"`
 	BetweenTokens    Latency        `json:"betweenTokens"`
@@ -81,19 +82,16 @@
 func newReport(players []*player, seed uint64, sent time.Duration) *Report {
 	seconds := sent.Seconds()
 	out := &Report{Seed: seed, Seconds: seconds}
-	var answered, tokens float64
 	for _, p := range players {
-		s := p.tally.report(p.section, seconds)
-		answered += float64(s.Answered)
-		tokens += float64(s.CompletionTokens)
+		s, timely := p.tally.report(p.section, seconds)
 		out.Sections = append(out.Sections, s)
+		out.RequestsPerSecond += float64(timely.answered) / seconds
+		out.TokensPerSecond += float64(timely.tokens) / seconds
 	}
-	out.RequestsPerSecond = answered / seconds
-	out.TokensPerSecond = tokens / seconds
 	return out
 }
 
-func (t *tally) report(s *Section, seconds float64) SectionReport {
+func (t *tally) report(s *Section, seconds float64) (SectionReport, rates) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	end := seconds
@@ -110,9 +108,9 @@
 		Refusals: latency(t.refusals), Series: t.series,
 	}
 	if active := end - s.Start.Seconds(); active > 0 {
-		out.CostPerSecond = float64(t.cost) / active
+		out.CostPerSecond = float64(t.timely.cost) / active
 	}
-	return out
+	return out, t.timely
 }
 
 func latency(h *hdrhistogram.Histogram) Latency {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -95,7 +95,11 @@
 	if left == 0 {
 		left = -1
 	}
-	tally := newTally(start)
+	sending := opts.Duration
+	if s.Stop > 0 {
+		sending = min(sending, s.Stop)
+	}
+	tally := newTally(start, start.Add(sending))
 	return &player{
 		section: s, opts: opts, start: start, tally: tally, left: left,
 		client: client{http: &http.Client{Transport: transport}, section: s, report: tally.noteProgress},
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -20,6 +20,7 @@
 	Answered int   `json:"answered"`
 	Refused  int   `json:"refused"`
 	Failed   int   `json:"failed"` // broken, wrong, late or not sent
+	Tokens   int   `json:"tokens"` // completion tokens received
 	Cost     int64 `json:"cost"`   // service received, token by token, also of answers that failed later
 }
 
@@ -27,6 +28,7 @@
 // any goroutine.
 type tally struct {
 	start time.Time
+	end   time.Time // of the time requests are sent; rates count what came before
 
 	mu         sync.Mutex
 	sent       int
@@ -40,6 +42,7 @@
 	tokens     int64
 	prompts    int64
 	cost       int64
+	timely     rates
 	series     []Second
 	first      *hdrhistogram.Histogram // µs
 	between    *hdrhistogram.Histogram
@@ -50,10 +53,17 @@
 	unkept     int            // ids or keys beyond maxIDs
 }
 
-func newTally(start time.Time) *tally {
+// rates counts what callers had received when sending ended.
+type rates struct {
+	answered int
+	tokens   int
+	cost     int64
+}
+
+func newTally(start, end time.Time) *tally {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
 	return &tally{
-		start: start, classes: map[Class]int{}, reasons: map[string]int{}, refused: map[string]int{},
+		start: start, end: end, classes: map[Class]int{}, reasons: map[string]int{}, refused: map[string]int{},
 		ran: map[string]int{}, keys: map[string]int{},
 		first: histogram(), between: histogram(), total: histogram(), refusals: histogram(),
 	}
@@ -84,10 +94,17 @@
 }
 
 // noteProgress counts service as it is received.
-func (t *tally) noteProgress(cost int64) {
+func (t *tally) noteProgress(tokens int, cost int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.second(time.Now()).Cost += cost
+	now := time.Now()
+	second := t.second(now)
+	second.Tokens += tokens
+	second.Cost += cost
+	if now.Before(t.end) {
+		t.timely.tokens += tokens
+		t.timely.cost += cost
+	}
 }
 
 // noteMoved counts a request that goes on to the next target.
@@ -149,6 +166,9 @@
 
 func (t *tally) noteAnswer(r *request, due time.Time, res result) {
 	t.cost += r.cost()
+	if res.end.Before(t.end) {
+		t.timely.answered++
+	}
 	record(t.total, res.end.Sub(due))
 	record(t.first, res.first.Sub(due))
 	for _, gap := range res.gaps {
