--- a/test/cmd/slopes/fleet.go
+++ b/test/cmd/slopes/fleet.go
@@ -16,7 +16,9 @@
 	maxMessage  = 1 << 20
 	linkKind    = 1
 	centres     = 5
-	loadPerSlot = 1.2 // callers per slot: a fifth of them wait
+	loadPerSlot = 1.2             // callers per slot: a sixth of them wait
+	simFill     = 2 * time.Second // then all slots are taken
+	firstToken  = 500 * time.Millisecond
 )
 
 // simSize is a fleet to simulate.
@@ -52,6 +54,7 @@
 	id      msg.ServerID
 	pools   []msg.PoolID
 	running int
+	queue   []*simRequest // beyond its slots
 }
 
 type simRequest struct {
@@ -159,18 +162,27 @@
 
 func (f *fleet) report(i int, s *simServer) {
 	f.call(i, func(n *share.Node) {
-		n.Load(f.now, share.LoadReport{Server: s.id, Pools: s.pools, Slots: f.size.slots, Running: s.running})
+		n.Load(f.now, share.LoadReport{Server: s.id, Pools: s.pools, Slots: f.size.slots, Running: s.running, Queued: len(s.queue)})
 	})
 }
 
-// start runs a granted request to its end, after which its caller asks again.
-// The first requests of the callers have run for some time already.
+// start takes a granted request to its server, where it waits if all slots are
+// taken.
 func (f *fleet) start(s share.Start) {
 	r := f.reqs[s.Request]
 	r.server = f.srvs[s.Server]
-	r.server.running++
 	f.grants++
-	hold := f.holdTime(r.first)
+	if r.server.running >= f.size.slots {
+		r.server.queue = append(r.server.queue, r)
+		return
+	}
+	f.begin(r)
+}
+
+// begin runs a request to its end, after which its caller asks again.
+func (f *fleet) begin(r *simRequest) {
+	r.server.running++
+	hold := f.holdTime(r.first && f.now < simFill)
 	f.after(hold, func() { f.finish(r, hold) })
 }
 
@@ -190,9 +202,13 @@
 
 func (f *fleet) finish(r *simRequest, hold time.Duration) {
 	r.server.running--
+	if q := r.server.queue; len(q) > 0 {
+		r.server.queue = q[1:]
+		f.begin(q[0])
+	}
 	delete(f.reqs, r.ID)
 	cost := msg.Cost(hold / (52 * time.Millisecond))
-	f.call(r.entry, func(n *share.Node) { n.End(f.now, r.ID, share.Result{Cost: cost, Total: hold}) })
+	f.call(r.entry, func(n *share.Node) { n.End(f.now, r.ID, share.Result{Cost: cost, First: firstToken, Total: hold}) })
 	f.arrive(r.entry, r.Customer, r.Pool, false)
 }
 
