--- a/test/cmd/slopes/fleet.go
+++ b/test/cmd/slopes/fleet.go
@@ -31,10 +31,10 @@
 	hold      time.Duration // mean time a request runs
 }
 
-// fleet runs share.Nodes in simulated time, with every message encoded and
+// simFleet runs share.Nodes in simulated time, with every message encoded and
 // decoded as between routers, and counts what they send and how long they
 // compute. Callers are a closed population: one whose request ends asks again.
-type fleet struct {
+type simFleet struct {
 	size  simSize
 	rng   *rand.Rand
 	now   time.Duration
@@ -64,8 +64,8 @@
 	first  bool
 }
 
-func newFleet(size simSize) *fleet {
-	f := &fleet{
+func newFleet(size simSize) *simFleet {
+	f := &simFleet{
 		size:  size,
 		rng:   rand.New(rand.NewPCG(1, 2)),
 		index: map[msg.RouterID]int{},
@@ -105,7 +105,7 @@
 }
 
 // call gives a node an input, counts the time and carries out what it wants.
-func (f *fleet) call(i int, input func(*share.Node)) {
+func (f *simFleet) call(i int, input func(*share.Node)) {
 	at := time.Now()
 	input(f.nodes[i])
 	r := f.nodes[i].Ready()
@@ -125,12 +125,12 @@
 	}
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
+func (f *simFleet) after(d time.Duration, do func()) {
 	at := f.now + max(d.Truncate(simStep), simStep)
 	f.later[at] = append(f.later[at], do)
 }
 
-func (f *fleet) send(from int, out share.Outgoing) {
+func (f *simFleet) send(from int, out share.Outgoing) {
 	at := time.Now()
 	body, err := wire.Marshal(out.Message)
 	if err != nil {
@@ -149,7 +149,7 @@
 	f.after(simStep, func() { f.receive(from, to, body) })
 }
 
-func (f *fleet) receive(from, to int, body []byte) {
+func (f *simFleet) receive(from, to int, body []byte) {
 	at := time.Now()
 	var m share.Message
 	if err := wire.Unmarshal(body, maxMessage, &m); err != nil {
@@ -160,7 +160,7 @@
 	f.call(to, func(n *share.Node) { n.Step(f.now, id, &m) })
 }
 
-func (f *fleet) report(i int, s *simServer) {
+func (f *simFleet) report(i int, s *simServer) {
 	f.call(i, func(n *share.Node) {
 		n.Load(f.now, share.LoadReport{Server: s.id, Pools: s.pools, Slots: f.size.slots, Running: s.running, Queued: len(s.queue)})
 	})
@@ -168,7 +168,7 @@
 
 // start takes a granted request to its server, where it waits if all slots are
 // taken.
-func (f *fleet) start(s share.Start) {
+func (f *simFleet) start(s share.Start) {
 	r := f.reqs[s.Request]
 	r.server = f.srvs[s.Server]
 	f.grants++
@@ -180,7 +180,7 @@
 }
 
 // begin runs a request to its end, after which its caller asks again.
-func (f *fleet) begin(r *simRequest) {
+func (f *simFleet) begin(r *simRequest) {
 	r.server.running++
 	hold := f.holdTime(r.first && f.now < simFill)
 	f.after(hold, func() { f.finish(r, hold) })
@@ -189,7 +189,7 @@
 // holdTime draws how long a request runs: half to one and a half of the mean.
 // Of a caller's first request it draws what is left at a random moment, so that
 // the fleet is in its steady state from the start.
-func (f *fleet) holdTime(first bool) time.Duration {
+func (f *simFleet) holdTime(first bool) time.Duration {
 	x := 0.5 + f.rng.Float64()
 	for first && f.rng.Float64()*1.5 > x { // long requests are met more often
 		x = 0.5 + f.rng.Float64()
@@ -200,7 +200,7 @@
 	return time.Duration(x * float64(f.size.hold))
 }
 
-func (f *fleet) finish(r *simRequest, hold time.Duration) {
+func (f *simFleet) finish(r *simRequest, hold time.Duration) {
 	r.server.running--
 	if q := r.server.queue; len(q) > 0 {
 		r.server.queue = q[1:]
@@ -212,7 +212,7 @@
 	f.arrive(r.entry, r.Customer, r.Pool, false)
 }
 
-func (f *fleet) arrive(entry int, c msg.CustomerID, p msg.PoolID, first bool) {
+func (f *simFleet) arrive(entry int, c msg.CustomerID, p msg.PoolID, first bool) {
 	r := &simRequest{entry: entry, first: first}
 	r.Request = share.Request{
 		ID:       msg.RequestID(fmt.Sprint("q", len(f.reqs), "-", f.rng.Uint64())),
@@ -226,7 +226,7 @@
 }
 
 // populate lets every caller ask for the first time, within a second.
-func (f *fleet) populate() {
+func (f *simFleet) populate() {
 	callers := int(loadPerSlot * float64(f.size.servers*f.size.slots))
 	for i := range callers {
 		c, p := customerID(i%f.size.customers), poolID(f.rng.IntN(f.size.pools))
@@ -236,7 +236,7 @@
 }
 
 // run lets time pass.
-func (f *fleet) run(d time.Duration) {
+func (f *simFleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; {
 		f.now += simStep
 		list := f.later[f.now]
@@ -262,7 +262,7 @@
 }
 
 // measure runs the fleet until it is in a steady state, and then for d.
-func (f *fleet) measure(warm, d time.Duration) control {
+func (f *simFleet) measure(warm, d time.Duration) control {
 	f.populate()
 	f.run(warm)
 	f.messages, f.bytes, f.grants, f.compute = 0, 0, 0, 0
--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -30,6 +30,7 @@
 	measure func() ([]Slope, error)
 }{
 	{"entry", measureEntry},
+	{"streams", measureStreams},
 	{"admission", measureAdmission},
 	{"counters", measureCounters},
 	{"settings", measureSettings},
--- a/test/cmd/slopes/parts.go
+++ b/test/cmd/slopes/parts.go
@@ -23,7 +23,7 @@
 }
 
 // countParts adds up the bytes of a message's parts by kind.
-func (f *fleet) countParts(m *share.Message) {
+func (f *simFleet) countParts(m *share.Message) {
 	f.parts["message and envelope"] += emptyMessage + wire.EnvelopeOverhead
 	for name, part := range map[string]*share.Message{
 		"waits registered": {Waits: m.Waits},
--- a/test/targets-operate.mk
+++ b/test/targets-operate.mk
@@ -2,12 +2,11 @@
 
 .PHONY: slopes slopes-direct report
 
-slopes: ## measure how each role's cost grows and write docs/CAPACITY.md's tables; within two minutes
-	mkdir -p bin
-	$(GO) build -o bin/slopes ./test/cmd/slopes
+slopes: fleet-programs ## measure how each role's cost grows and write docs/CAPACITY.md's tables; within two minutes
 	bin/slopes --page docs/CAPACITY.md
 
-slopes-direct: ## check the lines by simulating the sharing of all 410 routers; within three minutes
-	mkdir -p bin
-	$(GO) build -o bin/slopes ./test/cmd/slopes
+slopes-direct: fleet-programs ## check the lines by simulating the sharing of all 410 routers; within three minutes
 	bin/slopes --direct --page docs/CAPACITY.md
+
+report: fleet-programs ## a burn report out of a short run, one customer pushed past its objective; within two minutes
+	bin/report --bin bin --out out
