--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -15,7 +15,7 @@
 // The weights of tokens in the cost of a model's answer.
 const (
 	promptCost     = 1
-	completionCost = 2
+	completionCost = 4
 )
 
 // request is one request with the answer that it must get.
