Fuzz the sharing core under faults, and mend what it found

Pending grants that had ended still counted against a registration after a change of members; a list of admitters with a router that was not yet a member was never asked for again; late messages of an earlier incarnation were applied. Each has its test.

--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -33,6 +34,7 @@
 	seq     uint64
 	server  *poolServer
 	account *account
+	reg     *registration
 	entry   msg.RouterID
 	charged msg.Cost
 	alive   time.Duration // last known to be wanted
@@ -157,8 +159,8 @@
 }
 
 // entrySeen notes an entry's incarnation. A new one holds nothing of what the
-// earlier held.
-func (a *admitter) entrySeen(from msg.RouterID, m *Message) *entryPeer {
+// earlier held. It is false for a late message of an earlier incarnation.
+func (a *admitter) entrySeen(from msg.RouterID, m *Message) bool {
 	e := a.entries[from]
 	if e == nil {
 		e = &entryPeer{regs: map[uint64]*registration{}, grants: map[uint64]*grantRecord{}}
@@ -171,7 +173,7 @@
 			a.release(g)
 		}
 	}
-	return e
+	return e.incarnation == m.Incarnation
 }
 
 func (a *admitter) dropRegs(e *entryPeer) {
@@ -230,6 +232,13 @@
 	return r
 }
 
+// forget takes a grant that has ended out of the pending ones.
+func (r *registration) forget(seq uint64) {
+	if i, ok := slices.BinarySearch(r.pending, seq); ok {
+		r.pending = slices.Delete(r.pending, i, i+1)
+	}
+}
+
 func (r *registration) forgetSeen(seen uint64) {
 	i := 0
 	for i < len(r.pending) && r.pending[i] <= seen {
@@ -270,6 +279,7 @@
 func (a *admitter) release(g *grantRecord) {
 	delete(a.grants, g.seq)
 	delete(a.entries[g.entry].grants, g.seq)
+	g.reg.forget(g.seq)
 	g.server.hold(a.n.now, -1)
 	a.dirty = true
 }
--- a/internal/core/share/bench_test.go
+++ b/internal/core/share/bench_test.go
@@ -11,8 +11,8 @@
 
 // fleetOf builds a fleet for a workload, with the pools divided evenly over
 // the servers.
-func fleetOf(w workload) *fleet {
-	f := newFleet(1, w.routers)
+func fleetOf(w workload, config share.Config) *fleet {
+	f := newFleet(1, w.routers, config)
 	for i := range w.servers {
 		f.addServer(fmt.Sprintf("s%d", i), w.slots, w.rate, poolName(i%w.pools))
 	}
@@ -46,7 +46,7 @@
 func measure(b *testing.B, w workload, length time.Duration) {
 	ideal := w.play(newCells(w, false), 0, length)
 	naive := w.play(newCells(w, true), 0, length)
-	f := fleetOf(w)
+	f := fleetOf(w, share.Config{})
 	f.size = true
 	bytes, messages := 0, 0
 	f.after(warmUp, func() { bytes, messages = f.bytes, f.messages })
--- /dev/null
+++ b/internal/core/share/fuzz_test.go
@@ -0,0 +1,195 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+)
+
+const (
+	fuzzSlots   = 3
+	fuzzRate    = 100.0
+	fuzzCostMax = 100
+)
+
+// world is a fleet under faults, and the oracle: a request starts at most
+// once, every node's books are right, and when the faults are over all that
+// waits runs, no slot is kept back, and the customers are served alike.
+type world struct {
+	*fleet
+	t     *rapid.T
+	all   []*simRequest
+	count int
+}
+
+func newWorld(t *rapid.T) *world {
+	routers := rapid.IntRange(1, 5).Draw(t, "routers")
+	servers := rapid.IntRange(1, 5).Draw(t, "servers")
+	w := &world{fleet: newFleet(rapid.Uint64().Draw(t, "seed"), routers, share.Config{}), t: t}
+	for i := range servers {
+		w.addServer(fmt.Sprintf("s%d", i), fuzzSlots, fuzzRate, poolName(i%2))
+	}
+	w.setServers()
+	w.run(time.Second)
+	return w
+}
+
+func (w *world) router(name string) msg.RouterID {
+	return rapid.SampledFrom(w.ids).Draw(w.t, name)
+}
+
+func (w *world) send(customer int, pool msg.PoolID, entry msg.RouterID, cost int) {
+	w.count++
+	r := request(fmt.Sprint(w.count), fmt.Sprint("c", customer), float64(cost), entry)
+	r.Pool = pool
+	w.all = append(w.all, r)
+	w.arrive(r)
+}
+
+func (w *world) check() {
+	for _, id := range w.ids {
+		if wrong := w.nodes[id].Check(); wrong != "" {
+			w.t.Fatalf("%s: %s", id, wrong)
+		}
+	}
+	for _, r := range w.all {
+		if r.starts > 1 || (r.refused && r.starts > 0) {
+			w.t.Fatalf("%s started %d times, refused %v", r.ID, r.starts, r.refused)
+		}
+	}
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(*rapid.T) { w.check() },
+		"arrive": func(t *rapid.T) {
+			c, p := rapid.IntRange(0, 4).Draw(t, "customer"), rapid.IntRange(0, 1).Draw(t, "pool")
+			entry := w.router("entry")
+			for range rapid.IntRange(1, 10).Draw(t, "burst") {
+				w.send(c, poolName(p), entry, rapid.IntRange(1, fuzzCostMax).Draw(t, "cost"))
+			}
+		},
+		"cancel": func(t *rapid.T) {
+			if len(w.all) > 0 {
+				r := w.all[rapid.IntRange(0, len(w.all)-1).Draw(t, "which")]
+				w.nodes[r.entry].Cancel(w.clock(r.entry), r.ID)
+				r.refused = r.starts == 0
+				w.pump(r.entry)
+			}
+		},
+		"wait": func(t *rapid.T) {
+			w.run(w.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond)
+		},
+		"loss":      func(t *rapid.T) { w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.5}).Draw(t, "loss") },
+		"partition": func(*rapid.T) { w.cut[w.router("away")] = 1 },
+		"heal":      func(*rapid.T) { w.cut = map[msg.RouterID]int{} },
+		"restart":   func(*rapid.T) { w.restart(w.router("restarted")) },
+		"clock": func(t *rapid.T) {
+			w.skew[w.router("paused")] += time.Duration(rapid.IntRange(1, 30).Draw(t, "s")) * time.Second
+		},
+		"members": func(*rapid.T) {
+			of, without := w.router("of"), w.router("without")
+			w.setMembersOf(of, without)
+		},
+	}
+}
+
+// restart starts a router again with no memory. Its callers are cut off; what
+// runs at the servers runs on.
+func (w *world) restart(id msg.RouterID) {
+	for _, r := range w.all {
+		if r.entry == id && r.starts == 0 {
+			r.refused = true
+		}
+	}
+	w.startNode(id)
+	w.setMembersOf(id, "")
+	w.setServersOf(id)
+}
+
+// settle ends the faults and lets what they left behind expire.
+func (w *world) settle() {
+	w.loss, w.cut = 0, map[msg.RouterID]int{}
+	w.setMembers(w.ids)
+	w.setServers()
+	w.run(w.now + time.Minute)
+}
+
+// backlog keeps requests of all customers waiting in the first pool.
+func (w *world) backlog(entries []msg.RouterID) {
+	left := map[simKey]int{}
+	feed := func(c int) {
+		for left[simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}] < 30 {
+			left[simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}]++
+			w.send(c, poolName(0), entries[c], 10+(w.count*37)%(fuzzCostMax-10))
+		}
+	}
+	w.done = func(r *simRequest) {
+		left[keyOf(r)]--
+		for c := range entries {
+			feed(c)
+		}
+	}
+	for c := range entries {
+		feed(c)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions())
+		w.settle()
+		w.check()
+		for _, r := range w.all {
+			if !r.ended && !r.refused {
+				t.Fatalf("%s of %s at %s still waits or runs", r.ID, r.Customer, r.entry)
+			}
+		}
+		for id := range w.servers {
+			for _, router := range w.ids {
+				if n := w.nodes[router].Held(id); n > 0 {
+					t.Fatalf("%s holds %d grants of %s", router, n, id)
+				}
+			}
+		}
+		w.checkBacklogged(t)
+	})
+}
+
+// checkBacklogged loads the fleet after its faults: no slot may idle, and the
+// service of the customers may differ only by what is running.
+func (w *world) checkBacklogged(t *rapid.T) {
+	var entries []msg.RouterID
+	for range 3 {
+		entries = append(entries, w.router("entry"))
+	}
+	w.backlog(entries)
+	w.run(w.now + 10*time.Second)
+	base, busy, began := w.service(), w.busyTime(), w.now
+	slots := 0
+	for _, s := range w.servers {
+		if s.pools[0] == poolName(0) {
+			slots += s.slots
+		}
+	}
+	w.run(w.now + 20*time.Second)
+	util := (w.busyTime() - busy).Seconds() / (w.now - began).Seconds() / float64(slots)
+	if util < 0.97 {
+		t.Fatalf("utilisation %.3f while work waits", util)
+	}
+	got := w.service()
+	low, high := 1e18, 0.0
+	for c := range entries {
+		k := simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}
+		low, high = min(low, got[k]-base[k]), max(high, got[k]-base[k])
+	}
+	if bound := 6.0 * fuzzCostMax; high-low > bound {
+		t.Fatalf("gap %.0f, bound %.0f", high-low, bound)
+	}
+}
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -100,7 +100,7 @@
 	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
 	a.lastSeq++
 	g := &grantRecord{
-		seq: a.lastSeq, server: s, account: c, entry: r.entry,
+		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
 		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
 	}
 	a.grants[g.seq] = g
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -136,7 +136,9 @@
 
 // step applies one message, part by part.
 func (n *Node) step(from msg.RouterID, m *Message) {
-	n.admit.entrySeen(from, m)
+	if !n.admit.entrySeen(from, m) {
+		return
+	}
 	if m.Of == n.cfg.Incarnation {
 		for _, e := range m.Ends {
 			n.admit.end(from, e)
--- a/internal/core/share/node_test.go
+++ b/internal/core/share/node_test.go
@@ -21,7 +21,7 @@
 }
 
 func smallFleet(routers, servers int) *fleet {
-	f := newFleet(1, routers)
+	f := newFleet(1, routers, share.Config{})
 	for i := range servers {
 		f.addServer(fmt.Sprintf("s%d", i), 4, 100, pool)
 	}
--- a/internal/core/share/reference_test.go
+++ b/internal/core/share/reference_test.go
@@ -389,3 +389,25 @@
 	}
 	return sum
 }
+
+// simKey is a customer in a pool.
+type simKey struct {
+	pool     msg.PoolID
+	customer msg.CustomerID
+}
+
+func keyOf(r *simRequest) simKey { return simKey{r.Pool, r.Customer} }
+
+// service is what each customer has got, running requests by their part done.
+func (f *fleet) service() map[simKey]float64 {
+	out := map[simKey]float64{}
+	for k, v := range f.served {
+		out[k] = v
+	}
+	for _, s := range f.servers {
+		for _, r := range s.running {
+			out[keyOf(r)] += (f.now - r.began).Seconds() * s.rate / r.Weight
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/share/regress_test.go
@@ -0,0 +1,106 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
+)
+
+// Each test here is of a failure that the fuzzing found.
+
+// admitterOf returns a node that admits to one server of the pool.
+func admitterOf(slots int) *share.Node {
+	n := share.New(share.Config{ID: "r0", Incarnation: 1})
+	n.SetServers(0, []msg.ServerID{"s0"})
+	n.Load(0, share.LoadReport{Server: "s0", Pools: []msg.PoolID{pool}, Slots: slots})
+	n.Ready()
+	return n
+}
+
+func grants(n *share.Node) []share.Grant {
+	var list []share.Grant
+	for _, out := range n.Ready().Send {
+		list = append(list, out.Message.Grants...)
+	}
+	return list
+}
+
+func TestLateMessageOfEarlierIncarnationIsIgnored(t *testing.T) {
+	n := admitterOf(4)
+	wait := func(inc, seq, queue uint64) {
+		n.Step(0, "e0", &share.Message{Incarnation: inc, Seq: seq, Waits: []share.Wait{
+			{Queue: queue, Pool: pool, Customer: "a", Weight: 1, Count: 1},
+		}})
+	}
+	wait(2, 1, 1)
+	wait(1, 100, 2)
+	assert.Equal(t, len(grants(n)), 1)
+}
+
+func TestEndedGrantsDoNotCountAgainstRegistration(t *testing.T) {
+	n := admitterOf(2)
+	// The entry never says what it has seen, as after a change of members.
+	m := &share.Message{Incarnation: 1, Seq: 1, Waits: []share.Wait{
+		{Queue: 1, Pool: pool, Customer: "a", Weight: 1, Count: 2},
+	}}
+	n.Step(0, "e0", m)
+	list := grants(n)
+	assert.Equal(t, len(list), 2)
+	n.Step(0, "e0", &share.Message{Incarnation: 1, Seq: 2, Of: 1, Ends: []share.End{{Seq: list[0].Seq}, {Seq: list[1].Seq}}})
+	m.Seq = 3
+	n.Step(0, "e0", m)
+	assert.Equal(t, len(grants(n)), 2)
+}
+
+func TestListWithUnknownMemberIsAskedForAgain(t *testing.T) {
+	n := share.New(share.Config{ID: "e0", Incarnation: 1})
+	n.SetMembers(0, []share.Member{{ID: "r0"}})
+	n.Step(0, "r0", &share.Message{Incarnation: 1, Seq: 1, Admitters: []share.Admitters{
+		{Pool: pool, Version: 7, Routers: []msg.RouterID{"r1"}, Slots: []int{4}},
+	}})
+	var members []share.Member
+	for i := range 20 { // the pool's directory is one of them, not e0
+		members = append(members, share.Member{ID: msg.RouterID(fmt.Sprint("r", i))})
+	}
+	n.SetMembers(0, members)
+	n.Arrive(0, share.Request{ID: "1", Pool: pool, Customer: "a", Weight: 1})
+	asks := 0
+	for _, out := range n.Ready().Send {
+		for _, a := range out.Message.Asks {
+			asks++
+			assert.Equal(t, a.Version, uint64(0))
+		}
+	}
+	assert.Equal(t, asks, 1)
+}
+
+// Two routers that each believe to admit to a server, as for a moment after a
+// partition, may together start at most twice its slots there; once they
+// agree, the load reports hold back whoever has not started what runs.
+func TestTwoAdmittersStartAtMostTwiceTheSlots(t *testing.T) {
+	f := smallFleet(2, 1)
+	f.setMembersOf("r0", "r1")
+	f.setMembersOf("r1", "r0")
+	f.cut["r1"] = 1
+	for i := range 40 {
+		f.arrive(request(fmt.Sprint(i), "a", 1000, f.ids[i%2]))
+	}
+	f.run(f.now + 5*time.Second)
+	assert.Assert(t, f.over <= 4, "%d over the slots", f.over)
+}
+
+func TestRestartedAdmitterGrantsNoMoreThanTheReportAllows(t *testing.T) {
+	n := share.New(share.Config{ID: "r0", Incarnation: 2})
+	n.SetServers(0, []msg.ServerID{"s0"})
+	n.Step(0, "e0", &share.Message{Incarnation: 1, Seq: 1, Waits: []share.Wait{
+		{Queue: 1, Pool: pool, Customer: "a", Weight: 1, Count: 9},
+	}})
+	assert.Equal(t, len(grants(n)), 0) // no report yet
+	n.Load(0, share.LoadReport{Server: "s0", Pools: []msg.PoolID{pool}, Slots: 8, Running: 5, Queued: 1})
+	assert.Equal(t, len(grants(n)), 2)
+}
--- a/internal/core/share/sim_test.go
+++ b/internal/core/share/sim_test.go
@@ -14,12 +14,14 @@
 // backend servers. Time is simulated and runs are repeatable.
 type fleet struct {
 	rng      *rand.Rand
+	config   share.Config // of each node, but for its identity
 	now      time.Duration
 	events   eventHeap
 	seq      int
 	delay    time.Duration // one way, plus up to half of it
 	loss     float64
-	cut      map[msg.RouterID]int // side of a partition
+	cut      map[msg.RouterID]int           // side of a partition
+	skew     map[msg.RouterID]time.Duration // of a router's clock
 	nodes    map[msg.RouterID]*share.Node
 	ids      []msg.RouterID
 	servers  map[msg.ServerID]*simServer
@@ -31,7 +33,6 @@
 	messages int
 	size     bool // encode messages to count bytes
 	tick     time.Duration
-	merge    time.Duration // 0: the default
 	spy      func(*share.Message)
 	over     int // most running beyond a server's slots
 	incs     uint64
@@ -81,13 +82,11 @@
 	return x
 }
 
-var mergeInterval time.Duration
-
-func newFleet(seed uint64, routers int) *fleet {
+func newFleet(seed uint64, routers int, config share.Config) *fleet {
 	f := &fleet{
-		incs: 1_790_000_000, merge: mergeInterval,
+		config: config, incs: 1_790_000_000,
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond, tick: 10 * time.Millisecond,
-		cut: map[msg.RouterID]int{}, nodes: map[msg.RouterID]*share.Node{},
+		cut: map[msg.RouterID]int{}, skew: map[msg.RouterID]time.Duration{}, nodes: map[msg.RouterID]*share.Node{},
 		servers: map[msg.ServerID]*simServer{}, requests: map[msg.RequestID]*simRequest{},
 		served: map[simKey]float64{},
 		done:   func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
@@ -105,7 +104,9 @@
 	if _, ok := f.nodes[id]; !ok {
 		f.ids = append(f.ids, id)
 	}
-	n := share.New(share.Config{ID: id, Incarnation: f.incs, DataCentre: "d" + string(id[len(id)-1:]), MergeInterval: f.merge})
+	cfg := f.config
+	cfg.ID, cfg.Incarnation, cfg.DataCentre = id, f.incs, dataCentre(id)
+	n := share.New(cfg)
 	f.nodes[id] = n
 	f.after(time.Duration(f.rng.Int64N(int64(f.tick))), func() { f.tickNode(id, n) })
 }
@@ -114,20 +115,31 @@
 	if f.nodes[id] != n {
 		return
 	}
-	n.Tick(f.now)
+	n.Tick(f.clock(id))
 	f.pump(id)
 	f.after(f.tick, func() { f.tickNode(id, n) })
 }
 
+func dataCentre(id msg.RouterID) string { return "d" + string(id[len(id)-1:]) }
+
+func (f *fleet) clock(id msg.RouterID) time.Duration { return f.now + f.skew[id] }
+
 func (f *fleet) setMembers(ids []msg.RouterID) {
-	var list []share.Member
 	for _, id := range ids {
-		list = append(list, share.Member{ID: id, DataCentre: "d" + string(id[len(id)-1:])})
+		f.setMembersOf(id, "")
 	}
-	for _, id := range ids {
-		f.nodes[id].SetMembers(f.now, list)
-		f.pump(id)
+}
+
+// setMembersOf gives a router the list of all routers but one.
+func (f *fleet) setMembersOf(id, without msg.RouterID) {
+	var list []share.Member
+	for _, x := range f.ids {
+		if x != without {
+			list = append(list, share.Member{ID: x, DataCentre: dataCentre(x)})
+		}
 	}
+	f.nodes[id].SetMembers(f.clock(id), list)
+	f.pump(id)
 }
 
 func (f *fleet) addServer(id string, slots int, rate float64, pools ...msg.PoolID) {
@@ -135,14 +147,18 @@
 }
 
 func (f *fleet) setServers() {
+	for _, id := range f.ids {
+		f.setServersOf(id)
+	}
+}
+
+func (f *fleet) setServersOf(id msg.RouterID) {
 	var list []msg.ServerID
 	for i := range len(f.servers) {
 		list = append(list, msg.ServerID(fmt.Sprintf("s%d", i)))
 	}
-	for _, id := range f.ids {
-		f.nodes[id].SetServers(f.now, list)
-		f.pump(id)
-	}
+	f.nodes[id].SetServers(f.clock(id), list)
+	f.pump(id)
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
@@ -201,7 +217,7 @@
 	}
 	f.after(f.latency(), func() {
 		if to := f.nodes[out.To]; to != nil {
-			to.Step(f.now, from, m)
+			to.Step(f.clock(out.To), from, m)
 			f.pump(out.To)
 		}
 	})
@@ -211,7 +227,7 @@
 	if f.nodes[id] != n {
 		return
 	}
-	n.Load(f.now, share.LoadReport{
+	n.Load(f.clock(id), share.LoadReport{
 		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue),
 	})
 	f.pump(id)
@@ -220,7 +236,7 @@
 func (f *fleet) arrive(r *simRequest) {
 	f.requests[r.ID] = r
 	r.arrived = f.now
-	f.nodes[r.entry].Arrive(f.now, r.Request)
+	f.nodes[r.entry].Arrive(f.clock(r.entry), r.Request)
 	f.pump(r.entry)
 }
 
@@ -269,31 +285,9 @@
 		f.begin(next)
 	}
 	if f.nodes[r.entry] == n {
-		n.End(f.now, r.ID, share.Result{Cost: msg.Cost(r.cost), First: r.first, Total: f.now - r.began})
+		n.End(f.clock(r.entry), r.ID, share.Result{Cost: msg.Cost(r.cost), First: r.first, Total: f.now - r.began})
 		f.pump(r.entry)
 	}
 	delete(f.requests, r.ID)
 	f.done(r)
 }
-
-// simKey is a customer in a pool.
-type simKey struct {
-	pool     msg.PoolID
-	customer msg.CustomerID
-}
-
-func keyOf(r *simRequest) simKey { return simKey{r.Pool, r.Customer} }
-
-// service is what each customer has got, running requests by their part done.
-func (f *fleet) service() map[simKey]float64 {
-	out := map[simKey]float64{}
-	for k, v := range f.served {
-		out[k] = v
-	}
-	for _, s := range f.servers {
-		for _, r := range s.running {
-			out[keyOf(r)] += (f.now - r.began).Seconds() * s.rate / r.Weight
-		}
-	}
-	return out
-}
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -52,6 +52,7 @@
 	p.admitters = p.admitters[:0]
 	for i, id := range a.Routers {
 		if !e.n.members.has(id) {
+			p.version = 0 // to be told again
 			continue
 		}
 		p.admitters = append(p.admitters, poolAdmitter{id: id, slots: a.Slots[i]})
@@ -274,13 +275,12 @@
 	return list
 }
 
-// membersChanged forgets admitters that are gone and asks anew.
+// membersChanged forgets what gone admitters were told, and asks anew.
 func (e *entry) membersChanged() {
 	for id := range e.peers {
 		i, ok := e.n.members.byID[id]
 		if !ok {
-			e.untell(id)
-			delete(e.peers, id)
+			e.untell(id) // what it has granted is still held
 			continue
 		}
 		if inc := e.n.members.list[i].Incarnation; inc > e.peers[id].incarnation {
