Carry a server's address with its grants

Ruled out: the servers (they ran), the drain (the failures came before it). Change: a grant carries the admitter's address of the server, 6 bytes and a little CBOR; the host list is asked only where a grant has none. Conclusion: entries no longer depend on the host list for addresses.

--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -111,5 +111,5 @@
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
 	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id, Addr: a.n.addrs[s.id]})
 }
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -45,6 +45,7 @@
 	Seq    uint64       `cbor:"1,keyasint"`
 	Queue  uint64       `cbor:"2,keyasint"`
 	Server msg.ServerID `cbor:"3,keyasint"`
+	Addr   Addr         `cbor:"5,keyasint,omitempty"`
 }
 
 // How a grant ended, as bits of End.Flags.
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -12,6 +12,7 @@
 	now       time.Duration
 	members   members
 	servers   []msg.ServerID
+	addrs     map[msg.ServerID]Addr
 	entry     entry
 	admit     admitter
 	directory directory
@@ -91,6 +92,9 @@
 	n.settle()
 }
 
+// SetAddrs replaces the addresses that grants carry.
+func (n *Node) SetAddrs(addrs map[msg.ServerID]Addr) { n.addrs = addrs }
+
 // Load takes a server's load report. Reports of servers that this router does
 // not admit to are ignored.
 func (n *Node) Load(now time.Duration, r LoadReport) {
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -346,5 +346,5 @@
 	e.touchAll(q.customer)
 	e.running[w.req.ID] = r
 	p.held[g.Seq] = r
-	e.n.ready.Start = append(e.n.ready.Start, Start{Request: w.req.ID, Server: g.Server})
+	e.n.ready.Start = append(e.n.ready.Start, Start{Request: w.req.ID, Server: g.Server, Addr: g.Addr})
 }
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -128,8 +128,14 @@
 type Start struct {
 	Request msg.RequestID
 	Server  msg.ServerID
+	Addr    Addr // as the admitter knows it; nil: it knows none
 }
 
+// Addr is a server's address as the shell packs it; the core only carries it.
+// It travels with each grant, so that an entry whose host list lags or is down
+// finds the server all the same.
+type Addr []byte
+
 // Refuse tells the shell that the request gets no slot. It has not run.
 type Refuse struct {
 	Request    msg.RequestID
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -16,7 +16,7 @@
 
 // hostsChanged takes a new reading of the host list.
 func (r *Router) hostsChanged(l *hosts.List) {
-	var live []msg.ServerID
+	live := map[msg.ServerID]string{}
 	var known []msg.ServerID
 	for _, h := range l.All {
 		if h.Role != platform.RoleServer {
@@ -24,7 +24,7 @@
 		}
 		known = append(known, msg.ServerID(h.ID))
 		if h.State == platform.HostLive {
-			live = append(live, msg.ServerID(h.ID))
+			live[msg.ServerID(h.ID)] = h.Addr
 		} else {
 			r.servers.leaving(msg.ServerID(h.ID))
 		}
--- a/internal/sharing/inputs.go
+++ b/internal/sharing/inputs.go
@@ -1,6 +1,9 @@
 package sharing
 
 import (
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -17,9 +20,39 @@
 	s.do(func(n *share.Node, now time.Duration) { n.SetMembers(now, list) })
 }
 
-// SetServers replaces the backend servers that may be given new work.
-func (s *Sharer) SetServers(list []msg.ServerID) {
-	s.do(func(n *share.Node, now time.Duration) { n.SetServers(now, list) })
+// SetServers replaces the backend servers that may be given new work, with
+// their addresses, IP:port.
+func (s *Sharer) SetServers(addrs map[msg.ServerID]string) {
+	list := slices.Sorted(maps.Keys(addrs))
+	packed := make(map[msg.ServerID]share.Addr, len(addrs))
+	for id, addr := range addrs {
+		packed[id] = pack(addr)
+	}
+	s.do(func(n *share.Node, now time.Duration) {
+		n.SetAddrs(packed)
+		n.SetServers(now, list)
+	})
+}
+
+// pack returns the binary form of IP:port, nil if it is none.
+func pack(addr string) share.Addr {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil
+	}
+	b, err := a.MarshalBinary()
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func unpack(b share.Addr) (addr string, ok bool) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() {
+		return "", false
+	}
+	return a.String(), true
 }
 
 // SetSettings says which version of the settings is in force here.
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -24,7 +24,7 @@
 	Probe func(msg.ServerID)
 	// Newer says that a peer has a newer version of the settings.
 	Newer func(version uint64)
-	// Addr finds a server's address, IP:port.
+	// Addr finds a server's address, IP:port, where a grant has none.
 	Addr func(msg.ServerID) (string, bool)
 }
 
@@ -107,7 +107,10 @@
 		return
 	}
 	delete(s.waiting, st.Request)
-	addr, _ := s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	addr, ok := unpack(st.Addr)
+	if !ok {
+		addr, _ = s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	}
 	w.verdict <- verdict{server: dispatch.Server{ID: st.Server, Addr: addr}}
 }
 
