--- a/cmd/windscale-burn/report.go
+++ b/cmd/windscale-burn/report.go
@@ -108,7 +108,7 @@
 		return &MissingSourceError{What: "routers (or --router)"}
 	default:
 		r.targets = burn.Latest(burn.Listed(client, adminScheme), func(err error) {
-			events.BurnHostList.Log(ctx, r.log, slog.LevelWarn, "error", err)
+			events.BurnHostList.Log(ctx, r.log, slog.LevelWarn, "err", err.Error())
 		})
 	}
 	switch {
@@ -184,7 +184,7 @@
 	}
 	round, failures := r.scraper.Scrape(ctx, targets, time.Now())
 	for _, f := range failures {
-		events.BurnRouterMissing.Log(ctx, r.log, slog.LevelWarn, "router", f.Router, "error", f.Err)
+		events.BurnRouterMissing.Log(ctx, r.log, slog.LevelWarn, "router", f.Router, "err", f.Err.Error())
 	}
 	if err := r.history.Add(round); err != nil {
 		return errors.Trace(err)
@@ -211,7 +211,7 @@
 	if r.promises == nil {
 		return errors.Annotate(err, "settings")
 	}
-	events.BurnSettings.Log(ctx, r.log, slog.LevelWarn, "error", err)
+	events.BurnSettings.Log(ctx, r.log, slog.LevelWarn, "err", err.Error())
 	return nil
 }
 
--- a/cmd/windscale-router/main.go
+++ b/cmd/windscale-router/main.go
@@ -90,6 +90,10 @@
 		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
 		return exitFailed
 	}
+	if err := r.Publish(); err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return exitFailed
+	}
 	var g run.Group
 	if err := r.Actors(&g); err != nil {
 		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
--- a/internal/burn/table.go
+++ b/internal/burn/table.go
@@ -41,10 +41,13 @@
 
 // gaps lists what the readings do not cover.
 func gaps(w io.Writer, r burn.Report) error {
-	for _, s := range r.Windows {
+	for i, s := range r.Windows {
 		if s.Partial {
 			fmt.Fprintf(w, "%s is partial: %s\n", length(s.Length), coverage(s))
 		}
+		if i > 0 && s.From.Equal(r.Windows[i-1].From) {
+			continue // the same readings, so the same gaps
+		}
 		for _, g := range s.Routers {
 			fmt.Fprintf(w, "  %s\n", gap(g))
 		}
--- a/internal/router/mirror.go
+++ b/internal/router/mirror.go
@@ -19,6 +19,10 @@
 	r.metrics.Sharing.Mirror(r.sharingState)
 }
 
+// Publish makes the metrics the process's expvar "windscale". Main calls it
+// once; the error is *metrics.AlreadyPublishedError.
+func (r *Router) Publish() error { return r.metrics.Publish() }
+
 func (r *Router) processState() metrics.ProcessState {
 	return metrics.ProcessState{
 		Router:      r.cfg.ID,
