--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -15,10 +15,16 @@
 	for a.grantOne() {
 	}
 	for _, p := range a.order {
-		for _, c := range p.heap {
-			c.waited = true
-		}
+		p.markWaited()
+	}
+}
+
+// markWaited notes who was not granted a slot at once.
+func (p *admitPool) markWaited() {
+	for _, c := range p.fresh {
+		c.waited = c.waited || c.waiting > 0
 	}
+	p.fresh = p.fresh[:0]
 }
 
 // grantOne hands out a slot of the server with the most free ones, and tells
@@ -94,7 +100,7 @@
 	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
 	a.lastSeq++
 	g := &grantRecord{
-		seq: a.lastSeq, server: s, account: c, entry: r.entry,
+		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
 		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
 	}
 	a.grants[g.seq] = g
@@ -105,5 +111,5 @@
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
 	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id, Addr: a.n.addrs[s.id]})
 }
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -12,6 +12,7 @@
 	now       time.Duration
 	members   members
 	servers   []msg.ServerID
+	addrs     map[msg.ServerID]Addr
 	entry     entry
 	admit     admitter
 	directory directory
@@ -91,6 +92,9 @@
 	n.settle()
 }
 
+// SetAddrs replaces the addresses that grants carry.
+func (n *Node) SetAddrs(addrs map[msg.ServerID]Addr) { n.addrs = addrs }
+
 // Load takes a server's load report. Reports of servers that this router does
 // not admit to are ignored.
 func (n *Node) Load(now time.Duration, r LoadReport) {
@@ -136,7 +140,9 @@
 
 // step applies one message, part by part.
 func (n *Node) step(from msg.RouterID, m *Message) {
-	n.admit.entrySeen(from, m)
+	if !n.admit.entrySeen(from, m) {
+		return
+	}
 	if m.Of == n.cfg.Incarnation {
 		for _, e := range m.Ends {
 			n.admit.end(from, e)
@@ -157,6 +163,9 @@
 	for _, a := range m.Admitters {
 		n.entry.admitters(a)
 	}
+	for _, num := range m.Forgot {
+		n.entry.forgot(from, num)
+	}
 	for _, g := range m.Grants {
 		n.entry.grant(from, m.Incarnation, g)
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -24,7 +24,8 @@
 
 // SectionReport is what became of one section's requests. Answered counts
 // whole right answers in time; latencies and cost are those of answered
-// requests, from when the request was due.
+// requests, from when the request was due. Rates count what callers received
+// while requests were sent, also of answers that ended later.
 type SectionReport struct {
 	Name             string         `json:"name"`
 	Customer         string         `json:"customer"`
@@ -38,13 +39,14 @@
 	Unknown          int            `json:"unknown"`      // broken: whether it ran is not known
 	Wrong            int            `json:"wrong"`
 	NotSent          int            `json:"notSent"`    // no connection was to be had
+	Moved            int            `json:"moved"`      // sent on to another target, which the first did not accept
 	Skipped          int            `json:"skipped"`    // not sent: too many were in progress
 	Unfinished       int            `json:"unfinished"` // still in progress when the run was over
 	Reasons          map[string]int `json:"reasons"`    // of what was late, broken, wrong or not sent
 	PromptTokens     int64          `json:"promptTokens"`
 	CompletionTokens int64          `json:"completionTokens"`
-	Cost             int64          `json:"cost"` // models: prompt tokens + 2 × completion tokens; services: requests
-	CostPerSecond    float64        `json:"costPerSecond"`
+	Cost             int64          `json:"cost"`          // models: prompt tokens + 2 × completion tokens; services: requests
+	CostPerSecond    float64        `json:"costPerSecond"` // while the section sent
 	Weight           float64        `json:"weight"`
 	FirstToken       Latency        `json:"firstToken"`
 	BetweenTokens    Latency        `json:"betweenTokens"`
@@ -80,19 +82,16 @@
 func newReport(players []*player, seed uint64, sent time.Duration) *Report {
 	seconds := sent.Seconds()
 	out := &Report{Seed: seed, Seconds: seconds}
-	var answered, tokens float64
 	for _, p := range players {
-		s := p.tally.report(p.section, seconds)
-		answered += float64(s.Answered)
-		tokens += float64(s.CompletionTokens)
+		s, timely := p.tally.report(p.section, seconds)
 		out.Sections = append(out.Sections, s)
+		out.RequestsPerSecond += float64(timely.answered) / seconds
+		out.TokensPerSecond += float64(timely.tokens) / seconds
 	}
-	out.RequestsPerSecond = answered / seconds
-	out.TokensPerSecond = tokens / seconds
 	return out
 }
 
-func (t *tally) report(s *Section, seconds float64) SectionReport {
+func (t *tally) report(s *Section, seconds float64) (SectionReport, rates) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	end := seconds
@@ -103,15 +102,15 @@
 		Name: s.Name, Customer: s.Customer, Kind: string(s.Kind) + ":" + s.Subject,
 		Sent: t.sent, Answered: t.classes[Whole], Late: t.classes[Late], Refused: t.classes[Refused],
 		RefusedByType: t.refused, RefusedByRun: t.ran, Unknown: t.classes[Broken], Wrong: t.classes[Wrong],
-		NotSent: t.classes[NotSent], Skipped: t.skipped, Unfinished: t.unfinished, Reasons: t.reasons,
+		NotSent: t.classes[NotSent], Moved: t.moved, Skipped: t.skipped, Unfinished: t.unfinished, Reasons: t.reasons,
 		PromptTokens: t.prompts, CompletionTokens: t.tokens, Cost: t.cost, Weight: s.Weight,
 		FirstToken: latency(t.first), BetweenTokens: latency(t.between), Total: latency(t.total),
 		Refusals: latency(t.refusals), Series: t.series,
 	}
 	if active := end - s.Start.Seconds(); active > 0 {
-		out.CostPerSecond = float64(t.cost) / active
+		out.CostPerSecond = float64(t.timely.cost) / active
 	}
-	return out
+	return out, t.timely
 }
 
 func latency(h *hdrhistogram.Histogram) Latency {
--- a/internal/metrics/mechanisms.go
+++ b/internal/metrics/mechanisms.go
@@ -2,45 +2,18 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
-// Link counts the traffic between routers, at the sender's and receiver's
-// message layer: headers of QUIC, UDP and IP are not in it.
+// Link mirrors the traffic between routers.
 type Link struct {
-	sent, sentBytes         atomic.Uint64
-	received, receivedBytes atomic.Uint64
-	dropped, denied         atomic.Uint64
-	peers                   mirror[int]
+	mirror[LinkState]
 }
 
-func newLink() *Link { return &Link{} }
-
-// Sent counts a message given to the network.
-func (l *Link) Sent(bytes int) {
-	l.sent.Add(1)
-	l.sentBytes.Add(uint64(bytes))
-}
-
-// Received counts a message taken from the network.
-func (l *Link) Received(bytes int) {
-	l.received.Add(1)
-	l.receivedBytes.Add(uint64(bytes))
-}
-
-// Dropped counts a message that was not sent: no connection, or a full queue.
-func (l *Link) Dropped() { l.dropped.Add(1) }
-
-// Denied counts a peer that did not prove its identity.
-func (l *Link) Denied() { l.denied.Add(1) }
-
-// MirrorPeers sets the function that counts the open connections.
-func (l *Link) MirrorPeers(f func() int) { l.peers.Mirror(f) }
-
-// LinkView is what Link publishes.
-type LinkView struct {
+// LinkState counts what the link carried. Bytes are those of the messages;
+// wire bytes have all of QUIC's own besides, but no UDP and IP headers.
+type LinkState struct {
 	Sent          uint64 `json:"sent_total"`
 	SentBytes     uint64 `json:"sent_bytes_total"`
 	Received      uint64 `json:"received_total"`
@@ -48,18 +21,10 @@
 	Dropped       uint64 `json:"dropped_total"`
 	Denied        uint64 `json:"denied_total"`
 	Peers         int    `json:"connections"`
-}
-
-func (l *Link) view() LinkView {
-	return LinkView{
-		Sent:          l.sent.Load(),
-		SentBytes:     l.sentBytes.Load(),
-		Received:      l.received.Load(),
-		ReceivedBytes: l.receivedBytes.Load(),
-		Dropped:       l.dropped.Load(),
-		Denied:        l.denied.Load(),
-		Peers:         l.peers.view(),
-	}
+	WireSent      uint64 `json:"wire_sent_bytes_total"`
+	WireReceived  uint64 `json:"wire_received_bytes_total"`
+	PacketsSent   uint64 `json:"packets_sent_total"`
+	PacketsLost   uint64 `json:"packets_lost_total"`
 }
 
 // Members mirrors what the router holds of the others.
@@ -77,68 +42,23 @@
 	ListErrs uint64  `json:"host_list_errors_total"`
 }
 
-// Settings shows the settings in force and the fetching of newer ones.
+// Settings mirrors the settings in force and the fetching of newer ones.
 type Settings struct {
-	current atomic.Pointer[settingsInForce]
-	failed  atomic.Pointer[settingsFailure]
-	taken   atomic.Uint64
-	errors  atomic.Uint64
-	older   atomic.Uint64
-}
-
-type settingsInForce struct {
-	version uint64
-	digest  string
-	at      time.Time
-}
-
-type settingsFailure struct {
-	text string
-	at   time.Time
-}
-
-// Taken says that version, with the digest in hex, is in force from now.
-func (s *Settings) Taken(version uint64, digest string, now time.Time) {
-	s.current.Store(&settingsInForce{version: version, digest: digest, at: now})
-	s.taken.Add(1)
-}
-
-// Failed says that a look for newer settings failed now.
-func (s *Settings) Failed(err error, now time.Time) {
-	s.failed.Store(&settingsFailure{text: err.Error(), at: now})
-	s.errors.Add(1)
-}
-
-// Older counts an offer of settings older than those in force.
-func (s *Settings) Older() { s.older.Add(1) }
-
-// SettingsView is what Settings publishes. Ages are at the scrape.
-type SettingsView struct {
-	Version      uint64  `json:"version"`
-	Digest       string  `json:"digest"`
-	Age          Seconds `json:"in_force_seconds"`
-	Taken        uint64  `json:"taken_total"`
-	Older        uint64  `json:"older_offers_total"`
-	Errors       uint64  `json:"errors_total"`
-	LastError    string  `json:"last_error"`
-	LastErrorAge Seconds `json:"last_error_age_seconds"`
-}
-
-func (s *Settings) view() SettingsView {
-	v := SettingsView{
-		Taken:  s.taken.Load(),
-		Older:  s.older.Load(),
-		Errors: s.errors.Load(),
-	}
-	if c := s.current.Load(); c != nil {
-		v.Version, v.Digest = c.version, c.digest
-		v.Age = InSeconds(time.Since(c.at))
-	}
-	if f := s.failed.Load(); f != nil {
-		v.LastError = f.text
-		v.LastErrorAge = InSeconds(time.Since(f.at))
-	}
-	return v
+	mirror[SettingsState]
+}
+
+// SettingsState is what the settings' follower knows.
+type SettingsState struct {
+	Version    uint64  `json:"version"`
+	Digest     string  `json:"digest"`
+	Age        Seconds `json:"in_force_seconds"`
+	Taken      uint64  `json:"taken_total"`
+	Older      uint64  `json:"older_offers_total"`
+	Refused    uint64  `json:"refused_offers_total"`
+	PeerOffers uint64  `json:"peer_offers_total"`
+	Polls      uint64  `json:"polls_total"`
+	Errors     uint64  `json:"errors_total"`
+	StoreDown  bool    `json:"store_down"`
 }
 
 // Claims counts the claims of requests that may run at most once.
--- a/internal/router/adminapi.go
+++ b/internal/router/adminapi.go
@@ -5,19 +5,21 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/platform"
 )
 
 // Status implements admin.Router.
 func (r *Router) Status() admin.Status {
+	waiting, running := r.sharer.Counts()
 	s := admin.Status{
 		Router:      r.cfg.ID,
 		Incarnation: r.incarnation,
 		DataCentre:  r.cfg.DataCentre,
 		Draining:    r.drain.draining(),
-		Running:     r.running(),
-		Waiting:     r.sharer.Waiting(),
-		Members:     r.members(),
+		Running:     running,
+		Waiting:     waiting,
+		Members:     r.membersView(),
 	}
 	if snap := r.follower.Current(); snap != nil {
 		s.Ready = !s.Draining
@@ -27,11 +29,13 @@
 	return s
 }
 
-// running is the number of requests with a slot.
-func (r *Router) running() int { return r.sharer.Running() }
-
-// Backends implements admin.Router.
+// Backends implements admin.Router. Only the servers that this router admits
+// to have slots in its answer.
 func (r *Router) Backends() []admin.Backend {
+	mine := map[msg.ServerID]share.ServerView{}
+	for _, v := range r.sharer.ServerViews() {
+		mine[v.Server] = v
+	}
 	var list []admin.Backend
 	for _, h := range r.hosts.Current().All {
 		if h.Role != platform.RoleServer {
@@ -39,10 +43,12 @@
 		}
 		id := msg.ServerID(h.ID)
 		b := admin.Backend{ID: id, Addr: h.Addr, DataCentre: h.DataCentre, State: r.servers.state(id)}
-		if rep, ok := r.sharer.Report(id); ok {
-			b.Pools = rep.Pools
-			b.Slots = rep.Slots
-			b.Running = rep.Running
+		if v, ok := mine[id]; ok {
+			b.AdmittedBy = r.cfg.ID
+			b.Pools = v.Pools
+			b.Slots = v.Slots
+			b.Limit = v.Limit
+			b.Running = v.Running
 		}
 		list = append(list, b)
 	}
@@ -64,3 +70,8 @@
 	}
 	return true
 }
+
+// Explain implements admin.Router.
+func (r *Router) Explain(c msg.CustomerID) any {
+	return r.sharer.Explain(c)
+}
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -16,7 +16,7 @@
 
 // hostsChanged takes a new reading of the host list.
 func (r *Router) hostsChanged(l *hosts.List) {
-	var live []msg.ServerID
+	live := map[msg.ServerID]string{}
 	var known []msg.ServerID
 	for _, h := range l.All {
 		if h.Role != platform.RoleServer {
@@ -24,14 +24,14 @@
 		}
 		known = append(known, msg.ServerID(h.ID))
 		if h.State == platform.HostLive {
-			live = append(live, msg.ServerID(h.ID))
+			live[msg.ServerID(h.ID)] = h.Addr
 		} else {
 			r.servers.leaving(msg.ServerID(h.ID))
 		}
 	}
 	r.metrics.Sharing.SetServers(known)
 	r.sharer.SetServers(live)
-	r.membersChanged(l)
+	r.setCandidates(l)
 }
 
 // loadReported takes a server's answer to a load question, or its silence.
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -24,7 +24,7 @@
 	Probe func(msg.ServerID)
 	// Newer says that a peer has a newer version of the settings.
 	Newer func(version uint64)
-	// Addr finds a server's address, IP:port.
+	// Addr finds a server's address, IP:port, where a grant has none.
 	Addr func(msg.ServerID) (string, bool)
 }
 
@@ -32,14 +32,10 @@
 type Sharer struct {
 	effects Effects
 	start   time.Time
-	// split divides each server's slots: 1, or the number of routers when
-	// each shares alone.
-	split int
-
 	mu      sync.Mutex
 	node    *share.Node
+	split   int // divides each server's slots: above 1 only where routers share alone
 	waiting map[msg.RequestID]*waiter
-	reports map[msg.ServerID]share.LoadReport
 }
 
 // waiter is a request in Acquire. verdict has room for the one answer.
@@ -53,15 +49,14 @@
 	refusal *dispatch.Refusal
 }
 
-// New returns a Sharer. split is 1 unless routers share alone.
-func New(cfg share.Config, split int, effects Effects) *Sharer {
+// New returns a Sharer.
+func New(cfg share.Config, effects Effects) *Sharer {
 	return &Sharer{
 		effects: effects,
 		start:   time.Now(),
-		split:   split,
 		node:    share.New(cfg),
+		split:   1,
 		waiting: map[msg.RequestID]*waiter{},
-		reports: map[msg.ServerID]share.LoadReport{},
 	}
 }
 
@@ -112,7 +107,10 @@
 		return
 	}
 	delete(s.waiting, st.Request)
-	addr, _ := s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	addr, ok := unpack(st.Addr)
+	if !ok {
+		addr, _ = s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	}
 	w.verdict <- verdict{server: dispatch.Server{ID: st.Server, Addr: addr}}
 }
 
