--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -121,3 +123,34 @@
 		assert.Equal(t, isOnce(list, method, path), want, call)
 	}
 }
+
+// With one attempt in twenty failing, the retry allowance hides the failures
+// and adds no more than its percentage to the load.
+func TestAllowanceHidesSparseFailures(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	var attempts int
+	flaky := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		attempts++
+		fails := rng.Float64() < 0.05
+		mu.Unlock()
+		if fails {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	rig := newRig(t, flaky, flaky)
+	const requests = 1000
+	answered := 0
+	for range requests {
+		if got := send(t, "GET", rig.URL+"/services/dispatch/jobs/7", "", nil); got.status == 200 {
+			answered++
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("%d of %d answered with %d attempts", answered, requests, attempts)
+	assert.Assert(t, answered >= requests*99/100, "%d answered", answered)
+	assert.Assert(t, attempts <= requests*11/10+3, "%d attempts", attempts)
+}
