router: keep the link and the sharing running while a drain empties the queue

The entry's actor ended when the drain closed its listener, and oklog/run ended every other actor with it: two requests that waited got no slot any more and were refused at their deadline, 10 s later.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -178,7 +178,7 @@
 	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
-	g.Add(srv.Run, func(error) { _ = r.entryLn.Close() })
+	g.Add(func() error { return r.accept(srv) }, func(error) { _ = r.entryLn.Close() })
 	adm := &http.Server{Handler: admin.Handler(r, r.cfg.AdminToken), ReadHeaderTimeout: adminTimeout}
 	g.Add(func() error { return closed(adm.Serve(r.adminLn)) }, func(error) { _ = adm.Close() })
 	r.addDrain(g, srv)
@@ -189,6 +189,17 @@
 	return nil
 }
 
+// accept serves callers until the process ends. A drain closes the listener
+// first, and everything else must go on for the requests that still wait: so
+// the end of accepting alone must not end the group.
+func (r *Router) accept(srv *entry.Server) error {
+	if err := srv.Run(); err != nil {
+		return err
+	}
+	<-r.ctx.Done()
+	return nil
+}
+
 // adminTimeout bounds the time an operator's request takes to arrive.
 const adminTimeout = 5 * time.Second
 
