--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	demoLoad      = 20 * time.Second
+	demoLoad      = 22 * time.Second
 	demoStep      = 2 * time.Second
 	leavingNotice = 3 * time.Second // after it a leaving server gets nothing new
 	leavingWatch  = 4 * time.Second
 	inForceLimit  = 5 * time.Second
+	drainMost     = 5 * time.Second // a second of notice, and a short queue's time
 )
 
 // demo shows the whole path under load: a settings change, a drain, a leaving
@@ -93,7 +94,9 @@
 	if err := r.Wait(ctx); err != nil {
 		return err
 	}
-	list.check(r.ExitCode() == 0, "%s ended after %.2f s, exit code %d", r.ID, time.Since(began).Seconds(), r.ExitCode())
+	took := time.Since(began)
+	list.check(r.ExitCode() == 0, "%s ended after %.2f s, exit code %d", r.ID, took.Seconds(), r.ExitCode())
+	list.check(took < drainMost, "what waited went on to be served")
 	return nil
 }
 
