entry: no connection or request is dropped when limits change; bodies must arrive in time

http.Server.Shutdown drops requests that it reads while it shuts down, and connections handed to it: a change of limits now lets the connections of the old server end with their next answer instead. The drain limit holds for old generations too. The service's name and path are read from one escaped form. A wrong method is 405 again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -46,10 +47,6 @@
 	})
 	r.Any("/services/:name", e.service)
 	r.Any("/services/:name/*", e.service)
-	r.RouteNotFound("/*", func(c *echo.Context) error {
-		problem.Refuse(c.Response(), problem.NotFound, "", 0)
-		return nil
-	})
 	r.HTTPErrorHandler = func(c *echo.Context, err error) {
 		problem.Refuse(c.Response(), routeProblem(err), "", 0)
 	}
@@ -65,8 +62,12 @@
 }
 
 func (e *Entry) service(c *echo.Context) error {
-	name := c.Param("name")
-	path := servicePath(c.Request())
+	name, path, ok := serviceCall(c.Request())
+	if !ok {
+		e.counts.Denied(problem.BadRequest.Name)
+		problem.Refuse(c.Response(), problem.BadRequest, "the service's name is malformed", 0)
+		return nil
+	}
 	run := func(w http.ResponseWriter, r *http.Request, cust *settings.Customer) {
 		e.proxy.Service(w, r, cust, name, path)
 	}
@@ -74,11 +75,17 @@
 	return nil
 }
 
-// servicePath is the path below /services/NAME, as the caller escaped it.
-func servicePath(r *http.Request) string {
+// serviceCall splits /services/NAME/PATH. The path keeps the caller's escapes.
+// Both are read from the escaped form, so that an escaped slash or dot in the
+// name is never taken for a part of the path.
+func serviceCall(r *http.Request) (name, path string, ok bool) {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
-	_, path, _ := strings.Cut(rest, "/")
-	return "/" + path
+	escaped, path, _ := strings.Cut(rest, "/")
+	name, err := url.PathUnescape(escaped)
+	if err != nil || name == "" || strings.Contains(name, "/") {
+		return "", "", false
+	}
+	return name, "/" + path, true
 }
 
 // serve names the customer, applies its limits and runs the request.
@@ -107,7 +114,7 @@
 		problem.Refuse(w, problem.BodyTooLarge, "", 0)
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody)
+	r.Body = limitBody(w, r.Body, s.Fleet.MaxBody, c.RequestTime)
 	r.Header.Del("Authorization") // the key is windscale's; servers never see it
 	run(w, r, c)
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,10 +6,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/windscale/windscale/internal/core/settings"
 )
@@ -27,8 +30,8 @@
 
 // Server accepts callers' connections on one listener. When the settings
 // change a limit that net/http fixes per server, new connections go to a new
-// http.Server and the old one ends with its last request, so that a change is
-// in force without cutting anything.
+// http.Server. Those of the old one are asked to end with their next answer:
+// http.Server.Shutdown would drop the requests that come meanwhile.
 type Server struct {
 	handler http.Handler
 	ln      net.Listener
@@ -36,15 +39,17 @@
 
 	mu      sync.Mutex
 	cur     *generation
-	old     sync.WaitGroup
+	old     []*generation // that may have connections
 	closing bool
 }
 
 // generation is one http.Server and the connections handed to it.
 type generation struct {
-	limits limits
-	srv    *http.Server
-	conns  *handoff
+	limits  limits
+	srv     *http.Server
+	conns   *handoff
+	open    atomic.Int64 // connections
+	retired atomic.Bool
 }
 
 // NewServer serves handler on ln, over TLS when conf is not nil.
@@ -66,17 +71,59 @@
 	protocols.SetUnencryptedHTTP2(true)
 	g := &generation{limits: l, conns: newHandoff(s.ln.Addr())}
 	g.srv = &http.Server{
-		Handler:           s.handler,
+		Handler:           g.handler(s.handler),
 		MaxHeaderBytes:    l.maxHeader,
 		ReadHeaderTimeout: l.headerTimeout,
 		IdleTimeout:       l.idleTimeout,
 		Protocols:         protocols,
+		ConnState:         g.count,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
-	go func() { _ = g.srv.Serve(g.conns) }() // ends with ErrServerClosed at Shutdown
+	go func() { _ = g.srv.Serve(g.conns) }() // ends when the handoff is closed
 	return g
 }
 
+// handler asks the connections of a retired generation to end.
+func (g *generation) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !g.retired.Load() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(&closing{ResponseWriter: w}, r)
+	})
+}
+
+// closing is a ResponseWriter whose answer says that the connection ends.
+type closing struct {
+	http.ResponseWriter
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c *closing) WriteHeader(status int) {
+	c.Header().Set("Connection", "close") // HTTP/2 sends GOAWAY instead
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (c *closing) Write(p []byte) (int, error) {
+	c.Header().Set("Connection", "close")
+	return c.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the writer below.
+func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
+// count is told of each connection's states.
+func (g *generation) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.open.Add(-1)
+	}
+}
+
 // Apply takes the settings' limits over for connections to come. Any goroutine
 // may call it.
 func (s *Server) Apply(f settings.Fleet) {
@@ -87,7 +134,19 @@
 	}
 	last := s.cur
 	s.cur = s.start(limitsOf(f))
-	s.old.Go(func() { _ = last.srv.Shutdown(context.Background()) })
+	s.cur.retired.Store(last.retired.Load())
+	last.retired.Store(true)
+	_ = last.conns.Close()
+	s.old = append(s.old, last)
+	s.old = slices.DeleteFunc(s.old, func(g *generation) bool { return g != last && g.open.Load() == 0 })
+}
+
+// Retire asks callers to leave: every connection ends with its next answer.
+// New ones are still accepted.
+func (s *Server) Retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cur.retired.Store(true)
 }
 
 // Run accepts connections until the listener is closed.
@@ -101,10 +160,24 @@
 			time.Sleep(acceptPause) // out of file descriptors, most often
 			continue
 		}
+		s.hand(c)
+	}
+}
+
+// hand gives c to the generation in force. One that has just been replaced
+// takes no more, so that c goes to its successor.
+func (s *Server) hand(c net.Conn) {
+	for {
 		s.mu.Lock()
-		conns := s.cur.conns
+		conns, closing := s.cur.conns, s.closing
 		s.mu.Unlock()
-		conns.give(c)
+		if conns.give(c) {
+			return
+		}
+		if closing {
+			_ = c.Close()
+			return
+		}
 	}
 }
 
@@ -117,15 +190,21 @@
 	_ = s.ln.Close()
 	s.mu.Lock()
 	s.closing = true
-	cur := s.cur
+	all := append(s.old, s.cur)
 	s.mu.Unlock()
-	err := cur.srv.Shutdown(ctx)
+	var g errgroup.Group
+	for _, gen := range all {
+		g.Go(func() error { return gen.shutdown(ctx) })
+	}
+	return errors.Annotate(g.Wait(), "shutdown of the entry")
+}
+
+func (g *generation) shutdown(ctx context.Context) error {
+	err := g.srv.Shutdown(ctx)
 	if err != nil {
-		_ = cur.srv.Close()
-		return errors.Annotate(err, "shutdown of the entry")
+		_ = g.srv.Close()
 	}
-	s.old.Wait()
-	return nil
+	return err
 }
 
 // handoff is a net.Listener fed by hand.
@@ -140,12 +219,13 @@
 	return &handoff{addr: addr, ch: make(chan net.Conn), done: make(chan struct{})}
 }
 
-// give hands c over; a closed handoff closes it.
-func (h *handoff) give(c net.Conn) {
+// give hands c over; a closed handoff does not take it.
+func (h *handoff) give(c net.Conn) bool {
 	select {
 	case h.ch <- c:
+		return true
 	case <-h.done:
-		_ = c.Close()
+		return false
 	}
 }
 
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -50,6 +50,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	failed := make(chan struct{}) // another actor has ended
 	g.Add(func() error {
+		defer signal.Stop(signals)
 		select {
 		case <-signals:
 			r.drain.start()
@@ -78,6 +79,7 @@
 	waiting, running := r.sharer.Counts()
 	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", running, "waiting", waiting, "limit", limit)
 	r.members.Leave()
+	srv.Retire()
 	pause(ctx, lameDuck)
 	err := srv.Shutdown(ctx)
 	if err != nil {
