--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -281,6 +281,9 @@
 	if res.Leaving {
 		end.Flags |= endLeaving
 	}
+	if res.Unused && !res.Busy && !res.Leaving {
+		end.Flags |= endReturned
+	}
 	return end
 }
 
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -91,6 +91,7 @@
 	Total   time.Duration
 	Leaving bool // the server said that it is leaving, or could not be dialled
 	Busy    bool // the server refused for overload
+	Unused  bool // nothing was sent to the server, so it says nothing of cost and speed
 }
 
 // Reason says why a request is refused. Its numbers are those of
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -52,13 +52,32 @@
 	log     *slog.Logger
 	changed func(*List)
 	cur     atomic.Pointer[List]
+	readAt  atomic.Pointer[time.Time] // of the last list
+	errs    atomic.Uint64
+}
+
+// Stats is how the reading goes.
+type Stats struct {
+	Age    time.Duration // since the list was read, or the follower was made
+	Errors uint64        // calls that failed
+}
+
+// Stats returns how the reading goes. Any goroutine may call it.
+func (f *Follower) Stats() Stats {
+	return Stats{Age: time.Since(*f.readAt.Load()), Errors: f.errs.Load()}
+}
+
+func (f *Follower) store(l *List) {
+	now := time.Now()
+	f.cur.Store(l)
+	f.readAt.Store(&now)
 }
 
 // NewFollower starts from an initial list, such as the seeds. changed is
 // called from Run's goroutine after each successful reading.
 func NewFollower(src platform.HostList, initial *List, log *slog.Logger, changed func(*List)) *Follower {
 	f := &Follower{src: src, log: log, changed: changed}
-	f.cur.Store(initial)
+	f.store(initial)
 	return f
 }
 
@@ -91,10 +110,11 @@
 	defer cancel()
 	all, err := f.src.Hosts(ctx)
 	if err != nil {
+		f.errs.Add(1)
 		return err
 	}
 	l := NewList(all)
-	f.cur.Store(l)
+	f.store(l)
 	f.changed(l)
 	return nil
 }
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -18,6 +18,8 @@
 const (
 	// timeout bounds one question.
 	timeout = 2 * time.Second
+	// idleTimeout closes a connection that is not used.
+	idleTimeout = 30 * time.Second
 	// maxReport bounds a server's answer, in bytes.
 	maxReport = 64 << 10
 )
@@ -75,12 +77,21 @@
 // New returns a prober that has asked nobody yet.
 func New(report func(msg.ServerID, Report, error)) *Prober {
 	return &Prober{
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		client: newClient(),
 		report: report,
 		asking: map[msg.ServerID]bool{},
 	}
 }
 
+// newClient keeps one connection to each server, closes those of servers that
+// are asked no more, and lets no server send it elsewhere.
+func newClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Ask begins one question to the server at addr (IP:port), unless one is under
 // way, and returns at once. Any goroutine may call it.
 func (p *Prober) Ask(ctx context.Context, id msg.ServerID, addr string) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -88,7 +88,8 @@
 
 func (r *Router) membersState() metrics.MembersState {
 	view, changes := r.members.View()
-	s := metrics.MembersState{Changes: changes}
+	list := r.hosts.Stats()
+	s := metrics.MembersState{Changes: changes, ListAge: metrics.InSeconds(list.Age), ListErrs: list.Errors}
 	for _, m := range view {
 		switch m.State {
 		case member.Alive:
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/dispatch"
@@ -136,7 +137,7 @@
 	if v.refusal != nil {
 		return nil, v.refusal
 	}
-	s.end(r.ID, share.Result{}) // granted and not used
+	s.end(r.ID, share.Result{Unused: true})
 	return nil, &dispatch.Refusal{Reason: dispatch.Gone}
 }
 
@@ -209,6 +210,7 @@
 			Total:   r.Total,
 			Leaving: r.Leaving,
 			Busy:    r.Busy,
+			Unused:  r.Outcome == attempt.NotSent,
 		})
 	})
 }
