--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -100,7 +100,7 @@
 	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
 	a.lastSeq++
 	g := &grantRecord{
-		seq: a.lastSeq, server: s, account: c, entry: r.entry,
+		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
 		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
 	}
 	a.grants[g.seq] = g
@@ -111,5 +111,5 @@
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
 	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id, Addr: a.n.addrs[s.id]})
 }
