--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -27,6 +27,7 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
+	stats   Stats
 }
 
 // grantRecord is a grant that has not ended.
@@ -37,6 +38,7 @@
 	reg     *registration
 	entry   msg.RouterID
 	charged msg.Cost
+	guess   msg.Cost      // estimated at the grant
 	alive   time.Duration // last known to be wanted
 }
 
@@ -259,6 +261,7 @@
 		Total: time.Duration(end.Total) * time.Millisecond,
 		Busy:  end.Flags&endBusy != 0, Leaving: end.Flags&endLeaving != 0,
 	}
+	a.stats.Returned++
 	g.account.charge(res.Cost - g.charged)
 	a.release(g)
 	if end.Flags&endReturned != 0 {
@@ -270,6 +273,7 @@
 		a.regroup()
 	}
 	if !res.Busy && !res.Leaving {
+		a.stats.ended(g.guess, res.Cost)
 		g.account.mean.add(float64(res.Cost))
 		g.account.pool.mean.add(float64(res.Cost))
 	}
@@ -327,6 +331,7 @@
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
 			if a.n.now-g.alive >= a.n.cfg.GrantTimeout {
+				a.stats.Expired++
 				a.release(g)
 			}
 		}
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -103,6 +103,8 @@
 		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
 		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
 	}
+	g.guess = g.charged
+	a.stats.Granted++
 	a.grants[g.seq] = g
 	a.entries[r.entry].grants[g.seq] = g
 	s.hold(a.n.now, 1)
--- a/internal/sharing/inputs.go
+++ b/internal/sharing/inputs.go
@@ -89,6 +89,13 @@
 	return s.node.Counts()
 }
 
+// Stats counts what this router did as an admitter.
+func (s *Sharer) Stats() share.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Stats()
+}
+
 // Views returns what the core holds of waiting and served customers.
 func (s *Sharer) Views() []share.View {
 	s.mu.Lock()
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -26,18 +26,20 @@
 			Send:  func(msg.RouterID, *share.Message) {},
 			Probe: func(msg.ServerID) {},
 			Newer: func(uint64) {},
-			Addr:  func(id msg.ServerID) (string, bool) { return string(id) + ":80", true },
+			Addr:  func(msg.ServerID) (string, bool) { return "", false },
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- s.Run(ctx) }()
 		if slots > 0 {
-			s.SetServers([]msg.ServerID{"e1"})
+			s.SetServers(map[msg.ServerID]string{"e1": "127.0.0.1:80"})
 			load(s, slots)
 		}
+		defer func() {
+			stop()
+			assert.NilError(t, <-done)
+		}()
 		f(t, s)
-		stop()
-		assert.NilError(t, <-done)
 	})
 }
 
@@ -76,7 +78,7 @@
 	rig(t, 1, func(t *testing.T, s *Sharer) {
 		first, err := s.Acquire(t.Context(), want("1"))
 		assert.NilError(t, err)
-		assert.Equal(t, first.Server(), dispatch.Server{ID: "e1", Addr: "e1:80"})
+		assert.Equal(t, first.Server(), dispatch.Server{ID: "e1", Addr: "127.0.0.1:80"})
 		ctx, cancel := context.WithCancel(t.Context())
 		second, third := acquire(t.Context(), s, want("2")), acquire(ctx, s, want("3"))
 		synctest.Wait()
@@ -143,15 +145,13 @@
 			assert.NilError(t, err)
 			slot.End(r)
 		}
-		served := func() float64 { return s.Views()[0].Served }
 		run("0", dispatch.Result{Outcome: attempt.Ended, Cost: 1000, First: time.Millisecond})
 		for i := range 50 {
 			run(fmt.Sprint("unused", i), dispatch.Result{Outcome: attempt.NotSent})
 		}
-		before := served()
-		_, err := s.Acquire(t.Context(), want("1"))
-		assert.NilError(t, err)
-		assert.Equal(t, served()-before, 1000.0)
+		run("1", dispatch.Result{Outcome: attempt.Ended, Cost: 900, First: time.Millisecond})
+		assert.Equal(t, s.Stats(), share.Stats{Granted: 52, Returned: 52, Estimates: 2,
+			Estimated: 1 + 1000, Actual: 1900, AbsError: 999 + 100})
 	})
 }
 
@@ -173,7 +173,7 @@
 func TestSplitDividesTheSlots(t *testing.T) {
 	rig(t, 0, func(t *testing.T, s *Sharer) {
 		s.SetSplit(3)
-		s.SetServers([]msg.ServerID{"e1"})
+		s.SetServers(map[msg.ServerID]string{"e1": "127.0.0.1:80"})
 		load(s, 8)
 		assert.Equal(t, s.ServerViews()[0].Slots, 3)
 	})
