--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -11,6 +11,11 @@
 // sweepInterval is between two looks for state to forget or repeat.
 const sweepInterval = time.Second
 
+// widenFactor is how much longer each further widening takes to come. The
+// directory brings a waiting queue to free slots; the widening only gives it
+// more admitters to be next at.
+const widenFactor = 4
+
 // tick spreads waits that last, gives up those over their time, and keeps held
 // grants alive.
 func (e *entry) tick() {
@@ -86,7 +91,7 @@
 		e.askFor(q.pool, true)
 		return
 	}
-	if e.n.now-q.spreadAt < e.n.cfg.SpreadDelay {
+	if e.n.now-q.spreadAt < q.widenAfter {
 		return
 	}
 	e.askFor(q.pool, true)
@@ -98,7 +103,7 @@
 		q.pool.admitters[(q.start+i)%all].full = e.n.now + fullFor
 	}
 	q.spread = min(most, 2*max(1, q.spread))
-	q.spreadAt = e.n.now
+	q.spreadAt, q.widenAfter = e.n.now, q.widenAfter*widenFactor
 	e.touch(q)
 }
 
--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -95,7 +95,7 @@
 	}
 	t.parentInc = incarnation
 	t.merge = d.Seq
-	t.upAt = t.n.now + t.n.cfg.MergeInterval - time.Duration(t.depth)*levelDelay
+	t.upAt = t.n.now + t.interval() - time.Duration(t.depth)*levelDelay
 	var rec *record
 	if d.Edge == t.edge {
 		t.acknowledge(d.Ack)
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -45,22 +45,23 @@
 
 // queue is one customer's waiting requests for one pool, oldest first.
 type queue struct {
-	num      uint64
-	key      queueKey
-	pool     *entryPool
-	customer *entryCustomer
-	weight   float64
-	avoid    []msg.ServerID
-	reqs     []*waiter // the given up are removed lazily
-	size     int       // those still waiting
-	told     map[msg.RouterID]*told
-	start    int // index in the pool's admitters of the first told
-	spread   int // how many admitters are told
-	slots    int // of those told
-	spreadAt time.Duration
-	usedAt   time.Duration
-	dirty    bool
-	listed   bool // in the entry's active queues
+	num        uint64
+	key        queueKey
+	pool       *entryPool
+	customer   *entryCustomer
+	weight     float64
+	avoid      []msg.ServerID
+	reqs       []*waiter // the given up are removed lazily
+	size       int       // those still waiting
+	told       map[msg.RouterID]*told
+	start      int           // index in the pool's admitters of the first told
+	spread     int           // how many admitters are told
+	slots      int           // of those told
+	spreadAt   time.Duration // when it was last widened
+	widenAfter time.Duration
+	usedAt     time.Duration
+	dirty      bool
+	listed     bool // in the entry's active queues
 }
 
 // told is what an admitter was last told of a queue.
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -21,7 +21,6 @@
 
 // Defaults of Config's zero fields.
 const (
-	DefaultMergeInterval = 4 * time.Second
 	DefaultKeepInterval  = 3 * time.Second
 	DefaultGrantTimeout  = 10 * time.Second
 	DefaultProbeInterval = time.Second
@@ -36,7 +35,7 @@
 	ID            msg.RouterID
 	Incarnation   uint64 // grows with each start of the router; above 0
 	DataCentre    string
-	MergeInterval time.Duration // between two merges of the counters
+	MergeInterval time.Duration // between two merges of the counters; 0: by the fleet's size
 	KeepInterval  time.Duration // between two keep-alives of held grants
 	GrantTimeout  time.Duration // a grant not kept alive is over after it
 	ProbeInterval time.Duration // between two load reports of a server
@@ -53,7 +52,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.MergeInterval, DefaultMergeInterval)
 	orDefault(&c.KeepInterval, DefaultKeepInterval)
 	orDefault(&c.GrantTimeout, DefaultGrantTimeout)
 	orDefault(&c.ProbeInterval, DefaultProbeInterval)
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -150,7 +150,7 @@
 	}
 	if q.spread == 0 {
 		q.start = q.pool.pick(e.pickSeed())
-		q.spreadAt = e.n.now
+		q.spreadAt, q.widenAfter = e.n.now, e.n.cfg.SpreadDelay
 	}
 	q.spread = min(all, max(q.spread, n))
 	want := (n + q.spread - 1) / q.spread
--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -9,6 +9,7 @@
 
 const (
 	fanOut      = 4                      // children of a router in the tree
+	mergeLevel  = 2 * time.Second        // the merge interval, for each level below the root's children
 	levelDelay  = 30 * time.Millisecond  // a level sends up this much before the one above
 	firstMerge  = 300 * time.Millisecond // after a change of the members
 	keepRecords = 4                      // Ups of which the content is remembered
@@ -25,7 +26,8 @@
 	heard    uint64 // newest heard of
 	parent   msg.RouterID
 	kids     []msg.RouterID
-	depth    int
+	depth    int // of this router
+	height   int // depth of the last router
 	children map[msg.RouterID]*child
 	pools    map[msg.PoolID]*treePool
 
@@ -107,10 +109,7 @@
 	if self > 0 {
 		parent = list[(self-1)/fanOut].ID
 	}
-	t.depth = 0
-	for i := self; i > 0; i = (i - 1) / fanOut {
-		t.depth++
-	}
+	t.depth, t.height = depthOf(self), depthOf(len(list)-1)
 	t.kids = t.kids[:0]
 	for i := fanOut*self + 1; i <= fanOut*self+fanOut && i < len(list); i++ {
 		t.kids = append(t.kids, list[i].ID)
@@ -128,6 +127,24 @@
 	t.upAt = min(t.upAt, t.n.now+firstMerge-time.Duration(t.depth)*levelDelay)
 }
 
+// depthOf is how far below the root the i-th router is.
+func depthOf(i int) int {
+	n := 0
+	for ; i > 0; i = (i - 1) / fanOut {
+		n++
+	}
+	return n
+}
+
+// interval is the time between two merges. A large fleet sends its totals over
+// more edges and has a coarser service to divide, so it merges less often.
+func (t *tree) interval() time.Duration {
+	if set := t.n.cfg.MergeInterval; set > 0 {
+		return set
+	}
+	return mergeLevel * time.Duration(max(1, t.height-1))
+}
+
 func (t *tree) hasKid(id msg.RouterID) bool {
 	for _, k := range t.kids {
 		if k == id {
@@ -148,10 +165,10 @@
 func (t *tree) tick() {
 	switch {
 	case t.parent == "" && t.n.now >= t.mergeAt:
-		t.mergeAt = t.n.now + t.n.cfg.MergeInterval
+		t.mergeAt = t.n.now + t.interval()
 		t.mergeRoot()
 	case t.parent != "" && t.n.now >= t.upAt:
-		t.upAt = t.n.now + t.n.cfg.MergeInterval
+		t.upAt = t.n.now + t.interval()
 		t.sendUp()
 	}
 }
