--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -60,6 +60,7 @@
 // admitPool is a pool at an admitter.
 type admitPool struct {
 	id       msg.PoolID
+	plain    bool // a plain service
 	accounts map[msg.CustomerID]*account
 	byHash   map[uint64]*account
 	heap     accountHeap // accounts with waiting requests, least served first
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -11,6 +12,13 @@
 // graceScan is between two looks for grants that are not kept alive.
 const graceScan = 250 * time.Millisecond
 
+// plainPrefix begins the names of plain services' pools. Their calls are
+// short, so their slots are granted ahead.
+const plainPrefix = "s/"
+
+// longPause is a time between two ticks that means the process was paused.
+const longPause = time.Second
+
 // regIdle is how long a registration is kept that the entry does not repeat.
 const regIdle = 4 * waitRefresh
 
@@ -27,6 +35,7 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
+	tickAt  time.Duration // the last tick
 }
 
 // grantRecord is a grant that has not ended.
@@ -37,6 +46,7 @@
 	reg     *registration
 	entry   msg.RouterID
 	charged msg.Cost
+	at      time.Duration
 	alive   time.Duration // last known to be wanted
 }
 
@@ -60,7 +70,10 @@
 func (a *admitter) pool(id msg.PoolID) *admitPool {
 	p, ok := a.pools[id]
 	if !ok {
-		p = &admitPool{id: id, accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{}}
+		p = &admitPool{
+			id: id, plain: strings.HasPrefix(string(id), plainPrefix),
+			accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{},
+		}
 		a.pools[id] = p
 		a.order = append(a.order, p)
 		sort.Slice(a.order, func(i, j int) bool { return a.order[i].id < a.order[j].id })
@@ -269,6 +282,9 @@
 		g.server.leaving = true
 		a.regroup()
 	}
+	if g.account.pool.plain && res.Total > 0 {
+		g.server.called(a.n.now-g.at, res.Total)
+	}
 	if !res.Busy && !res.Leaving {
 		g.account.mean.add(float64(res.Cost))
 		g.account.pool.mean.add(float64(res.Cost))
@@ -323,6 +339,7 @@
 // tick releases grants that are not kept alive, asks for load reports and
 // tells the directories what is idle.
 func (a *admitter) tick() {
+	a.forgivePause()
 	if a.n.now >= a.scanAt {
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
@@ -339,6 +356,19 @@
 	a.tellDirectories()
 }
 
+// forgivePause keeps the grants of which a paused process could not hear: its
+// own pause is not the entries' silence.
+func (a *admitter) forgivePause() {
+	pause := a.n.now - a.tickAt
+	a.tickAt = a.n.now
+	if pause < longPause {
+		return
+	}
+	for _, g := range a.grants {
+		g.alive += pause
+	}
+}
+
 // sweep forgets registrations that have long been empty or not repeated.
 func (a *admitter) sweep() {
 	for _, e := range a.entries {
--- a/internal/core/share/bench_test.go
+++ b/internal/core/share/bench_test.go
@@ -14,7 +14,7 @@
 func fleetOf(w workload, config share.Config) *fleet {
 	f := newFleet(1, w.routers, config)
 	for i := range w.servers {
-		f.addServer(fmt.Sprintf("s%d", i), w.slots, w.rate, poolName(i%w.pools))
+		f.addServer(fmt.Sprintf("s%d", i), w.slots, w.rate, w.pool(i%w.pools))
 	}
 	f.setServers()
 	f.run(2 * time.Second)
@@ -106,3 +106,18 @@
 		n.Ready()
 	}
 }
+
+// BenchmarkShortCalls plays calls of 5 ms to plain services.
+func BenchmarkShortCalls(b *testing.B) {
+	w := workload{
+		routers: 8, servers: 3, slots: 4, pools: 1, customers: 20, backlogged: 16,
+		rate: 200, weights: []float64{1}, cost: 1, prefix: "s/",
+	}
+	for range b.N {
+		f := fleetOf(w, share.Config{})
+		got := w.play(f, f.now, warmUp+10*time.Second)
+		b.ReportMetric(got.util, "util")
+		b.ReportMetric(float64(f.over), "overSlots")
+		b.ReportMetric(float64(f.messages)/float64(got.finished), "ctlMsg/req")
+	}
+}
--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -58,10 +58,10 @@
 		switch {
 		case limit > 0 && waited >= limit:
 			e.leave(w)
-			e.refuse(w.req.ID, QueueTimeout)
+			e.refuse(q.customer, w.req.ID, QueueTimeout)
 		case len(q.pool.admitters) == 0 && waited >= e.n.cfg.NoServerAfter:
 			e.leave(w)
-			e.refuse(w.req.ID, NoServer)
+			e.refuse(q.customer, w.req.ID, NoServer)
 		default:
 			return
 		}
--- a/internal/core/share/fuzz_test.go
+++ b/internal/core/share/fuzz_test.go
@@ -28,7 +28,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	routers := rapid.IntRange(1, 5).Draw(t, "routers")
+	routers := rapid.IntRange(1, 8).Draw(t, "routers")
 	servers := rapid.IntRange(1, 5).Draw(t, "servers")
 	w := &world{fleet: newFleet(rapid.Uint64().Draw(t, "seed"), routers, share.Config{}), t: t}
 	for i := range servers {
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -101,7 +101,7 @@
 	a.lastSeq++
 	g := &grantRecord{
 		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
-		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
+		charged: estimate(c.mean, c.pool.mean), at: a.n.now, alive: a.n.now,
 	}
 	a.grants[g.seq] = g
 	a.entries[r.entry].grants[g.seq] = g
--- a/internal/core/share/member.go
+++ b/internal/core/share/member.go
@@ -39,6 +39,19 @@
 	return out
 }
 
+// same tells whether the list names the same routers and incarnations.
+func (m members) same(list []Member) bool {
+	if len(list) != len(m.list) {
+		return false
+	}
+	for _, x := range list {
+		if i, ok := m.byID[x.ID]; !ok || m.list[i] != x {
+			return false
+		}
+	}
+	return true
+}
+
 func (m members) has(id msg.RouterID) bool {
 	_, ok := m.byID[id]
 	return ok
--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -15,9 +15,8 @@
 // down.
 func (t *tree) mergeRoot() {
 	t.touchOwn()
-	t.merge++
 	rec := t.newRecord()
-	d := &Down{Seq: t.merge, Settings: max(t.settings, t.heard)}
+	d := &Down{Settings: max(t.settings, t.heard)}
 	for _, id := range t.sortedPools() {
 		p := t.pools[id]
 		p.add(t, id)
@@ -58,7 +57,7 @@
 
 // settle raises the floor to the least total of the backlogged customers, and
 // drops those at or below it that are not backlogged: whoever comes back gets
-// the floor.
+// the floor. With nobody backlogged there is nothing to be ahead of.
 func (p *treePool) settle() {
 	least, any := int64(0), false
 	for _, c := range p.counters {
@@ -70,7 +69,7 @@
 		p.floor = least
 	}
 	for _, c := range p.counters {
-		c.live = c.long || c.total > p.floor
+		c.live = c.long || (any && c.total > p.floor)
 	}
 }
 
@@ -87,14 +86,13 @@
 // down takes the parent's totals, and passes them on.
 func (t *tree) down(from msg.RouterID, incarnation uint64, d *Down) {
 	t.hear(d.Settings)
-	if from != t.parent || (t.parentInc == incarnation && d.Seq <= t.merge) {
+	if from != t.parent || incarnation < t.parentInc || (t.parentInc == incarnation && d.Seq <= t.downSeq) {
 		return
 	}
 	if t.parentInc != 0 && incarnation != t.parentInc {
 		t.newEdge(incarnation)
 	}
-	t.parentInc = incarnation
-	t.merge = d.Seq
+	t.parentInc, t.downSeq = incarnation, d.Seq
 	t.upAt = t.n.now + t.interval() - time.Duration(t.depth)*levelDelay
 	var rec *record
 	if d.Edge == t.edge {
@@ -132,8 +130,9 @@
 
 // forward sends the totals to the children.
 func (t *tree) forward(d *Down, included map[msg.RouterID]uint64) {
+	t.merge++
 	for _, id := range t.kids {
-		out := &Down{Seq: d.Seq, Pools: d.Pools, Settings: d.Settings}
+		out := &Down{Seq: t.merge, Pools: d.Pools, Settings: d.Settings}
 		if c := t.children[id]; c != nil {
 			out.Edge, out.Ack, out.Included = c.edge, c.seq, included[id]
 		}
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -11,7 +11,7 @@
 // are empty are not sent. Each part may be lost, repeated or overtaken.
 type Message struct {
 	Incarnation uint64      `cbor:"1,keyasint"`           // the sender's
-	Seq         uint64      `cbor:"2,keyasint"`           // grows with each message of the incarnation
+	Seq         uint64      `cbor:"2,keyasint,omitempty"` // grows with each message with Waits
 	Of          uint64      `cbor:"3,keyasint,omitempty"` // the receiver's incarnation that Seen, Ends and Held speak of
 	Seen        uint64      `cbor:"4,keyasint,omitempty"` // highest grant received; lower ones not held are void
 	Waits       []Wait      `cbor:"5,keyasint,omitempty"`
@@ -116,7 +116,7 @@
 // Down carries the whole fleet's totals to a child in the tree.
 type Down struct {
 	Edge     uint64      `cbor:"1,keyasint,omitempty"` // the child's number, once known
-	Seq      uint64      `cbor:"2,keyasint"`           // the root's number of the merge
+	Seq      uint64      `cbor:"2,keyasint"`           // the sender's number of the merge
 	Ack      uint64      `cbor:"3,keyasint,omitempty"` // the child's last Up applied
 	Included uint64      `cbor:"4,keyasint,omitempty"` // the child's last Up within the totals
 	Pools    []PoolCount `cbor:"5,keyasint,omitempty"` // every backlogged customer
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -72,10 +73,15 @@
 	n.settle()
 }
 
-// SetMembers replaces the live routers; this router is always among them.
+// SetMembers replaces the live routers; this router is always among them. An
+// unchanged list costs next to nothing.
 func (n *Node) SetMembers(now time.Duration, list []Member) {
 	n.advance(now)
-	n.members = newMembers(withSelf(list, n.self()))
+	list = withSelf(list, n.self())
+	if n.members.same(list) {
+		return
+	}
+	n.members = newMembers(list)
 	n.admit.membersChanged()
 	n.entry.membersChanged()
 	n.directory.membersChanged()
@@ -83,9 +89,13 @@
 	n.settle()
 }
 
-// SetServers replaces the backend servers that may be given new work.
+// SetServers replaces the backend servers that may be given new work. A router
+// that drains sets none.
 func (n *Node) SetServers(now time.Duration, list []msg.ServerID) {
 	n.advance(now)
+	if slices.Equal(n.servers, list) {
+		return
+	}
 	n.servers = append([]msg.ServerID(nil), list...)
 	n.admit.assign()
 	n.settle()
@@ -210,8 +220,7 @@
 }
 
 func (n *Node) newMessage() *Message {
-	n.seq++
-	return &Message{Incarnation: n.cfg.Incarnation, Seq: n.seq}
+	return &Message{Incarnation: n.cfg.Incarnation}
 }
 
 // SetQueueLimits replaces the limits on all waiting requests of the router.
--- a/internal/core/share/node_test.go
+++ b/internal/core/share/node_test.go
@@ -11,7 +11,7 @@
 	"github.com/windscale/windscale/internal/core/share"
 )
 
-const pool = msg.PoolID("m/plan-7b")
+const pool = msg.PoolID("m/model-0") // poolName(0)
 
 func request(id, customer string, cost float64, entry msg.RouterID) *simRequest {
 	return &simRequest{
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -14,6 +14,7 @@
 	avoidFor      = 500 * time.Millisecond // a wait this long takes avoided servers too
 	queueIdle     = time.Minute            // an empty queue is forgotten
 	retryAfterMin = time.Second
+	retryAfterMax = 30 * time.Second
 )
 
 // entry holds the waiting and running requests of this router's callers.
@@ -93,6 +94,8 @@
 	waiting, running int
 	limits           Limits
 	queues           []*queue
+	grantedAt        time.Duration
+	gap              mean // seconds between two grants while requests wait
 }
 
 // peer is an admitter as this entry knows it.
@@ -121,14 +124,17 @@
 	if e.waiting[r.ID] != nil || e.running[r.ID] != nil {
 		return
 	}
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
 	c := e.customer(r.Customer)
 	c.limits = r.Limits
 	switch {
 	case r.Limits.QueueLen > 0 && c.waiting >= r.Limits.QueueLen:
-		e.refuse(r.ID, QueueFull)
+		e.refuse(c, r.ID, QueueFull)
 		return
 	case len(e.waiting) >= e.n.cfg.QueueRequests || e.bytes+int64(r.Bytes) > e.n.cfg.QueueBytes:
-		e.refuse(r.ID, RouterFull)
+		e.refuse(c, r.ID, RouterFull)
 		return
 	}
 	e.enqueue(c, &waiter{req: r, at: e.n.now}, r.Avoid)
@@ -248,8 +254,23 @@
 	}
 }
 
-func (e *entry) refuse(id msg.RequestID, why Reason) {
-	e.n.ready.Refuse = append(e.n.ready.Refuse, Refuse{Request: id, Reason: why, RetryAfter: retryAfterMin})
+func (e *entry) refuse(c *entryCustomer, id msg.RequestID, why Reason) {
+	e.n.ready.Refuse = append(e.n.ready.Refuse, Refuse{Request: id, Reason: why, RetryAfter: c.retryAfter()})
+}
+
+// retryAfter is the time in which half of the customer's queue will be served,
+// at the pace of late.
+func (c *entryCustomer) retryAfter() time.Duration {
+	d := time.Duration(c.gap.value * float64(c.waiting) / 2 * float64(time.Second))
+	return min(max(d, retryAfterMin), retryAfterMax).Truncate(time.Second)
+}
+
+// paced notes a grant to a customer that has more requests waiting.
+func (c *entryCustomer) paced(now time.Duration) {
+	if c.waiting > 0 && c.grantedAt > 0 {
+		c.gap.add((now - c.grantedAt).Seconds())
+	}
+	c.grantedAt = now
 }
 
 func (e *entry) progress(id msg.RequestID, cost msg.Cost) {
@@ -292,7 +313,7 @@
 
 func (e *entry) sendEnd(to msg.RouterID, p *peer, end End) {
 	m := e.n.to(to)
-	m.Of, m.Seen = p.incarnation, p.seen
+	m.Of = p.incarnation
 	m.Ends = append(m.Ends, end)
 }
 
@@ -344,6 +365,7 @@
 	e.leave(w)
 	r := &run{customer: q.customer, admitter: from, of: incarnation, seq: g.Seq}
 	q.customer.running++
+	q.customer.paced(e.n.now)
 	e.touchAll(q.customer)
 	e.running[w.req.ID] = r
 	p.held[g.Seq] = r
--- a/internal/core/share/reference_test.go
+++ b/internal/core/share/reference_test.go
@@ -18,6 +18,8 @@
 	rate                           float64 // cost a second a slot
 	trickle                        float64 // part of the capacity that the rest asks for
 	weights                        []float64
+	cost                           float64 // mean cost of every request; 0: each customer's own
+	prefix                         string  // of the pools' names; "": models
 }
 
 // stream is a customer's requests at one entry for one pool.
@@ -52,6 +54,13 @@
 
 func poolName(i int) msg.PoolID { return msg.PoolID(fmt.Sprintf("m/model-%d", i)) }
 
+func (w workload) pool(i int) msg.PoolID {
+	if w.prefix == "" {
+		return poolName(i)
+	}
+	return msg.PoolID(fmt.Sprint(w.prefix, i))
+}
+
 // streams returns the backlogged customers' streams and how many requests each
 // keeps outstanding. Every backlogged customer uses two pools; half of them
 // are stuck to one router, the others are spread over up to eight.
@@ -65,7 +74,10 @@
 		}
 		first := rng.IntN(w.routers)
 		mean := 100 + 500*rng.Float64()
-		for k := range 2 {
+		if w.cost > 0 {
+			mean = w.cost
+		}
+		for k := range min(2, w.pools) {
 			for e := range entries {
 				out = append(out, w.stream(c, (c+k)%w.pools, (first+e*5)%w.routers, mean))
 			}
@@ -78,7 +90,7 @@
 
 func (w workload) stream(c, pool, entry int, mean float64) *stream {
 	return &stream{
-		customer: c, pool: poolName(pool), entry: entry, mean: mean,
+		customer: c, pool: w.pool(pool), entry: entry, mean: mean,
 		weight: w.weights[c%len(w.weights)],
 		rng:    rand.New(rand.NewPCG(uint64(c), uint64(pool*1000+entry))),
 	}
--- a/internal/core/share/regress_test.go
+++ b/internal/core/share/regress_test.go
@@ -104,3 +104,48 @@
 	n.Load(0, share.LoadReport{Server: "s0", Pools: []msg.PoolID{pool}, Slots: 8, Running: 5, Queued: 1})
 	assert.Equal(t, len(grants(n)), 2)
 }
+
+// standing returns what the first of the routers that knows it says of the
+// customer.
+func (f *fleet) standing(customer msg.CustomerID, ids ...msg.RouterID) share.Standing {
+	for _, id := range ids {
+		for _, s := range f.nodes[id].Explain(customer) {
+			if s.Backlogged {
+				return s
+			}
+		}
+	}
+	return share.Standing{}
+}
+
+func TestTotalsSurviveTheRestartOfTheRoot(t *testing.T) {
+	f := smallFleet(7, 7) // two levels below the root, r0
+	w := &world{fleet: f}
+	w.backlog([]msg.RouterID{"r1", "r2", "r6"})
+	f.run(f.now + 20*time.Second)
+	before := f.standing("c2", "r5", "r6")
+	f.startNode("r0")
+	for _, id := range f.ids {
+		f.setMembersOf(id, "")
+		f.setServersOf(id)
+	}
+	f.run(f.now + 20*time.Second)
+	after := f.standing("c2", "r5", "r6")
+	assert.Assert(t, before.Backlogged && after.Backlogged)
+	assert.Assert(t, after.Floor > before.Floor, "%v %v", before, after)
+}
+
+// The counters decide alike whether or not the fleet is one router: close to
+// the all-knowing queue, far from each router alone.
+func TestAgainstReferences(t *testing.T) {
+	w := workloadOf(8, 20)
+	length := warmUp + 60*time.Second
+	ideal := w.play(newCells(w, false), 0, length)
+	naive := w.play(newCells(w, true), 0, length)
+	f := fleetOf(w, share.Config{})
+	got := w.play(f, f.now, length)
+	assert.Assert(t, got.gap < 1.5*ideal.gap, "%.0f, all-knowing %.0f", got.gap, ideal.gap)
+	assert.Assert(t, got.gap < naive.gap/2, "%.0f, naive %.0f", got.gap, naive.gap)
+	assert.Assert(t, got.util > 0.99*ideal.util, "%.4f, all-knowing %.4f", got.util, ideal.util)
+	assert.Equal(t, f.over, 0)
+}
--- a/internal/core/share/server.go
+++ b/internal/core/share/server.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -25,6 +26,8 @@
 	peakAt   time.Duration
 	foreign  int // running there without a grant of this router
 	probeAt  time.Duration
+	total    mean // seconds a short call takes, as its entry sees it
+	overhead mean // seconds between its grant and its end beyond that
 }
 
 // free is how many more requests may run there.
@@ -32,7 +35,23 @@
 	if !s.owned || !s.reported || s.leaving {
 		return 0
 	}
-	return int(s.limit.value) - s.held - s.foreign
+	return int(s.limit.value) + s.ahead() - s.held - s.foreign
+}
+
+// ahead is how many grants more than slots it takes that none is idle while
+// grants and ends are under way. It matters for short calls only.
+func (s *poolServer) ahead() int {
+	if !s.total.known || s.total.value <= 0 {
+		return 0
+	}
+	part := min(1, s.overhead.value/s.total.value)
+	return int(math.Round(part * s.limit.value))
+}
+
+// called notes how long a plain service's call held its slot.
+func (s *poolServer) called(held, total time.Duration) {
+	s.total.add(total.Seconds())
+	s.overhead.add(max(0, held-total).Seconds())
 }
 
 func (s *poolServer) hold(now time.Duration, n int) {
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -202,6 +202,8 @@
 // sendWait sends what the admitter is now told.
 func (e *entry) sendWait(q *queue, to msg.RouterID, t *told) {
 	m := e.n.to(to)
+	e.n.seq++
+	m.Seq = e.n.seq
 	if p := e.peers[to]; p != nil {
 		m.Of, m.Seen = p.incarnation, p.seen
 	}
--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -37,7 +37,9 @@
 	upSeq     uint64
 	records   []record
 	upAt      time.Duration
-	merge     uint64 // number of the last merge
+	floors    []PoolCount // totals known when the edge began
+	downSeq   uint64      // last Down of the parent's incarnation
+	merge     uint64      // number of the last merge passed on
 	mergeAt   time.Duration
 }
 
@@ -158,8 +160,21 @@
 // What the last parent has not acknowledged is sent again.
 func (t *tree) newEdge(incarnation uint64) {
 	t.edge++
-	t.parentInc, t.base, t.upSeq = incarnation, 0, 0
+	t.parentInc, t.downSeq, t.base, t.upSeq = incarnation, 0, 0, 0
 	t.records = nil
+	t.floors = t.knownTotals()
+}
+
+// knownTotals is what a parent is told that may have no memory.
+func (t *tree) knownTotals() []PoolCount {
+	var out []PoolCount
+	for _, id := range t.sortedPools() {
+		p := t.pools[id]
+		if list := p.liveCounts(); len(list) > 0 {
+			out = append(out, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
+		}
+	}
+	return out
 }
 
 func (t *tree) tick() {
@@ -231,7 +246,7 @@
 	up := &Up{Edge: t.edge, Seq: t.upSeq, Base: t.base, Settings: max(t.settings, t.heard)}
 	rec := t.newRecord()
 	for _, id := range t.sortedPools() {
-		var list, floors []count
+		var list []count
 		p := t.pools[id]
 		for hash, c := range p.counters {
 			v, slots := t.value(id, hash, c), t.slotsOf(id, hash)
@@ -239,16 +254,13 @@
 			if v != c.acked || slots > 0 {
 				list = append(list, count{hash, v - c.acked, slots})
 			}
-			if t.base == 0 && c.live {
-				floors = append(floors, count{hash, c.total - p.floor, c.slots})
-			}
 		}
 		if len(list) > 0 {
 			up.Pools = append(up.Pools, PoolCount{Pool: id, Data: pack(list)})
 		}
-		if len(floors) > 0 {
-			up.Floors = append(up.Floors, PoolCount{Pool: id, Floor: p.floor, Data: pack(floors)})
-		}
+	}
+	if t.base == 0 {
+		up.Floors = t.floors
 	}
 	t.records = append(t.records, rec)
 	if len(t.records) > keepRecords {
