--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -9,6 +9,7 @@
 
 const (
 	fanOut      = 4                      // children of a router in the tree
+	mergeLevel  = 2 * time.Second        // the merge interval, for each level below the root's children
 	levelDelay  = 30 * time.Millisecond  // a level sends up this much before the one above
 	firstMerge  = 300 * time.Millisecond // after a change of the members
 	keepRecords = 4                      // Ups of which the content is remembered
@@ -25,7 +26,8 @@
 	heard    uint64 // newest heard of
 	parent   msg.RouterID
 	kids     []msg.RouterID
-	depth    int
+	depth    int // of this router
+	height   int // depth of the last router
 	children map[msg.RouterID]*child
 	pools    map[msg.PoolID]*treePool
 
@@ -35,7 +37,9 @@
 	upSeq     uint64
 	records   []record
 	upAt      time.Duration
-	merge     uint64 // number of the last merge
+	floors    []PoolCount // totals known when the edge began
+	downSeq   uint64      // last Down of the parent's incarnation
+	merge     uint64      // number of the last merge passed on
 	mergeAt   time.Duration
 }
 
@@ -107,10 +111,7 @@
 	if self > 0 {
 		parent = list[(self-1)/fanOut].ID
 	}
-	t.depth = 0
-	for i := self; i > 0; i = (i - 1) / fanOut {
-		t.depth++
-	}
+	t.depth, t.height = depthOf(self), depthOf(len(list)-1)
 	t.kids = t.kids[:0]
 	for i := fanOut*self + 1; i <= fanOut*self+fanOut && i < len(list); i++ {
 		t.kids = append(t.kids, list[i].ID)
@@ -128,6 +129,24 @@
 	t.upAt = min(t.upAt, t.n.now+firstMerge-time.Duration(t.depth)*levelDelay)
 }
 
+// depthOf is how far below the root the i-th router is.
+func depthOf(i int) int {
+	n := 0
+	for ; i > 0; i = (i - 1) / fanOut {
+		n++
+	}
+	return n
+}
+
+// interval is the time between two merges. A large fleet sends its totals over
+// more edges and has a coarser service to divide, so it merges less often.
+func (t *tree) interval() time.Duration {
+	if set := t.n.cfg.MergeInterval; set > 0 {
+		return set
+	}
+	return mergeLevel * time.Duration(max(1, t.height-1))
+}
+
 func (t *tree) hasKid(id msg.RouterID) bool {
 	for _, k := range t.kids {
 		if k == id {
@@ -141,17 +160,30 @@
 // What the last parent has not acknowledged is sent again.
 func (t *tree) newEdge(incarnation uint64) {
 	t.edge++
-	t.parentInc, t.base, t.upSeq = incarnation, 0, 0
+	t.parentInc, t.downSeq, t.base, t.upSeq = incarnation, 0, 0, 0
 	t.records = nil
+	t.floors = t.knownTotals()
+}
+
+// knownTotals is what a parent is told that may have no memory.
+func (t *tree) knownTotals() []PoolCount {
+	var out []PoolCount
+	for _, id := range t.sortedPools() {
+		p := t.pools[id]
+		if list := p.liveCounts(); len(list) > 0 {
+			out = append(out, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
+		}
+	}
+	return out
 }
 
 func (t *tree) tick() {
 	switch {
 	case t.parent == "" && t.n.now >= t.mergeAt:
-		t.mergeAt = t.n.now + t.n.cfg.MergeInterval
+		t.mergeAt = t.n.now + t.interval()
 		t.mergeRoot()
 	case t.parent != "" && t.n.now >= t.upAt:
-		t.upAt = t.n.now + t.n.cfg.MergeInterval
+		t.upAt = t.n.now + t.interval()
 		t.sendUp()
 	}
 }
@@ -214,7 +246,7 @@
 	up := &Up{Edge: t.edge, Seq: t.upSeq, Base: t.base, Settings: max(t.settings, t.heard)}
 	rec := t.newRecord()
 	for _, id := range t.sortedPools() {
-		var list, floors []count
+		var list []count
 		p := t.pools[id]
 		for hash, c := range p.counters {
 			v, slots := t.value(id, hash, c), t.slotsOf(id, hash)
@@ -222,16 +254,13 @@
 			if v != c.acked || slots > 0 {
 				list = append(list, count{hash, v - c.acked, slots})
 			}
-			if t.base == 0 && c.live {
-				floors = append(floors, count{hash, c.total - p.floor, c.slots})
-			}
 		}
 		if len(list) > 0 {
 			up.Pools = append(up.Pools, PoolCount{Pool: id, Data: pack(list)})
 		}
-		if len(floors) > 0 {
-			up.Floors = append(up.Floors, PoolCount{Pool: id, Floor: p.floor, Data: pack(floors)})
-		}
+	}
+	if t.base == 0 {
+		up.Floors = t.floors
 	}
 	t.records = append(t.records, rec)
 	if len(t.records) > keepRecords {
