--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/labstack/echo/v5"
@@ -71,6 +72,8 @@
 	e.GET("/readyz", func(c *echo.Context) error { return readyz(c, r.Status()) })
 	g := e.Group("", authenticate(token))
 	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	g.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	g.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	g.GET("/v1/status", func(c *echo.Context) error { return c.JSON(http.StatusOK, r.Status()) })
 	g.GET("/v1/backends", func(c *echo.Context) error { return c.JSON(http.StatusOK, r.Backends()) })
 	g.GET("/v1/explain", func(c *echo.Context) error {
