--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -126,6 +126,7 @@
 		{"two lengths", answering("HTTP/1.1 200 OK\r\nX-Cut: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), attempt.Unknown, StageSend, nil},
 		{"busy", answering("HTTP/1.1 429 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"), attempt.Refused, StageStatus, ErrStatus},
 		{"leaving", answering("HTTP/1.1 503 No\r\nWindscale-Leaving: true\r\nContent-Length: 0\r\n\r\n"), attempt.Refused, StageStatus, ErrStatus},
+		{"another protocol", answering("HTTP/1.1 101 Switching Protocols\r\nX-Cut: 1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"), attempt.Unknown, StageHeader, ErrUpgrade},
 		{"another request's", answering("HTTP/1.1 200 OK\r\nWindscale-Request: other\r\nWindscale-Attempt: 2\r\nContent-Length: 2\r\n\r\nok"), attempt.Unknown, StageHeader, ErrForeign},
 		{"an earlier attempt's", answering("HTTP/1.1 200 OK\r\nWindscale-Request: req\r\nWindscale-Attempt: 1\r\nContent-Length: 2\r\n\r\nok"), attempt.Unknown, StageHeader, ErrForeign},
 		{"after the header", answering("HTTP/1.1 200 OK\r\nX-Cut: 1\r\n" + own + "Content-Length: 2\r\n\r\n"), attempt.Unknown, StageBody, io.ErrUnexpectedEOF},
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -59,6 +59,7 @@
 	ErrStatus       Fault = "refused by status"
 	ErrFence        Fault = "refused for an old fencing number"
 	ErrForeign      Fault = "answer of another request"
+	ErrUpgrade      Fault = "server switched to another protocol unasked"
 	ErrUnframed     Fault = "answer has neither length nor chunks"
 	ErrTooLarge     Fault = "answer is too large"
 	ErrLine         Fault = "malformed or oversized line in event stream"
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,7 +81,11 @@
 
 // Model serves POST /v1/chat/completions for a customer.
 func (p *Proxy) Model(w http.ResponseWriter, r *http.Request, c *settings.Customer) {
-	body, ok := readBody(w, r)
+	a, ok := p.arrived(w, r, c)
+	if !ok {
+		return
+	}
+	body, ok := readBody(w, r, a)
 	if !ok {
 		return
 	}
@@ -94,10 +98,7 @@
 		problem.Refuse(w, problem.Forbidden, "the model is not allowed to this customer", 0)
 		return
 	}
-	u, ok := p.newRun(w, r, c, msg.PoolID(modelPool+request.Model), modelRule)
-	if !ok {
-		return
-	}
+	u := p.newRun(w, r, c, a, msg.PoolID(modelPool+request.Model), modelRule)
 	defer u.close()
 	u.want.Prefix = request.prefix()
 	u.want.Bytes = len(body)
@@ -126,7 +127,11 @@
 		problem.Refuse(w, problem.NotFound, "there is no such service", 0)
 		return
 	}
-	body, ok := readBody(w, r)
+	a, ok := p.arrived(w, r, c)
+	if !ok {
+		return
+	}
+	body, ok := readBody(w, r, a)
 	if !ok {
 		return
 	}
@@ -136,10 +141,7 @@
 		problem.Refuse(w, problem.BadKey, "", 0)
 		return
 	}
-	u, ok := p.newRun(w, r, c, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
-	if !ok {
-		return
-	}
+	u := p.newRun(w, r, c, a, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
 	defer u.close()
 	u.want.Bytes = len(body)
 	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/problem"
 )
 
@@ -54,11 +55,31 @@
 	return false
 }
 
-// readBody reads the body whole; the entry has capped it. On failure it has
-// refused the request.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+// arrival is when a request came and how long it may take in all.
+type arrival struct {
+	at    time.Time
+	limit time.Duration
+}
+
+// arrived reads the request's time limit. On failure it has refused the
+// request.
+func (p *Proxy) arrived(w http.ResponseWriter, r *http.Request, c *settings.Customer) (arrival, bool) {
+	limit, ok := timeLimit(r.Header, c.RequestTime)
+	if !ok {
+		problem.Refuse(w, problem.BadTimeout, "", 0)
+		return arrival{}, false
+	}
+	return arrival{at: p.Now(), limit: limit}, true
+}
+
+// readBody reads the body whole, within the request's time; the entry has
+// capped its size. On failure it has refused the request.
+func readBody(w http.ResponseWriter, r *http.Request, a arrival) ([]byte, bool) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(a.limit)) // writers in tests have none
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -37,18 +37,13 @@
 	finish   Finish
 }
 
-// newRun prepares a request. On failure it has refused it.
-func (p *Proxy) newRun(w http.ResponseWriter, r *http.Request, c *settings.Customer, pool msg.PoolID, rule attempt.Rule) (*run, bool) {
-	limit, ok := timeLimit(r.Header, c.RequestTime)
-	if !ok {
-		problem.Refuse(w, problem.BadTimeout, "", 0)
-		return nil, false
-	}
-	began := p.Now()
-	ctx, cancel := context.WithTimeout(r.Context(), limit)
-	u := &run{
+// newRun prepares a request. close must follow.
+func (p *Proxy) newRun(w http.ResponseWriter, r *http.Request, c *settings.Customer, a arrival, pool msg.PoolID, rule attempt.Rule) *run {
+	deadline := a.at.Add(a.limit)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	return &run{
 		p: p, w: w, r: r, customer: c, ctx: ctx, cancel: cancel, queueCtx: ctx,
-		began: began, deadline: began.Add(limit),
+		began: a.at, deadline: deadline,
 		x: attempt.NewExchange(rule),
 		want: dispatch.Request{
 			ID:       newID(),
@@ -63,7 +58,6 @@
 		},
 		finish: Finish{Customer: c.Path, Pool: pool},
 	}
-	return u, true
 }
 
 // keepRunning lets the request run to its end when its caller goes.
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -124,6 +126,20 @@
 	}
 }
 
+// A body that does not come holds nothing beyond the request's time.
+func TestBodyThatDoesNotComeIsRefused(t *testing.T) {
+	rig := newRig(t, newService())
+	c, err := net.Dial("tcp", rig.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /services/dispatch/x HTTP/1.1\r\nHost: h\r\nWindscale-Timeout: 50ms\r\nContent-Length: 9\r\n\r\nx")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, resp.Header.Get("Windscale-Run"), "no")
+}
+
 // With one attempt in twenty failing, the retry allowance hides the failures
 // and adds no more than its percentage to the load.
 func TestAllowanceHidesSparseFailures(t *testing.T) {
