--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -123,7 +123,7 @@
 // one is not accepted: the settings are asked about what the server will see.
 func canonical(escaped string) (string, bool) {
 	path, err := url.PathUnescape(escaped)
-	if err != nil || !strings.HasPrefix(path, "/") {
+	if err != nil || !strings.HasPrefix(escaped, "/") {
 		return "", false
 	}
 	if strings.Contains(path, "//") || strings.Contains(path, `\`) {
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
+	pathpkg "path"
 	"strings"
 	"sync"
 	"testing"
@@ -170,3 +172,23 @@
 	assert.Assert(t, answered >= requests*99/100, "%d answered", answered)
 	assert.Assert(t, attempts <= requests*11/10+3, "%d attempts", attempts)
 }
+
+// FuzzCanonical: what the settings are asked about is what a server reads.
+func FuzzCanonical(f *testing.F) {
+	for _, seed := range []string{"/", "/a/b", "/a%2Fb", "/%62ookings", "/..%2f", "/a;x/..;y", "/%", "/%00", "//", "/a%3Fb%23c", "/%E4", "/a\\b", "/%5c"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, escaped string) {
+		path, ok := canonical(escaped)
+		if !ok {
+			return
+		}
+		sent := (&url.URL{Scheme: "http", Host: "h", Path: path, RawPath: escaped}).RequestURI()
+		read, err := url.ParseRequestURI(sent)
+		assert.NilError(t, err)
+		assert.Equal(t, read.Path, path)
+		assert.Equal(t, read.RawQuery, "")
+		assert.Equal(t, pathpkg.Clean(path), pathpkg.Clean("/"+strings.Trim(path, "/")))
+		assert.Assert(t, !strings.Contains(path, "//") && !strings.Contains(path+"/", "/../"))
+	})
+}
