--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -150,7 +150,7 @@
 	}
 	if q.spread == 0 {
 		q.start = q.pool.pick(e.pickSeed())
-		q.spreadAt = e.n.now
+		q.spreadAt, q.widenAfter = e.n.now, e.n.cfg.SpreadDelay
 	}
 	q.spread = min(all, max(q.spread, n))
 	want := (n + q.spread - 1) / q.spread
@@ -202,6 +202,8 @@
 // sendWait sends what the admitter is now told.
 func (e *entry) sendWait(q *queue, to msg.RouterID, t *told) {
 	m := e.n.to(to)
+	e.n.seq++
+	m.Seq = e.n.seq
 	if p := e.peers[to]; p != nil {
 		m.Of, m.Seen = p.incarnation, p.seen
 	}
