--- a/internal/core/share/bench_test.go
+++ b/internal/core/share/bench_test.go
@@ -107,6 +107,66 @@
 	}
 }
 
+// BenchmarkBreak plays what makes sharing harder on 40 routers.
+func BenchmarkBreak(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		merge  time.Duration
+		loss   float64
+		churn  time.Duration // between two restarts of routers
+		change func(*workload)
+	}{
+		{name: "plain"},
+		{name: "merge=1s", merge: time.Second},
+		{name: "merge=16s", merge: 16 * time.Second},
+		{name: "merge=60s", merge: time.Minute},
+		{name: "loss=1%", loss: 0.01},
+		{name: "loss=10%", loss: 0.1},
+		{name: "restart=5s", churn: 5 * time.Second},
+		{name: "pausing", change: func(w *workload) { w.pausing = true }},
+		{name: "weights=1..16", change: func(w *workload) { w.weights = []float64{1, 2, 4, 16} }},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				w := workloadOf(40, 60)
+				if c.change != nil {
+					c.change(&w)
+				}
+				length := warmUp + 60*time.Second
+				ideal := w.play(newCells(w, false), 0, length)
+				f := fleetOf(w, share.Config{MergeInterval: c.merge})
+				f.loss = c.loss
+				if c.churn > 0 {
+					f.after(c.churn, func() { f.churn(c.churn) })
+				}
+				got := w.play(f, f.now, length)
+				b.ReportMetric(got.gap, "gap")
+				b.ReportMetric(got.gap/ideal.gap, "gap/ideal")
+				b.ReportMetric(got.gapMean/ideal.gapMean, "gapMean/ideal")
+				b.ReportMetric(got.util/ideal.util, "util/ideal")
+				b.ReportMetric(got.longest.Seconds(), "smallestWait-s")
+				b.ReportMetric(float64(f.over), "overSlots")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// churn starts one router after another again without memory. What waited
+// there comes again.
+func (f *fleet) churn(every time.Duration) {
+	id := f.ids[int(f.now/every)%len(f.ids)]
+	f.startNode(id)
+	f.setMembersOf(id, "")
+	f.setServersOf(id)
+	for _, r := range f.requests {
+		if r.entry == id && r.starts == 0 {
+			f.arrive(r)
+		}
+	}
+	f.after(every, func() { f.churn(every) })
+}
+
 // BenchmarkShortCalls plays calls of 5 ms to plain services.
 func BenchmarkShortCalls(b *testing.B) {
 	w := workload{
--- a/internal/core/share/reference_test.go
+++ b/internal/core/share/reference_test.go
@@ -20,6 +20,7 @@
 	weights                        []float64
 	cost                           float64 // mean cost of every request; 0: each customer's own
 	prefix                         string  // of the pools' names; "": models
+	pausing                        bool    // every other pair of customers comes and goes
 }
 
 // stream is a customer's requests at one entry for one pool.
@@ -132,7 +133,7 @@
 		res.finished++
 		if s := by[r.ID]; s != nil {
 			delete(by, r.ID)
-			send(s)
+			t.after(w.pause(s, r.arrived), func() { send(s) })
 		}
 		if trickle[r.ID] {
 			delete(trickle, r.ID)
@@ -142,8 +143,10 @@
 		}
 	})
 	entries := map[simKey]int{}
+	customerOf := map[simKey]int{}
 	for _, s := range streams {
 		entries[simKey{s.pool, s.id()}]++
+		customerOf[simKey{s.pool, s.id()}] = s.customer
 	}
 	begin := rand.New(rand.NewPCG(3, 3))
 	for _, s := range streams {
@@ -154,6 +157,11 @@
 	w.startTrickle(t, trickle)
 	t.run(from + warmUp)
 	base, busy := t.service(), t.busyTime()
+	for k, c := range customerOf {
+		if w.pauses(c) {
+			delete(entries, k)
+		}
+	}
 	gaps := newGapMeter(entries, base)
 	n := 0
 	for at := from + warmUp; at < from+length; {
@@ -170,6 +178,18 @@
 	return res
 }
 
+const pauseTime = 15 * time.Second
+
+func (w workload) pauses(customer int) bool { return w.pausing && customer%4 < 2 }
+
+// pause is how long the stream's next request stays away.
+func (w workload) pause(s *stream, arrived time.Duration) time.Duration {
+	if !w.pauses(s.customer) || (int(arrived/pauseTime)+s.customer)%2 == 0 {
+		return 0
+	}
+	return pauseTime
+}
+
 // startTrickle sends the other customers' requests, at random.
 func (w workload) startTrickle(t target, ids map[msg.RequestID]bool) {
 	rng := rand.New(rand.NewPCG(9, 9))
