--- a/test/cmd/fleet/layout.go
+++ b/test/cmd/fleet/layout.go
@@ -30,10 +30,8 @@
 
 var customers = []fleet.Customer{desks, staff, drivers, warehouse, pantries, partners}
 
-// settings returns the sections besides the customers' own; quetzal's weight
-// is what the demonstration changes.
-func settings(quetzalWeight float64) string {
-	return fmt.Sprintf(`[fleet]
+// common are the settings besides the groups' and the customers' own.
+const common = `[fleet]
 drain_limit = 30s
 claim_lease = 1s
 claim_keep = 10m
@@ -56,13 +54,12 @@
 
 [tree/trasladar]
 weight = 1
+`
 
-[tree/quetzal]
-weight = %g
-
-[tree/operations]
-weight = 1
-`, quetzalWeight)
+// settings returns the sections besides the customers' own; quetzal's weight
+// is what the trials change.
+func settings(quetzalWeight float64) string {
+	return common + fmt.Sprintf("\n[tree/operations]\nweight = 1\n\n[tree/quetzal]\nweight = %g\n", quetzalWeight)
 }
 
 // small is the fleet of the demonstration and of the faults: 3 routers in 3
--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -86,7 +86,7 @@
 	c.Routers = measureRouters
 	c.DataCentres = 3
 	c.Sharing = sharing
-	c.Settings = settings(1)
+	c.Settings = common
 	c.Servers = manyServers()
 	w := newWorkload()
 	c.Customers = w.customers
