--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -10,6 +12,13 @@
 // graceScan is between two looks for grants that are not kept alive.
 const graceScan = 250 * time.Millisecond
 
+// plainPrefix begins the names of plain services' pools. Their calls are
+// short, so their slots are granted ahead.
+const plainPrefix = "s/"
+
+// longPause is a time between two ticks that means the process was paused.
+const longPause = time.Second
+
 // regIdle is how long a registration is kept that the entry does not repeat.
 const regIdle = 4 * waitRefresh
 
@@ -26,6 +35,8 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
+	stats   Stats
+	tickAt  time.Duration // the last tick
 }
 
 // grantRecord is a grant that has not ended.
@@ -33,8 +44,11 @@
 	seq     uint64
 	server  *poolServer
 	account *account
+	reg     *registration
 	entry   msg.RouterID
 	charged msg.Cost
+	guess   msg.Cost // estimated at the grant
+	at      time.Duration
 	alive   time.Duration // last known to be wanted
 }
 
@@ -58,7 +72,10 @@
 func (a *admitter) pool(id msg.PoolID) *admitPool {
 	p, ok := a.pools[id]
 	if !ok {
-		p = &admitPool{id: id, accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{}}
+		p = &admitPool{
+			id: id, plain: strings.HasPrefix(string(id), plainPrefix),
+			accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{},
+		}
 		a.pools[id] = p
 		a.order = append(a.order, p)
 		sort.Slice(a.order, func(i, j int) bool { return a.order[i].id < a.order[j].id })
@@ -157,8 +174,8 @@
 }
 
 // entrySeen notes an entry's incarnation. A new one holds nothing of what the
-// earlier held.
-func (a *admitter) entrySeen(from msg.RouterID, m *Message) *entryPeer {
+// earlier held. It is false for a late message of an earlier incarnation.
+func (a *admitter) entrySeen(from msg.RouterID, m *Message) bool {
 	e := a.entries[from]
 	if e == nil {
 		e = &entryPeer{regs: map[uint64]*registration{}, grants: map[uint64]*grantRecord{}}
@@ -171,7 +188,7 @@
 			a.release(g)
 		}
 	}
-	return e
+	return e.incarnation == m.Incarnation
 }
 
 func (a *admitter) dropRegs(e *entryPeer) {
@@ -230,6 +247,13 @@
 	return r
 }
 
+// forget takes a grant that has ended out of the pending ones.
+func (r *registration) forget(seq uint64) {
+	if i, ok := slices.BinarySearch(r.pending, seq); ok {
+		r.pending = slices.Delete(r.pending, i, i+1)
+	}
+}
+
 func (r *registration) forgetSeen(seen uint64) {
 	i := 0
 	for i < len(r.pending) && r.pending[i] <= seen {
@@ -250,6 +274,7 @@
 		Total: time.Duration(end.Total) * time.Millisecond,
 		Busy:  end.Flags&endBusy != 0, Leaving: end.Flags&endLeaving != 0,
 	}
+	a.stats.Returned++
 	g.account.charge(res.Cost - g.charged)
 	a.release(g)
 	if end.Flags&endReturned != 0 {
@@ -260,7 +285,11 @@
 		g.server.leaving = true
 		a.regroup()
 	}
+	if g.account.pool.plain && res.Total > 0 {
+		g.server.called(a.n.now-g.at, res.Total)
+	}
 	if !res.Busy && !res.Leaving {
+		a.stats.ended(g.guess, res.Cost)
 		g.account.mean.add(float64(res.Cost))
 		g.account.pool.mean.add(float64(res.Cost))
 	}
@@ -270,6 +299,7 @@
 func (a *admitter) release(g *grantRecord) {
 	delete(a.grants, g.seq)
 	delete(a.entries[g.entry].grants, g.seq)
+	g.reg.forget(g.seq)
 	g.server.hold(a.n.now, -1)
 	a.dirty = true
 }
@@ -313,10 +343,12 @@
 // tick releases grants that are not kept alive, asks for load reports and
 // tells the directories what is idle.
 func (a *admitter) tick() {
+	a.forgivePause()
 	if a.n.now >= a.scanAt {
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
 			if a.n.now-g.alive >= a.n.cfg.GrantTimeout {
+				a.stats.Expired++
 				a.release(g)
 			}
 		}
@@ -329,6 +361,19 @@
 	a.tellDirectories()
 }
 
+// forgivePause keeps the grants of which a paused process could not hear: its
+// own pause is not the entries' silence.
+func (a *admitter) forgivePause() {
+	pause := a.n.now - a.tickAt
+	a.tickAt = a.n.now
+	if pause < longPause {
+		return
+	}
+	for _, g := range a.grants {
+		g.alive += pause
+	}
+}
+
 // sweep forgets registrations that have long been empty or not repeated.
 func (a *admitter) sweep() {
 	for _, e := range a.entries {
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -100,9 +100,11 @@
 	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
 	a.lastSeq++
 	g := &grantRecord{
-		seq: a.lastSeq, server: s, account: c, entry: r.entry,
-		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
+		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
+		charged: estimate(c.mean, c.pool.mean), at: a.n.now, alive: a.n.now,
 	}
+	g.guess = g.charged
+	a.stats.Granted++
 	a.grants[g.seq] = g
 	a.entries[r.entry].grants[g.seq] = g
 	s.hold(a.n.now, 1)
@@ -111,5 +113,5 @@
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
 	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id, Addr: a.n.addrs[s.id]})
 }
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -21,7 +21,6 @@
 
 // Defaults of Config's zero fields.
 const (
-	DefaultMergeInterval = 4 * time.Second
 	DefaultKeepInterval  = 3 * time.Second
 	DefaultGrantTimeout  = 10 * time.Second
 	DefaultProbeInterval = time.Second
@@ -36,7 +35,7 @@
 	ID            msg.RouterID
 	Incarnation   uint64 // grows with each start of the router; above 0
 	DataCentre    string
-	MergeInterval time.Duration // between two merges of the counters
+	MergeInterval time.Duration // between two merges of the counters; 0: by the fleet's size
 	KeepInterval  time.Duration // between two keep-alives of held grants
 	GrantTimeout  time.Duration // a grant not kept alive is over after it
 	ProbeInterval time.Duration // between two load reports of a server
@@ -53,7 +52,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.MergeInterval, DefaultMergeInterval)
 	orDefault(&c.KeepInterval, DefaultKeepInterval)
 	orDefault(&c.GrantTimeout, DefaultGrantTimeout)
 	orDefault(&c.ProbeInterval, DefaultProbeInterval)
@@ -91,6 +89,7 @@
 	Total   time.Duration
 	Leaving bool // the server said that it is leaving, or could not be dialled
 	Busy    bool // the server refused for overload
+	Unused  bool // nothing was sent to the server, so it says nothing of cost and speed
 }
 
 // Reason says why a request is refused. Its numbers are those of
@@ -128,8 +127,14 @@
 type Start struct {
 	Request msg.RequestID
 	Server  msg.ServerID
+	Addr    Addr // as the admitter knows it; nil: it knows none
 }
 
+// Addr is a server's address as the shell packs it; the core only carries it.
+// It travels with each grant, so that an entry whose host list lags or is down
+// finds the server all the same.
+type Addr []byte
+
 // Refuse tells the shell that the request gets no slot. It has not run.
 type Refuse struct {
 	Request    msg.RequestID
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -52,6 +52,7 @@
 	p.admitters = p.admitters[:0]
 	for i, id := range a.Routers {
 		if !e.n.members.has(id) {
+			p.version = 0 // to be told again
 			continue
 		}
 		p.admitters = append(p.admitters, poolAdmitter{id: id, slots: a.Slots[i]})
@@ -149,7 +150,7 @@
 	}
 	if q.spread == 0 {
 		q.start = q.pool.pick(e.pickSeed())
-		q.spreadAt = e.n.now
+		q.spreadAt, q.widenAfter = e.n.now, e.n.cfg.SpreadDelay
 	}
 	q.spread = min(all, max(q.spread, n))
 	want := (n + q.spread - 1) / q.spread
@@ -201,6 +202,8 @@
 // sendWait sends what the admitter is now told.
 func (e *entry) sendWait(q *queue, to msg.RouterID, t *told) {
 	m := e.n.to(to)
+	e.n.seq++
+	m.Seq = e.n.seq
 	if p := e.peers[to]; p != nil {
 		m.Of, m.Seen = p.incarnation, p.seen
 	}
@@ -274,13 +277,12 @@
 	return list
 }
 
-// membersChanged forgets admitters that are gone and asks anew.
+// membersChanged forgets what gone admitters were told, and asks anew.
 func (e *entry) membersChanged() {
 	for id := range e.peers {
 		i, ok := e.n.members.byID[id]
 		if !ok {
-			e.untell(id)
-			delete(e.peers, id)
+			e.untell(id) // what it has granted is still held
 			continue
 		}
 		if inc := e.n.members.list[i].Incarnation; inc > e.peers[id].incarnation {
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/dispatch"
@@ -24,7 +25,7 @@
 	Probe func(msg.ServerID)
 	// Newer says that a peer has a newer version of the settings.
 	Newer func(version uint64)
-	// Addr finds a server's address, IP:port.
+	// Addr finds a server's address, IP:port, where a grant has none.
 	Addr func(msg.ServerID) (string, bool)
 }
 
@@ -107,7 +108,10 @@
 		return
 	}
 	delete(s.waiting, st.Request)
-	addr, _ := s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	addr, ok := unpack(st.Addr)
+	if !ok {
+		addr, _ = s.effects.Addr(st.Server) // "" cannot be dialled: not sent
+	}
 	w.verdict <- verdict{server: dispatch.Server{ID: st.Server, Addr: addr}}
 }
 
@@ -136,7 +140,7 @@
 	if v.refusal != nil {
 		return nil, v.refusal
 	}
-	s.end(r.ID, share.Result{}) // granted and not used
+	s.end(r.ID, share.Result{Unused: true})
 	return nil, &dispatch.Refusal{Reason: dispatch.Gone}
 }
 
@@ -209,6 +213,7 @@
 			Total:   r.Total,
 			Leaving: r.Leaving,
 			Busy:    r.Busy,
+			Unused:  r.Outcome == attempt.NotSent,
 		})
 	})
 }
