--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -47,6 +47,8 @@
 	writeTimeout  = 2 * time.Second
 	answerTimeout = 10 * time.Second
 
+	lingerTime = 200 * time.Millisecond
+
 	messageStreams = 64 // open at once from one peer
 	fetchStreams   = 64
 
@@ -171,15 +173,17 @@
 // Addr returns the address that the link listens on.
 func (l *Link) Addr() net.Addr { return l.transport.Conn.LocalAddr() }
 
-// Run accepts peers until ctx ends, then closes all connections and the
-// socket and waits for the link's goroutines. It is called once. The error is
-// nil after ctx has ended.
+// Run accepts peers until ctx ends. It goes on sending for lingerTime, so that
+// a departure that others announce on the end of the same ctx still goes out;
+// then it closes all connections and the socket and waits for the link's
+// goroutines. It is called once. The error is nil after ctx has ended.
 func (l *Link) Run(ctx context.Context) error {
 	defer l.Close()
 	l.work.Go(l.sweepLoop)
 	for {
 		conn, err := l.listener.Accept(ctx)
 		if ctx.Err() != nil || l.ctx.Err() != nil {
+			sleep(l.ctx, lingerTime)
 			return nil
 		}
 		if err != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -304,6 +304,18 @@
 	}
 }
 
+func TestLastMessagesBeforeTheEndAreSent(t *testing.T) {
+	f := newFleet(t)
+	a, stop := f.start("a", f.credentials("a"), "127.0.0.1:0")
+	f.link("b")
+	f.deliver(a, "b", "hello")
+	for range 5 { // any one may be lost
+		a.Send("b", kindPlain, []byte("bye"))
+	}
+	stop()
+	until(t, "bye", func() bool { return f.count("b<a:bye") > 0 })
+}
+
 func TestBlockCutsAndUnblockHeals(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.link("a"), f.link("b")
