--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -239,6 +239,23 @@
 	}
 }
 
+// A router that died without a word and restarted tells its peers, on their
+// next packet, that their connections are gone.
+func TestCrashedPeerIsReachedBeforeItsSilenceIsNoticed(t *testing.T) {
+	f := newFleet(t)
+	c := f.credentials("a")
+	m := f.link("m")
+	first, stop := f.start("a", c, "127.0.0.1:0")
+	f.deliver(m, "a", "one")
+	addr := first.Addr().String()
+	first.transport.Conn.Close() // nothing leaves any more
+	stop()
+	assert.Equal(t, m.Stats().Connections, 1)
+	f.start("a", c, addr)
+	f.deliver(m, "a", "as long as a ping is")
+	assert.Equal(t, m.Stats().SilentClosed, uint64(0))
+}
+
 // A peer that vanished without a word, then came back at another address.
 func TestVanishedPeerIsGivenUpAndReachedElsewhere(t *testing.T) {
 	f := newFleet(t)
