--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -206,7 +206,8 @@
 }
 
 // attempt sends a request, and again as often as the section repeats one that
-// was refused or got no answer, and returns the last result.
+// was refused or got no answer, each time to the next target, and returns the
+// last result.
 func (p *player) attempt(waiting context.Context, r *request, due time.Time, rng *rand.Rand) result {
 	for try := 0; ; try++ {
 		p.tally.noteSent(r)
@@ -217,6 +218,7 @@
 			return res
 		}
 		due = time.Now()
+		r.target = p.section.after(r.target)
 	}
 }
 
--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -74,7 +74,7 @@
 
 func changeSettings(ctx context.Context, f *fleet.Fleet, list *checklist) error {
 	fmt.Println("\na settings change: quetzal's weight from 1 to 1.5")
-	took, err := f.Apply(ctx, settings(1.5))
+	took, err := f.Apply(ctx, settings(1.5), true)
 	if err != nil {
 		return err
 	}
--- a/test/cmd/fleet/faults.go
+++ b/test/cmd/fleet/faults.go
@@ -24,16 +24,35 @@
 	Only string `long:"only" description:"run only scenarios whose names contain this"`
 }
 
-// result is one scenario's row.
+// result is one scenario's row. The counts are of the standard mix, the
+// breaches of all load.
 type result struct {
 	Scenario string `json:"scenario"`
 	fleet.Verdict
+	Reverted        int     `json:"reverted"` // a ready router's settings went back
 	RecoverySeconds float64 `json:"recoverySeconds"`
 	Recovered       bool    `json:"recovered"`
 }
 
 // breached says whether the row must fail the run.
-func (r result) breached() bool { return r.Breaches() > 0 || !r.Recovered || r.Whole == 0 }
+func (r result) breached() bool {
+	return r.Breaches()+r.Reverted > 0 || !r.Recovered || r.Whole == 0
+}
+
+// trial is one scenario on the fleet.
+type trial struct {
+	*fleet.Fleet
+	name    string
+	seed    uint64
+	callers []*fleet.Caller
+}
+
+// call starts load that is judged at the scenario's end.
+func (t *trial) call(name string, streams []fleet.Stream, d time.Duration) error {
+	c, err := t.Call(t.name+"-"+name, streams, d, t.seed)
+	t.callers = append(t.callers, c)
+	return err
+}
 
 // faults runs each fault alone, then each pair, in an order given by the seed.
 func faults(ctx context.Context, o options) error {
@@ -66,8 +85,8 @@
 	list := new(checklist)
 	for _, r := range results {
 		if r.breached() {
-			list.check(false, "%s: breaches %d, recovered %t, whole %d\n%s", r.Scenario, r.Breaches(),
-				r.Recovered, r.Whole, strings.Join(r.Examples, "\n"))
+			list.check(false, "%s: breaches %d, reverted %d, recovered %t, whole %d\n%s", r.Scenario, r.Breaches(),
+				r.Reverted, r.Recovered, r.Whole, strings.Join(r.Examples, "\n"))
 		}
 	}
 	ran, err := f.Record(ctx)
@@ -108,46 +127,102 @@
 	return append(singles, pairs...)
 }
 
-// run provokes the faults under load, heals them, waits for the recovery and
-// holds what callers saw against the servers' records.
+// run provokes the faults under load and heals them, changes the settings
+// meanwhile, waits for the recovery and holds what callers saw against the
+// servers' records.
 func (s scenario) run(ctx context.Context, f *fleet.Fleet, seed uint64, rng *rand.Rand) (result, error) {
 	r := result{Scenario: s.name()}
-	name := strings.ReplaceAll(s.name(), " ", "-")
-	caller, err := f.Call(name, mix(), scenarioLoad, seed)
-	if err != nil {
+	t := &trial{Fleet: f, name: strings.ReplaceAll(s.name(), " ", "-"), seed: seed}
+	if err := t.call("mix", mix(), scenarioLoad); err != nil {
 		return r, err
 	}
+	if err := t.call("twin", twin(f), scenarioLoad); err != nil {
+		return r, err
+	}
+	watch := watchSettings(ctx, f)
 	sleep(ctx, scenarioWarm)
 	stagger := time.Duration(rng.Int64N(int64(staggerMost)))
 	for i, fault := range s {
 		sleep(ctx, time.Duration(i)*stagger)
-		if err := fault.inject(ctx, f, name); err != nil {
+		if err := fault.inject(ctx, t); err != nil {
 			return r, err
 		}
 	}
-	sleep(ctx, faultHold)
+	held := time.After(faultHold)
+	_, _ = f.Apply(ctx, settings(1+rng.Float64()), false) // may fail truthfully, by the fault
+	<-held
 	for _, fault := range s {
-		if err := fault.heal(ctx, f, name); err != nil {
+		if err := fault.heal(ctx, t); err != nil {
 			return r, err
 		}
 	}
 	healed := time.Now()
 	r.Recovered = recovered(ctx, f)
 	r.RecoverySeconds = time.Since(healed).Seconds()
-	report, err := caller.Report(ctx)
-	if err != nil {
-		return r, err
+	r.Reverted = watch()
+	for i, c := range t.callers {
+		report, err := c.Report(ctx)
+		if err != nil {
+			return r, err
+		}
+		v := fleet.Judge(report)
+		if i == 0 {
+			r.Verdict = v
+		} else {
+			r.AddBreaches(v)
+		}
 	}
-	r.Verdict = fleet.Judge(report)
 	return r, nil
 }
 
-// recovered waits until every router answers every kind of call.
+// twin sends the mix's bookings with keys a second time, the same keys at the
+// same times, to other routers.
+func twin(f *fleet.Fleet) []fleet.Stream {
+	s := keyedBookings
+	entries := f.Entries()
+	s.Targets = append(entries[1:len(entries):len(entries)], entries[0])
+	return []fleet.Stream{s}
+}
+
+// watchEvery is how often the settings' versions are looked at.
+const watchEvery = 100 * time.Millisecond
+
+// watchSettings watches the versions of the settings that ready routers have
+// in force. The function returned ends it and tells how often one went back.
+func watchSettings(ctx context.Context, f *fleet.Fleet) func() int {
+	ctx, cancel := context.WithCancel(ctx)
+	reverted := make(chan int)
+	go func() {
+		back := 0
+		last := make(map[string]uint64)
+		for ctx.Err() == nil {
+			for _, r := range f.Routers {
+				s, err := r.Status(ctx)
+				if err != nil || !s.Ready {
+					continue
+				}
+				if s.SettingsVersion < last[r.ID] {
+					back++
+				}
+				last[r.ID] = s.SettingsVersion
+			}
+			sleep(ctx, watchEvery)
+		}
+		reverted <- back
+	}()
+	return func() int {
+		cancel()
+		return <-reverted
+	}
+}
+
+// recovered waits until every router answers every kind of call and has the
+// same, latest settings in force.
 func recovered(ctx context.Context, f *fleet.Fleet) bool {
 	ctx, cancel := context.WithTimeout(ctx, recoveryLimit)
 	defer cancel()
 	for ctx.Err() == nil {
-		if f.Probe(ctx, prober, planModel, "dispatch") == nil {
+		if f.Probe(ctx, prober, planModel, "dispatch") == nil && f.Settled(ctx) {
 			return true
 		}
 		sleep(ctx, 50*time.Millisecond)
@@ -160,7 +235,7 @@
 
 func newFaultTable() *faultTable {
 	t := &faultTable{tabwriter.NewWriter(os.Stdout, 10, 0, 1, ' ', tabwriter.AlignRight)}
-	fmt.Fprintf(t.out, "requests\twhole\trefused\tunknown\tdoubled\twrong\tfalse no-run\trecovery\t  scenario\n")
+	fmt.Fprintf(t.out, "requests\twhole\trefused\tunknown\tdoubled\twrong\tfalse no-run\treverted\trecovery\t  scenario\n")
 	t.out.Flush()
 	return t
 }
@@ -170,7 +245,7 @@
 	if !r.Recovered {
 		recovery = "none"
 	}
-	fmt.Fprintf(t.out, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t  %s\n", r.Requests, r.Whole, r.Refused, r.Unknown,
-		r.Doubled, r.Wrong, r.FalseNotRun, recovery, r.Scenario)
+	fmt.Fprintf(t.out, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t  %s\n", r.Requests, r.Whole, r.Refused, r.Unknown,
+		r.Doubled, r.Wrong, r.FalseNotRun, r.Reverted, recovery, r.Scenario)
 	t.out.Flush()
 }
--- a/test/cmd/fleet/inject.go
+++ b/test/cmd/fleet/inject.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"syscall"
+	"time"
 
+	"github.com/windscale/windscale/internal/standin/platform"
 	"github.com/windscale/windscale/test/fleet"
 )
 
-// act provokes or heals a failure; scenario names files.
-type act = func(ctx context.Context, f *fleet.Fleet, scenario string) error
+// act provokes or heals a failure.
+type act = func(context.Context, *trial) error
 
 // fault is one failure that can be provoked and healed.
 type fault struct {
@@ -29,41 +31,58 @@
 	leavingServer = 1
 	faultyServer  = 2
 	cutService    = 4
+)
 
-	floodRate = "open 1500"
+const (
+	floodRate   = "open 1500"
+	slowTable   = 200 * time.Millisecond // longer than the routers hold a claim back
+	betweenLost = 100 * time.Millisecond
 )
 
 func allFaults() []fault {
+	stores := []string{platform.Table, platform.Objects, platform.Hosts}
 	return []fault{
 		{name: "router killed", inject: killRouter, heal: restartRouter},
-		{name: "router paused", inject: signalRouter(syscall.SIGSTOP), heal: signalRouter(syscall.SIGCONT)},
+		{name: "router paused", inject: pauseRouter, heal: signalRouter(syscall.SIGCONT)},
 		{name: "link cut", inject: setLinks(true), heal: setLinks(false)},
-		{name: "table down", inject: platformMode("down", "table"), heal: platformMode("ok", "table")},
-		{name: "replies lost", inject: platformMode("lost-reply", "table"), heal: platformMode("ok", "table")},
+		{name: "table down", inject: platformMode(platform.Down, platform.Table), heal: platformMode(platform.OK, platform.Table)},
+		{name: "replies lost", inject: loseReplies, heal: platformMode(platform.OK, stores...)},
 		{name: "server dying", inject: serverMode(dyingServer, "die"), heal: serverMode(dyingServer, "ok")},
 		{name: "server leaving", inject: leave(true), heal: leave(false)},
 		{name: "flood", inject: flood, heal: nothing},
 		{name: "answers cut", inject: serverMode(faultyServer, "close-without-done"), heal: serverMode(faultyServer, "ok"), alone: true},
 		{name: "answers crossed", inject: serverMode(faultyServer, "echo-wrong-id"), heal: serverMode(faultyServer, "ok"), alone: true},
 		{name: "bookings cut", inject: serverMode(cutService, "cut-before"), heal: serverMode(cutService, "ok"), alone: true},
-		{name: "stores down", inject: platformMode("down", "table", "objects", "hosts"), heal: platformMode("ok", "table", "objects", "hosts"), alone: true},
+		{name: "stores down", inject: platformMode(platform.Down, stores...), heal: platformMode(platform.OK, stores...), alone: true},
 	}
 }
 
-func nothing(context.Context, *fleet.Fleet, string) error { return nil }
+func nothing(context.Context, *trial) error { return nil }
 
-func killRouter(_ context.Context, f *fleet.Fleet, _ string) error {
-	f.Routers[killedRouter].Kill()
+func killRouter(_ context.Context, t *trial) error {
+	t.Routers[killedRouter].Kill()
 	return nil
 }
 
-func restartRouter(_ context.Context, f *fleet.Fleet, _ string) error {
-	return f.StartRouter(f.Routers[killedRouter])
+func restartRouter(_ context.Context, t *trial) error {
+	return t.StartRouter(t.Routers[killedRouter])
+}
+
+// pauseRouter stops the router while its writes to the table are under way, so
+// that it wakes with claims whose lease has lapsed.
+func pauseRouter(ctx context.Context, t *trial) error {
+	order := platform.Fault{Service: platform.Table, Mode: platform.Slow, DelayMs: int(slowTable.Milliseconds())}
+	if err := t.PlatformFault(ctx, order); err != nil {
+		return err
+	}
+	sleep(ctx, slowTable)
+	t.Routers[pausedRouter].Signal(syscall.SIGSTOP)
+	return platformMode(platform.OK, platform.Table)(ctx, t)
 }
 
 func signalRouter(sig syscall.Signal) act {
-	return func(_ context.Context, f *fleet.Fleet, _ string) error {
-		f.Routers[pausedRouter].Signal(sig)
+	return func(_ context.Context, t *trial) error {
+		t.Routers[pausedRouter].Signal(sig)
 		return nil
 	}
 }
@@ -76,9 +95,9 @@
 
 // setLinks orders one router to cut or mend its links to all others.
 func setLinks(cut bool) act {
-	return func(ctx context.Context, f *fleet.Fleet, _ string) error {
-		r := f.Routers[cutRouter]
-		for _, peer := range f.Routers {
+	return func(ctx context.Context, t *trial) error {
+		r := t.Routers[cutRouter]
+		for _, peer := range t.Routers {
 			if peer == r {
 				continue
 			}
@@ -90,10 +109,10 @@
 	}
 }
 
-func platformMode(mode string, services ...string) act {
-	return func(ctx context.Context, f *fleet.Fleet, _ string) error {
+func platformMode(mode platform.Mode, services ...string) act {
+	return func(ctx context.Context, t *trial) error {
 		for _, s := range services {
-			if err := f.PlatformFault(ctx, s, mode); err != nil {
+			if err := t.PlatformFault(ctx, platform.Fault{Service: s, Mode: mode}); err != nil {
 				return err
 			}
 		}
@@ -101,6 +120,20 @@
 	}
 }
 
+// loseReplies loses the reply of one call of the table and of the object store
+// after another, with others between them that arrive.
+func loseReplies(ctx context.Context, t *trial) error {
+	go func() {
+		for range faultHold / betweenLost {
+			for _, s := range []string{platform.Table, platform.Objects} {
+				_ = t.PlatformFault(ctx, platform.Fault{Service: s, Mode: platform.LostReply, Count: 1})
+			}
+			sleep(ctx, betweenLost)
+		}
+	}()
+	return nil
+}
+
 // serverOrder is the body of a stand-in server's POST /_fault.
 type serverOrder struct {
 	Mode  string `json:"mode"`
@@ -108,20 +141,19 @@
 }
 
 func serverMode(server int, mode string) act {
-	return func(ctx context.Context, f *fleet.Fleet, _ string) error {
-		return f.Backends[server].Fault(ctx, serverOrder{Mode: mode, After: 5})
+	return func(ctx context.Context, t *trial) error {
+		return t.Backends[server].Fault(ctx, serverOrder{Mode: mode, After: 5})
 	}
 }
 
 func leave(leaving bool) act {
-	return func(ctx context.Context, f *fleet.Fleet, _ string) error {
-		return f.SetLeaving(ctx, f.Backends[leavingServer].ID, leaving)
+	return func(ctx context.Context, t *trial) error {
+		return t.SetLeaving(ctx, t.Backends[leavingServer].ID, leaving)
 	}
 }
 
-func flood(_ context.Context, f *fleet.Fleet, scenario string) error {
-	_, err := f.Call(scenario+"-flood", []fleet.Stream{
-		{Customer: flooder, Kind: plans, Mode: floodRate, Values: "prompt = 100\ntokens = 20\ntimeout = 4s"},
-	}, faultHold, 1)
-	return err
+func flood(_ context.Context, t *trial) error {
+	return t.call("flood", []fleet.Stream{
+		{Customer: flooder, Kind: plans, Mode: floodRate, Values: "prompt = 100\ntokens = 20\ntimeout = 3s"},
+	}, faultHold)
 }
--- a/test/cmd/fleet/layout.go
+++ b/test/cmd/fleet/layout.go
@@ -92,15 +92,19 @@
 	return fleet.Server{ID: id, DataCentre: dc, Kind: "service", Args: args}
 }
 
+var keyedBookings = fleet.Stream{
+	Name: "keyed", Customer: desks, Kind: bookings, Mode: "open 15",
+	Values: "idempotency = true\nretries = 2\ntimeout = 3s",
+}
+
 // mix is the standard mix: plans, claims, status reads, bookings with and
 // without a key.
 func mix() []fleet.Stream {
 	const tokens = "prompt = 200\ntokens = 20-80\ntimeout = 3s"
-	const keyed = "idempotency = true\nretries = 2\ntimeout = 3s"
 	const plain = "idempotency = false\ntimeout = 3s"
 	return []fleet.Stream{
 		{Customer: desks, Kind: plans, Mode: "open 10", Values: tokens},
-		{Customer: desks, Kind: bookings, Mode: "open 15", Values: keyed},
+		keyedBookings,
 		{Customer: staff, Kind: claims, Mode: "closed 6", Values: tokens},
 		{Customer: drivers, Kind: status, Mode: "open 40", Values: plain},
 		{Customer: warehouse, Kind: bookings, Mode: "open 10", Values: plain},
--- a/test/fleet/check.go
+++ b/test/fleet/check.go
@@ -25,6 +25,15 @@
 // Breaches is the number of broken promises; what could not be checked counts.
 func (v Verdict) Breaches() int { return v.Doubled + v.Wrong + v.FalseNotRun + v.Unchecked }
 
+// AddBreaches adds the broken promises of other load, without its counts.
+func (v *Verdict) AddBreaches(o Verdict) {
+	v.Doubled += o.Doubled
+	v.Wrong += o.Wrong
+	v.FalseNotRun += o.FalseNotRun
+	v.Unchecked += o.Unchecked
+	v.Examples = append(v.Examples, o.Examples...)
+}
+
 // Judge sums up a report, which must hold the comparison with the records.
 func Judge(r *load.Report) Verdict {
 	var v Verdict
--- a/test/fleet/client.go
+++ b/test/fleet/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/standin/backend"
+	standin "github.com/windscale/windscale/internal/standin/platform"
 )
 
 // callLimit bounds one call of the scaffolding to a process.
@@ -115,11 +116,8 @@
 }
 
 // PlatformFault puts one of the platform's services into a mode.
-func (f *Fleet) PlatformFault(ctx context.Context, service, mode string) error {
-	return sendJSON(ctx, http.MethodPost, f.URL+"/_fault", struct {
-		Service string `json:"service"`
-		Mode    string `json:"mode"`
-	}{service, mode})
+func (f *Fleet) PlatformFault(ctx context.Context, order standin.Fault) error {
+	return sendJSON(ctx, http.MethodPost, f.URL+"/_fault", order)
 }
 
 // Probe sends one request of each kind to every router and returns the first
--- a/test/fleet/files.go
+++ b/test/fleet/files.go
@@ -79,25 +79,52 @@
 
 // applySettings makes the configured settings the first version.
 func (f *Fleet) applySettings(ctx context.Context) error {
-	_, err := f.Apply(ctx, f.Settings)
+	_, err := f.Apply(ctx, f.Settings, true)
 	return err
 }
 
-// Apply makes the sections, and the customers', the settings and returns how
-// long it took until they were in force on every router.
-func (f *Fleet) Apply(ctx context.Context, sections string) (time.Duration, error) {
+// Version is the latest version of the settings that is known to be accepted.
+func (f *Fleet) Version() uint64 { return f.version }
+
+// Apply makes the sections, and the customers', the settings. It returns how
+// long that took, with wait until they were in force on every live router.
+func (f *Fleet) Apply(ctx context.Context, sections string, wait bool) (time.Duration, error) {
 	path := f.path("settings.ini")
 	if err := os.WriteFile(path, []byte(f.SettingsINI(sections)), 0o600); err != nil {
 		return 0, fail(err, "write the settings")
 	}
+	args := []string{"settings", "apply", "--editor", "trial", "--base", strconv.FormatUint(f.version, 10), path}
+	if !wait {
+		args = append(args, "--wait", "0s")
+	}
 	began := time.Now()
-	err := f.Ctl(ctx, "settings", "apply", "--base", strconv.Itoa(f.version), path)
+	err := f.Ctl(ctx, args...)
 	if err == nil {
 		f.version++
 	}
 	return time.Since(began), err
 }
 
+// Settled says whether all routers are ready with the same version of the
+// settings, which is none below the latest known to be accepted.
+func (f *Fleet) Settled(ctx context.Context) bool {
+	var first uint64
+	for i, r := range f.Routers {
+		s, err := r.Status(ctx)
+		if err != nil || !s.Ready || s.SettingsVersion < f.version {
+			return false
+		}
+		if i == 0 {
+			first = s.SettingsVersion
+		}
+		if s.SettingsVersion != first {
+			return false
+		}
+	}
+	f.version = first
+	return true
+}
+
 // CtlArgs are the options that windscalectl needs for this fleet.
 func (f *Fleet) CtlArgs() []string {
 	return []string{"--platform", f.URL, "--admin-token-file", f.path("admin.token")}
--- a/test/fleet/load.go
+++ b/test/fleet/load.go
@@ -14,6 +14,7 @@
 
 // Stream is one stream of callers: a section of windscale-load's plan.
 type Stream struct {
+	Name     string // of the section, unique in the plan; empty: by its place
 	Customer Customer
 	Kind     string   // such as "model:plan-7b"
 	Mode     string   // such as "open 20" or "closed 4"
@@ -37,9 +38,12 @@
 		if s.Targets == nil {
 			s.Targets = f.Entries()
 		}
-		kind, _, _ := strings.Cut(s.Kind, ":")
-		fmt.Fprintf(&plan, "[%d-%s]\ncustomer = %s\nkey = %s\ntargets = %s\nkind = %s\nmode = %s\n%s\n\n",
-			i, kind, s.Customer.Path, s.Customer.Key(), urls(s.Targets), s.Kind, s.Mode, s.Values)
+		if s.Name == "" {
+			kind, _, _ := strings.Cut(s.Kind, ":")
+			s.Name = fmt.Sprintf("%d-%s", i, kind)
+		}
+		fmt.Fprintf(&plan, "[%s]\ncustomer = %s\nkey = %s\ntargets = %s\nkind = %s\nmode = %s\n%s\n\n",
+			s.Name, s.Customer.Path, s.Customer.Key(), urls(s.Targets), s.Kind, s.Mode, s.Values)
 	}
 	file := f.path(name + ".plan.ini")
 	if err := os.WriteFile(file, []byte(plan.String()), 0o600); err != nil {
