--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -25,12 +25,13 @@
 type drain struct {
 	begin sync.Once
 	asked chan struct{} // closed when the drain is to begin
+	over  chan struct{} // closed when nothing is left to wait for
 	began atomic.Int64  // Unix nanoseconds; 0: serving
 	ended atomic.Bool
 	cut   atomic.Uint64 // requests cut at the limit
 }
 
-func newDrain() *drain { return &drain{asked: make(chan struct{})} }
+func newDrain() *drain { return &drain{asked: make(chan struct{}), over: make(chan struct{})} }
 
 // start asks for the drain; only the first call counts.
 func (d *drain) start() {
@@ -50,6 +51,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	failed := make(chan struct{}) // another actor has ended
 	g.Add(func() error {
+		defer close(r.drain.over)
 		defer signal.Stop(signals)
 		select {
 		case <-signals:
@@ -81,17 +83,30 @@
 	r.members.Leave()
 	srv.Retire()
 	pause(ctx, lameDuck)
-	err := srv.Shutdown(ctx)
-	if err != nil {
-		waiting, running = r.sharer.Counts()
-		r.drain.cut.Store(uint64(running + waiting))
-	}
+	err := r.shutdown(ctx, srv)
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
 	pause(context.Background(), lastWords)
 	return err
 }
 
+// shutdown waits for the requests in progress. When ctx ends it counts those
+// that are left and cuts them; the error is *CutError.
+func (r *Router) shutdown(ctx context.Context, srv *entry.Server) error {
+	limited, cut := context.WithCancel(context.Background())
+	defer cut()
+	stop := context.AfterFunc(ctx, func() {
+		waiting, running := r.sharer.Counts()
+		r.drain.cut.Store(uint64(running + waiting))
+		cut()
+	})
+	defer stop()
+	if srv.Shutdown(limited) == nil {
+		return nil
+	}
+	return &CutError{Requests: r.drain.cut.Load(), Err: ctx.Err()}
+}
+
 // lastWords is the time for the last reports to leave.
 const lastWords = 50 * time.Millisecond
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -178,7 +178,7 @@
 	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
-	g.Add(srv.Run, func(error) { _ = r.entryLn.Close() })
+	g.Add(func() error { return r.accept(srv) }, func(error) { _ = r.entryLn.Close() })
 	adm := &http.Server{Handler: admin.Handler(r, r.cfg.AdminToken), ReadHeaderTimeout: adminTimeout}
 	g.Add(func() error { return closed(adm.Serve(r.adminLn)) }, func(error) { _ = adm.Close() })
 	r.addDrain(g, srv)
@@ -189,6 +189,15 @@
 	return nil
 }
 
+// accept takes callers' connections, and returns when the drain is over: the
+// first actor that returns ends all the others, which the requests in progress
+// still need.
+func (r *Router) accept(srv *entry.Server) error {
+	err := srv.Run()
+	<-r.drain.over
+	return err
+}
+
 // adminTimeout bounds the time an operator's request takes to arrive.
 const adminTimeout = 5 * time.Second
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -25,10 +26,10 @@
 		known = append(known, msg.ServerID(h.ID))
 		if h.State == platform.HostLive {
 			live[msg.ServerID(h.ID)] = h.Addr
-		} else {
-			r.servers.leaving(msg.ServerID(h.ID))
 		}
+		r.servers.listed(msg.ServerID(h.ID), h.State != platform.HostLive)
 	}
+	r.servers.keep(l.Servers)
 	r.metrics.Sharing.SetServers(known)
 	r.sharer.SetServers(live)
 	r.setCandidates(l)
@@ -40,10 +41,7 @@
 		r.servers.silent(id, err)
 		return
 	}
-	r.servers.answered(id)
-	if rep.Leaving {
-		r.servers.leaving(id)
-	}
+	r.servers.answered(id, rep.Leaving)
 	r.sharer.Load(share.LoadReport{
 		Server:  id,
 		Pools:   rep.Pools(),
@@ -63,26 +61,43 @@
 	last map[msg.ServerID]watched
 }
 
+// watched is what is held of a server. It may come back after it left.
 type watched struct {
-	silent  bool
-	leaving bool
+	silent bool
+	listed bool // as leaving, in the host list
+	says   bool // itself that it is leaving
 }
 
+func (s watched) leaving() bool { return s.listed || s.says }
+
 func newServerWatch(log *slog.Logger) *serverWatch {
 	return &serverWatch{log: log, last: map[msg.ServerID]watched{}}
 }
 
-// update changes what is held of a server and returns what was held before.
-func (w *serverWatch) update(id msg.ServerID, change func(*watched)) watched {
+// update changes what is held of a server and logs that it begins to leave.
+func (w *serverWatch) update(id msg.ServerID, change func(*watched)) (before watched) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	before := w.last[id]
+	before = w.last[id]
 	after := before
 	change(&after)
 	w.last[id] = after
+	if after.leaving() && !before.leaving() {
+		events.ServerLeaving.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
+	}
 	return before
 }
 
+// keep forgets the servers that are not in the host list any more.
+func (w *serverWatch) keep(known map[msg.ServerID]platform.Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	maps.DeleteFunc(w.last, func(id msg.ServerID, _ watched) bool {
+		_, ok := known[id]
+		return !ok
+	})
+}
+
 func (w *serverWatch) silent(id msg.ServerID, err error) {
 	before := w.update(id, func(s *watched) { s.silent = true })
 	if !before.silent {
@@ -90,18 +105,16 @@
 	}
 }
 
-func (w *serverWatch) answered(id msg.ServerID) {
-	before := w.update(id, func(s *watched) { s.silent = false })
+func (w *serverWatch) answered(id msg.ServerID, leaving bool) {
+	before := w.update(id, func(s *watched) { s.silent, s.says = false, leaving })
 	if before.silent {
 		events.ServerBack.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
 	}
 }
 
-func (w *serverWatch) leaving(id msg.ServerID) {
-	before := w.update(id, func(s *watched) { s.leaving = true })
-	if !before.leaving {
-		events.ServerLeaving.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
-	}
+// listed takes what the host list says.
+func (w *serverWatch) listed(id msg.ServerID, leaving bool) {
+	w.update(id, func(s *watched) { s.listed = leaving })
 }
 
 // state is the word for a server in operators' tables.
@@ -109,7 +122,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch s := w.last[id]; {
-	case s.leaving:
+	case s.leaving():
 		return "leaving"
 	case s.silent:
 		return "silent"
