--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -35,7 +35,8 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
-	tickAt  time.Duration // the last tick
+	tickAt  time.Duration  // the last tick
+	unsure  []*grantRecord // sent and not known to be confirmed
 }
 
 // grantRecord is a grant that has not ended.
@@ -47,6 +48,9 @@
 	entry   msg.RouterID
 	charged msg.Cost
 	at      time.Duration
+	sent    bool          // to another router, and not confirmed yet
+	resend  time.Duration // when to send it again if it is not confirmed
+	wait    time.Duration // from one resending to the next
 	alive   time.Duration // last known to be wanted
 }
 
@@ -316,7 +320,7 @@
 		cost, ok := still[g.seq]
 		switch {
 		case ok:
-			g.alive = a.n.now
+			g.alive, g.sent = a.n.now, false
 			if cost > g.charged {
 				g.account.charge(cost - g.charged)
 				g.charged = cost
@@ -340,6 +344,7 @@
 // tells the directories what is idle.
 func (a *admitter) tick() {
 	a.forgivePause()
+	a.resendGrants()
 	if a.n.now >= a.scanAt {
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
@@ -369,6 +374,25 @@
 	}
 }
 
+// resendGrants sends again what has not been confirmed. The entry ignores what
+// it has got.
+func (a *admitter) resendGrants() {
+	list := a.unsure[:0]
+	for _, g := range a.unsure {
+		if !g.sent || a.grants[g.seq] != g {
+			continue
+		}
+		list = append(list, g)
+		if a.n.now >= g.resend {
+			g.wait *= 2
+			g.resend = a.n.now + g.wait
+			a.send(g)
+		}
+	}
+	clear(a.unsure[len(list):])
+	a.unsure = list
+}
+
 // sweep forgets registrations that have long been empty or not repeated.
 func (a *admitter) sweep() {
 	for _, e := range a.entries {
--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -4,8 +4,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"github.com/windscale/windscale/internal/core/msg"
 )
 
 // sweepInterval is between two looks for state to forget or repeat.
@@ -24,10 +22,7 @@
 		e.avoidNoMore(q)
 		e.widen(q)
 	}
-	if e.n.now >= e.keepAt {
-		e.keepAt = e.n.now + e.n.cfg.KeepInterval
-		e.keepAlive()
-	}
+	e.keepAlive()
 	if e.n.now >= e.sweepAt {
 		e.sweepAt = e.n.now + sweepInterval
 		e.sweep()
@@ -107,22 +102,46 @@
 	e.touch(q)
 }
 
-// keepAlive tells every admitter which of its grants are held. Lower ones are
-// void from then on, should they still come.
+// keepBy sees to it that the admitter gets a keep-alive by the time.
+func (e *entry) keepBy(p *peer, at time.Duration) {
+	if p.dueAt == 0 {
+		e.due = append(e.due, p)
+	}
+	if p.dueAt == 0 || at < p.dueAt {
+		p.dueAt = at
+	}
+}
+
+// keepAlive sends the keep-alives that are due.
 func (e *entry) keepAlive() {
-	ids := make([]msg.RouterID, 0, len(e.peers))
-	for id, p := range e.peers {
-		if len(p.got) > 0 || len(p.held) > 0 {
-			ids = append(ids, id)
+	list := e.due
+	e.due = nil
+	for _, p := range list {
+		if e.peers[p.id] != p {
+			continue // the admitter has restarted
+		}
+		if e.n.now >= p.dueAt {
+			e.sendHeld(p)
+		}
+		if p.dueAt > 0 {
+			e.due = append(e.due, p)
 		}
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	for _, id := range ids {
-		p := e.peers[id]
-		m := e.n.to(id)
-		m.Of, m.Seen, m.Held = p.incarnation, p.seen, p.heldList()
-		p.void = p.seen
-		p.got = map[uint64]bool{}
+}
+
+// sendHeld tells an admitter which of its grants are held. Lower ones are void
+// from then on, should they still come. So a grant is confirmed, and a lost
+// end made good, soon after either.
+func (e *entry) sendHeld(p *peer) {
+	m := e.n.to(p.id)
+	m.Of, m.Seen, m.Held = p.incarnation, p.seen, p.heldList()
+	m.Ends = append(m.Ends, p.ended...)
+	p.ended = nil
+	p.void = p.seen
+	p.got = map[uint64]bool{}
+	p.dueAt = 0
+	if len(p.held) > 0 {
+		p.dueAt = e.n.now + e.n.cfg.KeepInterval
 	}
 }
 
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
+// resendAfter is how long after it was sent a grant that is not confirmed is
+// sent again; each further time takes twice as long.
+const resendAfter = 150 * time.Millisecond
+
 // grantAll hands out free slots until none is free or nothing waits for one.
 func (a *admitter) grantAll() {
 	if !a.dirty {
@@ -110,6 +115,14 @@
 	r.pending = append(r.pending, g.seq)
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
-	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id})
+	if r.entry != a.n.cfg.ID {
+		g.sent, g.wait, g.resend = true, resendAfter, a.n.now+resendAfter
+		a.unsure = append(a.unsure, g)
+	}
+	a.send(g)
+}
+
+func (a *admitter) send(g *grantRecord) {
+	m := a.n.to(g.entry)
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: g.reg.queue, Server: g.server.id})
 }
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -13,6 +13,8 @@
 	waitRefresh   = 15 * time.Second       // a registration is repeated
 	avoidFor      = 500 * time.Millisecond // a wait this long takes avoided servers too
 	queueIdle     = time.Minute            // an empty queue is forgotten
+	confirmAfter  = 50 * time.Millisecond  // a grant is confirmed
+	repeatAfter   = 100 * time.Millisecond // an end is repeated
 	retryAfterMin = time.Second
 	retryAfterMax = 30 * time.Second
 )
@@ -34,7 +36,7 @@
 	bytes     int64
 	lastNum   uint64
 	picks     uint64
-	keepAt    time.Duration
+	due       []*peer // to be sent a keep-alive
 	sweepAt   time.Duration
 }
 
@@ -100,11 +102,14 @@
 
 // peer is an admitter as this entry knows it.
 type peer struct {
+	id          msg.RouterID
 	incarnation uint64
 	seen        uint64 // highest grant received
 	void        uint64 // grants up to this one that are not held are void
 	got         map[uint64]bool
 	held        map[uint64]*run
+	ended       []End         // sent since the last keep-alive, which repeats them
+	dueAt       time.Duration // of the next keep-alive; 0: none
 }
 
 func newEntry(n *Node) entry {
@@ -292,7 +297,7 @@
 		return
 	}
 	delete(p.held, r.seq)
-	e.sendEnd(r.admitter, p, endOf(r.seq, res))
+	e.sendEnd(p, endOf(r.seq, res))
 }
 
 func endOf(seq uint64, res Result) End {
@@ -311,10 +316,12 @@
 	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-func (e *entry) sendEnd(to msg.RouterID, p *peer, end End) {
-	m := e.n.to(to)
+func (e *entry) sendEnd(p *peer, end End) {
+	m := e.n.to(p.id)
 	m.Of = p.incarnation
 	m.Ends = append(m.Ends, end)
+	p.ended = append(p.ended, end)
+	e.keepBy(p, e.n.now+repeatAfter)
 }
 
 // peerOf returns what is known of an admitter, forgetting an earlier
@@ -325,7 +332,7 @@
 		return nil
 	}
 	if p == nil || p.incarnation < incarnation {
-		p = &peer{incarnation: incarnation, got: map[uint64]bool{}, held: map[uint64]*run{}}
+		p = &peer{id: id, incarnation: incarnation, got: map[uint64]bool{}, held: map[uint64]*run{}}
 		e.peers[id] = p
 		e.untell(id)
 	}
@@ -346,14 +353,18 @@
 // slot if there is none.
 func (e *entry) grant(from msg.RouterID, incarnation uint64, g Grant) {
 	p := e.peerOf(from, incarnation)
-	if p == nil || p.got[g.Seq] || g.Seq <= p.void {
+	if p == nil {
+		return
+	}
+	e.keepBy(p, e.n.now+confirmAfter)
+	if p.got[g.Seq] || g.Seq <= p.void {
 		return
 	}
 	p.got[g.Seq] = true
 	p.seen = max(p.seen, g.Seq)
 	q := e.byNum[g.Queue]
 	if q == nil || q.eligible() == 0 {
-		e.sendEnd(from, p, End{Seq: g.Seq, Flags: endReturned})
+		e.sendEnd(p, End{Seq: g.Seq, Flags: endReturned})
 		return
 	}
 	if t := q.told[from]; t != nil {
