--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -22,7 +22,7 @@
 		p.add(t, id)
 		p.settle()
 		if list := p.liveCounts(); len(list) > 0 {
-			d.Pools = append(d.Pools, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
+			d.Pools = append(d.Pools, packTotals(id, p.floor, list))
 		}
 	}
 	t.apply(d.Pools, &rec)
@@ -148,13 +148,15 @@
 	for _, pc := range pools {
 		p := t.pool(pc.Pool)
 		p.floor = max(p.floor, pc.Floor)
-		for i, x := range unpack(pc.Data) {
+		for i, x := range pc.totals() {
 			c := p.counter(x.hash)
-			c.total, c.slots, c.live = pc.Floor+x.value, x.slots, true
+			if t.parent != "" {
+				c.total, c.slots, c.live = x.value, x.slots, true // the root's are exact
+			}
 			live[c] = true
 			if a := t.own(pc.Pool, x.hash); a != nil {
 				listed[a] = true
-				a.merged(c, rec)
+				a.merged(x, rec)
 				a.rank = rankStep * float64(i)
 			}
 		}
@@ -176,8 +178,8 @@
 }
 
 // merged takes a merge's total.
-func (a *account) merged(c *counter, rec *record) {
-	a.total, a.slots = float64(c.total), c.slots
+func (a *account) merged(c count, rec *record) {
+	a.total, a.slots = float64(c.value), c.slots
 	if rec == nil {
 		return
 	}
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -128,6 +128,8 @@
 	Pool  msg.PoolID `cbor:"1,keyasint"`
 	Floor int64      `cbor:"2,keyasint,omitempty"` // totals are relative to it
 	Data  []byte     `cbor:"3,keyasint"`
+	Unit  int64      `cbor:"4,keyasint,omitempty"` // of the counters in Data, if not 1
+	Slots int        `cbor:"5,keyasint,omitempty"` // likewise of the slots
 }
 
 // DecodeError says that a message's body could not be read.
--- a/internal/core/share/pack.go
+++ b/internal/core/share/pack.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"sort"
+
+	"github.com/windscale/windscale/internal/core/msg"
 )
 
 // count is one customer's counter in a message.
@@ -12,6 +14,39 @@
 	slots int // of the admitters where the customer waits
 }
 
+// Counters and slots in totals are sent in units in which the greatest has
+// two bytes and one: the error is below a thousandth of the largest
+// difference, and does not add up.
+const (
+	maxCounter = 1<<13 - 1
+	maxSlots   = 1<<7 - 1
+)
+
+// packTotals writes the pool's totals, relative to its floor.
+func packTotals(pool msg.PoolID, floor int64, list []count) PoolCount {
+	pc := PoolCount{Pool: pool, Floor: floor, Unit: 1, Slots: 1}
+	for _, c := range list {
+		pc.Unit = max(pc.Unit, (max(c.value, -c.value)+maxCounter-1)/maxCounter)
+		pc.Slots = max(pc.Slots, (c.slots+maxSlots-1)/maxSlots)
+	}
+	for i := range list {
+		list[i].value /= pc.Unit
+		list[i].slots = (list[i].slots + pc.Slots - 1) / pc.Slots
+	}
+	pc.Data = pack(list)
+	return pc
+}
+
+// totals reads what packTotals wrote.
+func (pc PoolCount) totals() []count {
+	list := unpack(pc.Data)
+	for i := range list {
+		list[i].value = pc.Floor + list[i].value*max(1, pc.Unit)
+		list[i].slots *= max(1, pc.Slots)
+	}
+	return list
+}
+
 // pack writes the counts in the order of their hashes, each hash as the
 // difference to the one before.
 func pack(list []count) []byte {
--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	fanOut      = 4                      // children of a router in the tree
-	mergeLevel  = 2 * time.Second        // the merge interval, for each level below the root's children
-	levelDelay  = 30 * time.Millisecond  // a level sends up this much before the one above
-	firstMerge  = 300 * time.Millisecond // after a change of the members
-	keepRecords = 4                      // Ups of which the content is remembered
+	fanOut      = 4                       // children of a router in the tree
+	mergeLevel  = 1250 * time.Millisecond // the merge interval, for each level below the root's children
+	levelDelay  = 30 * time.Millisecond   // a level sends up this much before the one above
+	firstMerge  = 300 * time.Millisecond  // after a change of the members
+	keepRecords = 4                       // Ups of which the content is remembered
 )
 
 // tree merges the admitters' service counters. The routers form a tree over
@@ -171,7 +171,7 @@
 	for _, id := range t.sortedPools() {
 		p := t.pools[id]
 		if list := p.liveCounts(); len(list) > 0 {
-			out = append(out, PoolCount{Pool: id, Floor: p.floor, Data: pack(list)})
+			out = append(out, packTotals(id, p.floor, list))
 		}
 	}
 	return out
@@ -343,10 +343,10 @@
 			continue
 		}
 		p.floor = f.Floor
-		for _, x := range unpack(f.Data) {
+		for _, x := range f.totals() {
 			c := p.counter(x.hash)
 			if !c.live {
-				c.total, c.live = f.Floor+x.value, true
+				c.total, c.live = x.value, true
 			}
 		}
 	}
