--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -9,7 +9,8 @@
 
 const (
 	fanOut      = 4                       // children of a router in the tree
-	mergeLevel  = 1250 * time.Millisecond // the merge interval, for each level below the root's children
+	mergeLeast  = 2 * time.Second         // between two merges, at least
+	mergeLevel  = 1250 * time.Millisecond // likewise, for each level below the root's children
 	levelDelay  = 30 * time.Millisecond   // a level sends up this much before the one above
 	firstMerge  = 300 * time.Millisecond  // after a change of the members
 	keepRecords = 4                       // Ups of which the content is remembered
@@ -144,7 +145,7 @@
 	if set := t.n.cfg.MergeInterval; set > 0 {
 		return set
 	}
-	return mergeLevel * time.Duration(max(1, t.height-1))
+	return max(mergeLeast, mergeLevel*time.Duration(t.height-1))
 }
 
 func (t *tree) hasKid(id msg.RouterID) bool {
