Cut a server's limit once for one overload, and hear of restarts sooner

Most of the idle slots were held back by limits: each request that had queued behind the extra ones of a forgetful admitter caused a decrease of its own, seconds later. Requests granted before a decrease now cause none.

--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -12,6 +12,10 @@
 // graceScan is between two looks for grants that are not kept alive.
 const graceScan = 250 * time.Millisecond
 
+// foreignProbes is how much more often a server is asked while something runs
+// there of which this router will hear no end.
+const foreignProbes = 5
+
 // plainPrefix begins the names of plain services' pools. Their calls are
 // short, so their slots are granted ahead.
 const plainPrefix = "s/"
@@ -137,8 +141,12 @@
 
 func (a *admitter) membersChanged() {
 	for id, e := range a.entries {
-		if !a.n.members.has(id) {
+		i, ok := a.n.members.byID[id]
+		switch {
+		case !ok:
 			a.dropRegs(e)
+		case e.incarnation < a.n.members.list[i].Incarnation:
+			a.restarted(e, a.n.members.list[i].Incarnation)
 		}
 	}
 	for _, p := range a.order {
@@ -184,15 +192,19 @@
 		a.entries[from] = e
 	}
 	if e.incarnation < m.Incarnation {
-		e.incarnation = m.Incarnation
-		a.dropRegs(e)
-		for _, g := range sortedGrants(e.grants) {
-			a.release(g)
-		}
+		a.restarted(e, m.Incarnation)
 	}
 	return e.incarnation == m.Incarnation
 }
 
+func (a *admitter) restarted(e *entryPeer, incarnation uint64) {
+	e.incarnation = incarnation
+	a.dropRegs(e)
+	for _, g := range sortedGrants(e.grants) {
+		a.release(g)
+	}
+}
+
 func (a *admitter) dropRegs(e *entryPeer) {
 	for q, r := range e.regs {
 		delete(e.regs, q)
@@ -281,7 +293,7 @@
 	if end.Flags&endReturned != 0 {
 		return
 	}
-	g.server.limit.ended(a.n.now, res)
+	g.server.limit.ended(a.n.now, g.at, res)
 	if res.Leaving {
 		g.server.leaving = true
 		a.regroup()
@@ -412,6 +424,9 @@
 			continue
 		}
 		s.probeAt = a.n.now + a.n.cfg.ProbeInterval
+		if s.foreign > 0 {
+			s.probeAt = a.n.now + a.n.cfg.ProbeInterval/foreignProbes
+		}
 		a.n.ready.Probe = append(a.n.ready.Probe, s.id)
 	}
 }
--- a/internal/core/share/bench_test.go
+++ b/internal/core/share/bench_test.go
@@ -164,6 +164,7 @@
 			f.arrive(r)
 		}
 	}
+	f.after(time.Second, func() { f.setMembers(f.ids) }) // the others hear of it
 	f.after(every, func() { f.churn(every) })
 }
 
--- a/internal/core/share/directory.go
+++ b/internal/core/share/directory.go
@@ -37,6 +37,7 @@
 
 type dirAdmitter struct {
 	id    msg.RouterID
+	inc   uint64
 	slots int
 	idle  int // free slots not yet offered
 	at    time.Duration
@@ -63,7 +64,7 @@
 }
 
 // have takes an admitter's notice.
-func (d *directory) have(from msg.RouterID, h Have) {
+func (d *directory) have(from msg.RouterID, incarnation uint64, h Have) {
 	p := d.pool(h.Pool)
 	i := sort.Search(len(p.admitters), func(i int) bool { return p.admitters[i].id >= from })
 	known := i < len(p.admitters) && p.admitters[i].id == from
@@ -80,8 +81,11 @@
 		p.admitters[i] = dirAdmitter{id: from}
 	}
 	a := &p.admitters[i]
+	if a.inc != 0 && a.inc != incarnation {
+		d.restarted(p, from, incarnation)
+	}
 	changed := a.slots != h.Slots
-	a.slots, a.idle, a.at = h.Slots, h.Idle, d.n.now
+	a.inc, a.slots, a.idle, a.at = incarnation, h.Slots, h.Idle, d.n.now
 	if changed {
 		d.changed(p)
 	} else if h.Version != p.version {
@@ -90,6 +94,16 @@
 	d.offer(p)
 }
 
+// restarted tells the entries that wait that an admitter has forgotten them.
+func (d *directory) restarted(p *dirPool, id msg.RouterID, incarnation uint64) {
+	for _, e := range p.entries {
+		if e.count > 0 {
+			m := d.n.to(e.id)
+			m.Offers = append(m.Offers, Offer{Pool: p.id, Admitter: id, Restart: incarnation})
+		}
+	}
+}
+
 // ask takes an entry's notice that it has requests waiting, or none.
 func (d *directory) ask(from msg.RouterID, a Ask) {
 	p := d.pool(a.Pool)
--- a/internal/core/share/limit.go
+++ b/internal/core/share/limit.go
@@ -4,11 +4,11 @@
 
 // How a server's concurrency limit moves.
 const (
-	limitCut     = 0.7                    // factor of a decrease
-	limitRise    = 1.0                    // slots gained by a limit's worth of good ends
-	limitHold    = 200 * time.Millisecond // between two decreases
-	slowFactor   = 3.0                    // first token this much over its baseline is slow
-	baselineStep = 1.0 / 64               // the baseline's move towards a slower value
+	limitCut     = 0.8             // factor of a decrease
+	limitRise    = 2.0             // slots gained by a limit's worth of good ends
+	limitHold    = 2 * time.Second // between two decreases on load reports, which lag
+	slowFactor   = 3.0             // first token this much over its baseline is slow
+	baselineStep = 1.0 / 64        // the baseline's move towards a slower value
 )
 
 // limit is a server's concurrency limit, found by additive increase and
@@ -30,19 +30,20 @@
 	if slots != l.slots {
 		l.slots, l.value = slots, float64(slots)
 	}
-	if queued > 0 && queued > l.slots/4 {
+	if queued > l.slots/4 && (!l.cut || now-l.cutAt >= limitHold) {
 		l.decrease(now)
 	}
 }
 
-// ended takes what came of one request.
-func (l *limit) ended(now time.Duration, r Result) {
+// ended takes what came of a request granted at the given time. Requests that
+// were granted before the last decrease tell nothing of what it has changed.
+func (l *limit) ended(now, granted time.Duration, r Result) {
+	bad := r.Busy || (r.First > 0 && l.slow(r.First))
 	switch {
-	case r.Busy:
+	case bad && l.cut && granted <= l.cutAt:
+	case bad:
 		l.decrease(now)
 	case r.First == 0:
-	case l.slow(r.First):
-		l.decrease(now)
 	default:
 		l.value = min(float64(l.slots), l.value+limitRise/max(1, l.value))
 	}
@@ -61,9 +62,6 @@
 }
 
 func (l *limit) decrease(now time.Duration) {
-	if l.cut && now-l.cutAt < limitHold {
-		return
-	}
 	l.cut, l.cutAt = true, now
 	l.value = max(1, l.value*limitCut)
 }
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -95,11 +95,12 @@
 	Slots   []int          `cbor:"4,keyasint"`
 }
 
-// Offer tells an entry of an admitter with free slots.
+// Offer tells an entry of an admitter with free slots, or that has restarted.
 type Offer struct {
 	Pool     msg.PoolID   `cbor:"1,keyasint"`
 	Admitter msg.RouterID `cbor:"2,keyasint"`
-	Idle     int          `cbor:"3,keyasint"`
+	Idle     int          `cbor:"3,keyasint,omitempty"`
+	Restart  uint64       `cbor:"4,keyasint,omitempty"` // its new incarnation, which has no registrations
 }
 
 // Up carries what a router and the routers below it have served, to its parent
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -161,7 +161,7 @@
 		n.admit.wait(from, m, w)
 	}
 	for _, h := range m.Haves {
-		n.directory.have(from, h)
+		n.directory.have(from, m.Incarnation, h)
 	}
 	for _, a := range m.Asks {
 		n.directory.ask(from, a)
--- a/internal/core/share/server.go
+++ b/internal/core/share/server.go
@@ -68,6 +68,10 @@
 func (s *poolServer) report(now time.Duration, r LoadReport) {
 	s.hold(now, 0)
 	s.reported, s.leaving = true, r.Leaving
-	s.limit.report(now, r.Slots, r.Queued)
 	s.foreign = max(0, r.Running+r.Queued-max(s.peak, s.lastPeak))
+	queued := r.Queued
+	if s.foreign > 0 {
+		queued = 0 // not of this router's making, and held back for already
+	}
+	s.limit.report(now, r.Slots, queued)
 }
--- a/internal/core/share/sim_test.go
+++ b/internal/core/share/sim_test.go
@@ -36,6 +36,7 @@
 	spy      func(*share.Message)
 	over     int // most running beyond a server's slots
 	incs     uint64
+	inc      map[msg.RouterID]uint64
 }
 
 type simServer struct {
@@ -88,8 +89,8 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond, tick: 10 * time.Millisecond,
 		cut: map[msg.RouterID]int{}, skew: map[msg.RouterID]time.Duration{}, nodes: map[msg.RouterID]*share.Node{},
 		servers: map[msg.ServerID]*simServer{}, requests: map[msg.RequestID]*simRequest{},
-		served: map[simKey]float64{},
-		done:   func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
+		served: map[simKey]float64{}, inc: map[msg.RouterID]uint64{},
+		done: func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
 	}
 	for i := range routers {
 		f.startNode(msg.RouterID(fmt.Sprintf("r%d", i)))
@@ -101,6 +102,7 @@
 // startNode starts a router, or starts it again without memory.
 func (f *fleet) startNode(id msg.RouterID) {
 	f.incs++
+	f.inc[id] = f.incs
 	if _, ok := f.nodes[id]; !ok {
 		f.ids = append(f.ids, id)
 	}
@@ -135,7 +137,7 @@
 	var list []share.Member
 	for _, x := range f.ids {
 		if x != without {
-			list = append(list, share.Member{ID: x, DataCentre: dataCentre(x)})
+			list = append(list, share.Member{ID: x, Incarnation: f.inc[x], DataCentre: dataCentre(x)})
 		}
 	}
 	f.nodes[id].SetMembers(f.clock(id), list)
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -248,6 +248,10 @@
 	if p.find(o.Admitter) < 0 {
 		return
 	}
+	if o.Restart > 0 {
+		e.peerOf(o.Admitter, o.Restart)
+		return
+	}
 	p.granted(o.Admitter)
 	p.asked = max(0, p.asked-o.Idle)
 	left := o.Idle
