--- a/internal/core/share/fuzz_test.go
+++ b/internal/core/share/fuzz_test.go
@@ -43,10 +43,11 @@
 	return rapid.SampledFrom(w.ids).Draw(w.t, name)
 }
 
-func (w *world) send(customer int, pool msg.PoolID, entry msg.RouterID, cost int) {
+func (w *world) send(customer int, pool msg.PoolID, entry msg.RouterID, cost, concurrency int) {
 	w.count++
 	r := request(fmt.Sprint(w.count), fmt.Sprint("c", customer), float64(cost), entry)
 	r.Pool = pool
+	r.Limits.Concurrency = concurrency
 	w.all = append(w.all, r)
 	w.arrive(r)
 }
@@ -70,8 +71,9 @@
 		"arrive": func(t *rapid.T) {
 			c, p := rapid.IntRange(0, 4).Draw(t, "customer"), rapid.IntRange(0, 1).Draw(t, "pool")
 			entry := w.router("entry")
+			limit := rapid.SampledFrom([]int{0, 0, 2}).Draw(t, "concurrency")
 			for range rapid.IntRange(1, 10).Draw(t, "burst") {
-				w.send(c, poolName(p), entry, rapid.IntRange(1, fuzzCostMax).Draw(t, "cost"))
+				w.send(c, poolName(p), entry, rapid.IntRange(1, fuzzCostMax).Draw(t, "cost"), limit)
 			}
 		},
 		"cancel": func(t *rapid.T) {
@@ -92,6 +94,11 @@
 		"clock": func(t *rapid.T) {
 			w.skew[w.router("paused")] += time.Duration(rapid.IntRange(1, 30).Draw(t, "s")) * time.Second
 		},
+		"server": func(t *rapid.T) {
+			s := w.servers[msg.ServerID(fmt.Sprint("s", rapid.IntRange(0, len(w.servers)-1).Draw(t, "server")))]
+			s.leaving = rapid.Bool().Draw(t, "leaving")
+			s.refuses = rapid.Bool().Draw(t, "refuses")
+		},
 		"members": func(*rapid.T) {
 			of, without := w.router("of"), w.router("without")
 			w.setMembersOf(of, without)
@@ -115,6 +122,9 @@
 // settle ends the faults and lets what they left behind expire.
 func (w *world) settle() {
 	w.loss, w.cut = 0, map[msg.RouterID]int{}
+	for _, s := range w.servers {
+		s.leaving, s.refuses = false, false
+	}
 	w.setMembers(w.ids)
 	w.setServers()
 	w.run(w.now + time.Minute)
@@ -126,7 +136,7 @@
 	feed := func(c int) {
 		for left[simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}] < 30 {
 			left[simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}]++
-			w.send(c, poolName(0), entries[c], 10+(w.count*37)%(fuzzCostMax-10))
+			w.send(c, poolName(0), entries[c], 10+(w.count*37)%(fuzzCostMax-10), 0)
 		}
 	}
 	w.done = func(r *simRequest) {
@@ -193,3 +203,20 @@
 		t.Fatalf("gap %.0f, bound %.0f", high-low, bound)
 	}
 }
+
+// refuse ends an attempt that the server does not run; it comes again and
+// avoids the server.
+func (f *fleet) refuse(r *simRequest) {
+	n := f.nodes[r.entry]
+	f.after(f.latency(), func() {
+		r.starts--
+		if f.nodes[r.entry] != n {
+			r.refused = true // its caller was cut off
+			return
+		}
+		n.End(f.clock(r.entry), r.ID, share.Result{Busy: r.server.refuses, Leaving: r.server.leaving})
+		r.Avoid = []msg.ServerID{r.server.id}
+		n.Arrive(f.clock(r.entry), r.Request)
+		f.pump(r.entry)
+	})
+}
--- a/internal/core/share/node_test.go
+++ b/internal/core/share/node_test.go
@@ -20,6 +20,8 @@
 	}
 }
 
+func dataCentre(id msg.RouterID) string { return "d" + string(id[len(id)-1:]) }
+
 func smallFleet(routers, servers int) *fleet {
 	f := newFleet(1, routers, share.Config{})
 	for i := range servers {
--- a/internal/core/share/sim_test.go
+++ b/internal/core/share/sim_test.go
@@ -46,6 +46,8 @@
 	rate    float64 // cost a second a slot
 	running []*simRequest
 	queue   []*simRequest
+	leaving bool
+	refuses bool          // for overload
 	busy    time.Duration // slot time used
 	busyAt  time.Duration
 }
@@ -122,8 +124,6 @@
 	f.after(f.tick, func() { f.tickNode(id, n) })
 }
 
-func dataCentre(id msg.RouterID) string { return "d" + string(id[len(id)-1:]) }
-
 func (f *fleet) clock(id msg.RouterID) time.Duration { return f.now + f.skew[id] }
 
 func (f *fleet) setMembers(ids []msg.RouterID) {
@@ -230,7 +230,7 @@
 		return
 	}
 	n.Load(f.clock(id), share.LoadReport{
-		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue),
+		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue), Leaving: s.leaving,
 	})
 	f.pump(id)
 }
@@ -247,6 +247,10 @@
 	r.starts++
 	r.server = s
 	r.began = f.now
+	if s.refuses || s.leaving {
+		f.refuse(r)
+		return
+	}
 	if len(s.running) >= s.slots {
 		s.queue = append(s.queue, r)
 		f.over = max(f.over, len(s.queue))
