--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -221,6 +221,25 @@
 	f.deliver(links[1], "a", "after")
 }
 
+// Two connections of one pair: both sides drop the same one, whichever was
+// the first, and what is sent meanwhile arrives.
+func TestSecondConnectionOfAPairIsClosed(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.link("a"), f.link("b")
+	assert.NilError(t, b.peer("a").dialOnce(fetchContext(t)))
+	until(t, "the first", func() bool { return a.Stats().Connections == 1 })
+	assert.NilError(t, a.peer("b").dialOnce(fetchContext(t)))
+	until(t, "the second", func() bool { return b.Stats().Connections == 2 })
+	f.deliver(a, "b", "meanwhile")
+	f.deliver(b, "a", "meanwhile")
+	until(t, "one left", func() bool {
+		return a.Stats().Connections == 1 && b.Stats().Connections == 1
+	})
+	f.deliver(a, "b", "after")
+	f.deliver(b, "a", "after")
+	assert.Equal(t, a.Stats().Dials+b.Stats().Dials, uint64(2)) // none was needed again
+}
+
 func TestRestartedPeerIsReachedAgain(t *testing.T) {
 	for _, restarted := range []msg.RouterID{"a", "z"} { // the lower and the higher ID
 		t.Run(string(restarted), func(t *testing.T) {
