--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,43 @@
 	return w
 }
 
+// disagreement names a running node whose view is not the running nodes.
+func (w *network) disagreement() string {
+	var want []string
+	for _, id := range w.ids {
+		if n, ok := w.nodes[id]; ok {
+			want = append(want, fmt.Sprint(id, n.self.Incarnation, n.self.State))
+		}
+	}
+	slices.Sort(want)
+	for _, id := range w.ids {
+		n, ok := w.nodes[id]
+		if !ok {
+			continue
+		}
+		var got []string
+		for _, m := range n.Members() {
+			got = append(got, fmt.Sprint(m.ID, m.Incarnation, m.State))
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			return fmt.Sprintf("at %v: %s sees %v, not %v", w.now, id, got, want)
+		}
+	}
+	return ""
+}
+
+// hostList gives each router the whole list, dead routers included.
+func (w *network) hostList() {
+	var list []Candidate
+	for _, id := range w.ids {
+		list = append(list, Candidate{ID: id})
+	}
+	for _, n := range w.nodes {
+		n.Candidates(w.now, list)
+	}
+}
+
 func TestKilledRouterIsOutOfAllViewsIn4s(t *testing.T) {
 	for seed := range uint64(50) {
 		w := startAll(seed, 8)
--- a/internal/core/member/net_test.go
+++ b/internal/core/member/net_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -62,17 +61,6 @@
 	w.take(id, n)
 }
 
-// hostList gives each router the whole list, dead routers included.
-func (w *network) hostList() {
-	var list []Candidate
-	for _, id := range w.ids {
-		list = append(list, Candidate{ID: id})
-	}
-	for _, n := range w.nodes {
-		n.Candidates(w.now, list)
-	}
-}
-
 func (w *network) kill(id msg.RouterID) { delete(w.nodes, id) }
 
 func (w *network) cut(a, b msg.RouterID, on bool) {
@@ -162,29 +150,3 @@
 		}
 	}
 }
-
-// disagreement names a running node whose view is not the running nodes.
-func (w *network) disagreement() string {
-	var want []string
-	for _, id := range w.ids {
-		if n, ok := w.nodes[id]; ok {
-			want = append(want, fmt.Sprint(id, n.self.Incarnation, n.self.State))
-		}
-	}
-	slices.Sort(want)
-	for _, id := range w.ids {
-		n, ok := w.nodes[id]
-		if !ok {
-			continue
-		}
-		var got []string
-		for _, m := range n.Members() {
-			got = append(got, fmt.Sprint(m.ID, m.Incarnation, m.State))
-		}
-		slices.Sort(got)
-		if !slices.Equal(got, want) {
-			return fmt.Sprintf("at %v: %s sees %v, not %v", w.now, id, got, want)
-		}
-	}
-	return ""
-}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -64,7 +65,11 @@
 		n.ready.Superseded = max(n.ready.Superseded, u.Incarnation)
 	case u.Incarnation < n.self.Incarnation:
 		n.spread(n.self.ID) // somebody has not heard of this incarnation
-	case u.State >= Suspect && u.Refutation >= n.self.Refutation && n.self.State != Left:
+	case u.State < Suspect || u.Refutation < n.self.Refutation || n.self.State == Left:
+		return
+	case u.Refutation == math.MaxUint32:
+		n.ready.Superseded = u.Incarnation // it cannot be refuted
+	default:
 		n.self.Refutation = u.Refutation + 1
 		n.changed()
 		n.spread(n.self.ID)
