--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -22,33 +22,34 @@
 
 type measureOptions struct {
 	Sharing []string `long:"sharing" default:"alone" default:"fleet" description:"ways of sharing to measure, in order"`
-	Round   string   `long:"round" default:"-" description:"what the row is to say of the round"`
-	Cause   string   `long:"cause" default:"-" description:"what the row is to say of the cause"`
+	Round   string   `long:"round" default:"trial" description:"what the row is to say of the round"`
+	Cause   string   `long:"cause" default:"sharing across the fleet in place of each router alone" description:"what the row is to say of the cause"`
 }
 
 // figures are what one way of sharing comes to.
 type figures struct {
-	Sharing           string  `json:"sharing"`
-	Requests          int     `json:"requests"`
-	Breaches          int     `json:"breaches"`
-	Gap               float64 `json:"gap"`        // largest difference of service over weight, in weighted tokens
-	GapSeconds        float64 `json:"gapSeconds"` // the same, in seconds of a customer's fair share
-	CostPerSecond     float64 `json:"costPerSecond"`
-	EngineUse         float64 `json:"engineUse"`  // of slots, while work waited
-	ServiceUse        float64 `json:"serviceUse"` // the same, of the plain services
-	SmallestWaitMs    float64 `json:"smallestWaitMs"`
-	ControlBytes      float64 `json:"controlBytesPerRouterSecond"`
-	ControlMessages   float64 `json:"controlMessagesPerRouterSecond"`
-	RouterCPUMicrosPR float64 `json:"routerCPUMicrosecondsPerRequest"`
+	Sharing         string  `json:"sharing"`
+	Requests        int     `json:"requests"`
+	Breaches        int     `json:"breaches"`
+	Gap             float64 `json:"gap"`        // largest difference of service over weight, in weighted tokens
+	GapSeconds      float64 `json:"gapSeconds"` // the same, in seconds of a customer's fair share
+	CostPerSecond   float64 `json:"costPerSecond"`
+	EngineUse       float64 `json:"engineUse"`  // of slots, while work waited
+	ServiceUse      float64 `json:"serviceUse"` // the same, of the plain services
+	SmallestWaitMs  float64 `json:"smallestWaitMs"`
+	ControlBytes    float64 `json:"controlBytesPerRouterSecond"` // all messages between routers
+	CounterBytes    float64 `json:"counterBytesPerRouterSecond"` // of these, service counters
+	ControlMessages float64 `json:"controlMessagesPerRouterSecond"`
+	RouterCPUMicros float64 `json:"routerCPUMicrosecondsPerRequest"`
 }
 
 // String is the form of the table's cells.
 func (g figures) String() string {
 	return fmt.Sprintf("%s: gap %.0f weighted tokens (%.2f s of a fair share), %.0f weighted tokens/s, use of slots while work waits %.1f%% engines, "+
-		"%.1f%% services, smallest customer's longest wait %.0f ms, control %.0f B/s and %.1f messages/s a router, "+
+		"%.1f%% services, smallest customer's longest wait %.0f ms, control %.0f B/s (counters %.0f) and %.1f messages/s a router, "+
 		"router CPU %.0f µs a request, %d requests, %d breaches",
 		g.Sharing, g.Gap, g.GapSeconds, g.CostPerSecond, 100*g.EngineUse, 100*g.ServiceUse, g.SmallestWaitMs,
-		g.ControlBytes, g.ControlMessages, g.RouterCPUMicrosPR, g.Requests, g.Breaches)
+		g.ControlBytes, g.CounterBytes, g.ControlMessages, g.RouterCPUMicros, g.Requests, g.Breaches)
 }
 
 // measure runs the same load under each way of sharing and prints a row for
@@ -113,9 +114,8 @@
 	for _, e := range v.Examples {
 		fmt.Println("  breach:", e)
 	}
-	s.fill(&g)
 	w.fill(&g, report)
-	g.RouterCPUMicrosPR = float64(s.cpu.Microseconds()) / float64(g.Requests)
+	s.fill(&g)
 	return g, nil
 }
 
--- a/test/cmd/fleet/sample.go
+++ b/test/cmd/fleet/sample.go
@@ -10,8 +10,7 @@
 // samples are what the processes themselves say over the window.
 type samples struct {
 	engines, services use
-	cpu               time.Duration // of all routers
-	bytes, messages   float64       // sent between routers, each
+	sent              counters
 	routers           int
 	took              time.Duration
 }
@@ -26,10 +25,11 @@
 	return float64(u.running) / float64(u.slots)
 }
 
-// counters are the routers' totals at one moment.
+// counters are the routers' totals.
 type counters struct {
 	cpu             time.Duration
-	bytes, messages float64
+	bytes, messages float64 // sent between routers
+	counterBytes    float64 // of these, service counters
 }
 
 // sample watches the fleet until the end of the window.
@@ -48,9 +48,12 @@
 	}
 	last, err := count(ctx, f)
 	s.took = time.Since(began)
-	s.cpu = last.cpu - first.cpu
-	s.bytes = last.bytes - first.bytes
-	s.messages = last.messages - first.messages
+	s.sent = counters{
+		cpu:          last.cpu - first.cpu,
+		bytes:        last.bytes - first.bytes,
+		messages:     last.messages - first.messages,
+		counterBytes: last.counterBytes - first.counterBytes,
+	}
 	return s, err
 }
 
@@ -91,6 +94,7 @@
 		c.cpu += r.CPU()
 		c.bytes += vars["link.sent_bytes_total"]
 		c.messages += vars["link.sent_total"]
+		c.counterBytes += vars["sharing.counters_sent_bytes_total"]
 	}
 	return c, nil
 }
@@ -99,6 +103,8 @@
 	g.EngineUse = s.engines.fraction()
 	g.ServiceUse = s.services.fraction()
 	perRouterSecond := float64(s.routers) * s.took.Seconds()
-	g.ControlBytes = s.bytes / perRouterSecond
-	g.ControlMessages = s.messages / perRouterSecond
+	g.ControlBytes = s.sent.bytes / perRouterSecond
+	g.CounterBytes = s.sent.counterBytes / perRouterSecond
+	g.ControlMessages = s.sent.messages / perRouterSecond
+	g.RouterCPUMicros = float64(s.sent.cpu.Microseconds()) / float64(g.Requests)
 }
