--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -25,13 +25,12 @@
 type drain struct {
 	begin sync.Once
 	asked chan struct{} // closed when the drain is to begin
-	over  chan struct{} // closed when nothing is left to wait for
 	began atomic.Int64  // Unix nanoseconds; 0: serving
 	ended atomic.Bool
 	cut   atomic.Uint64 // requests cut at the limit
 }
 
-func newDrain() *drain { return &drain{asked: make(chan struct{}), over: make(chan struct{})} }
+func newDrain() *drain { return &drain{asked: make(chan struct{})} }
 
 // start asks for the drain; only the first call counts.
 func (d *drain) start() {
@@ -51,7 +50,6 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	failed := make(chan struct{}) // another actor has ended
 	g.Add(func() error {
-		defer close(r.drain.over)
 		defer signal.Stop(signals)
 		select {
 		case <-signals:
