--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -189,7 +189,7 @@
   %[6]s status
   %[6]s backend list
   %[6]s settings show
-  %[6]s settings apply %[1]s/settings.ini
+  %[6]s settings apply --base 1 %[1]s/settings.ini   # after editing it
   %[6]s drain %[7]s
 `, f.Dir, desks.Key(), planModel, f.Routers[0].Entry, f.Routers[1].Entry, ctl, f.Routers[2].ID)
 	<-ctx.Done()
