--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -126,6 +126,11 @@
 		stop(err)
 		return nil, failure
 	}
+	if resp.StatusCode < http.StatusOK { // 101: what follows is no HTTP
+		stop(ErrStatus)
+		_ = resp.Body.Close()
+		return nil, &Error{Stage: StageHeader, Outcome: attempt.Unknown, Err: ErrStatus}
+	}
 	if refusal := refusedBy(resp, call); refusal != nil {
 		closeBody(resp)
 		stop(refusal)
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 )
 
@@ -27,9 +28,7 @@
 // backend server.
 func CleanRequest(h http.Header) http.Header {
 	clean := endToEnd(h)
-	for _, name := range notForServers {
-		clean.Del(name)
-	}
+	remove(clean, notForServers)
 	return clean
 }
 
@@ -37,7 +36,7 @@
 // caller.
 func CleanAnswer(h http.Header) http.Header {
 	clean := endToEnd(h)
-	clean.Del("Content-Length") // set anew from the checked body
+	remove(clean, []string{"Content-Length"}) // set anew from the checked body
 	return clean
 }
 
@@ -53,13 +52,26 @@
 			clean.Del(textproto.TrimString(name))
 		}
 	}
-	for _, name := range hopByHop {
-		clean.Del(name)
-	}
+	remove(clean, hopByHop)
 	for name := range clean {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), ownPrefix) {
+		if strings.HasPrefix(plainName(name), ownPrefix) {
 			delete(clean, name)
 		}
 	}
 	return clean
 }
+
+// remove takes the names out of h, however they are spelled.
+func remove(h http.Header, names []string) {
+	for name := range h {
+		if slices.Contains(names, plainName(name)) {
+			delete(h, name)
+		}
+	}
+}
+
+// plainName is the name as servers may read it: those that pass headers on as
+// variables (CGI, WSGI) make underscores and dashes the same.
+func plainName(name string) string {
+	return http.CanonicalHeaderKey(strings.ReplaceAll(name, "_", "-"))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,7 +113,7 @@
 // the caller sent it, with its leading slash; the query is r's.
 func (p *Proxy) Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string) {
 	decoded, ok := canonical(path)
-	if !ok {
+	if !ok || !printable(r.URL.RawQuery) {
 		problem.Refuse(w, problem.BadRequest, "the path is not canonical", 0)
 		return
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -120,6 +120,12 @@
 	return path, true
 }
 
+// printable reports whether a raw query can stand in a request line. By HTTP/2
+// a caller may send one that can't.
+func printable(query string) bool {
+	return !strings.ContainsFunc(query, func(c rune) bool { return c <= ' ' || c > '~' || c == '#' })
+}
+
 // isOnce reports whether the settings list the call as not to be repeated.
 // Letter case, a slash at the end and path parameters make no other call of it.
 func isOnce(list []string, method, path string) bool {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -81,6 +81,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
+	t.Parallel()
 	f := &fleet{t: t, dir: t.TempDir(), platform: serve(t, standin.New(0))}
 	var err error
 	f.authority, err = fleetcert.NewAuthority(time.Now())
