--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -126,10 +126,10 @@
 		stop(err)
 		return nil, failure
 	}
-	if resp.StatusCode < http.StatusOK { // 101: what follows is no HTTP
-		stop(ErrStatus)
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		stop(ErrUpgrade)
 		_ = resp.Body.Close()
-		return nil, &Error{Stage: StageHeader, Outcome: attempt.Unknown, Err: ErrStatus}
+		return nil, &Error{Stage: StageHeader, Outcome: attempt.Unknown, Err: ErrUpgrade}
 	}
 	if refusal := refusedBy(resp, call); refusal != nil {
 		closeBody(resp)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -24,8 +24,7 @@
 
 // router adds a router that notes the settings versions it hears of.
 func (w *wires) router(id msg.RouterID, incarnation uint64, newer, superseded chan uint64) *Members {
-	var m *Members
-	m = New(w.ctx, id, incarnation, "dc", Effects{
+	m := New(w.ctx, id, incarnation, "dc", Effects{
 		Send: func(to msg.RouterID, body []byte) {
 			go func() {
 				if w.cut.Load() {
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -1,10 +1,16 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/url"
+	pathpkg "path"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -121,3 +127,68 @@
 		assert.Equal(t, isOnce(list, method, path), want, call)
 	}
 }
+
+// A body that does not come holds nothing beyond the request's time.
+func TestBodyThatDoesNotComeIsRefused(t *testing.T) {
+	rig := newRig(t, newService())
+	c, err := net.Dial("tcp", rig.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /services/dispatch/x HTTP/1.1\r\nHost: h\r\nWindscale-Timeout: 50ms\r\nContent-Length: 9\r\n\r\nx")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, resp.Header.Get("Windscale-Run"), "no")
+}
+
+// With one attempt in twenty failing, the retry allowance hides the failures
+// and adds no more than its percentage to the load.
+func TestAllowanceHidesSparseFailures(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	var attempts int
+	flaky := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		attempts++
+		fails := rng.Float64() < 0.05
+		mu.Unlock()
+		if fails {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	rig := newRig(t, flaky, flaky)
+	const requests = 1000
+	answered := 0
+	for range requests {
+		if got := send(t, "GET", rig.URL+"/services/dispatch/jobs/7", "", nil); got.status == 200 {
+			answered++
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("%d of %d answered with %d attempts", answered, requests, attempts)
+	assert.Assert(t, answered >= requests*99/100, "%d answered", answered)
+	assert.Assert(t, attempts <= requests*11/10+3, "%d attempts", attempts)
+}
+
+// FuzzCanonical: what the settings are asked about is what a server reads.
+func FuzzCanonical(f *testing.F) {
+	for _, seed := range []string{"/", "/a/b", "/a%2Fb", "/%62ookings", "/..%2f", "/a;x/..;y", "/%", "/%00", "//", "/a%3Fb%23c", "/%E4", "/a\\b", "/%5c"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, escaped string) {
+		path, ok := canonical(escaped)
+		if !ok {
+			return
+		}
+		sent := (&url.URL{Scheme: "http", Host: "h", Path: path, RawPath: escaped}).RequestURI()
+		read, err := url.ParseRequestURI(sent)
+		assert.NilError(t, err)
+		assert.Equal(t, read.Path, path)
+		assert.Equal(t, read.RawQuery, "")
+		assert.Equal(t, pathpkg.Clean(path), pathpkg.Clean("/"+strings.Trim(path, "/")))
+		assert.Assert(t, !strings.Contains(path, "//") && !strings.Contains(path+"/", "/../"))
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -189,13 +189,15 @@
 	return nil
 }
 
-// accept takes callers' connections, and returns when the drain is over: the
-// first actor that returns ends all the others, which the requests in progress
-// still need.
+// accept serves callers until the process ends. A drain closes the listener
+// first, and everything else must go on for the requests that still wait: so
+// the end of accepting alone must not end the group.
 func (r *Router) accept(srv *entry.Server) error {
-	err := srv.Run()
-	<-r.drain.over
-	return err
+	if err := srv.Run(); err != nil {
+		return err
+	}
+	<-r.ctx.Done()
+	return nil
 }
 
 // adminTimeout bounds the time an operator's request takes to arrive.
--- a/test/cmd/fleet/layout.go
+++ b/test/cmd/fleet/layout.go
@@ -30,10 +30,8 @@
 
 var customers = []fleet.Customer{desks, staff, drivers, warehouse, pantries, partners}
 
-// settings returns the sections besides the customers' own; quetzal's weight
-// is what the demonstration changes.
-func settings(quetzalWeight float64) string {
-	return fmt.Sprintf(`[fleet]
+// common are the settings besides the groups' and the customers' own.
+const common = `[fleet]
 drain_limit = 30s
 claim_lease = 1s
 claim_keep = 10m
@@ -56,13 +54,12 @@
 
 [tree/trasladar]
 weight = 1
+`
 
-[tree/quetzal]
-weight = %g
-
-[tree/operations]
-weight = 1
-`, quetzalWeight)
+// settings returns the sections besides the customers' own; quetzal's weight
+// is what the trials change.
+func settings(quetzalWeight float64) string {
+	return common + fmt.Sprintf("\n[tree/operations]\nweight = 1\n\n[tree/quetzal]\nweight = %g\n", quetzalWeight)
 }
 
 // small is the fleet of the demonstration and of the faults: 3 routers in 3
@@ -95,15 +92,19 @@
 	return fleet.Server{ID: id, DataCentre: dc, Kind: "service", Args: args}
 }
 
+var keyedBookings = fleet.Stream{
+	Name: "keyed", Customer: desks, Kind: bookings, Mode: "open 15",
+	Values: "idempotency = true\nretries = 1\ntimeout = 3s",
+}
+
 // mix is the standard mix: plans, claims, status reads, bookings with and
 // without a key.
 func mix() []fleet.Stream {
 	const tokens = "prompt = 200\ntokens = 20-80\ntimeout = 3s"
-	const keyed = "idempotency = true\nretries = 2\ntimeout = 3s"
 	const plain = "idempotency = false\ntimeout = 3s"
 	return []fleet.Stream{
 		{Customer: desks, Kind: plans, Mode: "open 10", Values: tokens},
-		{Customer: desks, Kind: bookings, Mode: "open 15", Values: keyed},
+		keyedBookings,
 		{Customer: staff, Kind: claims, Mode: "closed 6", Values: tokens},
 		{Customer: drivers, Kind: status, Mode: "open 40", Values: plain},
 		{Customer: warehouse, Kind: bookings, Mode: "open 10", Values: plain},
