--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -136,6 +136,7 @@
 	err := c.transact(ctx, changes)
 	switch kind := platform.KindOf(err); {
 	case err == nil:
+		c.observer.Batch(len(changes))
 		for _, ch := range changes {
 			ch.op.done <- ch.reply
 		}
@@ -144,6 +145,9 @@
 		half := len(changes) / 2
 		return append(c.commit(ctx, changes[:half]), c.commit(ctx, changes[half:])...)
 	case kind == platform.KindConflict || kind == platform.KindUnknown:
+		if kind == platform.KindUnknown {
+			c.observer.TableError()
+		}
 		return retry(changes, err)
 	default:
 		c.failed(ctx, "commit", len(changes), err)
@@ -180,5 +184,6 @@
 
 // failed logs a failed call to the table.
 func (c *Claims) failed(ctx context.Context, call string, claims int, err error) {
+	c.observer.TableError()
 	events.ClaimTableFailed.Log(ctx, c.log, slog.LevelWarn, "call", call, "claims", claims, "cause", err)
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -48,12 +48,37 @@
 	now       func() time.Time
 	log       *slog.Logger
 	ops       chan *op
+	observer  Observer
 	finishing chan struct{} // a place for each result waiting to be written
 }
 
+// Observer counts what becomes of claims. Its methods are called from any
+// goroutine and must not block.
+type Observer interface {
+	Taken()           // a claim is held here
+	Replayed()        // a stored answer was found
+	Conflict()        // the claim is held, or the content differs
+	Unknown()         // the first request may have run, or its answer is lost
+	TableError()      // a call of the table failed
+	Batch(writes int) // a commit took effect
+}
+
+type nopObserver struct{}
+
+func (nopObserver) Taken()      {}
+func (nopObserver) Replayed()   {}
+func (nopObserver) Conflict()   {}
+func (nopObserver) Unknown()    {}
+func (nopObserver) TableError() {}
+func (nopObserver) Batch(int)   {}
+
+// Observe sets who counts. It is called before Run.
+func (c *Claims) Observe(o Observer) { c.observer = o }
+
 // New returns claims in the table. now is the wall clock.
 func New(table platform.Table, now func() time.Time, log *slog.Logger) *Claims {
 	return &Claims{
+		observer:  nopObserver{},
 		table:     table,
 		now:       now,
 		log:       log,
@@ -102,6 +127,7 @@
 			c.release(key, want.Holder)
 			return 0, nil, &Unavailable{r.err}
 		}
+		c.count(r.verdict)
 		return r.verdict, r.row, nil
 	case <-ctx.Done():
 		c.release(key, want.Holder)
@@ -109,6 +135,20 @@
 	}
 }
 
+// count tells the observer what came of a claim.
+func (c *Claims) count(v claim.Verdict) {
+	switch v {
+	case claim.Take:
+		c.observer.Taken()
+	case claim.Replay:
+		c.observer.Replayed()
+	case claim.InProgress, claim.Mismatch:
+		c.observer.Conflict()
+	default:
+		c.observer.Unknown()
+	}
+}
+
 // release frees a row that may have been written by a claim that nobody holds.
 func (c *Claims) release(key claim.Key, holder msg.RequestID) {
 	c.Finish(key, holder, claim.Result{State: claim.Free})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,11 +31,12 @@
 	proxy    Proxy
 	counts   *metrics.Entry
 	rates    *rates
+	bodyTime time.Duration // for what is left of a refused request's body
 }
 
 // New returns an entry that reads the settings in force by snapshot.
 func New(snapshot func() *settings.Snapshot, proxy Proxy, counts *metrics.Entry) *Entry {
-	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now)}
+	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now), bodyTime: refusedBodyTime}
 }
 
 // Handler returns the routes.
@@ -90,6 +91,9 @@
 
 // serve names the customer, applies its limits and runs the request.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter, *http.Request, *settings.Customer)) {
+	if r.ContentLength != 0 {
+		e.limitBody(w)
+	}
 	s := e.snapshot()
 	if s == nil {
 		e.counts.Denied(problem.NotReady.Name)
@@ -114,11 +118,21 @@
 		problem.Refuse(w, problem.BodyTooLarge, "", 0)
 		return
 	}
-	r.Body = limitBody(w, r.Body, s.Fleet.MaxBody, c.RequestTime)
+	r.Body = http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody)
 	r.Header.Del("Authorization") // the key is windscale's; servers never see it
 	run(w, r, c)
 }
 
+// refusedBodyTime is how long net/http waits for what is left of the body of a
+// request that was refused, before it takes the connection's next one.
+const refusedBodyTime = 10 * time.Second
+
+// limitBody bounds the time that the body takes. The proxy replaces it by the
+// request's own time.
+func (e *Entry) limitBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.bodyTime)) // writers in tests have none
+}
+
 // notReadyRetry is when to come back to a router without settings.
 const notReadyRetry = 2 * time.Second
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -281,36 +281,20 @@
 	<-h.ctxEnd
 }
 
-// A body that never comes to an end holds a connection no longer than the
-// customer's request time; one that came whole leaves no limit behind.
-func TestBodyMustArriveInTime(t *testing.T) {
-	began := make(chan struct{}, 1)
-	_, url := newServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = limitBody(w, r.Body, 100, 50*time.Millisecond)
-		_, err := io.Copy(io.Discard, r.Body)
-		began <- struct{}{}
-		if err == nil {
-			select {
-			case <-r.Context().Done():
-			case <-time.After(200 * time.Millisecond):
-			}
-			err = r.Context().Err()
-		}
-		_, _ = fmt.Fprint(w, err == nil)
-	}))
-	for body, want := range map[string]string{"1234567": "false", "12345678": "true"} {
-		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
-		assert.NilError(t, err)
-		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n"+body)
-		assert.NilError(t, err)
-		<-began
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		assert.NilError(t, err)
-		got, err := io.ReadAll(resp.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, string(got), want, body)
-		assert.NilError(t, c.Close())
-	}
+// A refused caller that never ends its body does not keep its connection.
+func TestRefusedBodyMustArriveInTime(t *testing.T) {
+	e := New(func() *settings.Snapshot { return nil }, echoProxy{}, metrics.New().Entry)
+	e.bodyTime = 50 * time.Millisecond
+	_, url := newServer(t, e.Handler())
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = io.WriteString(c, "POST /services/d/x HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n1234")
+	assert.NilError(t, err)
+	got, err := io.ReadAll(c) // to the connection's end
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(got), "HTTP/1.1 503"), "%s", got)
 }
 
 // A connection that is kept open ends with its first answer after a change,
--- a/internal/entry/security_test.go
+++ b/internal/entry/security_test.go
@@ -197,6 +197,7 @@
 		{"no host", post + auth + "\r\n" + second, 400, "", false},
 		{"two hosts", post + host + "Host: b\r\n\r\n" + second, 400, "", false},
 		{"space in the target", "GET /services/d/x HTTP/1.1 y HTTP/1.1\r\n" + host + "\r\n" + second, 400, "", false},
+		{"slow body", post + host + "Windscale-Timeout: 100ms\r\nConnection: close\r\nContent-Length: 9\r\n\r\nab", 408, "", false},
 		{"half a body", post + host + "Content-Length: 9\r\n\r\nab", 408, "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -140,7 +140,7 @@
 				r.Entry.SetCustomers([]msg.CustomerID{"CUSTOMER"})
 				r.Entry.Customer("CUSTOMER").Request()
 				r.Sharing.Outcome("SERVER", attempt.Ended)
-				r.Sharing.Estimate(5, 8)
+				r.Sharing.Sent(3)
 				_ = r.Var().String()
 			}
 		})
@@ -149,5 +149,5 @@
 	assert.Equal(t, r.Entry.Customer("CUSTOMER").view().Requests, uint64(801))
 	v := r.Sharing.view()
 	assert.Equal(t, v.Servers["SERVER"].Ended, uint64(800))
-	assert.Equal(t, v.AbsErr, int64(2400))
+	assert.Equal(t, v.SentBytes, uint64(2400))
 }
--- a/internal/metrics/sharing.go
+++ b/internal/metrics/sharing.go
@@ -12,11 +12,8 @@
 	mirror[SharingState]
 	servers *labelled[msg.ServerID, server]
 
-	grants, returns, expired  atomic.Uint64
-	estimates                 atomic.Uint64
-	estimated, actual, absErr atomic.Int64
-	sent, sentBytes           atomic.Uint64
-	received, receivedBytes   atomic.Uint64
+	sent, sentBytes         atomic.Uint64
+	received, receivedBytes atomic.Uint64
 }
 
 func newSharing() *Sharing {
@@ -49,23 +46,6 @@
 // Leaving counts an attempt at which the server said that it is leaving.
 func (s *Sharing) Leaving(id msg.ServerID) { s.servers.get(id).leaving.Add(1) }
 
-// Granted counts a slot granted by this router.
-func (s *Sharing) Granted() { s.grants.Add(1) }
-
-// Returned counts a granted slot that came back.
-func (s *Sharing) Returned() { s.returns.Add(1) }
-
-// Expired counts a granted slot whose lease ran out before it came back.
-func (s *Sharing) Expired() { s.expired.Add(1) }
-
-// Estimate compares what a request was expected to cost with what it cost.
-func (s *Sharing) Estimate(expected, actual msg.Cost) {
-	s.estimates.Add(1)
-	s.estimated.Add(int64(expected))
-	s.actual.Add(int64(actual))
-	s.absErr.Add(max(int64(expected-actual), int64(actual-expected)))
-}
-
 // Sent counts a message of service counters to another router.
 func (s *Sharing) Sent(bytes int) {
 	s.sent.Add(1)
@@ -83,6 +63,14 @@
 type SharingState struct {
 	Pools   map[msg.PoolID]map[msg.CustomerID]Share
 	Servers map[msg.ServerID]ServerState
+
+	Grants    uint64   // slots granted by this router
+	Returns   uint64   // of those, come back
+	Expired   uint64   // of those, not kept alive
+	Estimates uint64   // requests whose cost was compared with its estimate
+	Estimated msg.Cost // of those
+	Actual    msg.Cost // of those
+	AbsErr    msg.Cost // sum of the absolute differences
 }
 
 // Share is a customer's part of one pool.
@@ -134,13 +122,13 @@
 	return SharingView{
 		Pools:         state.Pools,
 		Servers:       s.serverView(state.Servers),
-		Grants:        s.grants.Load(),
-		Returns:       s.returns.Load(),
-		Expired:       s.expired.Load(),
-		Estimates:     s.estimates.Load(),
-		Estimated:     s.estimated.Load(),
-		Actual:        s.actual.Load(),
-		AbsErr:        s.absErr.Load(),
+		Grants:        state.Grants,
+		Returns:       state.Returns,
+		Expired:       state.Expired,
+		Estimates:     state.Estimates,
+		Estimated:     int64(state.Estimated),
+		Actual:        int64(state.Actual),
+		AbsErr:        int64(state.AbsErr),
 		Sent:          s.sent.Load(),
 		SentBytes:     s.sentBytes.Load(),
 		Received:      s.received.Load(),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,10 +39,20 @@
 	Gone     bool // the caller went before its answer
 }
 
+// Attempt is what the metrics learn of an attempt once it is over.
+type Attempt struct {
+	Pool    msg.PoolID
+	Server  msg.ServerID
+	Outcome attempt.Outcome
+	Leaving bool // the server said that it is leaving, or could not be dialled
+}
+
 // Observer learns what happens, for the metrics. Its methods are called from
 // the requests' goroutines and must not block.
 type Observer interface {
-	Attempt(pool msg.PoolID, o attempt.Outcome)
+	Attempt(Attempt)
+	Waiting(c msg.CustomerID, n int) // n more, or fewer, wait for a slot
+	Running(c msg.CustomerID, n int) // n more, or fewer, run
 	Retry(pool msg.PoolID, allowed bool)
 	Resume(pool msg.PoolID, allowed bool)
 	Finish(f Finish)
@@ -52,7 +62,13 @@
 type NopObserver struct{}
 
 // Attempt implements Observer.
-func (NopObserver) Attempt(msg.PoolID, attempt.Outcome) {}
+func (NopObserver) Attempt(Attempt) {}
+
+// Waiting implements Observer.
+func (NopObserver) Waiting(msg.CustomerID, int) {}
+
+// Running implements Observer.
+func (NopObserver) Running(msg.CustomerID, int) {}
 
 // Retry implements Observer.
 func (NopObserver) Retry(msg.PoolID, bool) {}
@@ -85,17 +101,17 @@
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r, a)
+	body, ok := p.readBody(w, r, c, a)
 	if !ok {
 		return
 	}
 	request, ok := parseModel(body)
 	if !ok {
-		problem.Refuse(w, problem.BadRequest, "the body is not a chat completion request", 0)
+		p.turnAway(w, c, problem.BadRequest, "the body is not a chat completion request")
 		return
 	}
 	if !allowed(c.Models, request.Model) {
-		problem.Refuse(w, problem.Forbidden, "the model is not allowed to this customer", 0)
+		p.turnAway(w, c, problem.Forbidden, "the model is not allowed to this customer")
 		return
 	}
 	u := p.newRun(w, r, c, a, msg.PoolID(modelPool+request.Model), modelRule)
@@ -115,30 +131,30 @@
 func (p *Proxy) Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string) {
 	decoded, ok := canonical(path)
 	if !ok || !printable(r.URL.RawQuery) {
-		problem.Refuse(w, problem.BadRequest, "the path is not canonical", 0)
+		p.turnAway(w, c, problem.BadRequest, "the path is not canonical")
 		return
 	}
 	if !allowed(c.Services, service) {
-		problem.Refuse(w, problem.Forbidden, "the service is not allowed to this customer", 0)
+		p.turnAway(w, c, problem.Forbidden, "the service is not allowed to this customer")
 		return
 	}
 	known, ok := p.Snapshot().Services[service]
 	if !ok {
-		problem.Refuse(w, problem.NotFound, "there is no such service", 0)
+		p.turnAway(w, c, problem.NotFound, "there is no such service")
 		return
 	}
 	a, ok := p.arrived(w, r, c)
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r, a)
+	body, ok := p.readBody(w, r, c, a)
 	if !ok {
 		return
 	}
 	once := isOnce(known.Once, r.Method, decoded)
 	key, ok := idempotencyKey(r.Header.Values(headerKey))
 	if once && !ok {
-		problem.Refuse(w, problem.BadKey, "", 0)
+		p.turnAway(w, c, problem.BadKey, "")
 		return
 	}
 	u := p.newRun(w, r, c, a, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
@@ -153,6 +169,23 @@
 	s.serve()
 }
 
+// turnAway refuses a request before a run is made of it.
+func (p *Proxy) turnAway(w http.ResponseWriter, c *settings.Customer, t problem.Type, detail string) {
+	p.Observer.Finish(Finish{Customer: c.Path, Problem: t.Name, Outcome: attempt.NotSent})
+	problem.Refuse(w, t, detail, 0)
+}
+
+// Allowances returns what is left of each pool's retry allowance, in attempts.
+func (p *Proxy) Allowances() map[msg.PoolID]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := map[msg.PoolID]float64{}
+	for pool, a := range p.allowances {
+		left[pool] = a.Tokens()
+	}
+	return left
+}
+
 // succeeded feeds the pool's retry allowance.
 func (p *Proxy) succeeded(pool msg.PoolID, retryPercent float64) {
 	p.mu.Lock()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -66,7 +66,7 @@
 func (p *Proxy) arrived(w http.ResponseWriter, r *http.Request, c *settings.Customer) (arrival, bool) {
 	limit, ok := timeLimit(r.Header, c.RequestTime)
 	if !ok {
-		problem.Refuse(w, problem.BadTimeout, "", 0)
+		p.turnAway(w, c, problem.BadTimeout, "")
 		return arrival{}, false
 	}
 	return arrival{at: p.Now(), limit: limit}, true
@@ -74,7 +74,7 @@
 
 // readBody reads the body whole, within the request's time; the entry has
 // capped its size. On failure it has refused the request.
-func readBody(w http.ResponseWriter, r *http.Request, a arrival) ([]byte, bool) {
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *settings.Customer, a arrival) ([]byte, bool) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(a.limit)) // writers in tests have none
 	body, err := io.ReadAll(r.Body)
@@ -84,10 +84,10 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if stderrors.As(err, &tooLarge) {
-		problem.Refuse(w, problem.BodyTooLarge, "", 0)
+		p.turnAway(w, c, problem.BodyTooLarge, "")
 		return nil, false
 	}
-	problem.Refuse(w, problem.RequestTimeout, "the body did not arrive whole", 0)
+	p.turnAway(w, c, problem.RequestTimeout, "the body did not arrive whole")
 	return nil, false
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -109,10 +109,18 @@
 // one runs one attempt and ends its slot, whatever happens.
 func (u *run) one(s *slot, try func(*slot) attempt.Action) attempt.Action {
 	defer s.end(attempt.Unknown, nil)
+	u.p.Observer.Running(u.want.Customer, 1)
+	defer u.p.Observer.Running(u.want.Customer, -1)
 	action := try(s)
 	outcome := u.x.Last()
-	s.end(outcome, u.failureOf(outcome))
-	u.p.Observer.Attempt(u.want.Pool, outcome)
+	failure := u.failureOf(outcome)
+	s.end(outcome, failure)
+	u.p.Observer.Attempt(Attempt{
+		Pool:    u.want.Pool,
+		Server:  s.Server().ID,
+		Outcome: outcome,
+		Leaving: failure != nil && failure.Leaving,
+	})
 	u.finish.Cost += s.cost
 	u.want.Avoid = append(u.want.Avoid, s.Server().ID)
 	return action
@@ -129,6 +137,8 @@
 // acquire waits for a slot.
 func (u *run) acquire() (*slot, *dispatch.Refusal) {
 	asked := u.p.Now()
+	u.p.Observer.Waiting(u.want.Customer, 1)
+	defer u.p.Observer.Waiting(u.want.Customer, -1)
 	granted, err := u.p.Picker.Acquire(u.queueCtx, u.want)
 	u.finish.Wait += u.p.Now().Sub(asked)
 	if err == nil {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -46,12 +46,13 @@
 drain_limit = %s
 [service dispatch]
 once = POST /bookings
+refused_status = 503
 [tree]
 weight = 1
 retry_percent = 10
 queue_time = 3s
 models = *
-services = dispatch
+services = *
 first_token = 10s
 between_tokens = 10s
 objective_fraction = 0.95
@@ -412,14 +413,17 @@
 	_, other := f.addEngine("e2")
 	r1 := f.start("r1", "")
 	r1.untilReady(t, 1)
-	until(t, "both used", func() bool {
-		return r1.chat(t, 2) == nil && len(runs(t, at)) > 0 && len(runs(t, other)) > 0
+	until(t, "both known", func() bool {
+		v := r1.sharer.ServerViews()
+		return len(v) == 2 && v[0].Reported && v[1].Reported
 	})
 	long := make(chan error, 4)
 	for range cap(long) {
 		go func() { long <- r1.chat(t, 300) }()
 	}
-	until(t, "running", func() bool { return r1.Status().Running == cap(long) })
+	until(t, "running at both", func() bool {
+		return r1.Status().Running == cap(long) && len(runs(t, at)) > 0 && len(runs(t, other)) > 0
+	})
 	leaver.Leave()
 	until(t, "known to leave", func() bool { return r1.servers.state("e1") == "leaving" })
 	before := len(runs(t, at))
--- a/internal/router/mirror.go
+++ b/internal/router/mirror.go
@@ -17,6 +17,7 @@
 	r.metrics.Members.Mirror(r.membersState)
 	r.metrics.Settings.Mirror(r.settingsState)
 	r.metrics.Sharing.Mirror(r.sharingState)
+	r.metrics.Retries.Mirror(r.proxy.Allowances)
 }
 
 // Publish makes the metrics the process's expvar "windscale". Main calls it
@@ -84,21 +85,17 @@
 }
 
 func (r *Router) sharingState() metrics.SharingState {
+	stats := r.sharer.Stats()
 	state := metrics.SharingState{
-		Pools:   map[msg.PoolID]map[msg.CustomerID]metrics.Share{},
-		Servers: map[msg.ServerID]metrics.ServerState{},
-	}
-	for _, v := range r.sharer.Views() {
-		if state.Pools[v.Pool] == nil {
-			state.Pools[v.Pool] = map[msg.CustomerID]metrics.Share{}
-		}
-		state.Pools[v.Pool][v.Customer] = metrics.Share{
-			Service:  msg.Cost(v.Served * v.Weight),
-			Weighted: v.Served,
-			Backlog:  v.Waiting,
-			Wait:     metrics.InSeconds(v.LongestNs),
-			Reason:   v.WaitingFor,
-		}
+		Pools:     r.shares(),
+		Servers:   map[msg.ServerID]metrics.ServerState{},
+		Grants:    stats.Granted,
+		Returns:   stats.Returned,
+		Expired:   stats.Expired,
+		Estimates: stats.Estimates,
+		Estimated: stats.Estimated,
+		Actual:    stats.Actual,
+		AbsErr:    stats.AbsError,
 	}
 	for _, v := range r.sharer.ServerViews() {
 		state.Servers[v.Server] = metrics.ServerState{
@@ -110,3 +107,37 @@
 	}
 	return state
 }
+
+// shares joins the service that customers received with what waits now.
+func (r *Router) shares() map[msg.PoolID]map[msg.CustomerID]metrics.Share {
+	pools := map[msg.PoolID]map[msg.CustomerID]metrics.Share{}
+	put := func(pool msg.PoolID, c msg.CustomerID, change func(*metrics.Share)) {
+		if pools[pool] == nil {
+			pools[pool] = map[msg.CustomerID]metrics.Share{}
+		}
+		s := pools[pool][c]
+		change(&s)
+		pools[pool][c] = s
+	}
+	for pool, customers := range r.served.all() {
+		for c, cost := range customers {
+			put(pool, c, func(s *metrics.Share) { s.Service, s.Weighted = cost, float64(cost)/r.weight(c) })
+		}
+	}
+	for _, v := range r.sharer.Views() {
+		put(v.Pool, v.Customer, func(s *metrics.Share) {
+			s.Backlog, s.Wait, s.Reason = v.Waiting, metrics.InSeconds(v.LongestNs), v.WaitingFor
+		})
+	}
+	return pools
+}
+
+// weight is the customer's weight in force; 1 when it is no customer any more.
+func (r *Router) weight(id msg.CustomerID) float64 {
+	if s := r.follower.Current(); s != nil {
+		if c, ok := s.Customers[id]; ok {
+			return c.Weight
+		}
+	}
+	return 1
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -10,13 +10,24 @@
 
 // observer counts what the proxy reports. It implements proxy.Observer.
 type observer struct {
-	entry    *metrics.Entry
-	retries  *metrics.Retries
+	metrics  *metrics.Registry
+	served   *served
 	snapshot func() *settings.Snapshot
 }
 
 // Attempt implements proxy.Observer.
-func (o *observer) Attempt(msg.PoolID, attempt.Outcome) {}
+func (o *observer) Attempt(a proxy.Attempt) {
+	o.metrics.Sharing.Outcome(a.Server, a.Outcome)
+	if a.Leaving {
+		o.metrics.Sharing.Leaving(a.Server)
+	}
+}
+
+// Waiting implements proxy.Observer.
+func (o *observer) Waiting(c msg.CustomerID, n int) { o.metrics.Entry.Customer(c).Waiting(n) }
+
+// Running implements proxy.Observer.
+func (o *observer) Running(c msg.CustomerID, n int) { o.metrics.Entry.Customer(c).Running(n) }
 
 // Retry implements proxy.Observer.
 func (o *observer) Retry(_ msg.PoolID, allowed bool) { o.spend(allowed) }
@@ -26,18 +37,19 @@
 
 func (o *observer) spend(allowed bool) {
 	if allowed {
-		o.retries.Spent()
+		o.metrics.Retries.Spent()
 		return
 	}
-	o.retries.Denied()
+	o.metrics.Retries.Denied()
 }
 
-// Finish implements proxy.Observer.
+// Finish implements proxy.Observer. Each request is counted once.
 func (o *observer) Finish(f proxy.Finish) {
-	c := o.entry.Customer(f.Customer)
+	c := o.metrics.Entry.Customer(f.Customer)
 	if f.Wait > 0 {
 		c.Waited(f.Wait)
 	}
+	o.served.add(f.Pool, f.Customer, f.Cost)
 	o.objectives(c, f)
 	switch {
 	case f.Gone:
@@ -47,9 +59,10 @@
 		c.Answered(f.Total)
 	case !f.Outcome.MayHaveRun():
 		c.Refused(f.Problem)
+	case f.Outcome == attempt.Ended:
+		c.Failed()
 	default:
 		c.Unknown()
-		c.Failed()
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	claims   *claims.Claims
 	drain    *drain
 	servers  *serverWatch
+	served   *served
 
 	settingsAt atomic.Int64 // when the version in force was taken, Unix nanoseconds
 
@@ -81,12 +82,14 @@
 		drain:       newDrain(),
 	}
 	r.servers = newServerWatch(r.log)
+	r.served = newServed()
 	r.hosts = hosts.NewFollower(r.platform, hosts.NewList(seedHosts(cfg)), r.log, r.hostsChanged)
 	r.prober = probe.New(r.loadReported)
 	r.sharer = r.newSharer()
 	r.members = r.newMembers()
 	r.follower = r.newFollower()
 	r.claims = claims.New(r.platform, time.Now, r.log)
+	r.claims.Observe(r.metrics.Claims)
 	r.proxy = r.newProxy()
 	if err := r.listen(); err != nil {
 		return nil, err
@@ -133,7 +136,7 @@
 		Claims:   r.claims,
 		Now:      time.Now,
 		Log:      r.log,
-		Observer: &observer{entry: r.metrics.Entry, retries: r.metrics.Retries, snapshot: r.follower.Current},
+		Observer: &observer{metrics: r.metrics, served: r.served, snapshot: r.follower.Current},
 	}
 }
 
