--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/internal/version"
 )
 
 // Exit codes.
@@ -45,6 +47,10 @@
 
 func run(args []string) int {
 	opts := defaults()
+	opts.Version = func() {
+		fmt.Println("windscale-burn", version.String())
+		os.Exit(exitOK)
+	}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = description
 	if _, err := parser.ParseArgs(args); err != nil {
--- a/cmd/windscale-burn/report.go
+++ b/cmd/windscale-burn/report.go
@@ -32,6 +32,7 @@
 	Routers   []string      `long:"router" value-name:"URL" description:"base URL of a router's admin listener; repeated. Default: the routers of the host list"`
 	Settings  string        `long:"settings" value-name:"FILE" description:"settings text with the objectives. Default: the version in force"`
 	TokenFile string        `long:"admin-token-file" value-name:"FILE" required:"true" description:"file with the operators' token"`
+	Version   func()        `long:"version" description:"print the version and exit"`
 	Output    string        `long:"output" choice:"table" choice:"json" choice:"html" description:"form of the report"`
 	Out       string        `long:"out" value-name:"FILE" description:"write the report to this file"`
 	Samples   string        `long:"samples" value-name:"FILE" description:"keep the readings in this file between runs"`
--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -10,13 +10,13 @@
 	"net"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/fleetcert"
+	"github.com/windscale/windscale/internal/version"
 )
 
 const (
@@ -169,7 +169,7 @@
 	parser.SubcommandsOptional = true
 	_, err := parser.ParseArgs(args)
 	if err == nil && opts.Version {
-		fmt.Println("windscale-cert", version())
+		fmt.Println("windscale-cert", version.String())
 		return exitOK
 	}
 	if err == nil && parser.Active == nil {
@@ -194,11 +194,3 @@
 	fmt.Fprintln(os.Stderr, "windscale-cert:", usage.Message)
 	return exitUsage
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -13,6 +13,7 @@
 	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -184,7 +185,7 @@
 		if err == nil {
 			return
 		}
-		if !pause(ctx, attempt.Backoff(n, rand.Float64())) {
+		if !pause.For(ctx, attempt.Backoff(n, rand.Float64())) {
 			events.ClaimResultLost.Log(context.Background(), c.log, slog.LevelWarn, "request", holder, "cause", err)
 			return
 		}
@@ -216,15 +217,3 @@
 		return false
 	}
 }
-
-// pause waits for d or until ctx ends, and reports whether d passed.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -69,7 +70,7 @@
 			out.Ended = true
 			return nil
 		}
-		if !pause(ctx, lookEvery) {
+		if !pause.For(ctx, lookEvery) {
 			return &RunningError{Router: h.ID, Running: out.Running, After: wait}
 		}
 	}
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/settingsstore"
+	"github.com/windscale/windscale/internal/version"
 )
 
 // printf writes to the terminal; there is nobody to tell of its failure.
@@ -49,11 +49,7 @@
 }
 
 func (a *app) printVersion() error {
-	version := "(devel)"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-	}
-	a.printf(a.out, "windscalectl %s\n", version)
+	a.printf(a.out, "windscalectl %s\n", version.String())
 	return nil
 }
 
--- a/internal/ctl/top.go
+++ b/internal/ctl/top.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // topCommand shows per customer what all routers did within a while.
@@ -67,7 +69,7 @@
 		return err
 	}
 	start := time.Now()
-	pause(ctx, c.For)
+	pause.For(ctx, c.For)
 	after, err := each[vars](ctx, a, "/debug/vars")
 	if err != nil {
 		return err
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -137,7 +138,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if w.has(s) || !pause(ctx, lookEvery) {
+		if w.has(s) || !pause.For(ctx, lookEvery) {
 			return
 		}
 	}
@@ -192,15 +193,3 @@
 	w.line = line
 	w.app.printf(w.app.note, "%5.1f s  version %d %s\n", time.Since(w.start).Seconds(), w.version, line)
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -11,6 +11,7 @@
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -97,10 +98,8 @@
 			events.HostListBack.Log(ctx, f.log, slog.LevelInfo)
 		}
 		down = err != nil
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, jittered(Interval)) {
 			return nil
-		case <-time.After(jittered(Interval)):
 		}
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,6 +21,7 @@
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/fleetcert"
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // Limits and times of the link.
@@ -183,7 +184,7 @@
 	for {
 		conn, err := l.listener.Accept(ctx)
 		if ctx.Err() != nil || l.ctx.Err() != nil {
-			sleep(l.ctx, lingerTime)
+			pause.For(l.ctx, lingerTime)
 			return nil
 		}
 		if err != nil {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // peer is what a link keeps for one other router.
@@ -161,7 +162,7 @@
 func (p *peer) runDial(ctx context.Context, attempt *dialAttempt, wait time.Duration) {
 	defer attempt.cancel()
 	var err error
-	if sleep(ctx, wait) {
+	if pause.For(ctx, wait) {
 		err = p.dialOnce(ctx)
 	}
 	p.mu.Lock()
@@ -177,21 +178,6 @@
 	close(attempt.done)
 }
 
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (p *peer) dialOnce(ctx context.Context) error {
 	text, ok := p.link.config.Resolve(p.id)
 	if !ok {
--- a/internal/link/send.go
+++ b/internal/link/send.go
@@ -8,6 +8,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/wire"
 )
 
@@ -77,7 +78,7 @@
 			p.dropStale(err)
 			continue
 		}
-		sleep(p.link.ctx, p.untilFlush())
+		pause.For(p.link.ctx, p.untilFlush())
 		p.flush(conn, p.take())
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,6 +12,8 @@
 
 	jujuerrors "github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // Options bound a run.
@@ -121,7 +123,7 @@
 // play sends the section's requests until sending ends and returns once all
 // have their results, or waiting ends.
 func (p *player) play(sending, waiting context.Context) error {
-	if !sleep(sending, p.section.Start) {
+	if !pause.For(sending, p.section.Start) {
 		return nil
 	}
 	if p.section.Stop > 0 {
@@ -157,7 +159,7 @@
 	for p.draw() {
 		due := last.Add(time.Duration(gen.rng.ExpFloat64() / p.section.Rate * float64(time.Second)))
 		last = due
-		if !sleep(sending, time.Until(due)) {
+		if !pause.For(sending, time.Until(due)) {
 			break
 		}
 		r, err := gen.next()
@@ -198,7 +200,7 @@
 			return err
 		}
 		res := p.attempt(waiting, r, time.Now(), gen.rng)
-		if res.class != Whole && !sleep(sending, pause(res, gen.rng)) {
+		if res.class != Whole && !pause.For(sending, waitAfter(res, gen.rng)) {
 			return nil
 		}
 	}
@@ -214,7 +216,7 @@
 		res := p.sendToAny(waiting, r)
 		p.tally.noteResult(r, due, res, waiting.Err() != nil)
 		again := res.class == Refused || res.class == Broken || res.class == NotSent
-		if !again || try == p.section.Retries || !sleep(waiting, pause(res, rng)) {
+		if !again || try == p.section.Retries || !pause.For(waiting, waitAfter(res, rng)) {
 			return res
 		}
 		due = time.Now()
@@ -240,28 +242,13 @@
 	}
 }
 
-// pause is how long a caller waits after a request that was not answered: what
+// waitAfter is how long a caller waits after a request that was not answered: what
 // it was told, or a while, and up to half as much again so that callers don't
 // come back together.
-func pause(res result, rng *rand.Rand) time.Duration {
+func waitAfter(res result, rng *rand.Rand) time.Duration {
 	d := refusedPause
 	if res.retryAfter > 0 {
 		d = min(res.retryAfter, maxPause)
 	}
 	return d + time.Duration(rng.Float64()*float64(d)/2)
 }
-
-// sleep waits and says false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,7 +6,6 @@
 package proxy
 
 import (
-	"context"
 	"crypto/rand"
 	"log/slog"
 	mathrand "math/rand/v2"
@@ -219,15 +218,3 @@
 
 // uniform is the jitter's source.
 func uniform() float64 { return mathrand.Float64() }
-
-// sleep waits for d or until ctx ends, and reports whether d passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -14,6 +14,7 @@
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/dispatch"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/problem"
 )
 
@@ -215,7 +216,7 @@
 		events.RetryDenied.Log(u.ctx, u.p.Log, slog.LevelInfo, "request", u.want.ID, "pool", u.want.Pool)
 		return false
 	}
-	return sleep(u.ctx, attempt.Backoff(u.x.Attempts(), uniform()))
+	return pause.For(u.ctx, attempt.Backoff(u.x.Attempts(), uniform()))
 }
 
 // gone reports whether the caller went.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -11,6 +11,7 @@
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/dispatch"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/problem"
 )
 
@@ -98,7 +99,7 @@
 func (m *modelRun) mayResume() bool {
 	ok := m.p.takeRetry(m.want.Pool)
 	m.p.Observer.Resume(m.want.Pool, ok)
-	return ok && sleep(m.ctx, attempt.Backoff(m.x.Leg()+1, uniform()))
+	return ok && pause.For(m.ctx, attempt.Backoff(m.x.Leg()+1, uniform()))
 }
 
 // relay passes one leg of the stream on. It closes the answer.
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -15,6 +15,7 @@
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/entry"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // lameDuck is how long a draining router says "not ready" and still accepts,
@@ -80,11 +81,11 @@
 	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", running, "waiting", waiting, "limit", limit)
 	r.members.Leave()
 	srv.Retire()
-	pause(ctx, lameDuck)
+	pause.For(ctx, lameDuck)
 	err := r.shutdown(ctx, srv)
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
-	pause(context.Background(), lastWords)
+	pause.For(context.Background(), lastWords)
 	return err
 }
 
@@ -107,11 +108,3 @@
 
 // lastWords is the time for the last reports to leave.
 const lastWords = 50 * time.Millisecond
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/router/metrics_test.go
+++ b/internal/router/metrics_test.go
@@ -118,7 +118,9 @@
 		r.untilServed(t)
 	}
 	const jobs, bookings = "/services/dispatch/jobs/1", "/services/dispatch/bookings"
-	mode := func(m service.Mode, count int) { f.post("POST", svc.URL+"/_fault", service.Fault{Mode: m, Count: count}) }
+	mode := func(m service.Mode, count int) {
+		f.post("POST", svc.URL+"/_fault", service.Fault{Mode: m, Count: count})
+	}
 	call := func(want int, method, path, body string, header map[string]string) {
 		t.Helper()
 		code, answer := r1.call(t, method, path, body, header)
--- a/internal/settingsstore/store.go
+++ b/internal/settingsstore/store.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -35,13 +36,7 @@
 
 // backoff waits with full jitter, longer at each attempt, or until ctx ends.
 func backoff(ctx context.Context, attempt int) {
-	limit := firstWait << attempt
-	timer := time.NewTimer(rand.N(limit))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, rand.N(firstWait<<attempt))
 }
 
 // again does a read until it succeeds, its tries are used up or ctx ends.
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/standin/answer"
 	"github.com/windscale/windscale/internal/standin/backend"
 )
@@ -205,7 +206,7 @@
 		if late := time.Since(next); late > maxCatchUp {
 			next = time.Now()
 		}
-		if !sleepUntil(ctx, next) {
+		if !pause.For(ctx, time.Until(next)) {
 			return
 		}
 	}
@@ -215,17 +216,6 @@
 // gives up catching up.
 const maxCatchUp = 100 * time.Millisecond
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // step fills the free slots, gives each running job past its prefill a token,
 // and returns how long the step takes.
 func (b *batch) step(now time.Time) time.Duration {
