--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,7 +41,7 @@
 type Engine struct {
 	opts    Options
 	batch   *batch
-	faults  faults
+	faults  *backend.Faults[Fault]
 	leaving atomic.Bool
 	unnamed atomic.Uint64 // requests that came without an id
 	echo    *echo.Echo
@@ -49,8 +49,7 @@
 
 // New returns an engine. Nothing is generated until Run.
 func New(opts Options) *Engine {
-	e := &Engine{opts: opts, batch: newBatch(opts), echo: echo.New()}
-	e.faults.set(Fault{Mode: OK})
+	e := &Engine{opts: opts, faults: newFaults(), batch: newBatch(opts), echo: echo.New()}
 	e.echo.POST(chatPath, e.handle(e.chat))
 	e.echo.GET("/v1/streams/:id/:attempt", e.handle(e.resume))
 	e.echo.DELETE("/v1/streams/:id/:attempt", e.handle(e.cancel))
@@ -76,7 +75,7 @@
 // handle breaks every connection while the engine is dead.
 func (e *Engine) handle(next func(c *echo.Context) error) echo.HandlerFunc {
 	return func(c *echo.Context) error {
-		if e.faults.mode() == Die {
+		if e.faults.Now().Mode == Die {
 			backend.Break()
 		}
 		return next(c)
@@ -107,7 +106,7 @@
 	})
 }
 
-func (e *Engine) isLeaving() bool { return e.leaving.Load() || e.faults.mode() == Leaving }
+func (e *Engine) isLeaving() bool { return e.leaving.Load() || e.faults.Now().Mode == Leaving }
 
 func (e *Engine) showRecord(c *echo.Context) error {
 	return c.JSON(http.StatusOK, e.batch.record.Log(e.opts.ID))
@@ -118,7 +117,7 @@
 	if !backend.ReadJSON(c.Request(), &fault) || !fault.valid() {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	e.faults.set(fault)
+	e.faults.Set(fault)
 	if fault.Mode == Die {
 		e.batch.cancelAll()
 	}
@@ -143,7 +142,7 @@
 		backend.Refuse(w, http.StatusServiceUnavailable, true)
 		return nil
 	}
-	fault := e.faults.take()
+	fault := e.faults.Take()
 	switch fault.Mode {
 	case Refuse:
 		backend.Refuse(w, http.StatusServiceUnavailable, false)
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -1,8 +1,9 @@
 package engine
 
 import (
-	"sync"
 	"time"
+
+	"github.com/windscale/windscale/internal/standin/backend"
 )
 
 // Mode is how the engine behaves.
@@ -39,35 +40,6 @@
 
 func (f Fault) delay() time.Duration { return time.Duration(f.DelayMs) * time.Millisecond }
 
-// faults holds the engine's mode.
-type faults struct {
-	mu  sync.Mutex
-	now Fault
-}
-
-func (f *faults) set(fault Fault) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.now = fault
-}
-
-func (f *faults) mode() Mode {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.now.Mode
-}
-
-// take returns the fault that a new request meets.
-func (f *faults) take() Fault {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	fault := f.now
-	if fault.Count == 0 {
-		return fault
-	}
-	f.now.Count--
-	if f.now.Count == 0 {
-		f.now = Fault{Mode: OK}
-	}
-	return fault
+func newFaults() *backend.Faults[Fault] {
+	return backend.NewFaults(Fault{Mode: OK}, func(f *Fault) *int { return &f.Count })
 }
--- a/internal/standin/service/fault.go
+++ b/internal/standin/service/fault.go
@@ -1,6 +1,6 @@
 package service
 
-import "sync"
+import "github.com/windscale/windscale/internal/standin/backend"
 
 // Mode is how the service behaves.
 type Mode string
@@ -30,35 +30,6 @@
 	return false
 }
 
-// faults holds the service's mode.
-type faults struct {
-	mu  sync.Mutex
-	now Fault
-}
-
-func (f *faults) set(fault Fault) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.now = fault
-}
-
-func (f *faults) mode() Mode {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.now.Mode
-}
-
-// take returns the mode that a new request meets.
-func (f *faults) take() Mode {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	mode := f.now.Mode
-	if f.now.Count == 0 {
-		return mode
-	}
-	f.now.Count--
-	if f.now.Count == 0 {
-		f.now = Fault{Mode: OK}
-	}
-	return mode
+func newFaults() *backend.Faults[Fault] {
+	return backend.NewFaults(Fault{Mode: OK}, func(f *Fault) *int { return &f.Count })
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -38,7 +38,7 @@
 	slots   chan struct{}
 	record  backend.Record
 	history *backend.LoadHistory
-	faults  faults
+	faults  *backend.Faults[Fault]
 	leaving atomic.Bool
 	echo    *echo.Echo
 
@@ -55,9 +55,9 @@
 		slots:   make(chan struct{}, opts.Slots),
 		history: backend.NewLoadHistory(opts.ReportLag),
 		fences:  map[string]uint64{},
+		faults:  newFaults(),
 		echo:    echo.New(),
 	}
-	s.faults.set(Fault{Mode: OK})
 	s.echo.GET("/v1/load", s.load)
 	s.echo.GET("/_record", s.showRecord)
 	s.echo.POST("/_fault", s.setFault)
@@ -78,10 +78,10 @@
 	return s.running+s.queued == 0
 }
 
-func (s *Service) isLeaving() bool { return s.leaving.Load() || s.faults.mode() == Leaving }
+func (s *Service) isLeaving() bool { return s.leaving.Load() || s.faults.Now().Mode == Leaving }
 
 func (s *Service) load(c *echo.Context) error {
-	if s.faults.mode() == Die {
+	if s.faults.Now().Mode == Die {
 		backend.Break()
 	}
 	running, queued, age := s.history.Report()
@@ -100,7 +100,7 @@
 	if !backend.ReadJSON(c.Request(), &fault) || !fault.valid() {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	s.faults.set(fault)
+	s.faults.Set(fault)
 	return c.NoContent(http.StatusNoContent)
 }
 
@@ -116,7 +116,7 @@
 		backend.Refuse(w, http.StatusServiceUnavailable, true)
 		return nil
 	}
-	mode := s.faults.take()
+	mode := s.faults.Take().Mode
 	switch mode {
 	case Die:
 		backend.Break()
