--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -81,17 +81,30 @@
 	r.members.Leave()
 	srv.Retire()
 	pause(ctx, lameDuck)
-	err := srv.Shutdown(ctx)
-	if err != nil {
-		waiting, running = r.sharer.Counts()
-		r.drain.cut.Store(uint64(running + waiting))
-	}
+	err := r.shutdown(ctx, srv)
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
 	pause(context.Background(), lastWords)
 	return err
 }
 
+// shutdown waits for the requests in progress. When ctx ends it counts those
+// that are left and cuts them; the error is *CutError.
+func (r *Router) shutdown(ctx context.Context, srv *entry.Server) error {
+	limited, cut := context.WithCancel(context.Background())
+	defer cut()
+	stop := context.AfterFunc(ctx, func() {
+		waiting, running := r.sharer.Counts()
+		r.drain.cut.Store(uint64(running + waiting))
+		cut()
+	})
+	defer stop()
+	if srv.Shutdown(limited) == nil {
+		return nil
+	}
+	return &CutError{Requests: r.drain.cut.Load(), Err: ctx.Err()}
+}
+
 // lastWords is the time for the last reports to leave.
 const lastWords = 50 * time.Millisecond
 
