--- /dev/null
+++ b/internal/claims/bounds_test.go
@@ -0,0 +1,34 @@
+package claims
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/claim"
+)
+
+// While nothing is served, claims beyond the queue are refused at once, and
+// results beyond their bound are given up at once.
+func TestWhatWaitsForTheTableIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(&table{}, time.Now, slog.New(slog.DiscardHandler))
+		for range maxQueue {
+			assert.Assert(t, c.submit(&op{}))
+		}
+		_, _, err := c.Take(t.Context(), key, want("a"))
+		assert.ErrorType(t, err, &Unavailable{})
+		for range maxFinishing {
+			c.Finish(key, "b", claim.Result{State: claim.Lost})
+		}
+		select {
+		case <-c.Finish(key, "b", claim.Result{State: claim.Lost}):
+		default:
+			t.Fatal("one more waits")
+		}
+		time.Sleep(2 * finishTime)
+	})
+}
--- a/internal/core/share/mechanism_test.go
+++ b/internal/core/share/mechanism_test.go
@@ -267,3 +267,47 @@
 	n.Cancel(0, "1")
 	assert.Equal(t, len(arrive("4", 60)), 0)
 }
+
+// What an entry has registered is repeated, should the admitter have lost it.
+func TestRegistrationIsRepeated(t *testing.T) {
+	n, queue := entryWith(t)
+	repeated := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		n.Tick(at)
+		for _, out := range n.Ready().Send {
+			for _, w := range out.Message.Waits {
+				assert.Equal(t, w.Queue, queue)
+				repeated++
+			}
+		}
+	}
+	assert.Equal(t, repeated, 1)
+}
+
+// Slots of plain services, whose calls are as short as a message's way, are
+// granted ahead.
+func TestShortCallsLeaveNoSlotIdle(t *testing.T) {
+	const plain = msg.PoolID("s/dispatch")
+	f := newFleet(1, 4, share.Config{})
+	f.addServer("s0", 4, 1000, plain)
+	f.setServers()
+	f.run(2 * time.Second)
+	count := 0
+	send := func(entry msg.RouterID) {
+		count++
+		r := request(fmt.Sprint(count), "a", 4, entry) // 4 ms
+		r.Pool = plain
+		f.arrive(r)
+	}
+	f.done = func(r *simRequest) { send(r.entry) }
+	for _, id := range f.ids {
+		for range 20 {
+			send(id)
+		}
+	}
+	f.run(f.now + 2*time.Second)
+	busy, began := f.busyTime(), f.now
+	f.run(f.now + 5*time.Second)
+	util := (f.busyTime() - busy).Seconds() / (f.now - began).Seconds() / 4
+	assert.Assert(t, util > 0.9, "%.3f", util)
+}
