Tests: a server's own word is enough, bounds of retries and waiting bytes, the quiet customer

The router's test of leaving engines passed without the own word, as the stand-in refuses by itself when it leaves; here the server would serve.

--- a/internal/core/attempt/allowance_test.go
+++ b/internal/core/attempt/allowance_test.go
@@ -44,3 +44,16 @@
 		assert.Assert(t, Backoff(n, 0.999) < backoffCap)
 	}
 }
+
+// However long all goes well, the allowance holds ten retries.
+func TestAllowanceIsCapped(t *testing.T) {
+	a := NewAllowance()
+	for range 10_000 {
+		a.Succeeded(10)
+	}
+	taken := 0
+	for taken < 100 && a.Take() {
+		taken++
+	}
+	assert.Equal(t, taken, 10)
+}
--- a/internal/core/attempt/exchange_test.go
+++ b/internal/core/attempt/exchange_test.go
@@ -218,3 +218,20 @@
 	assert.Equal(t, x.Step(Event{Kind: Closing, Attempt: 1}), Fail)
 	assert.Equal(t, x.Outcome(), Unknown)
 }
+
+// A stream that is cut again and again is resumed a bounded number of times.
+func TestResumptionsAreBounded(t *testing.T) {
+	x := NewExchange(Rule{Repeat: true, Resume: true, MaxAttempts: 3, MaxResumes: 5})
+	x.Begin()
+	action, resumes := Resume, 0
+	for ; action == Resume && resumes < 100; resumes++ {
+		leg := x.Leg()
+		x.Step(Event{Kind: Header, Attempt: 1, Leg: leg})
+		x.Step(Event{Kind: Token, Attempt: 1, Leg: leg, Position: x.Next()})
+		if action = x.Step(Event{Kind: Cut, Attempt: 1, Leg: leg}); action == Resume {
+			x.Resumed()
+		}
+	}
+	assert.Equal(t, action, Break)
+	assert.Equal(t, resumes, 6) // the first leg and five resumptions
+}
--- a/internal/core/share/mechanism_test.go
+++ b/internal/core/share/mechanism_test.go
@@ -33,7 +33,11 @@
 		of[r.ID] = x
 		f.arrive(r)
 	}
-	f.done = func(r *simRequest) { send(of[r.ID]) }
+	f.done = func(r *simRequest) {
+		if x := of[r.ID]; x != nil {
+			send(x)
+		}
+	}
 	for _, x := range feeds {
 		f.after(x.from, func() {
 			for range x.want {
@@ -311,3 +315,24 @@
 	util := (f.busyTime() - busy).Seconds() / (f.now - began).Seconds() / 4
 	assert.Assert(t, util > 0.9, "%.3f", util)
 }
+
+// A customer that asks now and then is served at once, however many requests of
+// others wait everywhere.
+func TestQuietCustomerIsServedInAFlood(t *testing.T) {
+	f := smallFleet(6, 6) // 24 slots; requests of one second
+	var feeds []*feed
+	for c := range 3 {
+		for _, id := range f.ids {
+			feeds = append(feeds, &feed{customer: fmt.Sprint("flood", c), entry: id, weight: 1, cost: 100, want: 100})
+		}
+	}
+	f.keepFed(feeds...)
+	f.run(f.now + 30*time.Second)
+	for i := range 20 {
+		r := request(fmt.Sprint("quiet", i), "pantry", 100, f.ids[i%6])
+		f.arrive(r)
+		f.run(f.now + 1500*time.Millisecond)
+		assert.Equal(t, r.starts, 1, "request %d", i)
+		f.run(f.now + 3*time.Second)
+	}
+}
--- a/internal/proxy/bounds_test.go
+++ b/internal/proxy/bounds_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/dispatch"
 )
 
 // stuck is a caller that takes nothing until it is let.
@@ -128,3 +129,24 @@
 	assert.Equal(t, got.problem(), "deadline")
 	assert.Equal(t, attempts.Load(), int64(1))
 }
+
+// asking is a picker that notes what it is asked for, and refuses.
+type asking struct{ got []dispatch.Request }
+
+func (a *asking) Acquire(_ context.Context, r dispatch.Request) (dispatch.Slot, error) {
+	a.got = append(a.got, r)
+	return nil, &dispatch.Refusal{Reason: dispatch.QueueFull}
+}
+
+// A waiting request counts with the size of its body.
+func TestWaitingRequestsCountWithTheirBytes(t *testing.T) {
+	rig := newRig(t)
+	picker := &asking{}
+	rig.proxy.Picker = picker
+	body := chat("x", 3, false)
+	send(t, "POST", rig.URL+chatURL, body, nil)
+	send(t, "POST", rig.URL+bookURL, body, nil)
+	assert.Equal(t, len(picker.got), 2)
+	assert.Equal(t, picker.got[0].Bytes, len(body))
+	assert.Equal(t, picker.got[1].Bytes, len(body))
+}
--- /dev/null
+++ b/internal/router/leaving_test.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/probe"
+)
+
+// willing is a service that says that it is leaving and yet serves what comes.
+type willing struct {
+	leaving atomic.Bool
+	reports atomic.Int64 // since it is leaving
+	calls   atomic.Int64
+}
+
+func (s *willing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/load" {
+		s.calls.Add(1)
+		_, _ = io.WriteString(w, "done")
+		return
+	}
+	report := probe.Report{Service: "dispatch", Slots: 4, Leaving: s.leaving.Load()}
+	_ = json.NewEncoder(w).Encode(report)
+	if report.Leaving {
+		s.reports.Add(1)
+	}
+}
+
+// A server's own word that it leaves is enough, without the host list and
+// without its refusing: it gets no call more.
+func TestOwnWordOfAServerIsEnough(t *testing.T) {
+	f := newFleet(t)
+	f.accept(0, "10s")
+	leaver, other := &willing{}, &willing{}
+	f.addServer("d1", leaver)
+	f.addServer("d2", other)
+	r1 := f.start("r1", "")
+	r1.untilReady(t, 1)
+	call := func() int {
+		code, _ := r1.call(t, "GET", "/services/dispatch/jobs/1", "", nil)
+		return code
+	}
+	until(t, "both used", func() bool { return call() == 200 && leaver.calls.Load() > 0 && other.calls.Load() > 0 })
+	leaver.leaving.Store(true)
+	until(t, "two reports", func() bool { return leaver.reports.Load() >= 2 })
+	before := leaver.calls.Load()
+	for range 20 {
+		assert.Equal(t, call(), 200)
+	}
+	assert.Equal(t, leaver.calls.Load(), before)
+}
