--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -93,10 +93,11 @@
 			changes = append(changes, *ch)
 		}
 	}
-	return c.commit(ctx, changes)
+	changes, again = c.register(ctx, changes)
+	return append(again, c.commit(ctx, changes)...)
 }
 
-// read reads the rows of a batch.
+// read reads the rows of a batch, and the index page that its claims go to.
 func (c *Claims) read(ctx context.Context, batch []*op) ([]platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
@@ -104,7 +105,52 @@
 	for i, o := range batch {
 		keys[i] = string(o.key)
 	}
-	return c.table.Read(ctx, keys...)
+	return c.index.readWith(ctx, keys, latest(batch))
+}
+
+// latest returns the latest time until which a claim of the batch is kept, Unix
+// ms; 0 if it has none.
+func latest(batch []*op) (keep int64) {
+	for _, o := range batch {
+		keep = max(keep, o.keep)
+	}
+	return keep
+}
+
+// register makes sure that the index can name the claims that are taken. It
+// returns the changes that can go on, and the ops that must read again; where
+// the table fails, claims fail and results go on.
+func (c *Claims) register(ctx context.Context, changes []change) (ready []change, again []*op) {
+	var takes []change
+	for _, ch := range changes {
+		if ch.op.keep > 0 {
+			takes = append(takes, ch)
+			continue
+		}
+		ready = append(ready, ch)
+	}
+	if len(takes) == 0 {
+		return ready, nil
+	}
+	err := c.index.register(ctx)
+	if err == nil {
+		return changes, nil
+	}
+	return ready, c.unwritten(ctx, "register", takes, err)
+}
+
+// unwritten settles changes after a call that failed: it returns the ops that
+// must read again.
+func (c *Claims) unwritten(ctx context.Context, call string, changes []change, err error) (again []*op) {
+	kind := platform.KindOf(err)
+	if kind == platform.KindConflict || kind == platform.KindUnknown {
+		return retry(changes, err)
+	}
+	c.failed(ctx, call, len(changes), err)
+	for _, ch := range changes {
+		ch.op.done <- reply{err: err}
+	}
+	return nil
 }
 
 // step lets an op see its row. It replies if there is nothing to write.
@@ -134,35 +180,41 @@
 		return nil
 	}
 	err := c.transact(ctx, changes)
-	switch kind := platform.KindOf(err); {
+	switch {
 	case err == nil:
 		for _, ch := range changes {
 			ch.op.done <- ch.reply
 		}
 		return nil
-	case kind == platform.KindConflict && len(changes) > 1:
+	case platform.KindOf(err) == platform.KindConflict && len(changes) > 1:
 		half := len(changes) / 2
 		return append(c.commit(ctx, changes[:half]), c.commit(ctx, changes[half:])...)
-	case kind == platform.KindConflict || kind == platform.KindUnknown:
-		return retry(changes, err)
 	default:
-		c.failed(ctx, "commit", len(changes), err)
-		for _, ch := range changes {
-			ch.op.done <- reply{err: err}
-		}
-		return nil
+		return c.unwritten(ctx, "commit", changes, err)
 	}
 }
 
-// transact commits one transaction.
+// transact commits one transaction, with the index page that names the claims
+// it takes.
 func (c *Claims) transact(ctx context.Context, changes []change) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	writes := make([]platform.Write, len(changes))
+	writes := make([]platform.Write, len(changes), len(changes)+1)
+	var takes []claim.Key
 	for i, ch := range changes {
 		writes[i] = ch.write
+		if ch.op.keep > 0 {
+			takes = append(takes, ch.op.key)
+		}
+	}
+	if len(takes) == 0 {
+		return c.table.Commit(ctx, writes...)
+	}
+	page, err := c.index.name(ctx, takes)
+	if err != nil {
+		return err
 	}
-	return c.table.Commit(ctx, writes...)
+	return c.table.Commit(ctx, append(writes, page)...)
 }
 
 // retry returns the ops that have tries left, and fails the others.
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -47,14 +47,17 @@
 	table     platform.Table
 	now       func() time.Time
 	log       *slog.Logger
+	index     *index
 	ops       chan *op
 	finishing chan struct{} // a place for each result waiting to be written
 }
 
-// New returns claims in the table. now is the wall clock.
-func New(table platform.Table, now func() time.Time, log *slog.Logger) *Claims {
+// New returns the claims that a run of a router makes in the table. now is the
+// wall clock.
+func New(table platform.Table, writer claim.Writer, now func() time.Time, log *slog.Logger) *Claims {
 	return &Claims{
 		table:     table,
+		index:     newIndex(table, writer, now),
 		now:       now,
 		log:       log,
 		ops:       make(chan *op, maxQueue),
@@ -65,6 +68,7 @@
 // op is one claim's turn at the table.
 type op struct {
 	key   claim.Key
+	keep  int64                                     // of one that takes the key: until when, Unix ms; else 0
 	step  func(have *claim.Row) (reply, *claim.Row) // the row to write, or nil
 	done  chan reply                                // gets one
 	tries int
@@ -82,7 +86,7 @@
 // answer. The error is *Unavailable: the claim is not held, and a row that was
 // written all the same is released later.
 func (c *Claims) Take(ctx context.Context, key claim.Key, want claim.Want) (claim.Verdict, *claim.Row, error) {
-	o := &op{key: key, done: make(chan reply, 1), step: func(have *claim.Row) (reply, *claim.Row) {
+	o := &op{key: key, keep: want.Keep, done: make(chan reply, 1), step: func(have *claim.Row) (reply, *claim.Row) {
 		verdict, next := claim.Decide(c.now().UnixMilli(), have, want)
 		switch verdict {
 		case claim.Take:
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,15 +17,18 @@
 	"github.com/windscale/windscale/internal/platform"
 )
 
-// table is a table in memory whose calls fail as they are told to.
+// table is a table in memory whose calls fail as they are told to. Its faults and
+// counts are of commits that write claims; what only writes the index is tested
+// against the stand-in.
 type table struct {
 	mu      sync.Mutex
 	rows    map[string]platform.Row
+	version uint64          // the last one given
 	faults  []platform.Kind // of the next commits; 0: none
 	effect  bool            // a commit of unknown outcome takes effect
 	down    bool
 	commits int
-	widest  int
+	widest  int // claims of one commit
 }
 
 func (t *table) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
@@ -45,8 +49,14 @@
 func (t *table) Commit(_ context.Context, writes ...platform.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	claimed := 0
+	for _, w := range writes {
+		if strings.HasPrefix(w.Key, "claim/") {
+			claimed++
+		}
+	}
 	var fault platform.Kind
-	if len(t.faults) > 0 {
+	if len(t.faults) > 0 && claimed > 0 {
 		fault, t.faults = t.faults[0], t.faults[1:]
 	}
 	if fault != 0 && (fault != platform.KindUnknown || !t.effect) {
@@ -57,11 +67,12 @@
 			return &platform.Error{Kind: platform.KindConflict, Op: "table.commit"}
 		}
 	}
+	t.version++
 	for _, w := range writes {
-		t.rows[w.Key] = platform.Row{Value: w.Value, Version: w.IfVersion + 1}
+		t.rows[w.Key] = platform.Row{Value: w.Value, Version: t.version}
 	}
-	t.commits++
-	t.widest = max(t.widest, len(writes))
+	t.commits += min(claimed, 1)
+	t.widest = max(t.widest, claimed)
 	if fault != 0 {
 		return &platform.Error{Kind: fault, Op: "table.commit"}
 	}
@@ -85,8 +96,8 @@
 		tab := &table{rows: map[string]platform.Row{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var routers []*Claims
-		for range n {
-			c := New(tab, time.Now, slog.New(slog.DiscardHandler))
+		for i := range n {
+			c := New(tab, claim.Writer{Incarnation: uint64(i)}, time.Now, slog.New(slog.DiscardHandler))
 			routers = append(routers, c)
 			go func() { _ = c.Run(ctx) }()
 		}
--- a/internal/events/claims.go
+++ b/internal/events/claims.go
@@ -7,3 +7,10 @@
 	ClaimLapsed      = Event{603, "claim lapsed before the request was sent"}
 	ClaimFenced      = Event{604, "backend server refused an old fencing number"}
 )
+
+// The events of the deletion of claims that are over.
+var (
+	ClaimsSwept        = Event{610, "claims of an hour deleted"}
+	ClaimSweepFailed   = Event{611, "claims not swept"}
+	ClaimRowUnreadable = Event{612, "claim row can't be read"}
+)
--- a/internal/proxy/claimed_test.go
+++ b/internal/proxy/claimed_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/windscale/windscale/internal/claims"
+	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/dispatch"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
 	"github.com/windscale/windscale/internal/standin/platform"
@@ -32,9 +33,9 @@
 	f := &fleet{platform: platform.New(0), servers: []*service.Service{newService(), newService()}}
 	store := httptest.NewServer(f.platform)
 	t.Cleanup(store.Close)
-	for range 2 {
+	for i := range 2 {
 		r := newRig(t, f.servers[0], f.servers[1])
-		c := claims.New(httpplatform.New(store.URL, store.Client()), time.Now, slog.New(slog.DiscardHandler))
+		c := claims.New(httpplatform.New(store.URL, store.Client()), claim.Writer{Incarnation: uint64(i)}, time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); _ = c.Run(ctx) }()
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -86,6 +86,18 @@
 	return list
 }
 
+// liveRouters are the routers that may be given the work of the fleet.
+func (r *Router) liveRouters() []msg.RouterID {
+	view, _ := r.members.View()
+	var live []msg.RouterID
+	for _, m := range view {
+		if m.State != member.Leaving {
+			live = append(live, m.ID)
+		}
+	}
+	return live
+}
+
 func (r *Router) membersState() metrics.MembersState {
 	view, changes := r.members.View()
 	list := r.hosts.Stats()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/claims"
 	"github.com/windscale/windscale/internal/config"
+	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/core/share"
@@ -56,6 +57,7 @@
 	proxy    *proxy.Proxy
 	members  *members.Members
 	claims   *claims.Claims
+	sweeper  *claims.Sweeper
 	drain    *drain
 	servers  *serverWatch
 
@@ -86,7 +88,9 @@
 	r.sharer = r.newSharer()
 	r.members = r.newMembers()
 	r.follower = r.newFollower()
-	r.claims = claims.New(r.platform, time.Now, r.log)
+	writer := claim.Writer{Router: cfg.ID, Incarnation: r.incarnation}
+	r.claims = claims.New(r.platform, writer, time.Now, r.log)
+	r.sweeper = claims.NewSweeper(r.platform, cfg.ID, r.liveRouters, time.Now, r.log)
 	r.proxy = r.newProxy()
 	if err := r.listen(); err != nil {
 		return nil, err
@@ -174,7 +178,7 @@
 	srv := entry.NewServer(r.entryLn, conf, callers.Handler(), settings.DefaultFleet(), r.log)
 	r.follower.Notify(func(s *settings.Snapshot) { r.settingsTaken(s, srv) })
 	for _, work := range []func(context.Context) error{
-		r.link.Run, r.sharer.Run, r.members.Run, r.hosts.Run, r.follower.Run, r.claims.Run,
+		r.link.Run, r.sharer.Run, r.members.Run, r.hosts.Run, r.follower.Run, r.claims.Run, r.sweeper.Run,
 	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
--- a/test/cmd/slopes/claims.go
+++ b/test/cmd/slopes/claims.go
@@ -68,7 +68,7 @@
 // measureClaimRate claims keys at a steady rate at one router.
 func measureClaimRate(rate int) claimCost {
 	t := &table{rows: map[string]platform.Row{}}
-	c := claims.New(t, time.Now, slog.New(slog.DiscardHandler))
+	c := claims.New(t, claim.Writer{Router: "r", Incarnation: 1}, time.Now, slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
