--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,20 +1,18 @@
 // Package admin is the operators' HTTP API of a router, on a listener of its
 // own: health, status, drain, backend servers and expvar. All but the health
-// checks want the operators' token.
+// checks want the operators' token or, over TLS, an operator's certificate.
 package admin
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/http/pprof"
-	"strings"
 
 	"github.com/labstack/echo/v5"
 
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/events"
 )
 
 // Member is one router as this router sees it.
@@ -65,12 +63,12 @@
 	SetLink(peer msg.RouterID, cut bool) bool
 }
 
-// Handler serves the API.
-func Handler(r Router, token string) http.Handler {
+// Handler serves the API to those whom auth admits.
+func Handler(r Router, auth Auth) http.Handler {
 	e := echo.New()
 	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c *echo.Context) error { return readyz(c, r.Status()) })
-	g := e.Group("", authenticate(token))
+	g := e.Group("", auth.authenticate)
 	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	g.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	g.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
@@ -80,10 +78,11 @@
 		return c.JSON(http.StatusOK, r.Explain(msg.CustomerID(c.QueryParam("customer"))))
 	})
 	g.POST("/v1/drain", func(c *echo.Context) error {
+		auth.change(c, events.DrainOrdered)
 		r.Drain()
 		return c.JSON(http.StatusAccepted, r.Status())
 	})
-	g.POST("/v1/link", func(c *echo.Context) error { return setLink(c, r) })
+	g.POST("/v1/link", func(c *echo.Context) error { return setLink(c, r, auth) })
 	return e
 }
 
@@ -103,7 +102,7 @@
 // maxOrder bounds the body of an order, in bytes.
 const maxOrder = 4096
 
-func setLink(c *echo.Context, r Router) error {
+func setLink(c *echo.Context, r Router, auth Auth) error {
 	var o linkOrder
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxOrder)
 	if err := json.NewDecoder(body).Decode(&o); err != nil {
@@ -112,21 +111,6 @@
 	if !r.SetLink(o.Peer, o.Cut) {
 		return c.String(http.StatusForbidden, "this router's configuration does not allow faults\n")
 	}
+	auth.change(c, events.LinkOrdered, "peer", o.Peer, "cut", o.Cut)
 	return c.NoContent(http.StatusNoContent)
 }
-
-// authenticate compares digests, so that the time taken tells nothing of the
-// token, its length included.
-func authenticate(token string) echo.MiddlewareFunc {
-	want := sha256.Sum256([]byte(token))
-	return func(next echo.HandlerFunc) echo.HandlerFunc {
-		return func(c *echo.Context) error {
-			given, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-			got := sha256.Sum256([]byte(given))
-			if !ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-				return c.String(http.StatusUnauthorized, "an operators' token is needed\n")
-			}
-			return next(c)
-		}
-	}
-}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -40,7 +40,7 @@
 
 func TestAllButHealthWantsTheToken(t *testing.T) {
 	f := &fakeRouter{status: Status{Ready: true}, cut: map[msg.RouterID]bool{}}
-	h := Handler(f, "token")
+	h := Handler(f, Auth{Token: "token"})
 	for _, c := range []struct{ method, target, body string }{
 		{"GET", "/debug/vars", ""}, {"GET", "/v1/status", ""}, {"GET", "/v1/backends", ""},
 		{"GET", "/v1/explain?customer=a", ""}, {"POST", "/v1/drain", ""}, {"POST", "/v1/link", `{"peer":"r2","cut":true}`},
@@ -63,7 +63,7 @@
 		status Status
 		want   int
 	}{{Status{Ready: true}, 200}, {Status{}, 503}, {Status{Ready: true, Draining: true}, 503}} {
-		code, _ := call(Handler(&fakeRouter{status: c.status}, "token"), "GET", "/readyz", "", "")
+		code, _ := call(Handler(&fakeRouter{status: c.status}, Auth{Token: "token"}), "GET", "/readyz", "", "")
 		assert.Equal(t, code, c.want, "%+v", c.status)
 	}
 }
@@ -78,7 +78,7 @@
 		{f, `{"peer":"r2","cut":true}`, 204}, {f, `{"peer":"r3","cut":false}`, 204}, {f, `{"peer":`, 400},
 		{f, `{"peer":"` + strings.Repeat("x", maxOrder) + `"}`, 400}, {&fakeRouter{}, `{"peer":"r2","cut":true}`, 403},
 	} {
-		code, _ := call(Handler(c.router, "token"), "POST", "/v1/link", "Bearer token", c.body)
+		code, _ := call(Handler(c.router, Auth{Token: "token"}), "POST", "/v1/link", "Bearer token", c.body)
 		assert.Equal(t, code, c.want, c.body[:8])
 	}
 	assert.DeepEqual(t, f.cut, map[msg.RouterID]bool{"r2": true, "r3": false})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	Link       string // other routers' listener, IP:port (UDP)
 	Admin      string // operators' listener, IP:port
 	AdminToken string
+	AdminTLS   bool // operators' listener serves HTTPS with the fleet identity
 	Sharing    Sharing
 	// Faults allows operators to cut links on purpose, for tests of failures.
 	Faults bool
@@ -86,6 +87,7 @@
 		Link:        p.addr("router", "link"),
 		Admin:       p.addr("router", "admin"),
 		AdminToken:  p.secret("router", "admin_token_file"),
+		AdminTLS:    p.choice("router", "admin_tls", "false", "true") == "true",
 		Sharing:     Sharing(p.choice("router", "sharing", string(SharingFleet), string(SharingAlone))),
 		Faults:      p.choice("router", "faults", "false", "true") == "true",
 		PlatformURL: p.url("platform", "url"),
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -89,7 +89,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = follower.Run(ctx) }()
 	f.t.Cleanup(func() { stop(); <-done })
-	server := httptest.NewServer(admin.Handler(&stub{id: msg.RouterID(id), follower: follower}, token))
+	server := httptest.NewServer(admin.Handler(&stub{id: msg.RouterID(id), follower: follower}, admin.Auth{Token: token}))
 	f.t.Cleanup(server.Close)
 	f.addHost(id, strings.TrimPrefix(server.URL, "http://"))
 }
--- a/internal/fleetcert/errors.go
+++ b/internal/fleetcert/errors.go
@@ -18,6 +18,7 @@
 	KindRole                     // an identity of another role than asked for
 	KindChain                    // a certificate that the fleet's CA did not issue for this use
 	KindPeer                     // a valid router, but not the expected one
+	KindExpired                  // a certificate that is not valid now
 )
 
 var kindNames = map[Kind]string{
@@ -29,6 +30,7 @@
 	KindRole:     "wrong role",
 	KindChain:    "not issued by the fleet's CA for this use",
 	KindPeer:     "another router than expected",
+	KindExpired:  "not valid at this time",
 }
 
 // String returns the kind's name.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -85,7 +85,9 @@
 type Config struct {
 	ID     msg.RouterID
 	Listen string // IP:port, UDP; port 0 takes a free one
-	TLS    fleetcert.Credentials
+	// TLS is asked for each new connection. Connections that are open stay so
+	// when the credentials change.
+	TLS fleetcert.Source
 	// Resolve returns a peer's link address, IP:port. It is called from any
 	// goroutine, must not block, and must not call the link.
 	Resolve      func(msg.RouterID) (addr string, ok bool)
@@ -115,7 +117,7 @@
 // once; peers are accepted when [Link.Run] runs. The error is KindListen,
 // KindUnresolved, KindConfig or one of fleetcert.
 func New(config Config) (*Link, error) {
-	own, err := config.TLS.Router()
+	own, err := config.TLS.Current().Router()
 	if err != nil {
 		return nil, err
 	}
@@ -134,8 +136,8 @@
 	if l.log == nil {
 		l.log = slog.New(slog.DiscardHandler)
 	}
-	l.transport = &quic.Transport{Conn: socket, StatelessResetKey: resetKey(config.TLS)}
-	l.listener, err = l.transport.Listen(config.TLS.Listener(protocol), quicConfig())
+	l.transport = &quic.Transport{Conn: socket, StatelessResetKey: resetKey(config.TLS.Current())}
+	l.listener, err = l.transport.Listen(fleetcert.RouterListener(config.TLS, protocol), quicConfig())
 	if err != nil {
 		socket.Close()
 		return nil, &Error{Kind: KindListen, Err: err}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -204,7 +204,7 @@
 	p.link.counters.dials.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	tls := p.link.config.TLS.Dialer(p.id, protocol)
+	tls := p.link.config.TLS.Current().Dialer(p.id, protocol)
 	conn, err := p.link.transport.Dial(ctx, addr, tls, quicConfig())
 	if err != nil {
 		return &Error{Kind: KindDial, Peer: p.id, Err: err}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/backend"
+	"github.com/windscale/windscale/internal/certwatch"
 	"github.com/windscale/windscale/internal/claims"
 	"github.com/windscale/windscale/internal/config"
 	"github.com/windscale/windscale/internal/core/msg"
@@ -49,6 +50,7 @@
 	metrics  *metrics.Registry
 	platform *httpplatform.Client
 	hosts    *hosts.Follower
+	identity *certwatch.Watch
 	link     *link.Link
 	follower *settingsstore.Follower
 	sharer   *sharing.Sharer
@@ -138,14 +140,15 @@
 }
 
 func (r *Router) listen() error {
-	cred, err := fleetcert.Load(r.cfg.CA, r.cfg.Cert, r.cfg.Key)
+	var err error
+	r.identity, err = certwatch.Fleet(r.cfg.ID, r.cfg.CA, r.cfg.Cert, r.cfg.Key, r.log)
 	if err != nil {
 		return errors.Annotate(err, "fleet identity")
 	}
 	r.link, err = link.New(link.Config{
 		ID:           r.cfg.ID,
 		Listen:       r.cfg.Link,
-		TLS:          cred,
+		TLS:          r.identity,
 		Resolve:      r.resolve,
 		Handler:      r.receive,
 		FetchHandler: r.answer,
@@ -160,13 +163,16 @@
 	if r.adminLn, err = net.Listen("tcp", r.cfg.Admin); err != nil {
 		return errors.Annotate(err, "admin listener")
 	}
+	if r.cfg.AdminTLS {
+		r.adminLn = tls.NewListener(r.adminLn, fleetcert.AdminListener(r.identity))
+	}
 	return nil
 }
 
 // Actors adds the router's parts to the group. The group ends when the drain
 // has ended or a part fails.
 func (r *Router) Actors(g *run.Group) error {
-	conf, err := r.entryTLS()
+	conf, err := r.entryTLS(g)
 	if err != nil {
 		return err
 	}
@@ -174,12 +180,12 @@
 	srv := entry.NewServer(r.entryLn, conf, callers.Handler(), settings.DefaultFleet(), r.log)
 	r.follower.Notify(func(s *settings.Snapshot) { r.settingsTaken(s, srv) })
 	for _, work := range []func(context.Context) error{
-		r.link.Run, r.sharer.Run, r.members.Run, r.hosts.Run, r.follower.Run, r.claims.Run,
+		r.link.Run, r.sharer.Run, r.members.Run, r.hosts.Run, r.follower.Run, r.claims.Run, r.identity.Run,
 	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
 	g.Add(func() error { return r.accept(srv) }, func(error) { _ = r.entryLn.Close() })
-	adm := &http.Server{Handler: admin.Handler(r, r.cfg.AdminToken), ReadHeaderTimeout: adminTimeout}
+	adm := r.adminServer()
 	g.Add(func() error { return closed(adm.Serve(r.adminLn)) }, func(error) { _ = adm.Close() })
 	r.addDrain(g, srv)
 	events.ProcessStarted.Log(r.ctx, r.log, slog.LevelInfo, "incarnation", r.incarnation, "dataCentre", r.cfg.DataCentre)
@@ -211,15 +217,27 @@
 	return err
 }
 
-func (r *Router) entryTLS() (*tls.Config, error) {
+func (r *Router) adminServer() *http.Server {
+	auth := admin.Auth{Token: r.cfg.AdminToken, TLS: r.identity, Log: r.log}
+	return &http.Server{
+		Handler:           admin.Handler(r, auth),
+		ReadHeaderTimeout: adminTimeout,
+		ErrorLog:          slog.NewLogLogger(r.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// entryTLS returns nil when callers are served without TLS. The watch of the
+// certificate's files is added to the group.
+func (r *Router) entryTLS(g *run.Group) (*tls.Config, error) {
 	if r.cfg.EntryCert == "" {
 		return nil, nil
 	}
-	pair, err := tls.LoadX509KeyPair(r.cfg.EntryCert, r.cfg.EntryKey)
+	pair, err := certwatch.Entry(r.cfg.EntryCert, r.cfg.EntryKey, r.log)
 	if err != nil {
 		return nil, errors.Annotate(err, "callers' certificate")
 	}
-	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+	g.Add(func() error { return pair.Run(r.ctx) }, func(error) { r.stop() })
+	return &tls.Config{GetCertificate: pair.Certificate, MinVersion: tls.VersionTLS12}, nil
 }
 
 // settingsTaken puts a new version in force in the parts that keep a copy.
