--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -27,6 +27,7 @@
 admin = 127.0.0.1:2
 admin_token_file = `+short+`
 sharing = both
+admin_tls = yes
 colour = red
 [platform]
 url = ftp://x
@@ -50,6 +51,7 @@
 		{"router.link", Twice},
 		{"router.admin_token_file", TooShort},
 		{"router.sharing", NotAChoice},
+		{"router.admin_tls", NotAChoice},
 		{"router.colour", UnknownKey},
 		{"platform.url", NotURL},
 		{"tls.ca", Missing},
@@ -75,6 +77,7 @@
 link = 127.0.0.1:1
 admin = 127.0.0.1:2
 admin_token_file = `+token+`
+admin_tls = true
 [platform]
 url = http://127.0.0.1:9/
 [tls]
@@ -89,5 +92,6 @@
 	assert.Equal(t, r.AdminToken, "0123456789abcdef")
 	assert.Equal(t, r.PlatformURL, "http://127.0.0.1:9")
 	assert.Equal(t, r.Sharing, SharingFleet)
+	assert.Assert(t, r.AdminTLS)
 	assert.DeepEqual(t, r.Seeds, []Seed{{ID: "r2", Addr: "127.0.0.1:1"}})
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -67,6 +67,10 @@
 
 // start runs a link; it and its Run end with the test or by stop.
 func (f *fleet) start(id msg.RouterID, c fleetcert.Credentials, listen string) (l *Link, stop func()) {
+	return f.startSource(id, c, listen)
+}
+
+func (f *fleet) startSource(id msg.RouterID, c fleetcert.Source, listen string) (l *Link, stop func()) {
 	l, err := New(Config{
 		ID: id, Listen: listen, TLS: c, Resolve: f.resolve,
 		Handler: func(from msg.RouterID, kind uint8, body []byte) {
