--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -32,10 +32,14 @@
 Two readings are needed at least. With --samples the readings last from one run
 to the next; with --watch the command goes on reading.
 
+With --ca the routers are asked by HTTPS, and each must prove the ID of its row
+in the host list; one given by --router may be any router of the fleet.
+
 Examples:
   windscale-burn --platform http://127.0.0.1:9000 --admin-token-file token --samples burn.samples
   windscale-burn --platform http://127.0.0.1:9000 --admin-token-file token --watch
   windscale-burn --router http://127.0.0.1:9201 --settings settings.ini --admin-token-file token --output html --out burn.html
+  windscale-burn --platform http://127.0.0.1:9000 --ca ca.pem --cert ana.pem --key ana-key.pem --watch
 
 Exit codes: 0 reported, 1 failed, 2 wrong usage or input.`
 
--- a/cmd/windscale-burn/report.go
+++ b/cmd/windscale-burn/report.go
@@ -5,13 +5,13 @@
 	"context"
 	"io"
 	"log/slog"
-	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/windscale/windscale/internal/adminclient"
 	"github.com/windscale/windscale/internal/burn"
 	coreburn "github.com/windscale/windscale/internal/core/burn"
 	"github.com/windscale/windscale/internal/core/msg"
@@ -22,23 +22,23 @@
 )
 
 const (
-	adminScheme = "http"
 	clearScreen = "\033[H\033[2J"
 	outMode     = 0o644
 )
 
 type options struct {
-	Platform  string        `long:"platform" value-name:"URL" description:"the platform, for the host list and the settings"`
-	Routers   []string      `long:"router" value-name:"URL" description:"base URL of a router's admin listener; repeated. Default: the routers of the host list"`
-	Settings  string        `long:"settings" value-name:"FILE" description:"settings text with the objectives. Default: the version in force"`
-	TokenFile string        `long:"admin-token-file" value-name:"FILE" required:"true" description:"file with the operators' token"`
-	Output    string        `long:"output" choice:"table" choice:"json" choice:"html" description:"form of the report"`
-	Out       string        `long:"out" value-name:"FILE" description:"write the report to this file"`
-	Samples   string        `long:"samples" value-name:"FILE" description:"keep the readings in this file between runs"`
-	Watch     bool          `long:"watch" description:"go on reading and reporting until interrupted"`
-	Interval  time.Duration `long:"interval" description:"between two readings"`
-	Readings  int           `long:"readings" description:"readings to take without --watch. Default: 1 if the samples file holds some, else 2"`
-	Timeout   time.Duration `long:"timeout" description:"for reading one router, or the platform"`
+	Platform string        `long:"platform" value-name:"URL" description:"the platform, for the host list and the settings"`
+	Routers  []string      `long:"router" value-name:"URL" description:"base URL of a router's admin listener; repeated. Default: the routers of the host list"`
+	Settings string        `long:"settings" value-name:"FILE" description:"settings text with the objectives. Default: the version in force"`
+	Output   string        `long:"output" choice:"table" choice:"json" choice:"html" description:"form of the report"`
+	Out      string        `long:"out" value-name:"FILE" description:"write the report to this file"`
+	Samples  string        `long:"samples" value-name:"FILE" description:"keep the readings in this file between runs"`
+	Watch    bool          `long:"watch" description:"go on reading and reporting until interrupted"`
+	Interval time.Duration `long:"interval" description:"between two readings"`
+	Readings int           `long:"readings" description:"readings to take without --watch. Default: 1 if the samples file holds some, else 2"`
+	Timeout  time.Duration `long:"timeout" description:"for reading one router, or the platform"`
+
+	Admin adminclient.Options `group:"Routers' admin listeners"`
 }
 
 func defaults() options {
@@ -75,16 +75,16 @@
 }
 
 func newReporter(ctx context.Context, opts options, log *slog.Logger) (*reporter, error) {
-	token, err := os.ReadFile(opts.TokenFile)
+	admin, err := adminclient.New(opts.Admin)
 	if err != nil {
-		return nil, errors.Annotate(err, "operators' token")
+		return nil, errors.Trace(err)
 	}
 	r := &reporter{opts: opts, log: log, scraper: &burn.Scraper{
-		Client:  http.DefaultClient,
-		Token:   strings.TrimSpace(string(token)),
+		Token:   admin.Token(),
+		For:     admin.HTTP,
 		Timeout: opts.Timeout,
 	}}
-	if err := r.sources(ctx); err != nil {
+	if err := r.sources(ctx, admin.Scheme()); err != nil {
 		return nil, err
 	}
 	r.history = coreburn.New()
@@ -94,20 +94,33 @@
 	return r, errors.Trace(err)
 }
 
-// sources chooses where the routers and the objectives come from.
-func (r *reporter) sources(ctx context.Context) error {
+// SchemeError says that a router's URL has not the scheme that the flags ask
+// for: https with --ca, http without.
+type SchemeError struct{ URL, Scheme string }
+
+// Error implements error.
+func (e *SchemeError) Error() string {
+	return "--router " + e.URL + ": with these flags it must begin with " + e.Scheme + "://"
+}
+
+// sources chooses where the routers and the objectives come from. Routers are
+// asked with the given scheme.
+func (r *reporter) sources(ctx context.Context, scheme string) error {
 	client := httpplatform.New(r.opts.Platform, nil)
 	switch {
 	case len(r.opts.Routers) > 0:
 		var list []burn.Target
 		for _, url := range r.opts.Routers {
+			if !strings.HasPrefix(url, scheme+"://") {
+				return &SchemeError{URL: url, Scheme: scheme}
+			}
 			list = append(list, burn.Target{URL: strings.TrimSuffix(url, "/")})
 		}
 		r.targets = burn.Fixed(list)
 	case r.opts.Platform == "":
 		return &MissingSourceError{What: "routers (or --router)"}
 	default:
-		r.targets = burn.Latest(burn.Listed(client, adminScheme), func(err error) {
+		r.targets = burn.Latest(burn.Listed(client, scheme), func(err error) {
 			events.BurnHostList.Log(ctx, r.log, slog.LevelWarn, "err", err.Error())
 		})
 	}
--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -55,8 +55,11 @@
 
 // Scraper reads routers. Its methods are for one goroutine at a time.
 type Scraper struct {
-	Client  *http.Client
-	Token   string        // the operators' token
+	Client *http.Client
+	Token  string // the operators' token; empty: none is sent
+	// For returns the client for a router, whose ID may be empty; nil: Client
+	// is for all.
+	For     func(msg.RouterID) *http.Client
 	Timeout time.Duration // for one router
 
 	names map[string]msg.RouterID // by URL, once a router has said its name
@@ -71,7 +74,7 @@
 	g.SetLimit(scrapeParallel)
 	for i, t := range targets {
 		g.Go(func() error {
-			samples[i], errs[i] = s.read(ctx, t.URL)
+			samples[i], errs[i] = s.read(ctx, t)
 			return nil
 		})
 	}
@@ -112,15 +115,17 @@
 	} `json:"windscale"`
 }
 
-func (s *Scraper) read(ctx context.Context, url string) (burn.Sample, error) {
+func (s *Scraper) read(ctx context.Context, t Target) (burn.Sample, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+varsPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.URL+varsPath, nil)
 	if err != nil {
 		return burn.Sample{}, errors.Trace(err)
 	}
-	req.Header.Set("Authorization", "Bearer "+s.Token)
-	resp, err := s.Client.Do(req)
+	if s.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+s.Token)
+	}
+	resp, err := s.client(t.ID).Do(req)
 	if err != nil {
 		return burn.Sample{}, errors.Trace(err)
 	}
@@ -131,6 +136,13 @@
 	return parse(io.LimitReader(resp.Body, maxPage))
 }
 
+func (s *Scraper) client(id msg.RouterID) *http.Client {
+	if s.For == nil {
+		return s.Client
+	}
+	return s.For(id)
+}
+
 // parse makes a sample of a router's page.
 func parse(r io.Reader) (burn.Sample, error) {
 	var p page
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -87,7 +87,7 @@
 
 // putInForce accepts a version and waits until it is in force.
 func (a *app) putInForce(ctx context.Context, wait time.Duration, changes []settings.Change, accept func(context.Context) (settingsstore.Accepted, error)) error {
-	if _, err := a.token(); wait > 0 && err != nil {
+	if _, err := a.admin(); wait > 0 && err != nil {
 		return err
 	}
 	accepting, cancel := context.WithTimeout(ctx, acceptTimeout)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,10 +8,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/windscale/windscale/internal/adminclient"
 	"github.com/windscale/windscale/internal/platform"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
 	"github.com/windscale/windscale/internal/settingsstore"
@@ -32,22 +34,36 @@
   windscalectl settings check fleet.ini
   windscalectl --platform http://10.0.0.9:9000 settings diff fleet.ini
   windscalectl settings apply fleet.ini --base 12 --note "more for claims"
+  windscalectl settings show 11
+  windscalectl settings history
   windscalectl settings rollback 11 --base 12
+  windscalectl settings key
   windscalectl customer effective trasladar/claims-desk
   windscalectl status --output json
+  windscalectl backend list
+  windscalectl top --for 10s
+  windscalectl explain trasladar/claims-desk
   windscalectl drain r3 --wait 5m
+  windscalectl --ca ca.pem --cert ana.pem --key ana-key.pem status
 
 --platform and --admin-token-file may be given in the environment, as
-WINDSCALE_PLATFORM and WINDSCALE_ADMIN_TOKEN_FILE.
+WINDSCALE_PLATFORM and WINDSCALE_ADMIN_TOKEN_FILE; --ca, --cert and --key as
+WINDSCALE_ADMIN_CA, WINDSCALE_ADMIN_CERT and WINDSCALE_ADMIN_KEY.
+
+With --ca the routers' admin listeners are asked by HTTPS (admin_tls = true in
+each router's own file), and each must prove the ID of its row in the host
+list. A router refuses what comes with neither the token nor an operator's
+certificate.
 
 Exit codes: 0 done, 1 the operation failed, 2 wrong usage or input.`
 
 // options are the flags before any command.
 type options struct {
-	Version   bool   `long:"version" description:"print the version and exit"`
-	Platform  string `long:"platform" env:"WINDSCALE_PLATFORM" value-name:"URL" description:"where the platform's services are"`
-	TokenFile string `long:"admin-token-file" env:"WINDSCALE_ADMIN_TOKEN_FILE" value-name:"FILE" description:"holds the token of the routers' admin listeners"`
-	Output    string `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+	Platform string `long:"platform" env:"WINDSCALE_PLATFORM" value-name:"URL" description:"where the platform's services are"`
+	Output   string `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
+
+	Admin adminclient.Options `group:"Routers' admin listeners"`
 
 	Settings settingsCommands `command:"settings" description:"check, change and show the settings"`
 	Customer customerCommands `command:"customer" description:"show what holds for a customer"`
@@ -94,6 +110,10 @@
 	out  io.Writer // results
 	note io.Writer // progress and failures
 	http *http.Client
+
+	adminOnce   sync.Once
+	adminClient *adminclient.Client
+	adminErr    error
 }
 
 // Run runs the command line and returns the exit code.
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/adminclient"
+	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -90,7 +91,7 @@
 // each asks every router for a page and returns the answers of those that
 // gave one, by router ID.
 func each[V any](ctx context.Context, a *app, path string) (map[string]V, error) {
-	if _, err := a.token(); err != nil {
+	if _, err := a.admin(); err != nil {
 		return nil, err
 	}
 	hosts, err := a.hosts(ctx)
@@ -128,18 +129,18 @@
 
 // call calls a router's admin listener and decodes its answer.
 func (a *app) call(ctx context.Context, h platform.Host, method, path string, answer any) error {
-	token, err := a.token()
+	admin, err := a.admin()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.Admin+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, admin.Scheme()+"://"+h.Admin+path, nil)
 	if err != nil {
 		return &RouterError{Router: h.ID, Err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := a.http.Do(req)
+	admin.Authorize(req)
+	resp, err := admin.HTTP(msg.RouterID(h.ID)).Do(req)
 	if err != nil {
 		return &RouterError{Router: h.ID, Err: err}
 	}
@@ -153,13 +154,12 @@
 	return nil
 }
 
-func (a *app) token() (string, error) {
-	if a.opts.TokenFile == "" {
-		return "", &UsageError{What: "--admin-token-file is needed"}
-	}
-	text, err := os.ReadFile(a.opts.TokenFile)
-	if err != nil {
-		return "", &UsageError{What: err.Error()}
-	}
-	return strings.TrimSpace(string(text)), nil
+// admin returns the client of the routers' admin listeners, made at the first
+// call. Any goroutine may call it.
+func (a *app) admin() (*adminclient.Client, error) {
+	a.adminOnce.Do(func() { a.adminClient, a.adminErr = adminclient.New(a.opts.Admin) })
+	if a.adminErr != nil {
+		return nil, &UsageError{What: a.adminErr.Error()}
+	}
+	return a.adminClient, nil
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -19,7 +19,7 @@
 }
 
 func (c *statusCommand) run(ctx context.Context, a *app) error {
-	if _, err := a.token(); err != nil {
+	if _, err := a.admin(); err != nil {
 		return err
 	}
 	store, err := a.store()
--- a/internal/link/replace_test.go
+++ b/internal/link/replace_test.go
@@ -11,7 +11,9 @@
 )
 
 // held is credentials that a test replaces.
-type held struct{ atomic.Pointer[fleetcert.Credentials] }
+type held struct {
+	atomic.Pointer[fleetcert.Credentials]
+}
 
 func (h *held) Current() fleetcert.Credentials { return *h.Load() }
 
@@ -35,7 +37,9 @@
 	put(&b, f.credentials("b"))
 	la, _ := f.startSource("a", &a, "127.0.0.1:0")
 	lb, _ := f.startSource("b", &b, "127.0.0.1:0")
-	trusting := func(c fleetcert.Credentials) fleetcert.Credentials { return fleetcert.Credentials{Cert: c.Cert, CA: both} }
+	trusting := func(c fleetcert.Credentials) fleetcert.Credentials {
+		return fleetcert.Credentials{Cert: c.Cert, CA: both}
+	}
 	for i, step := range []func(){
 		func() {},
 		func() { put(&a, trusting(a.Current())) },
