--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -37,8 +37,18 @@
 Examples:
   windscale-cert ca --out tls
   windscale-cert router --ca tls --id r1 --ip 10.0.0.1 --out tls
+  windscale-cert router --ca tls --id r2 --ip 10.0.0.2 --ip fd00::2 --out tls
   windscale-cert operator --ca tls --name ana --out tls
 
+To replace the CA, make the next one in a directory of its own, trust both
+(cat tls/ca.pem next/ca.pem) on every router, issue by the next, then trust
+only the next:
+  windscale-cert ca --out next
+  windscale-cert router --ca next --id r1 --ip 10.0.0.1 --out next
+
+Routers take new files in force by themselves within some seconds; see
+docs/OPERATING.md.
+
 Exit codes: 0 done, 1 the operation failed, 2 wrong usage.`
 
 type options struct {
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"io"
 	"log/slog"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/fleetcert"
 	"github.com/windscale/windscale/internal/wire"
 )
 
@@ -18,6 +20,9 @@
 	peer  *peer
 	quic  *quic.Conn
 	since time.Time
+	// checked are the CAs by which the peer was found trusted last. Only
+	// sweep uses it.
+	checked *x509.CertPool
 
 	mu      sync.Mutex
 	awaited time.Time // since when a packet is awaited; zero: none is
@@ -43,6 +48,20 @@
 	}
 }
 
+// trusted says whether the credentials in force still trust the peer. It looks
+// only when their CAs have changed.
+func (c *connection) trusted(cred fleetcert.Credentials) bool {
+	if c.checked == cred.CA {
+		return true
+	}
+	_, err := cred.VerifyRouter(c.quic.ConnectionState().TLS, x509.ExtKeyUsageServerAuth)
+	if err != nil {
+		return false
+	}
+	c.checked = cred.CA
+	return true
+}
+
 // silent says whether a packet has been awaited too long.
 func (c *connection) silent(now time.Time) bool {
 	packets := c.quic.ConnectionStats().PacketsReceived
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -85,8 +85,8 @@
 type Config struct {
 	ID     msg.RouterID
 	Listen string // IP:port, UDP; port 0 takes a free one
-	// TLS is asked for each new connection. Connections that are open stay so
-	// when the credentials change.
+	// TLS is asked for each new connection. When its CAs change, connections
+	// that are open stay so if the peer's certificate is still trusted.
 	TLS fleetcert.Source
 	// Resolve returns a peer's link address, IP:port. It is called from any
 	// goroutine, must not block, and must not call the link.
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -225,7 +225,8 @@
 	events.LinkDialFailed.Log(p.link.ctx, p.link.log, level, "peer", p.id, "err", err)
 }
 
-// sweep closes connections that are silent, and all but the newest when
+// sweep closes connections that are silent, those whose peer the CAs in force
+// no longer trust, and all but the newest when
 // there are several. Both sides dialling at once gives two; the router with
 // the lower ID decides which stays, so that the two never close one each.
 func (p *peer) sweep(now time.Time) {
@@ -234,7 +235,12 @@
 	if p.link.config.ID < p.id {
 		patience = mergeTime
 	}
+	cred := p.link.config.TLS.Current()
 	for i, conn := range conns {
+		if !conn.trusted(cred) {
+			p.link.refuse(conn.quic, p.id, codeRefused)
+			continue
+		}
 		if conn.silent(now) {
 			p.link.counters.silentClosed.Add(1)
 			events.LinkPeerSilent.Log(p.link.ctx, p.link.log, slog.LevelWarn, "peer", p.id)
--- a/internal/link/replace_test.go
+++ b/internal/link/replace_test.go
@@ -24,6 +24,22 @@
 	l.Unblock(other.config.ID)
 }
 
+// A CA that is taken out is trusted no more, on open connections too.
+func TestOpenConnectionsEndWithTheirCA(t *testing.T) {
+	f, next := newFleet(t), newFleet(t)
+	var a held
+	c := f.credentials("a")
+	a.Store(&c)
+	la, _ := f.startSource("a", &a, "127.0.0.1:0")
+	lb := f.link("b")
+	f.deliver(la, "b", "x")
+	before := la.Stats().Refused
+	c = next.credentials("a")
+	a.Store(&c)
+	until(t, "the connections closed", func() bool { return la.Stats().Connections+lb.Stats().Connections == 0 })
+	assert.Equal(t, la.Stats().Refused, before+1)
+}
+
 // The CA and both certificates are replaced step by step, as operators do.
 // Messages arrive after each step, on the connection that was open and on one
 // that begins after the step.
