--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,9 +4,11 @@
 package config
 
 import (
+	"crypto/tls"
 	"log/slog"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -14,6 +16,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/fleetcert"
 )
 
 // Sharing says how a router decides who gets the next slot.
@@ -64,6 +67,8 @@
 	}
 	p := &parser{path: path, file: f}
 	r := p.router()
+	p.identity(r)
+	p.entryPair(r)
 	p.unknown()
 	if len(p.faults) > 0 {
 		return nil, &Error{Faults: p.faults}
@@ -191,6 +196,50 @@
 	return v
 }
 
+// identity reports files that are readable but no identity of this router. One
+// that has expired is no fault: it must not keep a router from its callers.
+func (p *parser) identity(r *Router) {
+	if p.faulty("tls", "ca") || p.faulty("tls", "cert") || p.faulty("tls", "key") {
+		return
+	}
+	if _, err := fleetcert.LoadPool(r.CA); err != nil {
+		p.fault("tls", "ca", NotUsable, err.Error())
+		return
+	}
+	cred, err := fleetcert.Load(r.CA, r.Cert, r.Key)
+	if err != nil {
+		p.fault("tls", "cert", NotUsable, err.Error())
+		return
+	}
+	own, err := cred.Router()
+	if err != nil {
+		p.fault("tls", "cert", NotUsable, err.Error())
+	} else if own != r.ID {
+		p.fault("tls", "cert", NotUsable, "it is of router "+string(own))
+	}
+}
+
+// entryPair reports half a pair for callers, and files that are none.
+func (p *parser) entryPair(r *Router) {
+	switch {
+	case r.EntryCert == "" && r.EntryKey == "":
+	case r.EntryCert == "":
+		p.fault("tls", "entry_cert", Missing, "entry_key is given")
+	case r.EntryKey == "":
+		p.fault("tls", "entry_key", Missing, "entry_cert is given")
+	case p.faulty("tls", "entry_cert") || p.faulty("tls", "entry_key"):
+	default:
+		if _, err := tls.LoadX509KeyPair(r.EntryCert, r.EntryKey); err != nil {
+			p.fault("tls", "entry_cert", NotUsable, err.Error())
+		}
+	}
+}
+
+// faulty says whether the key has a fault already.
+func (p *parser) faulty(section, key string) bool {
+	return slices.ContainsFunc(p.faults, func(f Fault) bool { return f.Section == section && f.Key == key })
+}
+
 // minToken is the fewest characters of an operators' token.
 const minToken = 16
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,9 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/fleetcert"
 )
 
 func write(t *testing.T, dir, name, text string) string {
@@ -66,27 +71,61 @@
 	assert.Equal(t, len(got), len(want), "%v", err)
 }
 
-func TestLoadGoodFile(t *testing.T) {
-	dir := t.TempDir()
-	token := write(t, dir, "token", "0123456789abcdef\n")
-	path := write(t, dir, "r.ini", `
+// good writes a file without faults, which names certificates of r1 in dir.
+func good(t *testing.T, dir, more string) string {
+	a, err := fleetcert.NewAuthority(time.Now())
+	assert.NilError(t, err)
+	for _, id := range []msg.RouterID{"r1", "r2"} {
+		pair, err := a.Router(id, nil, time.Now())
+		assert.NilError(t, err)
+		write(t, dir, string(id)+".pem", string(pair.Cert))
+		write(t, dir, string(id)+"-key.pem", string(pair.Key))
+	}
+	write(t, dir, "ca.pem", string(a.Pair().Cert))
+	write(t, dir, "token", "0123456789abcdef\n")
+	text := `
 [router]
 id = r1
 data_centre = dc1
 entry = 127.0.0.1:80
 link = 127.0.0.1:1
 admin = 127.0.0.1:2
-admin_token_file = `+token+`
+admin_token_file = DIR/token
 admin_tls = true
 [platform]
 url = http://127.0.0.1:9/
-[tls]
-ca = `+token+`
-cert = `+token+`
-key = `+token+`
 [seeds]
 routers = r2@127.0.0.1:1
-`)
+[tls]
+` + more
+	return write(t, dir, "r.ini", strings.ReplaceAll(text, "DIR", dir))
+}
+
+const goodTLS = "ca = DIR/ca.pem\ncert = DIR/r1.pem\nkey = DIR/r1-key.pem\n"
+
+func TestCertificatesOfAnotherUse(t *testing.T) {
+	for lines, want := range map[string]string{
+		goodTLS: "",
+		"ca = DIR/token\ncert = DIR/r1.pem\nkey = DIR/r1-key.pem\n":  "ca",
+		"ca = DIR/ca.pem\ncert = DIR/r1.pem\nkey = DIR/r2-key.pem\n": "cert",
+		"ca = DIR/ca.pem\ncert = DIR/r2.pem\nkey = DIR/r2-key.pem\n": "cert",
+		goodTLS + "entry_cert = DIR/r1.pem\n":                        "entry_key",
+		goodTLS + "entry_key = DIR/r1.pem\n":                         "entry_cert",
+		goodTLS + "entry_cert = DIR/r1.pem\nentry_key = DIR/token\n": "entry_cert",
+	} {
+		_, err := Load(good(t, t.TempDir(), lines))
+		faults := FaultsOf(err)
+		if want == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Equal(t, len(faults), 1, "%s: %v", lines, err)
+		assert.Equal(t, faults[0].Section+"."+faults[0].Key, "tls."+want)
+	}
+}
+
+func TestLoadGoodFile(t *testing.T) {
+	path := good(t, t.TempDir(), goodTLS)
 	r, err := Load(path)
 	assert.NilError(t, err)
 	assert.Equal(t, r.AdminToken, "0123456789abcdef")
--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -16,6 +16,7 @@
 	NotAChoice FaultKind = "not an allowed value"
 	NotASeed   FaultKind = "not of the form ID@IP:PORT"
 	TooShort   FaultKind = "too short"
+	NotUsable  FaultKind = "cannot be used"
 )
 
 // Fault is one thing wrong with the file.
