--- /dev/null
+++ b/test/cmd/runbook/main.go
@@ -0,0 +1,150 @@
+// Command runbook runs every command of the runbook, docs/OPERATING.md, in the
+// page's order against a fleet on loopback. It is test scaffolding. It exits
+// with 0 if every command did, 1 if one did not, 2 on wrong usage.
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/test/fleet"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+
+	limit = time.Minute
+)
+
+const settings = `[service dispatch]
+[tree]
+models = *
+services = *
+[tree/operations]
+`
+
+type options struct {
+	Bin  string `long:"bin" default:"bin" description:"folder of the programs"`
+	Out  string `long:"out" default:"out" description:"folder for the working folder"`
+	Page string `long:"page" default:"docs/OPERATING.md" description:"the runbook"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "runbook: FAILED:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	page, err := os.ReadFile(o.Page)
+	if err != nil {
+		return err
+	}
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		return err
+	}
+	dir, err := filepath.Abs(filepath.Join(o.Out, "runbook"))
+	if err != nil {
+		return err
+	}
+	f, err := fleet.Up(ctx, fleet.Config{
+		Dir: dir, Bin: bin, Routers: 3, DataCentres: 3,
+		Settings:  settings,
+		Customers: []fleet.Customer{{Path: "operations/prober"}},
+		Servers: []fleet.Server{
+			{ID: "d1", DataCentre: "dc1", Kind: "service", Args: []string{"--name", "dispatch"}},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := edit(filepath.Join(dir, "settings.ini")); err != nil {
+		return err
+	}
+	list := commands(string(page))
+	for _, line := range list {
+		if err := command(ctx, f, line); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d commands of %s ran and exited with 0\n", len(list), o.Page)
+	return nil
+}
+
+// edit changes the settings' text, so that there is something to apply.
+func edit(file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(text, "queue_len = 7\n"...), 0o600)
+}
+
+// commands returns the lines of the page's sh blocks.
+func commands(page string) (list []string) {
+	within := false
+	for line := range strings.Lines(page) {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "```sh":
+			within = true
+		case line == "```":
+			within = false
+		case within:
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// CommandError is a command of the page that did not exit with 0.
+type CommandError struct {
+	Line   string
+	Output string
+	Err    error
+}
+
+// Error implements error.
+func (e *CommandError) Error() string { return e.Line + ": " + e.Err.Error() + "\n" + e.Output }
+
+// Unwrap returns the cause.
+func (e *CommandError) Unwrap() error { return e.Err }
+
+// command runs one line as an operator would, in the fleet's folder.
+func command(ctx context.Context, f *fleet.Fleet, line string) error {
+	cmd := exec.CommandContext(ctx, "sh", "-c", line)
+	cmd.Dir = f.Dir
+	cmd.Env = append(os.Environ(),
+		"PATH="+f.Bin+":"+os.Getenv("PATH"),
+		"WINDSCALE_PLATFORM="+f.URL,
+		"WINDSCALE_ADMIN_TOKEN_FILE=admin.token")
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	cmd.Stderr = &out
+	if err := cmd.Run(); err != nil {
+		return &CommandError{Line: line, Output: out.String(), Err: err}
+	}
+	fmt.Println("ok", line)
+	return nil
+}
