--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,43 @@
 	return w
 }
 
+// disagreement names a running node whose view is not the running nodes.
+func (w *network) disagreement() string {
+	var want []string
+	for _, id := range w.ids {
+		if n, ok := w.nodes[id]; ok {
+			want = append(want, fmt.Sprint(id, n.self.Incarnation, n.self.State))
+		}
+	}
+	slices.Sort(want)
+	for _, id := range w.ids {
+		n, ok := w.nodes[id]
+		if !ok {
+			continue
+		}
+		var got []string
+		for _, m := range n.Members() {
+			got = append(got, fmt.Sprint(m.ID, m.Incarnation, m.State))
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			return fmt.Sprintf("at %v: %s sees %v, not %v", w.now, id, got, want)
+		}
+	}
+	return ""
+}
+
+// hostList gives each router the whole list, dead routers included.
+func (w *network) hostList() {
+	var list []Candidate
+	for _, id := range w.ids {
+		list = append(list, Candidate{ID: id})
+	}
+	for _, n := range w.nodes {
+		n.Candidates(w.now, list)
+	}
+}
+
 func TestKilledRouterIsOutOfAllViewsIn4s(t *testing.T) {
 	for seed := range uint64(50) {
 		w := startAll(seed, 8)
@@ -177,6 +215,46 @@
 	assert.Equal(t, superseded, firstIncarnation+1)
 }
 
+func TestDifferingViewsAreFoundAndExchanged(t *testing.T) {
+	w := startAll(11, 8)
+	w.run(10 * time.Second)
+	leaver, n := w.nodes["r5"], w.nodes["r1"]
+	leaver.Leave(w.now)
+	w.take("r5", leaver)
+	w.run(4 * time.Second)
+	stale := &n.members["r5"].Update // as if r1 had missed it
+	stale.State, stale.Refutation = Alive, 0
+	n.changed()
+	assert.Assert(t, w.disagreement() != "")
+	w.run(4 * time.Second)
+	assert.Equal(t, w.disagreement(), "")
+}
+
+func TestOldIncarnationIsNotHeard(t *testing.T) {
+	n := startAll(12, 2).nodes["r1"]
+	n.SyncReply(0, Full{Updates: []Update{{ID: "r2", Incarnation: 2, State: Alive}}})
+	n.Ready()
+	news := []Update{{ID: "r3", Incarnation: 1, State: Alive}}
+	n.Step(time.Second, "r2", Message{Type: Ping, Seq: 9, Incarnation: 1, Settings: 5, Updates: news})
+	r := n.Ready()
+	assert.Equal(t, r.Changed, false)
+	assert.Equal(t, r.Newer, NewerSettings{})
+	assert.Equal(t, len(r.Sync), 0)
+	assert.Equal(t, r.Send[0].Message.Updates[0].Incarnation, uint64(2))
+}
+
+func TestFleetAtRestSendsNoUpdates(t *testing.T) {
+	w := startAll(13, 40)
+	w.run(4 * time.Second)
+	w.observe = func(_ msg.RouterID, _ *Node, r Ready) {
+		assert.Equal(t, len(r.Sync), 0)
+		for _, out := range r.Send {
+			assert.Equal(t, len(out.Message.Updates), 0)
+		}
+	}
+	w.run(time.Minute)
+}
+
 func TestUpdatesBeyondBoundsAreDropped(t *testing.T) {
 	n := startAll(8, 2).nodes["r1"]
 	long := msg.RouterID(make([]byte, maxName+1))
--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -54,12 +54,14 @@
 	slots   int
 	at      time.Duration // last told
 	avoid   []msg.ServerID
+	prefix  uint64   // of the entry's oldest request; 0: none
 	pending []uint64 // grants that the entry had not seen when it last told
 }
 
 // admitPool is a pool at an admitter.
 type admitPool struct {
 	id       msg.PoolID
+	plain    bool // a plain service
 	accounts map[msg.CustomerID]*account
 	byHash   map[uint64]*account
 	heap     accountHeap // accounts with waiting requests, least served first
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -11,6 +12,17 @@
 // graceScan is between two looks for grants that are not kept alive.
 const graceScan = 250 * time.Millisecond
 
+// foreignProbes is how much more often a server is asked while something runs
+// there of which this router will hear no end.
+const foreignProbes = 5
+
+// plainPrefix begins the names of plain services' pools. Their calls are
+// short, so their slots are granted ahead.
+const plainPrefix = "s/"
+
+// longPause is a time between two ticks that means the process was paused.
+const longPause = time.Second
+
 // regIdle is how long a registration is kept that the entry does not repeat.
 const regIdle = 4 * waitRefresh
 
@@ -27,6 +39,9 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
+	stats   Stats
+	tickAt  time.Duration  // the last tick
+	unsure  []*grantRecord // sent and not known to be confirmed
 }
 
 // grantRecord is a grant that has not ended.
@@ -37,6 +52,11 @@
 	reg     *registration
 	entry   msg.RouterID
 	charged msg.Cost
+	guess   msg.Cost // estimated at the grant
+	at      time.Duration
+	sent    bool          // to another router, and not confirmed yet
+	resend  time.Duration // when to send it again if it is not confirmed
+	wait    time.Duration // from one resending to the next
 	alive   time.Duration // last known to be wanted
 }
 
@@ -60,7 +80,10 @@
 func (a *admitter) pool(id msg.PoolID) *admitPool {
 	p, ok := a.pools[id]
 	if !ok {
-		p = &admitPool{id: id, accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{}}
+		p = &admitPool{
+			id: id, plain: strings.HasPrefix(string(id), plainPrefix),
+			accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{},
+		}
 		a.pools[id] = p
 		a.order = append(a.order, p)
 		sort.Slice(a.order, func(i, j int) bool { return a.order[i].id < a.order[j].id })
@@ -120,8 +143,12 @@
 
 func (a *admitter) membersChanged() {
 	for id, e := range a.entries {
-		if !a.n.members.has(id) {
+		i, ok := a.n.members.byID[id]
+		switch {
+		case !ok:
 			a.dropRegs(e)
+		case e.incarnation < a.n.members.list[i].Incarnation:
+			a.restarted(e, a.n.members.list[i].Incarnation)
 		}
 	}
 	for _, p := range a.order {
@@ -167,15 +194,19 @@
 		a.entries[from] = e
 	}
 	if e.incarnation < m.Incarnation {
-		e.incarnation = m.Incarnation
-		a.dropRegs(e)
-		for _, g := range sortedGrants(e.grants) {
-			a.release(g)
-		}
+		a.restarted(e, m.Incarnation)
 	}
 	return e.incarnation == m.Incarnation
 }
 
+func (a *admitter) restarted(e *entryPeer, incarnation uint64) {
+	e.incarnation = incarnation
+	a.dropRegs(e)
+	for _, g := range sortedGrants(e.grants) {
+		a.release(g)
+	}
+}
+
 func (a *admitter) dropRegs(e *entryPeer) {
 	for q, r := range e.regs {
 		delete(e.regs, q)
@@ -200,7 +231,7 @@
 		return
 	}
 	c := r.account
-	r.seq, r.slots, r.at = m.Seq, w.Slots, a.n.now
+	r.seq, r.slots, r.prefix, r.at = m.Seq, w.Slots, w.Prefix, a.n.now
 	if w.Weight > 0 {
 		c.weight = w.Weight
 	}
@@ -259,17 +290,22 @@
 		Total: time.Duration(end.Total) * time.Millisecond,
 		Busy:  end.Flags&endBusy != 0, Leaving: end.Flags&endLeaving != 0,
 	}
+	a.stats.Returned++
 	g.account.charge(res.Cost - g.charged)
 	a.release(g)
 	if end.Flags&endReturned != 0 {
 		return
 	}
-	g.server.limit.ended(a.n.now, res)
+	g.server.limit.ended(a.n.now, g.at, res)
 	if res.Leaving {
 		g.server.leaving = true
 		a.regroup()
 	}
+	if g.account.pool.plain && res.Total > 0 {
+		g.server.called(a.n.now-g.at, res.Total)
+	}
 	if !res.Busy && !res.Leaving {
+		a.stats.ended(g.guess, res.Cost)
 		g.account.mean.add(float64(res.Cost))
 		g.account.pool.mean.add(float64(res.Cost))
 	}
@@ -300,7 +336,7 @@
 		cost, ok := still[g.seq]
 		switch {
 		case ok:
-			g.alive = a.n.now
+			g.alive, g.sent = a.n.now, false
 			if cost > g.charged {
 				g.account.charge(cost - g.charged)
 				g.charged = cost
@@ -323,10 +359,13 @@
 // tick releases grants that are not kept alive, asks for load reports and
 // tells the directories what is idle.
 func (a *admitter) tick() {
+	a.forgivePause()
+	a.resendGrants()
 	if a.n.now >= a.scanAt {
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
 			if a.n.now-g.alive >= a.n.cfg.GrantTimeout {
+				a.stats.Expired++
 				a.release(g)
 			}
 		}
@@ -339,6 +378,38 @@
 	a.tellDirectories()
 }
 
+// forgivePause keeps the grants of which a paused process could not hear: its
+// own pause is not the entries' silence.
+func (a *admitter) forgivePause() {
+	pause := a.n.now - a.tickAt
+	a.tickAt = a.n.now
+	if pause < longPause {
+		return
+	}
+	for _, g := range a.grants {
+		g.alive += pause
+	}
+}
+
+// resendGrants sends again what has not been confirmed. The entry ignores what
+// it has got.
+func (a *admitter) resendGrants() {
+	list := a.unsure[:0]
+	for _, g := range a.unsure {
+		if !g.sent || a.grants[g.seq] != g {
+			continue
+		}
+		list = append(list, g)
+		if a.n.now >= g.resend {
+			g.wait *= 2
+			g.resend = a.n.now + g.wait
+			a.send(g)
+		}
+	}
+	clear(a.unsure[len(list):])
+	a.unsure = list
+}
+
 // sweep forgets registrations that have long been empty or not repeated.
 func (a *admitter) sweep() {
 	for _, e := range a.entries {
@@ -358,6 +429,9 @@
 			continue
 		}
 		s.probeAt = a.n.now + a.n.cfg.ProbeInterval
+		if s.foreign > 0 {
+			s.probeAt = a.n.now + a.n.cfg.ProbeInterval/foreignProbes
+		}
 		a.n.ready.Probe = append(a.n.ready.Probe, s.id)
 	}
 }
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
+// resendAfter is how long after it was sent a grant that is not confirmed is
+// sent again; each further time takes twice as long.
+const resendAfter = 150 * time.Millisecond
+
 // grantAll hands out free slots until none is free or nothing waits for one.
 func (a *admitter) grantAll() {
 	if !a.dirty {
@@ -43,10 +48,29 @@
 	if best == nil {
 		return false
 	}
-	a.grant(best, to)
+	a.grant(a.cached(best, to), to)
 	return true
 }
 
+// cached returns, of the servers with a free slot that the registration may
+// use, the one that rendezvous hashing gives its prefix; s if it has none. Who
+// is granted, and that a slot is used, does not depend on it.
+func (a *admitter) cached(s *poolServer, r *registration) *poolServer {
+	if r.prefix == 0 {
+		return s
+	}
+	high := uint64(0)
+	for _, x := range r.account.pool.sorted {
+		if x.free() <= 0 || slices.Contains(r.avoid, x.id) {
+			continue
+		}
+		if v := prefixRank(r.prefix, string(x.id)); v >= high {
+			s, high = x, v
+		}
+	}
+	return s
+}
+
 // next returns the registration that a slot of the server should go to: of
 // the least served customer, the server's pools in turn.
 func (a *admitter) next(s *poolServer) *registration {
@@ -101,8 +125,10 @@
 	a.lastSeq++
 	g := &grantRecord{
 		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
-		charged: estimate(c.mean, c.pool.mean), alive: a.n.now,
+		charged: estimate(c.mean, c.pool.mean), at: a.n.now, alive: a.n.now,
 	}
+	g.guess = g.charged
+	a.stats.Granted++
 	a.grants[g.seq] = g
 	a.entries[r.entry].grants[g.seq] = g
 	s.hold(a.n.now, 1)
@@ -110,6 +136,14 @@
 	r.pending = append(r.pending, g.seq)
 	c.charge(g.charged)
 	c.setWaiting(c.waiting - 1)
-	m := a.n.to(r.entry)
-	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: r.queue, Server: s.id, Addr: a.n.addrs[s.id]})
+	if r.entry != a.n.cfg.ID {
+		g.sent, g.wait, g.resend = true, resendAfter, a.n.now+resendAfter
+		a.unsure = append(a.unsure, g)
+	}
+	a.send(g)
+}
+
+func (a *admitter) send(g *grantRecord) {
+	m := a.n.to(g.entry)
+	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: g.reg.queue, Server: g.server.id, Addr: a.n.addrs[g.server.id]})
 }
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -11,7 +11,7 @@
 // are empty are not sent. Each part may be lost, repeated or overtaken.
 type Message struct {
 	Incarnation uint64      `cbor:"1,keyasint"`           // the sender's
-	Seq         uint64      `cbor:"2,keyasint"`           // grows with each message of the incarnation
+	Seq         uint64      `cbor:"2,keyasint,omitempty"` // grows with each message with Waits
 	Of          uint64      `cbor:"3,keyasint,omitempty"` // the receiver's incarnation that Seen, Ends and Held speak of
 	Seen        uint64      `cbor:"4,keyasint,omitempty"` // highest grant received; lower ones not held are void
 	Waits       []Wait      `cbor:"5,keyasint,omitempty"`
@@ -38,6 +38,7 @@
 	Count    int            `cbor:"5,keyasint,omitempty"`
 	Slots    int            `cbor:"6,keyasint,omitempty"` // of all the admitters told
 	Avoid    []msg.ServerID `cbor:"7,keyasint,omitempty"`
+	Prefix   uint64         `cbor:"8,keyasint,omitempty"` // of the oldest request
 }
 
 // Grant gives a queue one slot of a server.
@@ -96,11 +97,12 @@
 	Slots   []int          `cbor:"4,keyasint"`
 }
 
-// Offer tells an entry of an admitter with free slots.
+// Offer tells an entry of an admitter with free slots, or that has restarted.
 type Offer struct {
 	Pool     msg.PoolID   `cbor:"1,keyasint"`
 	Admitter msg.RouterID `cbor:"2,keyasint"`
-	Idle     int          `cbor:"3,keyasint"`
+	Idle     int          `cbor:"3,keyasint,omitempty"`
+	Restart  uint64       `cbor:"4,keyasint,omitempty"` // its new incarnation, which has no registrations
 }
 
 // Up carries what a router and the routers below it have served, to its parent
@@ -117,7 +119,7 @@
 // Down carries the whole fleet's totals to a child in the tree.
 type Down struct {
 	Edge     uint64      `cbor:"1,keyasint,omitempty"` // the child's number, once known
-	Seq      uint64      `cbor:"2,keyasint"`           // the root's number of the merge
+	Seq      uint64      `cbor:"2,keyasint"`           // the sender's number of the merge
 	Ack      uint64      `cbor:"3,keyasint,omitempty"` // the child's last Up applied
 	Included uint64      `cbor:"4,keyasint,omitempty"` // the child's last Up within the totals
 	Pools    []PoolCount `cbor:"5,keyasint,omitempty"` // every backlogged customer
@@ -129,6 +131,8 @@
 	Pool  msg.PoolID `cbor:"1,keyasint"`
 	Floor int64      `cbor:"2,keyasint,omitempty"` // totals are relative to it
 	Data  []byte     `cbor:"3,keyasint"`
+	Unit  int64      `cbor:"4,keyasint,omitempty"` // of the counters in Data, if not 1
+	Slots int        `cbor:"5,keyasint,omitempty"` // likewise of the slots
 }
 
 // DecodeError says that a message's body could not be read.
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -13,7 +13,10 @@
 	waitRefresh   = 15 * time.Second       // a registration is repeated
 	avoidFor      = 500 * time.Millisecond // a wait this long takes avoided servers too
 	queueIdle     = time.Minute            // an empty queue is forgotten
+	confirmAfter  = 50 * time.Millisecond  // a grant is confirmed
+	repeatAfter   = 100 * time.Millisecond // an end is repeated
 	retryAfterMin = time.Second
+	retryAfterMax = 30 * time.Second
 )
 
 // entry holds the waiting and running requests of this router's callers.
@@ -33,7 +36,7 @@
 	bytes     int64
 	lastNum   uint64
 	picks     uint64
-	keepAt    time.Duration
+	due       []*peer // to be sent a keep-alive
 	sweepAt   time.Duration
 }
 
@@ -45,22 +48,23 @@
 
 // queue is one customer's waiting requests for one pool, oldest first.
 type queue struct {
-	num      uint64
-	key      queueKey
-	pool     *entryPool
-	customer *entryCustomer
-	weight   float64
-	avoid    []msg.ServerID
-	reqs     []*waiter // the given up are removed lazily
-	size     int       // those still waiting
-	told     map[msg.RouterID]*told
-	start    int // index in the pool's admitters of the first told
-	spread   int // how many admitters are told
-	slots    int // of those told
-	spreadAt time.Duration
-	usedAt   time.Duration
-	dirty    bool
-	listed   bool // in the entry's active queues
+	num        uint64
+	key        queueKey
+	pool       *entryPool
+	customer   *entryCustomer
+	weight     float64
+	avoid      []msg.ServerID
+	reqs       []*waiter // the given up are removed lazily
+	size       int       // those still waiting
+	told       map[msg.RouterID]*told
+	start      int           // index in the pool's admitters of the first told
+	spread     int           // how many admitters are told
+	slots      int           // of those told
+	spreadAt   time.Duration // when it was last widened
+	widenAfter time.Duration
+	usedAt     time.Duration
+	dirty      bool
+	listed     bool // in the entry's active queues
 }
 
 // told is what an admitter was last told of a queue.
@@ -92,15 +96,20 @@
 	waiting, running int
 	limits           Limits
 	queues           []*queue
+	grantedAt        time.Duration
+	gap              mean // seconds between two grants while requests wait
 }
 
 // peer is an admitter as this entry knows it.
 type peer struct {
+	id          msg.RouterID
 	incarnation uint64
 	seen        uint64 // highest grant received
 	void        uint64 // grants up to this one that are not held are void
 	got         map[uint64]bool
 	held        map[uint64]*run
+	ended       []End         // sent since the last keep-alive, which repeats them
+	dueAt       time.Duration // of the next keep-alive; 0: none
 }
 
 func newEntry(n *Node) entry {
@@ -120,14 +129,17 @@
 	if e.waiting[r.ID] != nil || e.running[r.ID] != nil {
 		return
 	}
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
 	c := e.customer(r.Customer)
 	c.limits = r.Limits
 	switch {
 	case r.Limits.QueueLen > 0 && c.waiting >= r.Limits.QueueLen:
-		e.refuse(r.ID, QueueFull)
+		e.refuse(c, r.ID, QueueFull)
 		return
 	case len(e.waiting) >= e.n.cfg.QueueRequests || e.bytes+int64(r.Bytes) > e.n.cfg.QueueBytes:
-		e.refuse(r.ID, RouterFull)
+		e.refuse(c, r.ID, RouterFull)
 		return
 	}
 	e.enqueue(c, &waiter{req: r, at: e.n.now}, r.Avoid)
@@ -232,6 +244,14 @@
 	return q.reqs[0]
 }
 
+// prefix is the oldest request's, cut to what messages carry.
+func (q *queue) prefix() uint64 {
+	if w := q.head(); w != nil {
+		return w.req.Prefix >> 32
+	}
+	return 0
+}
+
 // eligible is how many requests could run now.
 func (q *queue) eligible() int {
 	limit := q.customer.limits.Concurrency
@@ -247,8 +267,23 @@
 	}
 }
 
-func (e *entry) refuse(id msg.RequestID, why Reason) {
-	e.n.ready.Refuse = append(e.n.ready.Refuse, Refuse{Request: id, Reason: why, RetryAfter: retryAfterMin})
+func (e *entry) refuse(c *entryCustomer, id msg.RequestID, why Reason) {
+	e.n.ready.Refuse = append(e.n.ready.Refuse, Refuse{Request: id, Reason: why, RetryAfter: c.retryAfter()})
+}
+
+// retryAfter is the time in which half of the customer's queue will be served,
+// at the pace of late.
+func (c *entryCustomer) retryAfter() time.Duration {
+	d := time.Duration(c.gap.value * float64(c.waiting) / 2 * float64(time.Second))
+	return min(max(d, retryAfterMin), retryAfterMax).Truncate(time.Second)
+}
+
+// paced notes a grant to a customer that has more requests waiting.
+func (c *entryCustomer) paced(now time.Duration) {
+	if c.waiting > 0 && c.grantedAt > 0 {
+		c.gap.add((now - c.grantedAt).Seconds())
+	}
+	c.grantedAt = now
 }
 
 func (e *entry) progress(id msg.RequestID, cost msg.Cost) {
@@ -270,7 +305,7 @@
 		return
 	}
 	delete(p.held, r.seq)
-	e.sendEnd(r.admitter, p, endOf(r.seq, res))
+	e.sendEnd(p, endOf(r.seq, res))
 }
 
 func endOf(seq uint64, res Result) End {
@@ -281,6 +316,9 @@
 	if res.Leaving {
 		end.Flags |= endLeaving
 	}
+	if res.Unused && !res.Busy && !res.Leaving {
+		end.Flags |= endReturned
+	}
 	return end
 }
 
@@ -289,10 +327,12 @@
 	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-func (e *entry) sendEnd(to msg.RouterID, p *peer, end End) {
-	m := e.n.to(to)
-	m.Of, m.Seen = p.incarnation, p.seen
+func (e *entry) sendEnd(p *peer, end End) {
+	m := e.n.to(p.id)
+	m.Of = p.incarnation
 	m.Ends = append(m.Ends, end)
+	p.ended = append(p.ended, end)
+	e.keepBy(p, e.n.now+repeatAfter)
 }
 
 // peerOf returns what is known of an admitter, forgetting an earlier
@@ -303,7 +343,7 @@
 		return nil
 	}
 	if p == nil || p.incarnation < incarnation {
-		p = &peer{incarnation: incarnation, got: map[uint64]bool{}, held: map[uint64]*run{}}
+		p = &peer{id: id, incarnation: incarnation, got: map[uint64]bool{}, held: map[uint64]*run{}}
 		e.peers[id] = p
 		e.untell(id)
 	}
@@ -324,14 +364,18 @@
 // slot if there is none.
 func (e *entry) grant(from msg.RouterID, incarnation uint64, g Grant) {
 	p := e.peerOf(from, incarnation)
-	if p == nil || p.got[g.Seq] || g.Seq <= p.void {
+	if p == nil {
+		return
+	}
+	e.keepBy(p, e.n.now+confirmAfter)
+	if p.got[g.Seq] || g.Seq <= p.void {
 		return
 	}
 	p.got[g.Seq] = true
 	p.seen = max(p.seen, g.Seq)
 	q := e.byNum[g.Queue]
 	if q == nil || q.eligible() == 0 {
-		e.sendEnd(from, p, End{Seq: g.Seq, Flags: endReturned})
+		e.sendEnd(p, End{Seq: g.Seq, Flags: endReturned})
 		return
 	}
 	if t := q.told[from]; t != nil {
@@ -343,6 +387,7 @@
 	e.leave(w)
 	r := &run{customer: q.customer, admitter: from, of: incarnation, seq: g.Seq}
 	q.customer.running++
+	q.customer.paced(e.n.now)
 	e.touchAll(q.customer)
 	e.running[w.req.ID] = r
 	p.held[g.Seq] = r
--- a/internal/core/share/reference_test.go
+++ b/internal/core/share/reference_test.go
@@ -18,6 +18,9 @@
 	rate                           float64 // cost a second a slot
 	trickle                        float64 // part of the capacity that the rest asks for
 	weights                        []float64
+	cost                           float64 // mean cost of every request; 0: each customer's own
+	prefix                         string  // of the pools' names; "": models
+	pausing                        bool    // every other pair of customers comes and goes
 }
 
 // stream is a customer's requests at one entry for one pool.
@@ -52,6 +55,13 @@
 
 func poolName(i int) msg.PoolID { return msg.PoolID(fmt.Sprintf("m/model-%d", i)) }
 
+func (w workload) pool(i int) msg.PoolID {
+	if w.prefix == "" {
+		return poolName(i)
+	}
+	return msg.PoolID(fmt.Sprint(w.prefix, i))
+}
+
 // streams returns the backlogged customers' streams and how many requests each
 // keeps outstanding. Every backlogged customer uses two pools; half of them
 // are stuck to one router, the others are spread over up to eight.
@@ -65,7 +75,10 @@
 		}
 		first := rng.IntN(w.routers)
 		mean := 100 + 500*rng.Float64()
-		for k := range 2 {
+		if w.cost > 0 {
+			mean = w.cost
+		}
+		for k := range min(2, w.pools) {
 			for e := range entries {
 				out = append(out, w.stream(c, (c+k)%w.pools, (first+e*5)%w.routers, mean))
 			}
@@ -78,7 +91,7 @@
 
 func (w workload) stream(c, pool, entry int, mean float64) *stream {
 	return &stream{
-		customer: c, pool: poolName(pool), entry: entry, mean: mean,
+		customer: c, pool: w.pool(pool), entry: entry, mean: mean,
 		weight: w.weights[c%len(w.weights)],
 		rng:    rand.New(rand.NewPCG(uint64(c), uint64(pool*1000+entry))),
 	}
@@ -120,7 +133,7 @@
 		res.finished++
 		if s := by[r.ID]; s != nil {
 			delete(by, r.ID)
-			send(s)
+			t.after(w.pause(s, r.arrived), func() { send(s) })
 		}
 		if trickle[r.ID] {
 			delete(trickle, r.ID)
@@ -130,8 +143,10 @@
 		}
 	})
 	entries := map[simKey]int{}
+	customerOf := map[simKey]int{}
 	for _, s := range streams {
 		entries[simKey{s.pool, s.id()}]++
+		customerOf[simKey{s.pool, s.id()}] = s.customer
 	}
 	begin := rand.New(rand.NewPCG(3, 3))
 	for _, s := range streams {
@@ -142,6 +157,11 @@
 	w.startTrickle(t, trickle)
 	t.run(from + warmUp)
 	base, busy := t.service(), t.busyTime()
+	for k, c := range customerOf {
+		if w.pauses(c) {
+			delete(entries, k)
+		}
+	}
 	gaps := newGapMeter(entries, base)
 	n := 0
 	for at := from + warmUp; at < from+length; {
@@ -158,6 +178,18 @@
 	return res
 }
 
+const pauseTime = 15 * time.Second
+
+func (w workload) pauses(customer int) bool { return w.pausing && customer%4 < 2 }
+
+// pause is how long the stream's next request stays away.
+func (w workload) pause(s *stream, arrived time.Duration) time.Duration {
+	if !w.pauses(s.customer) || (int(arrived/pauseTime)+s.customer)%2 == 0 {
+		return 0
+	}
+	return pauseTime
+}
+
 // startTrickle sends the other customers' requests, at random.
 func (w workload) startTrickle(t target, ids map[msg.RequestID]bool) {
 	rng := rand.New(rand.NewPCG(9, 9))
--- a/internal/core/share/sim_test.go
+++ b/internal/core/share/sim_test.go
@@ -36,6 +36,7 @@
 	spy      func(*share.Message)
 	over     int // most running beyond a server's slots
 	incs     uint64
+	inc      map[msg.RouterID]uint64
 }
 
 type simServer struct {
@@ -45,6 +46,8 @@
 	rate    float64 // cost a second a slot
 	running []*simRequest
 	queue   []*simRequest
+	leaving bool
+	refuses bool          // for overload
 	busy    time.Duration // slot time used
 	busyAt  time.Duration
 }
@@ -88,8 +91,8 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond, tick: 10 * time.Millisecond,
 		cut: map[msg.RouterID]int{}, skew: map[msg.RouterID]time.Duration{}, nodes: map[msg.RouterID]*share.Node{},
 		servers: map[msg.ServerID]*simServer{}, requests: map[msg.RequestID]*simRequest{},
-		served: map[simKey]float64{},
-		done:   func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
+		served: map[simKey]float64{}, inc: map[msg.RouterID]uint64{},
+		done: func(*simRequest) {}, refused: func(*simRequest, share.Reason) {},
 	}
 	for i := range routers {
 		f.startNode(msg.RouterID(fmt.Sprintf("r%d", i)))
@@ -101,6 +104,7 @@
 // startNode starts a router, or starts it again without memory.
 func (f *fleet) startNode(id msg.RouterID) {
 	f.incs++
+	f.inc[id] = f.incs
 	if _, ok := f.nodes[id]; !ok {
 		f.ids = append(f.ids, id)
 	}
@@ -120,8 +124,6 @@
 	f.after(f.tick, func() { f.tickNode(id, n) })
 }
 
-func dataCentre(id msg.RouterID) string { return "d" + string(id[len(id)-1:]) }
-
 func (f *fleet) clock(id msg.RouterID) time.Duration { return f.now + f.skew[id] }
 
 func (f *fleet) setMembers(ids []msg.RouterID) {
@@ -135,7 +137,7 @@
 	var list []share.Member
 	for _, x := range f.ids {
 		if x != without {
-			list = append(list, share.Member{ID: x, DataCentre: dataCentre(x)})
+			list = append(list, share.Member{ID: x, Incarnation: f.inc[x], DataCentre: dataCentre(x)})
 		}
 	}
 	f.nodes[id].SetMembers(f.clock(id), list)
@@ -228,7 +230,7 @@
 		return
 	}
 	n.Load(f.clock(id), share.LoadReport{
-		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue),
+		Server: s.id, Pools: s.pools, Slots: s.slots, Running: len(s.running), Queued: len(s.queue), Leaving: s.leaving,
 	})
 	f.pump(id)
 }
@@ -245,6 +247,10 @@
 	r.starts++
 	r.server = s
 	r.began = f.now
+	if s.refuses || s.leaving {
+		f.refuse(r)
+		return
+	}
 	if len(s.running) >= s.slots {
 		s.queue = append(s.queue, r)
 		f.over = max(f.over, len(s.queue))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -30,11 +31,12 @@
 	proxy    Proxy
 	counts   *metrics.Entry
 	rates    *rates
+	bodyTime time.Duration // for what is left of a refused request's body
 }
 
 // New returns an entry that reads the settings in force by snapshot.
 func New(snapshot func() *settings.Snapshot, proxy Proxy, counts *metrics.Entry) *Entry {
-	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now)}
+	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now), bodyTime: refusedBodyTime}
 }
 
 // Handler returns the routes.
@@ -46,10 +48,6 @@
 	})
 	r.Any("/services/:name", e.service)
 	r.Any("/services/:name/*", e.service)
-	r.RouteNotFound("/*", func(c *echo.Context) error {
-		problem.Refuse(c.Response(), problem.NotFound, "", 0)
-		return nil
-	})
 	r.HTTPErrorHandler = func(c *echo.Context, err error) {
 		problem.Refuse(c.Response(), routeProblem(err), "", 0)
 	}
@@ -65,8 +63,12 @@
 }
 
 func (e *Entry) service(c *echo.Context) error {
-	name := c.Param("name")
-	path := servicePath(c.Request())
+	name, path, ok := serviceCall(c.Request())
+	if !ok {
+		e.counts.Denied(problem.BadRequest.Name)
+		problem.Refuse(c.Response(), problem.BadRequest, "the service's name is malformed", 0)
+		return nil
+	}
 	run := func(w http.ResponseWriter, r *http.Request, cust *settings.Customer) {
 		e.proxy.Service(w, r, cust, name, path)
 	}
@@ -74,15 +76,24 @@
 	return nil
 }
 
-// servicePath is the path below /services/NAME, as the caller escaped it.
-func servicePath(r *http.Request) string {
+// serviceCall splits /services/NAME/PATH. The path keeps the caller's escapes.
+// Both are read from the escaped form, so that an escaped slash or dot in the
+// name is never taken for a part of the path.
+func serviceCall(r *http.Request) (name, path string, ok bool) {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
-	_, path, _ := strings.Cut(rest, "/")
-	return "/" + path
+	escaped, path, _ := strings.Cut(rest, "/")
+	name, err := url.PathUnescape(escaped)
+	if err != nil || name == "" || strings.Contains(name, "/") {
+		return "", "", false
+	}
+	return name, "/" + path, true
 }
 
 // serve names the customer, applies its limits and runs the request.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter, *http.Request, *settings.Customer)) {
+	if r.ContentLength != 0 {
+		e.limitBody(w)
+	}
 	s := e.snapshot()
 	if s == nil {
 		e.counts.Denied(problem.NotReady.Name)
@@ -112,6 +123,16 @@
 	run(w, r, c)
 }
 
+// refusedBodyTime is how long net/http waits for what is left of the body of a
+// request that was refused, before it takes the connection's next one.
+const refusedBodyTime = 10 * time.Second
+
+// limitBody bounds the time that the body takes. The proxy replaces it by the
+// request's own time.
+func (e *Entry) limitBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.bodyTime)) // writers in tests have none
+}
+
 // notReadyRetry is when to come back to a router without settings.
 const notReadyRetry = 2 * time.Second
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -221,6 +221,25 @@
 	f.deliver(links[1], "a", "after")
 }
 
+// Two connections of one pair: both sides drop the same one, whichever was
+// the first, and what is sent meanwhile arrives.
+func TestSecondConnectionOfAPairIsClosed(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.link("a"), f.link("b")
+	assert.NilError(t, b.peer("a").dialOnce(fetchContext(t)))
+	until(t, "the first", func() bool { return a.Stats().Connections == 1 })
+	assert.NilError(t, a.peer("b").dialOnce(fetchContext(t)))
+	until(t, "the second", func() bool { return b.Stats().Connections == 2 })
+	f.deliver(a, "b", "meanwhile")
+	f.deliver(b, "a", "meanwhile")
+	until(t, "one left", func() bool {
+		return a.Stats().Connections == 1 && b.Stats().Connections == 1
+	})
+	f.deliver(a, "b", "after")
+	f.deliver(b, "a", "after")
+	assert.Equal(t, a.Stats().Dials+b.Stats().Dials, uint64(2)) // none was needed again
+}
+
 func TestRestartedPeerIsReachedAgain(t *testing.T) {
 	for _, restarted := range []msg.RouterID{"a", "z"} { // the lower and the higher ID
 		t.Run(string(restarted), func(t *testing.T) {
@@ -239,6 +258,23 @@
 	}
 }
 
+// A router that died without a word and restarted tells its peers, on their
+// next packet, that their connections are gone.
+func TestCrashedPeerIsReachedBeforeItsSilenceIsNoticed(t *testing.T) {
+	f := newFleet(t)
+	c := f.credentials("a")
+	m := f.link("m")
+	first, stop := f.start("a", c, "127.0.0.1:0")
+	f.deliver(m, "a", "one")
+	addr := first.Addr().String()
+	first.transport.Conn.Close() // nothing leaves any more
+	stop()
+	assert.Equal(t, m.Stats().Connections, 1)
+	f.start("a", c, addr)
+	f.deliver(m, "a", "as long as a ping is")
+	assert.Equal(t, m.Stats().SilentClosed, uint64(0))
+}
+
 // A peer that vanished without a word, then came back at another address.
 func TestVanishedPeerIsGivenUpAndReachedElsewhere(t *testing.T) {
 	f := newFleet(t)
@@ -304,6 +340,18 @@
 	}
 }
 
+func TestLastMessagesBeforeTheEndAreSent(t *testing.T) {
+	f := newFleet(t)
+	a, stop := f.start("a", f.credentials("a"), "127.0.0.1:0")
+	f.link("b")
+	f.deliver(a, "b", "hello")
+	for range 5 { // any one may be lost
+		a.Send("b", kindPlain, []byte("bye"))
+	}
+	stop()
+	until(t, "bye", func() bool { return f.count("b<a:bye") > 0 })
+}
+
 func TestBlockCutsAndUnblockHeals(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.link("a"), f.link("b")
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -15,6 +15,7 @@
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/entry"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 )
 
 // lameDuck is how long a draining router says "not ready" and still accepts,
@@ -50,6 +51,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	failed := make(chan struct{}) // another actor has ended
 	g.Add(func() error {
+		defer signal.Stop(signals)
 		select {
 		case <-signals:
 			r.drain.start()
@@ -78,25 +80,31 @@
 	waiting, running := r.sharer.Counts()
 	events.DrainStarted.Log(ctx, r.log, slog.LevelInfo, "running", running, "waiting", waiting, "limit", limit)
 	r.members.Leave()
-	pause(ctx, lameDuck)
-	err := srv.Shutdown(ctx)
-	if err != nil {
-		waiting, running = r.sharer.Counts()
-		r.drain.cut.Store(uint64(running + waiting))
-	}
+	srv.Retire()
+	pause.For(ctx, lameDuck)
+	err := r.shutdown(ctx, srv)
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
-	pause(context.Background(), lastWords)
+	pause.For(context.Background(), lastWords)
 	return err
 }
 
-// lastWords is the time for the last reports to leave.
-const lastWords = 50 * time.Millisecond
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// shutdown waits for the requests in progress. When ctx ends it counts those
+// that are left and cuts them; the error is *CutError.
+func (r *Router) shutdown(ctx context.Context, srv *entry.Server) error {
+	limited, cut := context.WithCancel(context.Background())
+	defer cut()
+	stop := context.AfterFunc(ctx, func() {
+		waiting, running := r.sharer.Counts()
+		r.drain.cut.Store(uint64(running + waiting))
+		cut()
+	})
+	defer stop()
+	if srv.Shutdown(limited) == nil {
+		return nil
 	}
+	return &CutError{Requests: r.drain.cut.Load(), Err: ctx.Err()}
 }
+
+// lastWords is the time for the last reports to leave.
+const lastWords = 50 * time.Millisecond
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	claims   *claims.Claims
 	drain    *drain
 	servers  *serverWatch
+	served   *served
 
 	settingsAt atomic.Int64 // when the version in force was taken, Unix nanoseconds
 
@@ -81,12 +82,14 @@
 		drain:       newDrain(),
 	}
 	r.servers = newServerWatch(r.log)
+	r.served = newServed()
 	r.hosts = hosts.NewFollower(r.platform, hosts.NewList(seedHosts(cfg)), r.log, r.hostsChanged)
 	r.prober = probe.New(r.loadReported)
 	r.sharer = r.newSharer()
 	r.members = r.newMembers()
 	r.follower = r.newFollower()
 	r.claims = claims.New(r.platform, time.Now, r.log)
+	r.claims.Observe(r.metrics.Claims)
 	r.proxy = r.newProxy()
 	if err := r.listen(); err != nil {
 		return nil, err
@@ -133,7 +136,7 @@
 		Claims:   r.claims,
 		Now:      time.Now,
 		Log:      r.log,
-		Observer: &observer{entry: r.metrics.Entry, retries: r.metrics.Retries, snapshot: r.follower.Current},
+		Observer: &observer{metrics: r.metrics, served: r.served, snapshot: r.follower.Current},
 	}
 }
 
@@ -178,7 +181,7 @@
 	} {
 		g.Add(func() error { return work(r.ctx) }, func(error) { r.stop() })
 	}
-	g.Add(srv.Run, func(error) { _ = r.entryLn.Close() })
+	g.Add(func() error { return r.accept(srv) }, func(error) { _ = r.entryLn.Close() })
 	adm := &http.Server{Handler: admin.Handler(r, r.cfg.AdminToken), ReadHeaderTimeout: adminTimeout}
 	g.Add(func() error { return closed(adm.Serve(r.adminLn)) }, func(error) { _ = adm.Close() })
 	r.addDrain(g, srv)
@@ -189,6 +192,17 @@
 	return nil
 }
 
+// accept serves callers until the process ends. A drain closes the listener
+// first, and everything else must go on for the requests that still wait: so
+// the end of accepting alone must not end the group.
+func (r *Router) accept(srv *entry.Server) error {
+	if err := srv.Run(); err != nil {
+		return err
+	}
+	<-r.ctx.Done()
+	return nil
+}
+
 // adminTimeout bounds the time an operator's request takes to arrive.
 const adminTimeout = 5 * time.Second
 
--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	demoLoad      = 20 * time.Second
+	demoLoad      = 22 * time.Second
 	demoStep      = 2 * time.Second
 	leavingNotice = 3 * time.Second // after it a leaving server gets nothing new
 	leavingWatch  = 4 * time.Second
 	inForceLimit  = 5 * time.Second
+	drainMost     = 5 * time.Second // a second of notice, and a short queue's time
 )
 
 // demo shows the whole path under load: a settings change, a drain, a leaving
@@ -73,7 +74,7 @@
 
 func changeSettings(ctx context.Context, f *fleet.Fleet, list *checklist) error {
 	fmt.Println("\na settings change: quetzal's weight from 1 to 1.5")
-	took, err := f.Apply(ctx, settings(1.5))
+	took, err := f.Apply(ctx, settings(1.5), true)
 	if err != nil {
 		return err
 	}
@@ -93,7 +94,9 @@
 	if err := r.Wait(ctx); err != nil {
 		return err
 	}
-	list.check(r.ExitCode() == 0, "%s ended after %.2f s, exit code %d", r.ID, time.Since(began).Seconds(), r.ExitCode())
+	took := time.Since(began)
+	list.check(r.ExitCode() == 0, "%s ended after %.2f s, exit code %d", r.ID, took.Seconds(), r.ExitCode())
+	list.check(took < drainMost, "what waited went on to be served")
 	return nil
 }
 
@@ -186,7 +189,7 @@
   %[6]s status
   %[6]s backend list
   %[6]s settings show
-  %[6]s settings apply %[1]s/settings.ini
+  %[6]s settings apply --base 1 %[1]s/settings.ini   # after editing it
   %[6]s drain %[7]s
 `, f.Dir, desks.Key(), planModel, f.Routers[0].Entry, f.Routers[1].Entry, ctl, f.Routers[2].ID)
 	<-ctx.Done()
