--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -32,6 +32,7 @@
 	regs    []*registration
 	turn    int // the registration whose turn it is
 	waiting int
+	usedAt  time.Duration
 
 	own      float64 // served by this admitter while backlogged
 	included float64 // of own, what total includes
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -230,6 +230,7 @@
 	}
 	c := r.account
 	r.seq, r.slots, r.prefix, r.at = m.Seq, w.Slots, w.Prefix, a.n.now
+	c.usedAt = a.n.now
 	if w.Weight > 0 {
 		c.weight = w.Weight
 	}
@@ -415,6 +416,9 @@
 			}
 		}
 	}
+	for _, p := range a.order {
+		a.n.tree.forgetIdleAccounts(p)
+	}
 }
 
 // probe asks for the load reports that are due.
--- a/internal/core/share/directory.go
+++ b/internal/core/share/directory.go
@@ -16,6 +16,7 @@
 	haveExpiry   = 4 * haveInterval
 	askInterval  = 3 * time.Second // a waiting entry repeats its Ask
 	askExpiry    = 4 * askInterval
+	settleTime   = haveInterval + time.Second // may not have heard of all admitters
 )
 
 // directory is a router's soft list, for the pools that rendezvous hashing
@@ -33,6 +34,7 @@
 	entries   []dirEntry
 	turn      int // the entry whose turn it is to be offered slots
 	version   uint64
+	since     time.Duration // when this router began to keep it
 }
 
 type dirAdmitter struct {
@@ -57,7 +59,7 @@
 func (d *directory) pool(id msg.PoolID) *dirPool {
 	p, ok := d.pools[id]
 	if !ok {
-		p = &dirPool{id: id}
+		p = &dirPool{id: id, since: d.n.now}
 		d.pools[id] = p
 	}
 	return p
@@ -140,7 +142,7 @@
 
 // tell sends the list of admitters to an entry that does not know it.
 func (d *directory) tell(p *dirPool, e *dirEntry) {
-	if e.knows == p.version || len(p.admitters) == 0 {
+	if e.knows == p.version || (len(p.admitters) == 0 && d.n.now-p.since < settleTime) {
 		return
 	}
 	e.knows = p.version
--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -198,3 +198,19 @@
 		}
 	}
 }
+
+// accountIdle is how long the account of a customer that does not come is kept.
+const accountIdle = 10 * time.Minute
+
+// forgetIdleAccounts drops accounts long unused. What they have served stays in
+// the counters.
+func (t *tree) forgetIdleAccounts(p *admitPool) {
+	for id, a := range p.accounts {
+		if len(a.regs) > 0 || a.active || a.waited || t.n.now-a.usedAt < accountIdle {
+			continue
+		}
+		t.pool(p.id).counter(a.hash).below += int64(a.own)
+		delete(p.accounts, id)
+		delete(p.byHash, a.hash)
+	}
+}
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -316,6 +316,9 @@
 	if res.Leaving {
 		end.Flags |= endLeaving
 	}
+	if res == (Result{}) {
+		end.Flags |= endReturned // it never ran
+	}
 	return end
 }
 
--- a/internal/core/share/regress_test.go
+++ b/internal/core/share/regress_test.go
@@ -149,3 +149,26 @@
 	assert.Assert(t, got.util > 0.99*ideal.util, "%.4f, all-knowing %.4f", got.util, ideal.util)
 	assert.Equal(t, f.over, 0)
 }
+
+func TestAccountsOfCustomersThatStayAwayAreDropped(t *testing.T) {
+	f := smallFleet(1, 1)
+	f.arrive(request("1", "a", 10, "r0"))
+	f.run(f.now + time.Minute)
+	assert.Equal(t, len(f.nodes["r0"].Explain("a")), 1)
+	f.run(f.now + 15*time.Minute)
+	assert.Equal(t, len(f.nodes["r0"].Explain("a")), 0)
+}
+
+func TestPoolThatLosesItsLastServerIsRefused(t *testing.T) {
+	f := smallFleet(3, 1)
+	f.arrive(request("1", "a", 1, "r1"))
+	f.run(f.now + 5*time.Second)
+	for id := range f.nodes {
+		f.nodes[id].SetServers(f.now, nil)
+	}
+	var why share.Reason
+	f.refused = func(_ *simRequest, got share.Reason) { why = got }
+	f.arrive(request("2", "a", 1, "r1"))
+	f.run(f.now + 5*time.Second)
+	assert.Equal(t, why, share.NoServer)
+}
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -44,7 +44,7 @@
 // admitters takes a directory's list.
 func (e *entry) admitters(a Admitters) {
 	p := e.pool(a.Pool)
-	if len(a.Routers) != len(a.Slots) || (p.version == a.Version && len(p.admitters) > 0) {
+	if len(a.Routers) != len(a.Slots) || p.version == a.Version {
 		return
 	}
 	e.n.admit.pool(a.Pool).place(e.n.cfg.ID, a)
