--- a/internal/core/share/fuzz_test.go
+++ b/internal/core/share/fuzz_test.go
@@ -220,3 +220,30 @@
 		f.pump(r.entry)
 	})
 }
+
+// Whatever a message says, it is read back as it was written, and a node takes
+// it without harm to its books.
+func TestAnyMessage(t *testing.T) {
+	message := rapid.Make[*share.Message]()
+	rapid.Check(t, func(t *rapid.T) {
+		n := admitterOf(4)
+		n.SetMembers(0, []share.Member{{ID: "e0"}, {ID: "e1"}})
+		for range rapid.IntRange(1, 5).Draw(t, "messages") {
+			m := message.Draw(t, "message")
+			if m == nil {
+				continue
+			}
+			if b, err := share.Encode(m); err != nil {
+				t.Fatal(err)
+			} else if m, err = share.Decode(b); err != nil {
+				t.Fatal(err)
+			}
+			n.Step(time.Second, "e0", m)
+			n.Tick(2 * time.Second)
+			n.Ready()
+		}
+		if wrong := n.Check(); wrong != "" {
+			t.Fatal(wrong)
+		}
+	})
+}
