--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -40,6 +40,7 @@
 	scanAt  time.Duration
 	sweepAt time.Duration
 	tickAt  time.Duration  // the last tick
+	stats   Stats
 	unsure  []*grantRecord // sent and not known to be confirmed
 }
 
@@ -292,6 +293,7 @@
 	g.account.charge(res.Cost - g.charged)
 	a.release(g)
 	if end.Flags&endReturned != 0 {
+		a.stats.Returned++
 		return
 	}
 	g.server.limit.ended(a.n.now, g.at, res)
@@ -362,6 +364,7 @@
 		a.scanAt = a.n.now + graceScan
 		for _, g := range sortedGrants(a.grants) {
 			if a.n.now-g.alive >= a.n.cfg.GrantTimeout {
+				a.stats.Expired++
 				a.release(g)
 			}
 		}
@@ -397,6 +400,7 @@
 		}
 		list = append(list, g)
 		if a.n.now >= g.resend {
+			a.stats.Resent++
 			g.wait *= 2
 			g.resend = a.n.now + g.wait
 			a.send(g)
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -122,6 +122,7 @@
 	c := r.account
 	s.turn++
 	c.turn = (slices.Index(c.regs, r) + 1) % len(c.regs)
+	a.stats.Granted++
 	a.lastSeq++
 	g := &grantRecord{
 		seq: a.lastSeq, server: s, account: c, reg: r, entry: r.entry,
--- a/internal/core/share/regress_test.go
+++ b/internal/core/share/regress_test.go
@@ -172,3 +172,24 @@
 	f.run(f.now + 5*time.Second)
 	assert.Equal(t, why, share.NoServer)
 }
+
+// An entry that is cut off does not renew its grants: they are over after the
+// timeout, and the slots go to others.
+func TestGrantsOfAnEntryCutOffExpire(t *testing.T) {
+	n := admitterOf(2)
+	wait := func(from msg.RouterID) {
+		n.Step(0, from, &share.Message{Incarnation: 1, Seq: 1, Waits: []share.Wait{
+			{Queue: 1, Pool: pool, Customer: "a", Weight: 1, Count: 2},
+		}})
+	}
+	wait("e0")
+	assert.Equal(t, len(grants(n)), 2)
+	wait("e1")
+	assert.Equal(t, len(grants(n)), 0)
+	for at := time.Duration(0); at <= share.DefaultGrantTimeout+time.Second; at += 100 * time.Millisecond {
+		n.Tick(at)
+	}
+	assert.Equal(t, n.Stats().Expired, uint64(2))
+	assert.Equal(t, n.Stats().Granted, uint64(4))
+	assert.Assert(t, n.Stats().Resent > 0)
+}
--- a/internal/core/share/status.go
+++ b/internal/core/share/status.go
@@ -77,3 +77,19 @@
 func (n *Node) Admitter(id msg.ServerID) msg.RouterID {
 	return n.members.owner(ownServer, string(id))
 }
+
+// Stats counts what the node has done since it began.
+type Stats struct {
+	Granted  uint64 // slots handed out
+	Returned uint64 // of them given back unused
+	Expired  uint64 // of them over because their entry did not keep them alive
+	Resent   uint64 // grants sent again, as they were not confirmed
+	Merges   uint64 // of the fleet's totals
+}
+
+// Stats returns the counts so far.
+func (n *Node) Stats() Stats {
+	s := n.admit.stats
+	s.Merges = n.tree.merge
+	return s
+}
