--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -39,7 +39,7 @@
 	dirty   bool
 	scanAt  time.Duration
 	sweepAt time.Duration
-	tickAt  time.Duration  // the last tick
+	tickAt  time.Duration // the last tick
 	stats   Stats
 	unsure  []*grantRecord // sent and not known to be confirmed
 }
