Let only a directory of some standing say that a pool has no server

A test's admitter now repeats its notice to the directory, as a live one does: it stayed silent for 20 s, after which its list is rightly empty. What the test asserts is unchanged.

--- a/internal/core/share/directory.go
+++ b/internal/core/share/directory.go
@@ -16,7 +16,7 @@
 	haveExpiry   = 4 * haveInterval
 	askInterval  = 3 * time.Second // a waiting entry repeats its Ask
 	askExpiry    = 4 * askInterval
-	settleTime   = haveInterval + time.Second // may not have heard of all admitters
+	settleTime   = haveExpiry // until then a new directory may not have heard of all admitters
 )
 
 // directory is a router's soft list, for the pools that rendezvous hashing
--- a/internal/core/share/mechanism_test.go
+++ b/internal/core/share/mechanism_test.go
@@ -278,6 +278,9 @@
 	repeated := 0
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
 		n.Tick(at)
+		// The admitter is alive: it repeats its notice to the pool's directory,
+		// which may be this router.
+		n.Step(at, "r0", &share.Message{Incarnation: 1, Haves: []share.Have{{Pool: pool, Slots: 4, Version: 7}}})
 		for _, out := range n.Ready().Send {
 			for _, w := range out.Message.Waits {
 				assert.Equal(t, w.Queue, queue)
