--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -38,7 +38,7 @@
 	ServiceUse      float64 `json:"serviceUse"` // the same, of the plain services
 	SmallestWaitMs  float64 `json:"smallestWaitMs"`
 	ControlBytes    float64 `json:"controlBytesPerRouterSecond"` // all messages between routers
-	CounterBytes    float64 `json:"counterBytesPerRouterSecond"` // of these, service counters
+	SharingBytes    float64 `json:"sharingBytesPerRouterSecond"` // of these, the sharing's
 	ControlMessages float64 `json:"controlMessagesPerRouterSecond"`
 	RouterCPUMicros float64 `json:"routerCPUMicrosecondsPerRequest"`
 }
@@ -46,10 +46,10 @@
 // String is the form of the table's cells.
 func (g figures) String() string {
 	return fmt.Sprintf("%s: gap %.0f weighted tokens (%.2f s of a fair share), %.0f weighted tokens/s, use of slots while work waits %.1f%% engines, "+
-		"%.1f%% services, smallest customer's longest wait %.0f ms, control %.0f B/s (counters %.0f) and %.1f messages/s a router, "+
+		"%.1f%% services, smallest customer's longest wait %.0f ms, control %.0f B/s (sharing %.0f) and %.1f messages/s a router, "+
 		"router CPU %.0f µs a request, %d requests, %d breaches",
 		g.Sharing, g.Gap, g.GapSeconds, g.CostPerSecond, 100*g.EngineUse, 100*g.ServiceUse, g.SmallestWaitMs,
-		g.ControlBytes, g.CounterBytes, g.ControlMessages, g.RouterCPUMicros, g.Requests, g.Breaches)
+		g.ControlBytes, g.SharingBytes, g.ControlMessages, g.RouterCPUMicros, g.Requests, g.Breaches)
 }
 
 // measure runs the same load under each way of sharing and prints a row for
--- a/test/cmd/fleet/sample.go
+++ b/test/cmd/fleet/sample.go
@@ -52,7 +52,7 @@
 		cpu:          last.cpu - first.cpu,
 		bytes:        last.bytes - first.bytes,
 		messages:     last.messages - first.messages,
-		counterBytes: last.counterBytes - first.counterBytes,
+		sharingBytes: last.sharingBytes - first.sharingBytes,
 	}
 	return s, err
 }
@@ -94,7 +94,7 @@
 		c.cpu += r.CPU()
 		c.bytes += vars["link.sent_bytes_total"]
 		c.messages += vars["link.sent_total"]
-		c.counterBytes += vars["sharing.counters_sent_bytes_total"]
+		c.sharingBytes += vars["sharing.counters_sent_bytes_total"]
 	}
 	return c, nil
 }
@@ -104,7 +104,7 @@
 	g.ServiceUse = s.services.fraction()
 	perRouterSecond := float64(s.routers) * s.took.Seconds()
 	g.ControlBytes = s.sent.bytes / perRouterSecond
-	g.CounterBytes = s.sent.counterBytes / perRouterSecond
+	g.SharingBytes = s.sent.sharingBytes / perRouterSecond
 	g.ControlMessages = s.sent.messages / perRouterSecond
 	g.RouterCPUMicros = float64(s.sent.cpu.Microseconds()) / float64(g.Requests)
 }
