--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -38,6 +38,7 @@
 	Count    int            `cbor:"5,keyasint,omitempty"`
 	Slots    int            `cbor:"6,keyasint,omitempty"` // of all the admitters told
 	Avoid    []msg.ServerID `cbor:"7,keyasint,omitempty"`
+	Prefix   uint64         `cbor:"8,keyasint,omitempty"` // of the oldest request
 }
 
 // Grant gives a queue one slot of a server.
@@ -96,11 +97,12 @@
 	Slots   []int          `cbor:"4,keyasint"`
 }
 
-// Offer tells an entry of an admitter with free slots.
+// Offer tells an entry of an admitter with free slots, or that has restarted.
 type Offer struct {
 	Pool     msg.PoolID   `cbor:"1,keyasint"`
 	Admitter msg.RouterID `cbor:"2,keyasint"`
-	Idle     int          `cbor:"3,keyasint"`
+	Idle     int          `cbor:"3,keyasint,omitempty"`
+	Restart  uint64       `cbor:"4,keyasint,omitempty"` // its new incarnation, which has no registrations
 }
 
 // Up carries what a router and the routers below it have served, to its parent
@@ -129,6 +131,8 @@
 	Pool  msg.PoolID `cbor:"1,keyasint"`
 	Floor int64      `cbor:"2,keyasint,omitempty"` // totals are relative to it
 	Data  []byte     `cbor:"3,keyasint"`
+	Unit  int64      `cbor:"4,keyasint,omitempty"` // of the counters in Data, if not 1
+	Slots int        `cbor:"5,keyasint,omitempty"` // likewise of the slots
 }
 
 // DecodeError says that a message's body could not be read.
