--- a/test/cmd/fleet/sample.go
+++ b/test/cmd/fleet/sample.go
@@ -29,7 +29,7 @@
 type counters struct {
 	cpu             time.Duration
 	bytes, messages float64 // sent between routers
-	counterBytes    float64 // of these, service counters
+	sharingBytes    float64 // of these, by the sharing
 }
 
 // sample watches the fleet until the end of the window.
