entry: the memory of arriving bodies is bounded; a second signal is tested; callers that go are counted

Bodies were read whole before any limit on waiting requests held: a flood of large bodies that never end took memory without bound. They now share queue_bytes; beyond it the caller is told router-full at once (the test fails without). gone_total counts callers that went, so that requests add up.

--- a/internal/core/settings/keys.go
+++ b/internal/core/settings/keys.go
@@ -47,7 +47,7 @@
 		duration(time.Second, day), func(f *Fleet) *time.Duration { return &f.IdleTimeout }),
 	key("drain_limit", "30m0s", "time after which a shutdown may cut requests in progress",
 		duration(time.Second, 7*day), func(f *Fleet) *time.Duration { return &f.DrainLimit }),
-	key("queue_bytes", "64MiB", "memory of all waiting requests of a router",
+	key("queue_bytes", "64MiB", "memory of all waiting requests of a router, and as much again of those still arriving",
 		size[int64](kib, 1024*gib), func(f *Fleet) *int64 { return &f.QueueBytes }),
 	key("queue_requests", "10000", "waiting requests of a router",
 		integer(1, anyCount), func(f *Fleet) *int { return &f.QueueRequests }),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	proxy    Proxy
 	counts   *metrics.Entry
 	rates    *rates
+	bodies   bodies
 	bodyTime time.Duration // for what is left of a refused request's body
 }
 
@@ -49,7 +50,9 @@
 	r.Any("/services/:name", e.service)
 	r.Any("/services/:name/*", e.service)
 	r.HTTPErrorHandler = func(c *echo.Context, err error) {
-		problem.Refuse(c.Response(), routeProblem(err), "", 0)
+		t := routeProblem(err)
+		e.counts.Denied(t.Name)
+		problem.Refuse(c.Response(), t, "", 0)
 	}
 	return r
 }
@@ -118,7 +121,9 @@
 		problem.Refuse(w, problem.BodyTooLarge, "", 0)
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody)
+	body := e.bodies.body(http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody), s.Fleet.QueueBytes)
+	defer body.release()
+	r.Body = body
 	r.Header.Del("Authorization") // the key is windscale's; servers never see it
 	run(w, r, c)
 }
--- a/internal/entry/security_test.go
+++ b/internal/entry/security_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/msg"
@@ -38,6 +39,7 @@
 const tree = `[fleet]
 max_body = 1024
 max_header = 4096
+queue_bytes = 4KiB
 [service d]
 once = POST /bookings
 [tree]
@@ -385,3 +387,41 @@
 		assert.Assert(t, !strings.Contains(log, secret), "%s in %s", secret, log)
 	}
 }
+
+// Callers that send large bodies and never end them hold no more memory than
+// the settings allow; the next one is told to come back, and is served once
+// they have gone.
+func TestFloodOfBodiesIsBounded(t *testing.T) {
+	g := newGuarded(t)
+	const head = "POST /services/d/x HTTP/1.1\r\nHost: a\r\n" + auth + last
+	var flood []net.Conn
+	for range 4 { // 4 of 1000 bytes fill queue_bytes
+		c, err := net.Dial("tcp", g.addr)
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, head+"Content-Length: 1024\r\n\r\n"+strings.Repeat("x", 1000))
+		assert.NilError(t, err)
+		flood = append(flood, c)
+	}
+	ask := func() (int, *http.Response, string) {
+		status, resp, body := g.send(t, head+"Content-Length: 1000\r\n\r\n"+strings.Repeat("x", 1000))
+		return status[0], resp, body
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		status, resp, body := ask()
+		if status != 503 {
+			return poll.Continue("%d", status)
+		}
+		assert.Assert(t, strings.Contains(body, "router-full"), body)
+		assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+		return poll.Success()
+	})
+	for _, c := range flood {
+		assert.NilError(t, c.Close())
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _, _ := ask(); status != 200 {
+			return poll.Continue("%d", status)
+		}
+		return poll.Success()
+	})
+}
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -56,6 +56,7 @@
 	answered atomic.Uint64
 	unknown  atomic.Uint64
 	failed   atomic.Uint64
+	gone     atomic.Uint64
 	refused  names
 	running  atomic.Int64
 	waiting  atomic.Int64
@@ -103,6 +104,9 @@
 // Failed counts a request that ran and whose answer did not arrive whole.
 func (c *Customer) Failed() { c.failed.Add(1) }
 
+// Gone counts a request whose caller went before its answer.
+func (c *Customer) Gone() { c.gone.Add(1) }
+
 // Running adds n, which may be negative, to the requests running.
 func (c *Customer) Running(n int) { c.running.Add(int64(n)) }
 
@@ -138,6 +142,7 @@
 	Refused       map[string]uint64 `json:"refused_total"`
 	Unknown       uint64            `json:"unknown_total"`
 	Failed        uint64            `json:"failed_total"`
+	Gone          uint64            `json:"gone_total"`
 	Running       int64             `json:"running_requests"`
 	Waiting       int64             `json:"waiting_requests"`
 	FirstToken    ObjectiveCounters `json:"first_token"`
@@ -154,6 +159,7 @@
 		Refused:       c.refused.view(),
 		Unknown:       c.unknown.Load(),
 		Failed:        c.failed.Load(),
+		Gone:          c.gone.Load(),
 		Running:       c.running.Load(),
 		Waiting:       c.waiting.Load(),
 		FirstToken:    c.first.view(),
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -33,6 +33,12 @@
 // URN returns the type's stable identifier.
 func (t Type) URN() string { return typePrefix + t.Name }
 
+// Error is a refusal on its way up to where it is written.
+type Error struct{ Type Type }
+
+// Error implements error.
+func (e *Error) Error() string { return e.Type.Title }
+
 // The kinds of refusal.
 var (
 	BadRequest        = Type{"bad-request", 400, "The request is malformed"}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -171,7 +171,11 @@
 // turnAway refuses a request before a run is made of it.
 func (p *Proxy) turnAway(w http.ResponseWriter, c *settings.Customer, t problem.Type, detail string) {
 	p.Observer.Finish(Finish{Customer: c.Path, Problem: t.Name, Outcome: attempt.NotSent})
-	problem.Refuse(w, t, detail, 0)
+	after := time.Duration(0)
+	if t.Status == http.StatusServiceUnavailable {
+		after = comeBack
+	}
+	problem.Refuse(w, t, detail, after)
 }
 
 // Allowances returns what is left of each pool's retry allowance, in attempts.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -87,6 +87,11 @@
 		p.turnAway(w, c, problem.BodyTooLarge, "")
 		return nil, false
 	}
+	var refusal *problem.Error
+	if stderrors.As(err, &refusal) {
+		p.turnAway(w, c, refusal.Type, "")
+		return nil, false
+	}
 	p.turnAway(w, c, problem.RequestTimeout, "the body did not arrive whole")
 	return nil, false
 }
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"os"
 	"os/signal"
 	"sync"
 	"sync/atomic"
@@ -47,23 +46,22 @@
 // then shuts the entry down without cutting anything. A second signal, or the
 // drain limit of the settings, cuts what is left.
 func (r *Router) addDrain(g *run.Group, srv *entry.Server) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(r.signals, syscall.SIGTERM, syscall.SIGINT)
 	failed := make(chan struct{}) // another actor has ended
 	g.Add(func() error {
-		defer signal.Stop(signals)
+		defer signal.Stop(r.signals)
 		select {
-		case <-signals:
+		case <-r.signals:
 			r.drain.start()
 		case <-r.drain.asked:
 		case <-failed:
 			return nil
 		}
-		return r.drainNow(srv, signals)
+		return r.drainNow(srv)
 	}, func(error) { close(failed) })
 }
 
-func (r *Router) drainNow(srv *entry.Server, signals <-chan os.Signal) error {
+func (r *Router) drainNow(srv *entry.Server) error {
 	limit := settings.DefaultFleet().DrainLimit
 	if s := r.follower.Current(); s != nil {
 		limit = s.Fleet.DrainLimit
@@ -72,7 +70,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-signals:
+		case <-r.signals:
 			cancel()
 		case <-ctx.Done():
 		}
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -15,9 +15,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/oklog/run"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -387,21 +389,42 @@
 	r2.untilServed(t)
 }
 
-// The drain limit of the settings cuts what is left, visibly.
-func TestDrainLimitCutsVisibly(t *testing.T) {
-	f := newFleet(t)
-	f.accept(0, "1s")
-	f.addEngine("e1")
-	r1 := f.start("r1", "")
-	r1.untilReady(t, 1)
-	until(t, "served", func() bool { return r1.chat(t, 2) == nil })
-	end := make(chan error, 1)
-	go func() { end <- r1.chat(t, 5000) }()
-	until(t, "running", func() bool { return r1.Status().Running == 1 })
-	r1.Drain()
-	assert.ErrorIs(t, <-r1.done, context.DeadlineExceeded)
-	assert.Assert(t, <-end != nil)
-	assert.Equal(t, r1.drainState().Cut, uint64(1))
+// The drain limit of the settings, or a second signal, cuts what is left, and
+// that visibly.
+func TestDrainCutsVisibly(t *testing.T) {
+	for _, c := range []struct {
+		name, limit string
+		end         func(*node)
+		cause       error
+	}{
+		{"limit", "1s", func(n *node) { n.Drain() }, context.DeadlineExceeded},
+		{"second signal", "1m", func(n *node) {
+			n.signals <- syscall.SIGTERM
+			until(t, "draining", n.drain.draining)
+			n.signals <- syscall.SIGTERM
+		}, context.Canceled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			f.accept(0, c.limit)
+			f.addEngine("e1")
+			r1 := f.start("r1", "")
+			r1.untilReady(t, 1)
+			until(t, "served", func() bool { return r1.chat(t, 2) == nil })
+			end := make(chan error, 1)
+			go func() { end <- r1.chat(t, 5000) }()
+			until(t, "running", func() bool { return r1.Status().Running == 1 })
+			c.end(r1)
+			err := <-r1.done
+			assert.ErrorIs(t, err, c.cause)
+			cut, ok := errors.AsType[*CutError](err)
+			assert.Assert(t, ok && cut.Requests == 1, "%v", err)
+			assert.Assert(t, <-end != nil)
+			v := vars(t, r1)
+			assert.Equal(t, v["drain.cut_total"], 1.0)
+			assert.Assert(t, v["drain.draining_seconds"] > 0)
+		})
+	}
 }
 
 // A leaving engine gets no new work, whether it says so itself or the host
--- a/internal/router/metrics_test.go
+++ b/internal/router/metrics_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -27,6 +29,8 @@
 entry.customers.org/desk.refused_total.server-unreachable
 entry.customers.org/strict.refused_total.forbidden
 entry.customers.org/desk.unknown_total
+entry.customers.org/desk.gone_total
+entry.denied_total.method-not-allowed
 entry.customers.org/desk.first_token.met_total
 entry.customers.org/desk.between_tokens.met_total
 entry.customers.org/desk.first_token_latency.sum_seconds
@@ -155,6 +159,22 @@
 	})
 	mode(service.OK, 0)
 
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", r1.url()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"plan-7b","max_tokens":900,"messages":[{"role":"user","content":"leave"}]}`))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	left := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(req)
+		left <- err
+	}()
+	until(t, "run of the caller that goes", func() bool { return r1.Status().Running > 0 })
+	leave()
+	assert.ErrorIs(t, <-left, context.Canceled)
+	until(t, "caller gone", func() bool { return vars(t, r1)["entry.customers.org/desk.gone_total"] > 0 })
+
+	call(405, "GET", "/v1/chat/completions", "", nil)
 	call(401, "GET", jobs, "", map[string]string{"Authorization": "Bearer none"})
 	call(403, "GET", jobs, "", map[string]string{"Authorization": "Bearer strict"})
 	call(404, "GET", "/services/other/x", "", nil)
@@ -181,7 +201,7 @@
 	}
 	// Every request has one end.
 	c := "entry.customers.org/desk."
-	ends := v[c+"answered_total"] + v[c+"unknown_total"] + v[c+"failed_total"]
+	ends := v[c+"answered_total"] + v[c+"unknown_total"] + v[c+"failed_total"] + v[c+"gone_total"]
 	for name, n := range v {
 		if strings.HasPrefix(name, c+"refused_total.") {
 			ends += n
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -53,6 +53,7 @@
 	o.objectives(c, f)
 	switch {
 	case f.Gone:
+		c.Gone()
 	case f.Broken:
 		c.Failed()
 	case f.Problem == "":
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,7 @@
 	drain    *drain
 	servers  *serverWatch
 	served   *served
+	signals  chan os.Signal // to end; a second one cuts
 
 	settingsAt atomic.Int64 // when the version in force was taken, Unix nanoseconds
 
@@ -83,6 +85,7 @@
 	}
 	r.servers = newServerWatch(r.log)
 	r.served = newServed()
+	r.signals = make(chan os.Signal, 2)
 	r.hosts = hosts.NewFollower(r.platform, hosts.NewList(seedHosts(cfg)), r.log, r.hostsChanged)
 	r.prober = probe.New(r.loadReported)
 	r.sharer = r.newSharer()
