--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,6 +16,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/labstack/echo/v5"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -319,6 +321,74 @@
 	}
 }
 
+// A stream that begins while callers are asked to leave is still a stream.
+func TestRetiredConnectionsStream(t *testing.T) {
+	let := make(chan struct{})
+	e := echo.New()
+	e.GET("/", func(c *echo.Context) error {
+		w := c.Response()
+		_, _ = io.WriteString(w, "first")
+		assert.Check(t, http.NewResponseController(w).Flush())
+		<-let
+		return nil
+	})
+	s, url := newServer(t, e)
+	s.Retire()
+	for _, h1 := range []bool{true, false} {
+		tr := transport(h1)
+		resp, err := (&http.Client{Transport: tr}).Get(url)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(resp.Body, make([]byte, len("first")))
+		assert.NilError(t, err)
+		let <- struct{}{}
+		assert.NilError(t, resp.Body.Close())
+		tr.CloseIdleConnections()
+	}
+}
+
+// Callers that keep their connections lose no request while the limits change,
+// by either protocol.
+func TestKeptClientsLoseNoRequest(t *testing.T) {
+	h := newHanging()
+	close(h.let)
+	h.began = make(chan struct{}, 2000)
+	s, url := newServer(t, h)
+	for _, h1 := range []bool{true, false} {
+		tr := transport(h1)
+		var callers errgroup.Group
+		for range 4 {
+			callers.Go(func() error {
+				for range 100 {
+					resp, err := (&http.Client{Transport: tr}).Post(url, "text/plain", strings.NewReader("no retry"))
+					if err != nil {
+						return err
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				return nil
+			})
+		}
+		f := settings.DefaultFleet()
+		for range 20 {
+			f.IdleTimeout++
+			s.Apply(f)
+			time.Sleep(time.Millisecond)
+		}
+		assert.NilError(t, callers.Wait(), "HTTP/1: %v", h1)
+		tr.CloseIdleConnections()
+	}
+}
+
+// transport is a caller's, by HTTP/1 or by HTTP/2 alone.
+func transport(h1 bool) *http.Transport {
+	p := new(http.Protocols)
+	p.SetHTTP1(h1)
+	p.SetHTTP2(!h1)
+	p.SetUnencryptedHTTP2(!h1)
+	return &http.Transport{Protocols: p, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+}
+
 // Callers may use HTTP/2, over TLS and without.
 func TestBothProtocols(t *testing.T) {
 	h := newHanging()
@@ -336,11 +406,7 @@
 		url string
 		h1  bool
 	}{{url, true}, {url, false}, {"https://" + ln.Addr().String(), true}, {"https://" + ln.Addr().String(), false}} {
-		p := new(http.Protocols)
-		p.SetHTTP1(c.h1)
-		p.SetHTTP2(!c.h1)
-		p.SetUnencryptedHTTP2(!c.h1)
-		tr := &http.Transport{Protocols: p, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+		tr := transport(c.h1)
 		resp, err := (&http.Client{Transport: tr}).Get(c.url)
 		assert.NilError(t, err)
 		assert.Equal(t, resp.ProtoMajor == 1, c.h1)
