--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/internal/version"
 )
 
 // Exit codes.
@@ -32,10 +34,14 @@
 Two readings are needed at least. With --samples the readings last from one run
 to the next; with --watch the command goes on reading.
 
+With --ca the routers are asked by HTTPS, and each must prove the ID of its row
+in the host list; one given by --router may be any router of the fleet.
+
 Examples:
   windscale-burn --platform http://127.0.0.1:9000 --admin-token-file token --samples burn.samples
   windscale-burn --platform http://127.0.0.1:9000 --admin-token-file token --watch
   windscale-burn --router http://127.0.0.1:9201 --settings settings.ini --admin-token-file token --output html --out burn.html
+  windscale-burn --platform http://127.0.0.1:9000 --ca ca.pem --cert ana.pem --key ana-key.pem --watch
 
 Exit codes: 0 reported, 1 failed, 2 wrong usage or input.`
 
@@ -45,6 +51,10 @@
 
 func run(args []string) int {
 	opts := defaults()
+	opts.Version = func() {
+		fmt.Println("windscale-burn", version.String())
+		os.Exit(exitOK)
+	}
 	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = description
 	if _, err := parser.ParseArgs(args); err != nil {
--- a/internal/claims/bounds_test.go
+++ b/internal/claims/bounds_test.go
@@ -15,7 +15,7 @@
 // results beyond their bound are given up at once.
 func TestWhatWaitsForTheTableIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(&table{}, time.Now, slog.New(slog.DiscardHandler))
+		c := New(&table{}, claim.Writer{}, time.Now, slog.New(slog.DiscardHandler))
 		for range maxQueue {
 			assert.Assert(t, c.submit(&op{}))
 		}
