--- a/internal/core/claim/retention_test.go
+++ b/internal/core/claim/retention_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -93,6 +94,13 @@
 	return f.now + rapid.Int64Range(-skew, skew).Draw(t, "skew")
 }
 
+// begin writes a cursor that is up to date.
+func (f *retention) begin(t *rapid.T) {
+	b, err := cbor.Marshal(claim.Cursor{Hour: claim.HourOf(f.now) - 1})
+	assert.NilError(t, err)
+	f.apply(t, []claim.Change{{Key: "claimindex/cursor", Value: b}})
+}
+
 // take claims some keys that are free, in one transaction with their page.
 func (f *retention) take(t *rapid.T) {
 	book, now := f.books[rapid.IntRange(0, 1).Draw(t, "writer")], f.clock(t)
@@ -146,8 +154,8 @@
 // sweep lets one sweeper make some calls.
 func (f *retention) sweep(t *rapid.T) {
 	s := f.sweeps[rapid.IntRange(0, 1).Draw(t, "sweeper")]
-	for range rapid.IntRange(1, 12).Draw(t, "calls") {
-		now := f.clock(t)
+	now := f.clock(t)
+	for range rapid.SampledFrom([]int{1, 5, 20, 100}).Draw(t, "calls") {
 		ask := s.Next(now, []msg.RouterID{"s"})
 		switch {
 		case len(ask.Read) > 0:
@@ -204,6 +212,9 @@
 		f := &retention{rows: rows{now: 1_000_000 * 60 * minute, m: map[string]claim.Stored{}}}
 		f.restart(0)
 		f.restart(1)
+		if rapid.Bool().Draw(t, "swept before") {
+			f.begin(t)
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"take": f.take, "sweep": f.sweep, "late": f.applyLate, "pause": f.pause,
 			"restart": func(t *rapid.T) { f.restart(rapid.IntRange(0, 1).Draw(t, "router")) },
@@ -215,6 +226,20 @@
 	})
 }
 
+// A writer whose clock is far behind names its claims where they will be swept.
+func TestHoursThatAreSweptTakeNoClaims(t *testing.T) {
+	book := claim.NewBook(claim.Writer{Router: "r", Incarnation: 1})
+	b, err := cbor.Marshal(claim.Cursor{Hour: 50})
+	assert.NilError(t, err)
+	rows := []claim.Stored{{Key: "claimindex/cursor", Value: b, Version: 1}, {Key: "m"}}
+	keep := 40 * 60 * minute
+	changes, err := book.Register(39*60*minute, book.Hour(keep), rows)
+	assert.NilError(t, err)
+	assert.Equal(t, len(changes), 0)
+	assert.Equal(t, book.Hour(keep), claim.Hour(50))
+	assert.Assert(t, !book.Registered(40) && !book.Registered(50))
+}
+
 // One router sweeps an hour, and another one the next or if that one leaves.
 func TestOneRouterSweepsAnHour(t *testing.T) {
 	live := []msg.RouterID{"r1", "r2", "r3"}
