--- /dev/null
+++ b/internal/claims/sweeper_test.go
@@ -0,0 +1,193 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/claim"
+	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/platform/httpplatform"
+	standin "github.com/windscale/windscale/internal/standin/platform"
+)
+
+// inMemory carries requests to a handler without sockets, for synctest.
+type inMemory struct{ http.Handler }
+
+func (m inMemory) RoundTrip(r *http.Request) (resp *http.Response, err error) {
+	defer func() {
+		if recover() != nil { // the handler cut the connection
+			err = io.ErrUnexpectedEOF
+		}
+	}()
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// seen is a table that notes what was written to it, and when.
+type seen struct {
+	platform.Table
+	mu      sync.Mutex
+	keys    map[string]bool
+	commits map[int64]int // by second
+}
+
+func (s *seen) Commit(ctx context.Context, writes ...platform.Write) error {
+	s.mu.Lock()
+	s.commits[time.Now().Unix()]++
+	for _, w := range writes {
+		s.keys[w.Key] = true
+	}
+	s.mu.Unlock()
+	return s.Table.Commit(ctx, writes...)
+}
+
+// left returns the keys, of all that were ever written, that have a row.
+func (s *seen) left(t *testing.T) (keys []string) {
+	t.Helper()
+	for key := range s.keys {
+		rows, err := s.Read(t.Context(), key)
+		assert.NilError(t, err)
+		if rows[0].Version != 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// rig is a platform with the claims of some routers, within synctest.
+type rig struct {
+	platform http.Handler
+	table    *seen
+	claims   []*Claims
+}
+
+func newRig(ctx context.Context, routers int) *rig {
+	p := standin.New(0)
+	r := &rig{platform: p}
+	r.table = &seen{
+		Table:   httpplatform.New("http://platform", &http.Client{Transport: inMemory{p}}),
+		keys:    map[string]bool{},
+		commits: map[int64]int{},
+	}
+	for i := range routers {
+		c := New(r.table, claim.Writer{Router: msg.RouterID(fmt.Sprint("r", i)), Incarnation: 1}, time.Now, slog.New(slog.DiscardHandler))
+		r.claims = append(r.claims, c)
+		go func() { _ = c.Run(ctx) }()
+	}
+	return r
+}
+
+func (r *rig) sweeper(ctx context.Context, log *slog.Logger, id msg.RouterID, live ...msg.RouterID) {
+	s := NewSweeper(r.table, id, func() []msg.RouterID { return live }, time.Now, log)
+	go func() { _ = s.Run(ctx) }()
+}
+
+func (r *rig) fault(mode standin.Mode, count int) {
+	body := fmt.Sprintf(`{"service":"table","mode":%q,"count":%d}`, mode, count)
+	r.platform.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/_fault", strings.NewReader(body)))
+}
+
+// book takes keys at all routers at once, finishes those that it got, and returns
+// how many these are.
+func (r *rig) book(t *testing.T, first, count int) int {
+	t.Helper()
+	var taken atomic.Int64
+	var wg sync.WaitGroup
+	for i := first; i < first+count; i++ {
+		wg.Go(func() {
+			c, key, w := r.claims[i%len(r.claims)], claim.Key(fmt.Sprint("claim/", i)), want(fmt.Sprint(i))
+			verdict, _, err := c.Take(t.Context(), key, w)
+			if err != nil {
+				return
+			}
+			assert.Check(t, verdict == claim.Take, "%d", verdict)
+			<-c.Finish(key, w.Holder, claim.Result{State: claim.Done, Answer: &claim.Answer{Status: 200}})
+			taken.Add(1)
+		})
+	}
+	wg.Wait()
+	return int(taken.Load())
+}
+
+// done counts the claims that have their answer.
+func (r *rig) done(t *testing.T) (n int) {
+	t.Helper()
+	for _, key := range r.table.left(t) {
+		rows, err := r.table.Read(t.Context(), key)
+		assert.NilError(t, err)
+		row, err := claim.Decode(rows[0].Value)
+		if strings.HasPrefix(key, "claim/") && assert.Check(t, err) && row.State == claim.Done {
+			n++
+		}
+	}
+	return n
+}
+
+// Two sweepers that don't know of one another, a table that loses replies and
+// goes down: all claims stay for their time, and are gone after, with the index.
+func TestSweepersThroughFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx, 8)
+		taken := r.book(t, 0, 400)
+		assert.Equal(t, taken, 400) // although all routers come to the hour at once
+		for n := range 4 {
+			r.fault(standin.LostReply, 5)
+			taken += r.book(t, 400+200*n, 200)
+		}
+		assert.Assert(t, taken > 500, "%d taken", taken)
+		log := slog.New(slog.DiscardHandler)
+		r.sweeper(ctx, log, "r0", "r0")
+		r.sweeper(ctx, log, "r1", "r1")
+		time.Sleep(time.Hour + claim.Grace - time.Minute)
+		assert.Equal(t, r.done(t), taken)
+		for range 40 {
+			r.fault(standin.LostReply, 3)
+			time.Sleep(3 * time.Minute)
+			r.fault(standin.Down, 4)
+			time.Sleep(3 * time.Minute)
+		}
+		cancel()
+		synctest.Wait()
+		r.fault(standin.OK, 0)
+		assert.DeepEqual(t, r.table.left(t), []string{"claimindex/cursor"})
+	})
+}
+
+// A fleet of which only some routers sweep at a time costs the table little, and
+// keeps up with the claims.
+func TestSweepingIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx, 1)
+		r.book(t, 0, 640)
+		r.table.commits = map[int64]int{}
+		for _, id := range []msg.RouterID{"r0", "r1", "r2"} {
+			r.sweeper(ctx, slog.New(slog.DiscardHandler), id, "r0", "r1", "r2")
+		}
+		time.Sleep(5 * time.Hour)
+		cancel()
+		synctest.Wait()
+		assert.DeepEqual(t, r.table.left(t), []string{"claimindex/cursor"})
+		total := 0
+		for second, n := range r.table.commits {
+			assert.Assert(t, n <= sweepCommits+1, "%d commits at %d", n, second)
+			total += n
+		}
+		assert.Assert(t, total < 640/20, "%d commits", total)
+	})
+}
