--- a/internal/core/claim/retention_test.go
+++ b/internal/core/claim/retention_test.go
@@ -253,4 +253,13 @@
 		assert.Assert(t, times[id] > 60, "%v", times)
 	}
 	assert.Equal(t, claim.SweeperOf(7, nil), msg.RouterID(""))
+	b, err := cbor.Marshal(claim.Cursor{Hour: 7})
+	assert.NilError(t, err)
+	for _, id := range live {
+		s := claim.NewSweep(id)
+		now := 20 * 60 * minute
+		s.Next(now, live)
+		assert.NilError(t, s.Rows(now, []claim.Stored{{Key: "claimindex/cursor", Value: b, Version: 1}}))
+		assert.Equal(t, len(s.Next(now, live).Read) > 0, id == claim.SweeperOf(7, live))
+	}
 }
