--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -161,6 +161,24 @@
 	})
 }
 
+// The halves of a batch that met a conflict both get through, each with a page of
+// the index as the other left it.
+func TestHalvesOfABatch(t *testing.T) {
+	within(t, 1, func(t *testing.T, tab *table, routers []*Claims) {
+		tab.faults = []platform.Kind{platform.KindConflict}
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				verdict, _, err := routers[0].Take(t.Context(), claim.Key(fmt.Sprint("claim/", i)), want(fmt.Sprint(i)))
+				assert.Check(t, err)
+				assert.Check(t, verdict == claim.Take)
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, tab.commits, 2)
+	})
+}
+
 func TestLostReplyIsSettledByReading(t *testing.T) {
 	for _, effect := range []bool{false, true} {
 		within(t, 1, func(t *testing.T, tab *table, routers []*Claims) {
--- a/internal/claims/sweeper.go
+++ b/internal/claims/sweeper.go
@@ -17,8 +17,8 @@
 // What sweeping may cost the platform's table. One router sweeps at a time, so
 // that these hold for the fleet.
 const (
-	sweepReads   = 4 // calls a second
-	sweepCommits = 2 // calls a second, of up to 33 rows
+	sweepReads   = 6 // calls a second
+	sweepCommits = 3 // calls a second, of up to 33 rows (the end of an hour: 65)
 
 	sweepIdle  = 2 * time.Minute  // mean time between looks for work
 	sweepPause = 30 * time.Second // mean time after a failure of the table
