--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -10,13 +10,13 @@
 	"net"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/fleetcert"
+	"github.com/windscale/windscale/internal/version"
 )
 
 const (
@@ -37,8 +37,18 @@
 Examples:
   windscale-cert ca --out tls
   windscale-cert router --ca tls --id r1 --ip 10.0.0.1 --out tls
+  windscale-cert router --ca tls --id r2 --ip 10.0.0.2 --ip fd00::2 --out tls
   windscale-cert operator --ca tls --name ana --out tls
 
+To replace the CA, make the next one in a directory of its own, trust both
+(cat tls/ca.pem next/ca.pem) on every router, issue by the next, then trust
+only the next:
+  windscale-cert ca --out next
+  windscale-cert router --ca next --id r1 --ip 10.0.0.1 --out next
+
+Routers take new files in force by themselves within some seconds; see
+docs/OPERATING.md.
+
 Exit codes: 0 done, 1 the operation failed, 2 wrong usage.`
 
 type options struct {
@@ -169,7 +179,7 @@
 	parser.SubcommandsOptional = true
 	_, err := parser.ParseArgs(args)
 	if err == nil && opts.Version {
-		fmt.Println("windscale-cert", version())
+		fmt.Println("windscale-cert", version.String())
 		return exitOK
 	}
 	if err == nil && parser.Active == nil {
@@ -194,11 +204,3 @@
 	fmt.Fprintln(os.Stderr, "windscale-cert:", usage.Message)
 	return exitUsage
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -142,8 +142,11 @@
 // unwritten settles changes after a call that failed: it returns the ops that
 // must read again.
 func (c *Claims) unwritten(ctx context.Context, call string, changes []change, err error) (again []*op) {
-	kind := platform.KindOf(err)
-	if kind == platform.KindConflict || kind == platform.KindUnknown {
+	switch platform.KindOf(err) {
+	case platform.KindUnknown:
+		c.observer.TableError()
+		return retry(changes, err)
+	case platform.KindConflict:
 		return retry(changes, err)
 	}
 	c.failed(ctx, call, len(changes), err)
@@ -182,6 +185,7 @@
 	err := c.transact(ctx, changes)
 	switch {
 	case err == nil:
+		c.observer.Batch(len(changes))
 		for _, ch := range changes {
 			ch.op.done <- ch.reply
 		}
@@ -232,5 +236,6 @@
 
 // failed logs a failed call to the table.
 func (c *Claims) failed(ctx context.Context, call string, claims int, err error) {
+	c.observer.TableError()
 	events.ClaimTableFailed.Log(ctx, c.log, slog.LevelWarn, "call", call, "claims", claims, "cause", err)
 }
--- a/internal/claims/sweeper.go
+++ b/internal/claims/sweeper.go
@@ -11,6 +11,7 @@
 	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/platform"
 )
 
@@ -54,7 +55,7 @@
 // returns nil.
 func (s *Sweeper) Run(ctx context.Context) error {
 	wait := around(sweepIdle) // routers that start together do not ask together
-	for pause(ctx, wait) {
+	for pause.For(ctx, wait) {
 		wait = s.step(ctx)
 	}
 	return nil
