--- a/internal/certwatch/certwatch.go
+++ b/internal/certwatch/certwatch.go
@@ -22,6 +22,13 @@
 // their content: they are small, and a modification time can miss a change.
 const Period = 5 * time.Second
 
+// A certificate in force that has less than renewTime left is reported once
+// every remindTime.
+const (
+	renewTime  = 30 * 24 * time.Hour
+	remindTime = 24 * time.Hour
+)
+
 // Watch holds the credentials in force. It is a [fleetcert.Source]; all of its
 // methods but Run may be called from any goroutine.
 type Watch struct {
@@ -31,8 +38,9 @@
 	check   func(c fleetcert.Credentials, now time.Time) error
 	log     *slog.Logger
 	current atomic.Pointer[fleetcert.Credentials]
-	taken   digest // of the files in force
-	refused digest // of the files refused last; zero: none since
+	taken   digest    // of the files in force
+	refused digest    // of the files refused last; zero: none since
+	remind  time.Time // when an expiry is reported next
 }
 
 // digest is that of the files' contents, or of what kept them from being read.
@@ -95,6 +103,7 @@
 			return nil
 		case now := <-ticker.C:
 			w.look(ctx, now)
+			w.remindExpiry(ctx, now)
 		}
 	}
 }
@@ -149,6 +158,16 @@
 	events.CertificateRefused.Log(ctx, w.log, slog.LevelError, "certificate", w.name, "err", err)
 }
 
+// remindExpiry reports a certificate in force that expires soon or has expired.
+func (w *Watch) remindExpiry(ctx context.Context, now time.Time) {
+	until := w.Current().Cert.Leaf.NotAfter
+	if until.Sub(now) >= renewTime || now.Before(w.remind) {
+		return
+	}
+	w.remind = now.Add(remindTime)
+	events.CertificateExpires.Log(ctx, w.log, slog.LevelWarn, "certificate", w.name, "until", until)
+}
+
 // read returns the files' texts and a digest of all, or of what kept it from
 // reading them.
 func (w *Watch) read() ([][]byte, digest, error) {
--- a/internal/certwatch/certwatch_test.go
+++ b/internal/certwatch/certwatch_test.go
@@ -124,6 +124,22 @@
 	assert.DeepEqual(t, f.events(), []string{"113", "112", "113", "112"})
 }
 
+func TestExpiryIsReportedOnceADay(t *testing.T) {
+	a := authority(t)
+	f, w := newFiles(t, a)
+	until := w.Current().Cert.Leaf.NotAfter
+	for now := until.Add(-renewTime - remindTime); now.Before(until.Add(2 * remindTime)); now = now.Add(remindTime / 4) {
+		w.remindExpiry(t.Context(), now)
+	}
+	got := f.events()
+	assert.Equal(t, len(got), int((renewTime+2*remindTime)/remindTime))
+	assert.Equal(t, got[0], "114")
+	f.pair(issue(t, a, "r1", until))
+	w.look(t.Context(), until)
+	w.remindExpiry(t.Context(), until.Add(9*remindTime))
+	assert.DeepEqual(t, f.events(), []string{"112"})
+}
+
 // While one CA takes the place of another, routers of both trust each other.
 func TestChangeOfCA(t *testing.T) {
 	a, b := authority(t), authority(t)
--- a/internal/events/admin.go
+++ b/internal/events/admin.go
@@ -6,4 +6,5 @@
 	LinkOrdered         = Event{111, "link cut or mended by order"}
 	CertificateReplaced = Event{112, "certificate replaced"}
 	CertificateRefused  = Event{113, "replacement of a certificate refused"}
+	CertificateExpires  = Event{114, "certificate expires soon"}
 )
