--- a/test/cmd/slopes/design.go
+++ b/test/cmd/slopes/design.go
@@ -5,6 +5,10 @@
 	"math"
 	"strings"
 	"time"
+
+	"github.com/windscale/windscale/internal/core/share"
+	"github.com/windscale/windscale/internal/hosts"
+	"github.com/windscale/windscale/internal/settingsstore"
 )
 
 // The size to design for.
@@ -91,6 +95,7 @@
 	f.settings()
 	f.claims()
 	f.members()
+	f.polls()
 	f.reports()
 	f.rows.WriteString("\n")
 	f.sum()
@@ -191,20 +196,48 @@
 	f.add("reports", "windscale-burn: the report", f.at("report-ns", n)/1e6, "ms", "the line at 1,000 customers")
 }
 
+// What a router asks for, a second.
+var (
+	headReads   = 1 / settingsstore.DefaultInterval.Seconds()
+	listReads   = 1 / hosts.Interval.Seconds()
+	loadReports = designServers / share.DefaultProbeInterval.Seconds() / designRouters
+	listChanges = float64(2*designLost) / day // leaving and joining
+)
+
+// polls works out what a node asks of the platform and of the servers.
+func (f *figures) polls() {
+	n := float64(designRouters + designServers)
+	f.add("settings", "reading the head row", headReads*f.per("head-bytes"), "bytes/s", "readings a second × bytes, both ways")
+	f.add("settings", "the fleet's readings of the head row", headReads*designRouters, "/s", "410 × readings a second, of the table's 2,000 reads/s")
+	f.add("membership", "reading the host list, unchanged", listReads*f.at("list-same-bytes", n), "bytes/s", "readings a second × bytes, both ways")
+	f.add("membership", "reading the host list, changed", listChanges*f.at("list-bytes", n), "bytes/s", "148 changes a day × bytes at 1,010 hosts; on average")
+	f.add("admission", "load reports", loadReports, "/s", "600 servers × reports a second ÷ 410")
+	f.add("admission", "load reports", loadReports*f.per("report-bytes"), "bytes/s", "reports × bytes, both ways")
+}
+
+// pollBytes is the sum of those.
+func (f *figures) pollBytes() float64 {
+	n := float64(designRouters + designServers)
+	return headReads*f.per("head-bytes") + listReads*f.at("list-same-bytes", n) +
+		listChanges*f.at("list-bytes", n) + loadReports*f.per("report-bytes")
+}
+
 // sum compares what a node spends on control with what it may.
 func (f *figures) sum() {
 	n := float64(designRouters)
 	messages := f.at("share-messages", n) + f.at("member-messages", n)
 	bodies := f.at("share-bytes", n) + f.at("member-bytes", n) + f.settingsBytes() + designLost*f.at("member-change", n)/day
 	packets := messages * f.per("link-overhead")
+	polls := f.pollBytes()
 	core := f.at("share-core", n) + f.at("member-core", n) + designChanges*f.at("settings-build", designCustomers)/day/1e7 +
 		f.at("page-ns", designCustomers)/scrapeEvery.Seconds()/1e7
 	memory := f.at("share-memory", n) + f.connections()*f.per("link-memory")/2 + f.at("member-memory", n) +
 		f.at("settings-memory", designCustomers) + f.at("metrics-bytes", designCustomers)
 	unknown := f.missing
 	f.rows.WriteString("| control of a node | spends | may spend | |\n|---|---|---|---|\n")
-	f.budget(unknown, "messages' bodies", bodies, budgetBytes, "bytes/s")
-	f.budget(unknown, "bodies and packets' overhead", bodies+packets, budgetBytes, "bytes/s")
+	f.budget(unknown, "bodies of the messages sent to routers, and settings", bodies, budgetBytes, "bytes/s")
+	f.budget(unknown, "polls of the platform and the servers, both ways, by HTTP", polls, budgetBytes, "bytes/s")
+	f.budget(unknown, "all of it: bodies, packets' overhead, polls", bodies+packets+polls, budgetBytes, "bytes/s")
 	f.budget(unknown, "processor time (without the packets')", core, budgetCore, "% of a core")
 	f.budget(unknown, "memory (live bytes)", memory/mega, budgetMemory/mega, "MiB")
 }
--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -37,6 +37,7 @@
 	{"claims", measureClaims},
 	{"membership", measureMembers},
 	{"link", measureLinks},
+	{"polls", measurePolls},
 	{"reports", measureReports},
 }
 
