--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -52,16 +52,16 @@
 	return true
 }
 
-// cached returns, of the servers with a free slot that the registration may
-// use, the one that rendezvous hashing gives its prefix; s if it has none. Who
-// is granted, and that a slot is used, does not depend on it.
+// cached returns, of the servers at least half as free as s that the
+// registration may use, the one that rendezvous hashing gives its prefix; s if
+// it has none. Who is granted, and that a slot is used, does not depend on it.
 func (a *admitter) cached(s *poolServer, r *registration) *poolServer {
 	if r.prefix == 0 {
 		return s
 	}
-	high := uint64(0)
+	high, least := uint64(0), (s.free()+1)/2
 	for _, x := range r.account.pool.sorted {
-		if x.free() <= 0 || slices.Contains(r.avoid, x.id) {
+		if x.free() < least || slices.Contains(r.avoid, x.id) {
 			continue
 		}
 		if v := prefixRank(r.prefix, string(x.id)); v >= high {
