--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -336,13 +336,19 @@
 	}
 }
 
-// adopt takes totals that a child knows, if this router knows none.
+// adopt takes totals that a child knows and that are ahead of this router's,
+// as after a restart or a partition. What this router knows is lifted by the
+// difference of the floors: service had while apart is neither claimed back nor
+// owed, whichever side was the faster one.
 func (t *tree) adopt(floors []PoolCount) {
 	for _, f := range floors {
 		p := t.pool(f.Pool)
 		if p.floor >= f.Floor {
 			continue
 		}
+		for _, c := range p.counters {
+			c.total += f.Floor - p.floor
+		}
 		p.floor = f.Floor
 		for _, x := range f.totals() {
 			c := p.counter(x.hash)
--- a/test/cmd/slopes/design.go
+++ b/test/cmd/slopes/design.go
@@ -124,7 +124,7 @@
 	f.add("entry", "sharing's state of 1,000 waiting requests", 1000*f.per("wait-bytes")/1024, "KiB", "bytes a waiting request")
 	f.add("entry", "processor time of arrivals", nodeRequests*f.at("arrive-ns", 1000)/1e7, "% of a core", "requests a node × ns an arrival, 1,000 waiting")
 	f.add("entry", "processor time of the relayed streams", f.at("stream-core", nodeStreams), "% of a core", "streams a node; not control")
-	f.add("entry", "memory of the relayed streams", f.at("stream-memory", nodeStreams)/mega, "MiB", "streams a node; heap and stacks; not control")
+	f.add("entry", "memory of the relayed streams", f.at("stream-memory", nodeStreams)/mega, "MiB", "streams a node; resident; not control")
 	f.add("entry", "streams until one core is full", sizeAt(f.slope("stream-core"), 100), "", "a node; the line extended")
 }
 
