--- a/internal/claims/sweeper.go
+++ b/internal/claims/sweeper.go
@@ -35,8 +35,27 @@
 	reads   *rate.Limiter
 	commits *rate.Limiter
 	failing bool
+
+	observer SweepObserver
+}
+
+// SweepObserver counts what the sweeper does. Its methods are called from Run
+// and must not block.
+type SweepObserver interface {
+	Deleted(rows int)           // claims and rows of their index
+	SweepError()                // a call of the table failed, but for conflicts
+	Unswept(late time.Duration) // since when the first hour that is not swept is due
 }
 
+type nopSweepObserver struct{}
+
+func (nopSweepObserver) Deleted(int)           {}
+func (nopSweepObserver) SweepError()           {}
+func (nopSweepObserver) Unswept(time.Duration) {}
+
+// Observe sets who counts. It is called before Run.
+func (s *Sweeper) Observe(o SweepObserver) { s.observer = o }
+
 // NewSweeper returns the sweeper of a router. live returns the routers that are
 // in the fleet and not leaving, now the wall clock; both are called by Run only.
 func NewSweeper(table platform.Table, self msg.RouterID, live func() []msg.RouterID, now func() time.Time, log *slog.Logger) *Sweeper {
@@ -48,6 +67,8 @@
 		sweep:   claim.NewSweep(self),
 		reads:   rate.NewLimiter(sweepReads, 1),
 		commits: rate.NewLimiter(sweepCommits, 1),
+
+		observer: nopSweepObserver{},
 	}
 }
 
@@ -87,7 +108,12 @@
 	if err != nil {
 		return err
 	}
-	return s.sweep.Rows(s.now().UnixMilli(), stored(rows))
+	now := s.now().UnixMilli()
+	if err := s.sweep.Rows(now, stored(rows)); err != nil {
+		return err
+	}
+	s.observer.Unswept(s.sweep.Behind(now))
+	return nil
 }
 
 // commit makes one commit.
@@ -100,12 +126,23 @@
 	if err := s.table.Commit(call, writes(changes)...); err != nil {
 		return err
 	}
+	s.observer.Deleted(deletions(changes))
 	if swept := s.sweep.Committed(); swept != nil {
 		s.report(ctx, swept)
 	}
 	return nil
 }
 
+// deletions counts the rows that changes delete.
+func deletions(changes []claim.Change) (n int) {
+	for _, c := range changes {
+		if c.Delete {
+			n++
+		}
+	}
+	return n
+}
+
 // report logs the end of an hour.
 func (s *Sweeper) report(ctx context.Context, swept *claim.Swept) {
 	events.ClaimsSwept.Log(ctx, s.log, slog.LevelInfo,
@@ -127,7 +164,11 @@
 	if platform.KindOf(err) == platform.KindConflict {
 		return 0
 	}
-	if !s.failing && ctx.Err() == nil {
+	if ctx.Err() != nil {
+		return 0
+	}
+	s.observer.SweepError()
+	if !s.failing {
 		s.failing = true
 		events.ClaimSweepFailed.Log(ctx, s.log, slog.LevelWarn, "cause", err)
 	}
--- a/internal/claims/sweeper_test.go
+++ b/internal/claims/sweeper_test.go
@@ -73,11 +73,19 @@
 	return keys
 }
 
+// sweepCounts is a SweepObserver.
+type sweepCounts struct{ deleted, late, errors atomic.Int64 }
+
+func (c *sweepCounts) Deleted(rows int)           { c.deleted.Add(int64(rows)) }
+func (c *sweepCounts) SweepError()                { c.errors.Add(1) }
+func (c *sweepCounts) Unswept(late time.Duration) { c.late.Store(int64(late)) }
+
 // rig is a platform with the claims of some routers, within synctest.
 type rig struct {
 	platform http.Handler
 	table    *seen
 	claims   []*Claims
+	counts   sweepCounts
 }
 
 func newRig(ctx context.Context, routers int) *rig {
@@ -98,6 +106,7 @@
 
 func (r *rig) sweeper(ctx context.Context, id msg.RouterID, live ...msg.RouterID) {
 	s := NewSweeper(r.table, id, func() []msg.RouterID { return live }, time.Now, slog.New(slog.DiscardHandler))
+	s.Observe(&r.counts)
 	go func() { _ = s.Run(ctx) }()
 }
 
@@ -155,6 +164,7 @@
 		cancel()
 		synctest.Wait()
 		r.fault(standin.OK, 0)
+		assert.Assert(t, r.counts.errors.Load() > 10)
 		assert.DeepEqual(t, r.table.left(t), []string{"claimindex/cursor"})
 	})
 }
@@ -180,5 +190,7 @@
 			total += n
 		}
 		assert.Assert(t, total < 1920/20, "%d commits", total)
+		assert.Equal(t, int(r.counts.deleted.Load()), len(r.table.keys)-1) // but for the cursor
+		assert.Equal(t, r.counts.late.Load(), int64(0))
 	})
 }
--- a/internal/core/claim/retention.go
+++ b/internal/core/claim/retention.go
@@ -28,7 +28,8 @@
 	Commit []Change
 }
 
-// Swept counts what was done with an hour.
+// Swept counts what this router did with an hour. After failures a claim may be
+// counted again as kept or unreadable.
 type Swept struct {
 	Hour       Hour
 	Deleted    int      // claims
@@ -81,7 +82,14 @@
 
 // Failed makes the sweep begin anew: a call failed, a condition did not hold, or
 // its outcome is unknown.
-func (s *Sweep) Failed() { *s = Sweep{self: s.self} }
+func (s *Sweep) Failed() { *s = Sweep{self: s.self, swept: s.swept} }
+
+// Behind returns for how long, now (Unix ms), the first hour that is not swept
+// has been due. It is right after Rows.
+func (s *Sweep) Behind(now int64) time.Duration {
+	late := now - s.from.end() - Grace.Milliseconds()
+	return time.Duration(max(late, 0)) * time.Millisecond
+}
 
 // due reports whether an hour may be swept, now (Unix ms).
 func due(now int64, h Hour) bool { return now > h.end()+Grace.Milliseconds() }
@@ -168,7 +176,9 @@
 
 // seeManifests collects the hour's writers, or passes on to the next hour.
 func (s *Sweep) seeManifests(now int64, rows []Stored) error {
-	s.swept = Swept{Hour: s.hour}
+	if s.swept.Hour != s.hour {
+		s.swept = Swept{Hour: s.hour}
+	}
 	for _, row := range rows {
 		if row.Version == 0 {
 			continue
--- a/internal/core/claim/retention_test.go
+++ b/internal/core/claim/retention_test.go
@@ -248,6 +248,7 @@
 		now := 20 * 60 * minute
 		s.Next(now, live)
 		assert.NilError(t, s.Rows(now, []claim.Stored{{Key: "claimindex/cursor", Value: b, Version: 1}}))
+		assert.Equal(t, s.Behind(now), 11*time.Hour) // since 8 o'clock and the grace
 		assert.Equal(t, len(s.Next(now, live).Read) > 0, id == claim.SweeperOf(7, live))
 	}
 }
--- a/internal/metrics/mechanisms.go
+++ b/internal/metrics/mechanisms.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
@@ -66,6 +67,8 @@
 	taken, replayed, conflict, unknown atomic.Uint64
 	tableErrors                        atomic.Uint64
 	batches, batchWrites               atomic.Uint64
+	deletedRows, sweepErrors           atomic.Uint64
+	unswept                            atomic.Int64 // time.Duration
 }
 
 // Taken counts a claim that this router took.
@@ -90,15 +93,29 @@
 	c.batchWrites.Add(uint64(writes))
 }
 
+// Deleted counts rows deleted because their time was over.
+func (c *Claims) Deleted(rows int) { c.deletedRows.Add(uint64(rows)) }
+
+// SweepError counts a call of the table that failed while such rows were sought
+// or deleted.
+func (c *Claims) SweepError() { c.sweepErrors.Add(1) }
+
+// Unswept sets for how long the first hour whose claims are not yet deleted has
+// been due.
+func (c *Claims) Unswept(late time.Duration) { c.unswept.Store(int64(late)) }
+
 // ClaimsView is what Claims publishes.
 type ClaimsView struct {
-	Taken       uint64 `json:"taken_total"`
-	Replayed    uint64 `json:"replayed_total"`
-	Conflict    uint64 `json:"conflict_total"`
-	Unknown     uint64 `json:"unknown_total"`
-	TableErrors uint64 `json:"table_errors_total"`
-	Batches     uint64 `json:"batches_total"`
-	BatchWrites uint64 `json:"batch_writes_total"`
+	Taken       uint64  `json:"taken_total"`
+	Replayed    uint64  `json:"replayed_total"`
+	Conflict    uint64  `json:"conflict_total"`
+	Unknown     uint64  `json:"unknown_total"`
+	TableErrors uint64  `json:"table_errors_total"`
+	Batches     uint64  `json:"batches_total"`
+	BatchWrites uint64  `json:"batch_writes_total"`
+	DeletedRows uint64  `json:"deleted_rows_total"`
+	SweepErrors uint64  `json:"sweep_errors_total"`
+	Unswept     Seconds `json:"unswept_seconds"`
 }
 
 func (c *Claims) view() ClaimsView {
@@ -110,6 +127,9 @@
 		TableErrors: c.tableErrors.Load(),
 		Batches:     c.batches.Load(),
 		BatchWrites: c.batchWrites.Load(),
+		DeletedRows: c.deletedRows.Load(),
+		SweepErrors: c.sweepErrors.Load(),
+		Unswept:     InSeconds(time.Duration(c.unswept.Load())),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,6 +99,7 @@
 	r.claims = claims.New(r.platform, writer, time.Now, r.log)
 	r.claims.Observe(r.metrics.Claims)
 	r.sweeper = claims.NewSweeper(r.platform, cfg.ID, r.liveRouters, time.Now, r.log)
+	r.sweeper.Observe(r.metrics.Claims)
 	r.proxy = r.newProxy()
 	if err := r.listen(); err != nil {
 		return nil, err
