Bound what one event writes into the log

Change: a slog handler passes 20 records of an event at once and 2 a second, and says in the next one how many were left out.

--- a/cmd/windscale-router/main.go
+++ b/cmd/windscale-router/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -28,6 +29,12 @@
 	exitUsage  = 2
 )
 
+// How much of one event the log takes; the next line says what was left out.
+const (
+	eventsPerSecond = 2
+	eventsAtOnce    = 20
+)
+
 const help = `One router of the fleet. It reads its own INI file and serves until SIGTERM,
 which ends it gracefully: no request in progress is cut. A second SIGTERM cuts.
 
@@ -108,8 +115,9 @@
 
 func logger(cfg *config.Router, w io.Writer) *slog.Logger {
 	opts := &slog.HandlerOptions{Level: cfg.LogLevel}
+	var h slog.Handler = slog.NewJSONHandler(w, opts)
 	if cfg.LogFormat == "text" {
-		return slog.New(slog.NewTextHandler(w, opts))
+		h = slog.NewTextHandler(w, opts)
 	}
-	return slog.New(slog.NewJSONHandler(w, opts))
+	return slog.New(events.Limit(h, eventsPerSecond, eventsAtOnce, time.Now))
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -17,7 +17,7 @@
 
 // Log writes the event with its attributes.
 func (e Event) Log(ctx context.Context, l *slog.Logger, level slog.Level, args ...any) {
-	l.Log(ctx, level, e.Name, append([]any{"event", e.Num}, args...)...)
+	l.Log(ctx, level, e.Name, append([]any{attrNum, e.Num}, args...)...)
 }
 
 // The events of the process.
