--- a/internal/checks/checks_test.go
+++ b/internal/checks/checks_test.go
@@ -124,6 +124,44 @@
 	return got
 }
 
+// eventNames are the variables of internal/events.
+func eventNames(t *testing.T) []string {
+	t.Helper()
+	var names []string
+	for _, f := range sources(t, "internal/events") {
+		ast.Inspect(f, func(n ast.Node) bool {
+			spec, ok := n.(*ast.ValueSpec)
+			if !ok || len(spec.Values) == 0 {
+				return true
+			}
+			if lit, ok := spec.Values[0].(*ast.CompositeLit); ok {
+				if id, ok := lit.Type.(*ast.Ident); ok && id.Name == "Event" {
+					names = append(names, spec.Names[0].Name)
+				}
+			}
+			return true
+		})
+	}
+	return names
+}
+
+// An event in the catalogue that nothing logs misleads whoever waits for it.
+func TestEveryEventIsLogged(t *testing.T) {
+	names := eventNames(t)
+	assert.Assert(t, len(names) > 0)
+	logged := map[string]bool{}
+	for _, dir := range []string{"internal", "cmd"} {
+		for _, f := range sources(t, dir) {
+			for _, call := range calls(f, "events", names...) {
+				logged[strings.TrimPrefix(call, "events.")] = true
+			}
+		}
+	}
+	for _, name := range names {
+		assert.Check(t, logged[name], "events.%s is never logged", name)
+	}
+}
+
 func TestEventCatalogueIsComplete(t *testing.T) {
 	page, err := os.ReadFile(filepath.Join(root, "docs/EVENTS.md"))
 	assert.NilError(t, err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -255,7 +255,7 @@
 
 // settingsTaken puts a new version in force in the parts that keep a copy.
 func (r *Router) settingsTaken(s *settings.Snapshot, srv *entry.Server) {
-	r.settingsAt.Store(time.Now().UnixNano())
+	first := r.settingsAt.Swap(time.Now().UnixNano()) == 0
 	srv.Apply(s.Fleet)
 	r.members.SetSettings(s.Version)
 	r.sharer.SetSettings(s.Version)
@@ -265,4 +265,7 @@
 		ids = append(ids, id)
 	}
 	r.metrics.Entry.SetCustomers(ids)
+	if first {
+		events.ProcessReady.Log(r.ctx, r.log, slog.LevelInfo, "version", s.Version)
+	}
 }
