--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/sharing"
 )
 
 // Member is one router as this router sees it.
@@ -54,8 +55,8 @@
 type Router interface {
 	Status() Status
 	Backends() []Backend
-	// Explain says why a customer's requests wait now, as JSON-able data.
-	Explain(c msg.CustomerID) any
+	// Explain says why a customer's requests wait now.
+	Explain(c msg.CustomerID) sharing.Explanation
 	// Drain begins a graceful shutdown and returns at once.
 	Drain()
 	// SetLink cuts or mends the link to a peer, for tests of failures. It
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/msg"
+	"github.com/windscale/windscale/internal/sharing"
 )
 
 type fakeRouter struct {
@@ -17,10 +18,12 @@
 	cut     map[msg.RouterID]bool // nil: no faults allowed
 }
 
-func (f *fakeRouter) Status() Status               { return f.status }
-func (f *fakeRouter) Backends() []Backend          { return []Backend{{ID: "e1"}} }
-func (f *fakeRouter) Explain(c msg.CustomerID) any { return map[string]any{"customer": c} }
-func (f *fakeRouter) Drain()                       { f.drained = true }
+func (f *fakeRouter) Status() Status      { return f.status }
+func (f *fakeRouter) Backends() []Backend { return []Backend{{ID: "e1"}} }
+func (f *fakeRouter) Explain(c msg.CustomerID) sharing.Explanation {
+	return sharing.Explanation{Customer: c}
+}
+func (f *fakeRouter) Drain() { f.drained = true }
 func (f *fakeRouter) SetLink(peer msg.RouterID, cut bool) bool {
 	if f.cut != nil {
 		f.cut[peer] = cut
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -20,9 +20,11 @@
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
+	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/platform"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
 	"github.com/windscale/windscale/internal/settingsstore"
+	"github.com/windscale/windscale/internal/sharing"
 	standin "github.com/windscale/windscale/internal/standin/platform"
 )
 
@@ -51,8 +53,9 @@
 	return []admin.Backend{b}
 }
 
-func (r *stub) Explain(c msg.CustomerID) any {
-	return map[string]any{"customer": c, "waits": []string{"slot"}}
+func (r *stub) Explain(c msg.CustomerID) sharing.Explanation {
+	v := share.View{Pool: "m/plan", Customer: c, Waiting: 2, LongestNs: 1500 * time.Millisecond, WaitingFor: "its turn", PoolSlots: 12, Ahead: 4}
+	return sharing.Explanation{Customer: c, Pools: []share.View{v}}
 }
 func (r *stub) Drain()                          { r.draining = true }
 func (r *stub) SetLink(msg.RouterID, bool) bool { return false }
@@ -248,7 +251,9 @@
 	assert.NilError(t, json.Unmarshal([]byte(f.ok("--output", "json", "backend", "list")), &servers))
 	assert.Equal(t, len(servers), 1)
 	assert.Equal(t, servers[0].Running, 3)
-	assert.Assert(t, cmp.Contains(f.ok("explain", "a/b"), "waits[0]"))
+	rows := strings.Split(f.ok("explain", "a/b"), "\n")
+	assert.DeepEqual(t, strings.Fields(rows[1])[:4], []string{"r1", "m/plan", "2", "1.5s"})
+	assert.Assert(t, cmp.Contains(rows[1], "its turn (12 in the pool)"))
 	code, _, _ := f.run("drain", "r7")
 	assert.Equal(t, code, ExitFailed)
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/url"
 	"slices"
+	"strconv"
+	"time"
 )
 
 // explainCommand shows what each router says of a customer's waiting
@@ -18,39 +19,49 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
+// explanation is what a router answers to /v1/explain.
+type explanation struct {
+	Customer string       `json:"customer"`
+	Pools    []poolReason `json:"pools"`
+}
+
+// poolReason is a customer's standing in one pool at one router, as the entry
+// (waiting) and as an admitter (registered and what follows it).
+type poolReason struct {
+	Pool       string        `json:"pool"`
+	Waiting    int           `json:"waiting"`
+	LongestNs  time.Duration `json:"longestNs"`
+	WaitingFor string        `json:"waitingFor,omitempty"`
+	PoolSlots  int           `json:"poolSlots"`
+	Registered int           `json:"registered"`
+	Ahead      int           `json:"ahead"`
+	Weight     float64       `json:"weight"`
+	Level      float64       `json:"level"`
+	Floor      float64       `json:"floor"`
+}
+
 func (c *explainCommand) run(ctx context.Context, a *app) error {
-	views, err := each[json.RawMessage](ctx, a, "/v1/explain?customer="+url.QueryEscape(c.Args.Customer))
+	views, err := each[explanation](ctx, a, "/v1/explain?customer="+url.QueryEscape(c.Args.Customer))
 	if err != nil {
 		return err
 	}
-	return a.show(views, "ROUTER WHAT VALUE", func(add func(...any)) {
+	return a.show(views, "ROUTER POOL WAITING LONGEST WAITS-FOR REGISTERED AHEAD ABOVE-FLOOR WEIGHT", func(add func(...any)) {
 		for _, router := range slices.Sorted(maps.Keys(views)) {
-			var v any
-			_ = json.Unmarshal(views[router], &v) // it was decoded before
-			flatten("", v, func(path string, leaf any) { add(router, path, leaf) })
+			for _, p := range views[router].Pools {
+				add(router, p.Pool, p.Waiting, oneDigit(p.LongestNs.Seconds())+"s", p.waitsFor(),
+					p.Registered, p.Ahead, oneDigit(p.Level-p.Floor), p.Weight)
+			}
 		}
 	})
 }
 
-// flatten calls add for each value in v that has no parts, with its path.
-func flatten(path string, v any, add func(path string, leaf any)) {
-	switch v := v.(type) {
-	case map[string]any:
-		for _, k := range slices.Sorted(maps.Keys(v)) {
-			flatten(join(path, k), v[k], add)
-		}
-	case []any:
-		for i, x := range v {
-			flatten(fmt.Sprintf("%s[%d]", path, i), x, add)
-		}
-	default:
-		add(path, v)
-	}
-}
-
-func join(path, k string) string {
-	if path == "" {
-		return k
+// waitsFor is the reason in a table, with the slots that there are.
+func (p poolReason) waitsFor() string {
+	switch {
+	case p.Waiting == 0:
+		return "-"
+	case p.PoolSlots == 0:
+		return p.WaitingFor
 	}
-	return path + "." + k
+	return fmt.Sprintf("%s (%s in the pool)", p.WaitingFor, strconv.Itoa(p.PoolSlots))
 }
--- a/internal/ctl/top.go
+++ b/internal/ctl/top.go
@@ -27,7 +27,7 @@
 			Customers map[string]entryCounts `json:"customers"`
 		} `json:"entry"`
 		Sharing struct {
-			Pools map[string]map[string]share `json:"pools"`
+			Pools map[string]map[string]poolShare `json:"pools"`
 		} `json:"sharing"`
 	} `json:"windscale"`
 }
@@ -42,7 +42,7 @@
 	Waiting  int64             `json:"waiting_requests"`
 }
 
-type share struct {
+type poolShare struct {
 	Wait     float64 `json:"longest_wait_seconds"`
 	WaitsFor string  `json:"waits_for"`
 }
@@ -128,7 +128,7 @@
 	l.Waiting += now.Waiting
 }
 
-func (l *customerLoad) addWait(s share) {
+func (l *customerLoad) addWait(s poolShare) {
 	if s.Wait > l.Longest {
 		l.Longest, l.WaitsFor = s.Wait, s.WaitsFor
 	}
--- a/internal/router/adminapi.go
+++ b/internal/router/adminapi.go
@@ -7,6 +7,7 @@
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/share"
 	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/sharing"
 )
 
 // Status implements admin.Router.
@@ -72,6 +73,6 @@
 }
 
 // Explain implements admin.Router.
-func (r *Router) Explain(c msg.CustomerID) any {
+func (r *Router) Explain(c msg.CustomerID) sharing.Explanation {
 	return r.sharer.Explain(c)
 }
