Count a child again that its parent has forgotten

A parent whose list of members lacked the child for a while dropped what the child's counts were relative to; the child never noticed, and its admitter's service was missing from the totals for good.

--- a/internal/core/share/merge.go
+++ b/internal/core/share/merge.go
@@ -89,7 +89,9 @@
 	if from != t.parent || incarnation < t.parentInc || (t.parentInc == incarnation && d.Seq <= t.downSeq) {
 		return
 	}
-	if t.parentInc != 0 && incarnation != t.parentInc {
+	restarted := t.parentInc != 0 && incarnation != t.parentInc
+	forgotten := t.base != 0 && d.Edge != t.edge
+	if restarted || forgotten {
 		t.newEdge(incarnation)
 	}
 	t.parentInc, t.downSeq = incarnation, d.Seq
--- a/internal/core/share/regress_test.go
+++ b/internal/core/share/regress_test.go
@@ -193,3 +193,29 @@
 	assert.Equal(t, n.Stats().Granted, uint64(4))
 	assert.Assert(t, n.Stats().Resent > 0)
 }
+
+// A parent that for a while did not count the child among the members has
+// forgotten what the child's counts are relative to.
+func TestChildThatItsParentForgotIsCountedAgain(t *testing.T) {
+	f := smallFleet(3, 6)
+	w := &world{fleet: f}
+	w.backlog([]msg.RouterID{"r1", "r2"})
+	f.run(f.now + 10*time.Second)
+	f.setMembersOf("r0", "r1")
+	f.run(f.now + 5*time.Second)
+	f.setMembers(f.ids)
+	f.run(f.now + 10*time.Second)
+	floor, served := f.standing("c0", "r1").Floor, f.servedBy("c0")
+	f.run(f.now + 40*time.Second)
+	counted, all := f.standing("c0", "r1").Floor-floor, f.servedBy("c0")-served
+	assert.Assert(t, counted > 0.9*all, "%.0f of %.0f counted", counted, all)
+}
+
+// servedBy is what all admitters together have given the customer.
+func (f *fleet) servedBy(customer msg.CustomerID) float64 {
+	sum := 0.0
+	for _, id := range f.ids {
+		sum += f.standing(customer, id).Served
+	}
+	return sum
+}
