Number edges and address grants by incarnation

A child that restarted took the acknowledgement of its earlier incarnation's counts for its own, and was missing from the totals for good; an entry that restarted could have taken a grant for a queue of its earlier incarnation. The first was found by a stricter check in the fuzzing: what is served is counted in the totals.

--- a/internal/core/share/entrytick.go
+++ b/internal/core/share/entrytick.go
@@ -133,9 +133,10 @@
 // from then on, should they still come. So a grant is confirmed, and a lost
 // end made good, soon after either.
 func (e *entry) sendHeld(p *peer) {
-	m := e.n.to(p.id)
-	m.Of, m.Seen, m.Held = p.incarnation, p.seen, p.heldList()
-	m.Ends = append(m.Ends, p.ended...)
+	if m := e.n.to(p.id); m.about(p.incarnation) {
+		m.Seen, m.Held = p.seen, p.heldList()
+		m.Ends = append(m.Ends, p.ended...)
+	}
 	p.ended = nil
 	p.void = p.seen
 	p.got = map[uint64]bool{}
--- a/internal/core/share/fuzz_test.go
+++ b/internal/core/share/fuzz_test.go
@@ -172,6 +172,19 @@
 	})
 }
 
+// floor is the first pool's floor of the totals, where it is highest.
+func (w *world) floor() float64 {
+	high := 0.0
+	for _, id := range w.ids {
+		for _, v := range w.nodes[id].Views() {
+			if v.Pool == poolName(0) {
+				high = max(high, v.Floor)
+			}
+		}
+	}
+	return high
+}
+
 // checkBacklogged loads the fleet after its faults: no slot may idle, and the
 // service of the customers may differ only by what is running.
 func (w *world) checkBacklogged(t *rapid.T) {
@@ -181,7 +194,7 @@
 	}
 	w.backlog(entries)
 	w.run(w.now + 10*time.Second)
-	base, busy, began := w.service(), w.busyTime(), w.now
+	base, busy, began, floor := w.service(), w.busyTime(), w.now, w.floor()
 	slots := 0
 	for _, s := range w.servers {
 		if s.pools[0] == poolName(0) {
@@ -199,6 +212,9 @@
 		k := simKey{poolName(0), msg.CustomerID(fmt.Sprint("c", c))}
 		low, high = min(low, got[k]-base[k]), max(high, got[k]-base[k])
 	}
+	if rise := w.floor() - floor; rise < 0.7*low {
+		t.Fatalf("%.0f of %.0f counted in the totals", rise, low)
+	}
 	if bound := 6.0 * fuzzCostMax; high-low > bound {
 		t.Fatalf("gap %.0f, bound %.0f", high-low, bound)
 	}
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -145,5 +145,8 @@
 
 func (a *admitter) send(g *grantRecord) {
 	m := a.n.to(g.entry)
+	if !m.about(a.entries[g.entry].incarnation) {
+		return // the entry has restarted
+	}
 	m.Grants = append(m.Grants, Grant{Seq: g.seq, Queue: g.reg.queue, Server: g.server.id, Addr: a.n.addrs[g.server.id]})
 }
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -12,7 +12,7 @@
 type Message struct {
 	Incarnation uint64      `cbor:"1,keyasint"`           // the sender's
 	Seq         uint64      `cbor:"2,keyasint,omitempty"` // grows with each message with Waits
-	Of          uint64      `cbor:"3,keyasint,omitempty"` // the receiver's incarnation that Seen, Ends and Held speak of
+	Of          uint64      `cbor:"3,keyasint,omitempty"` // the receiver's incarnation that Seen, Ends, Held and Grants are for
 	Seen        uint64      `cbor:"4,keyasint,omitempty"` // highest grant received; lower ones not held are void
 	Waits       []Wait      `cbor:"5,keyasint,omitempty"`
 	Grants      []Grant     `cbor:"6,keyasint,omitempty"`
@@ -27,6 +27,15 @@
 	Forgot      []uint64    `cbor:"15,keyasint,omitempty"` // queues of which the sender has no registration
 }
 
+// about tells whether what is for the receiver's given incarnation may be added
+// to the message. Of two incarnations the later is the receiver's.
+func (m *Message) about(incarnation uint64) bool {
+	if m.Of < incarnation {
+		m.Of, m.Seen, m.Ends, m.Held, m.Grants = incarnation, 0, nil, nil, nil
+	}
+	return m.Of == incarnation
+}
+
 // Wait registers a customer's waiting requests with an admitter. It replaces
 // what an earlier message said of the same queue. An admitter that is known to
 // have the registration is sent only what changes, without the pool.
--- a/internal/core/share/node.go
+++ b/internal/core/share/node.go
@@ -176,8 +176,10 @@
 	for _, num := range m.Forgot {
 		n.entry.forgot(from, num)
 	}
-	for _, g := range m.Grants {
-		n.entry.grant(from, m.Incarnation, g)
+	if m.Of == 0 || m.Of == n.cfg.Incarnation {
+		for _, g := range m.Grants {
+			n.entry.grant(from, m.Incarnation, g)
+		}
 	}
 	for _, o := range m.Offers {
 		n.entry.offer(o)
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -328,9 +328,9 @@
 }
 
 func (e *entry) sendEnd(p *peer, end End) {
-	m := e.n.to(p.id)
-	m.Of = p.incarnation
-	m.Ends = append(m.Ends, end)
+	if m := e.n.to(p.id); m.about(p.incarnation) {
+		m.Ends = append(m.Ends, end)
+	}
 	p.ended = append(p.ended, end)
 	e.keepBy(p, e.n.now+repeatAfter)
 }
--- a/internal/core/share/regress_test.go
+++ b/internal/core/share/regress_test.go
@@ -219,3 +219,42 @@
 	}
 	return sum
 }
+
+// The queues of a restarted entry have the numbers of others before it.
+func TestGrantToAnEarlierIncarnationOfTheEntryIsIgnored(t *testing.T) {
+	n, queue := entryWith(t)
+	m := &share.Message{Incarnation: 1, Of: 9, Grants: []share.Grant{{Seq: 1, Queue: queue, Server: "s0"}}}
+	n.Step(0, "r0", m)
+	assert.Equal(t, len(n.Ready().Start), 0)
+	m.Of = 1
+	n.Step(0, "r0", m)
+	assert.Equal(t, len(n.Ready().Start), 1)
+}
+
+// An admitter says which incarnation of the entry its grants are for.
+func TestGrantsSayWhomTheyAreFor(t *testing.T) {
+	n := admitterOf(4)
+	n.Step(0, "e0", &share.Message{Incarnation: 7, Seq: 1, Waits: []share.Wait{
+		{Queue: 1, Pool: pool, Customer: "a", Weight: 1, Count: 1},
+	}})
+	for _, out := range n.Ready().Send {
+		assert.Equal(t, out.Message.Of, uint64(7))
+	}
+}
+
+// What a parent acknowledges to a child's earlier incarnation says nothing of
+// the counts of the present one.
+func TestAcknowledgementOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	edgeOf := func(incarnation uint64) uint64 {
+		n := share.New(share.Config{ID: "r1", Incarnation: incarnation})
+		n.SetMembers(0, []share.Member{{ID: "r0"}})
+		n.Tick(time.Second)
+		for _, out := range n.Ready().Send {
+			if out.Message.Up != nil {
+				return out.Message.Up.Edge
+			}
+		}
+		return 0
+	}
+	assert.Assert(t, edgeOf(1) != 0 && edgeOf(1) != edgeOf(2))
+}
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -231,8 +231,8 @@
 	m := e.n.to(to)
 	e.n.seq++
 	m.Seq = e.n.seq
-	if p := e.peers[to]; p != nil {
-		m.Of, m.Seen = p.incarnation, p.seen
+	if p := e.peers[to]; p != nil && m.about(p.incarnation) {
+		m.Seen = p.seen
 	}
 	w := Wait{Queue: q.num, Count: t.count, Slots: q.slots, Prefix: q.prefix()}
 	if !t.known {
--- a/internal/core/share/tree.go
+++ b/internal/core/share/tree.go
@@ -13,7 +13,8 @@
 	mergeLevel  = 1250 * time.Millisecond // likewise, for each level below the root's children
 	levelDelay  = 30 * time.Millisecond   // a level sends up this much before the one above
 	firstMerge  = 300 * time.Millisecond  // after a change of the members
-	keepRecords = 4                       // Ups of which the content is remembered
+	edgeBits    = 16
+	keepRecords = 4 // Ups of which the content is remembered
 )
 
 // tree merges the admitters' service counters. The routers form a tree over
@@ -32,7 +33,8 @@
 	children map[msg.RouterID]*child
 	pools    map[msg.PoolID]*treePool
 
-	edge      uint64 // number of the edge to the parent
+	edge      uint64 // number of the edge to the parent, of this incarnation only
+	edges     uint64 // how many there were
 	parentInc uint64 // 0: not known yet
 	base      uint64 // last acknowledged Up of the edge
 	upSeq     uint64
@@ -160,7 +162,8 @@
 // newEdge starts to count anew to a parent that has no memory of this router.
 // What the last parent has not acknowledged is sent again.
 func (t *tree) newEdge(incarnation uint64) {
-	t.edge++
+	t.edges++
+	t.edge = t.n.cfg.Incarnation<<edgeBits | t.edges
 	t.parentInc, t.downSeq, t.base, t.upSeq = incarnation, 0, 0, 0
 	t.records = nil
 	t.floors = t.knownTotals()
