--- a/internal/core/share/stats.go
+++ b/internal/core/share/stats.go
@@ -7,6 +7,7 @@
 	Granted   uint64
 	Returned  uint64   // granted slots that came back, used or not
 	Expired   uint64   // granted slots that were not kept alive
+	Resent    uint64   // grants sent again, as they were not confirmed
 	Estimates uint64   // requests that ended and had an estimate
 	Estimated msg.Cost // of those
 	Actual    msg.Cost // of those
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -53,6 +53,7 @@
 	o.objectives(c, f)
 	switch {
 	case f.Gone:
+		c.Gone()
 	case f.Broken:
 		c.Failed()
 	case f.Problem == "":
@@ -69,6 +70,9 @@
 // objectives holds the request to what its customer is promised.
 func (o *observer) objectives(c *metrics.Customer, f proxy.Finish) {
 	promised := o.promised(f.Customer)
+	if f.Tokens == 0 { // in one piece: its first byte comes with its last token
+		promised = settings.Objective{}
+	}
 	if f.First > 0 {
 		c.FirstToken(f.First, promised.FirstToken)
 	}
