--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -282,7 +282,7 @@
 	old.Windscale.Process.Incarnation, now.Windscale.Process.Incarnation = 1, 1
 	old.Windscale.Entry.Customers = map[string]entryCounts{"a": {Requests: 10}}
 	now.Windscale.Entry.Customers = map[string]entryCounts{"a": {Requests: 30, Waiting: 2}}
-	now.Windscale.Sharing.Pools = map[string]map[string]share{"m/x": {"a": {Wait: 3, WaitsFor: "slot"}}}
+	now.Windscale.Sharing.Pools = map[string]map[string]poolShare{"m/x": {"a": {Wait: 3, WaitsFor: "slot"}}}
 	var fresh vars // started in between
 	fresh.Windscale.Process.Incarnation = 7
 	fresh.Windscale.Entry.Customers = map[string]entryCounts{"a": {Requests: 4}, "b": {Refused: map[string]uint64{"x": 2}}}
