proxy: a slow caller no longer counts as a stalled engine

The timer for the engine's silence also ran while an event waited for room in the buffer to the caller. A caller that took nothing for more than 5 s had its stream cut at the engine, which was logged as the engine's failure, cost a retry of the pool's allowance for the resumption, and cost the caller its answer when there was none left.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -15,8 +15,8 @@
 	"github.com/windscale/windscale/internal/problem"
 )
 
-// stallLimit is the longest gap between two events of a stream; after it the
-// stream counts as cut.
+// stallLimit is the longest wait for a stream's next event; after it the stream
+// counts as cut.
 const stallLimit = 5 * time.Second
 
 // serveStream runs a request whose answer is streamed.
@@ -111,17 +111,11 @@
 		return m.lost(s, failure)
 	}
 	defer stream.Close()
-	stall := time.AfterFunc(stallLimit, cancel)
-	defer stall.Stop()
 	for {
-		if m.x.Next() == 0 {
-			stall.Stop() // until the first token only the deadline holds
-		}
-		part, failure := stream.Next()
+		part, failure := m.nextPart(stream, cancel)
 		if failure != nil {
 			return m.lost(s, failure)
 		}
-		stall.Reset(stallLimit)
 		action := m.part(s, stream, part)
 		if action != attempt.Continue {
 			return action
@@ -129,6 +123,22 @@
 	}
 }
 
+// parts is what nextPart reads from; *backend.Stream is one.
+type parts interface {
+	Next() (backend.Part, *backend.Error)
+}
+
+// nextPart waits for the engine's next event. Until the first token only the
+// deadline bounds the wait, then stallLimit does too: cancel ends the read. The
+// time that the caller takes to accept an event is not the engine's.
+func (m *modelRun) nextPart(from parts, cancel context.CancelFunc) (backend.Part, *backend.Error) {
+	if m.x.Next() > 0 {
+		stall := time.AfterFunc(stallLimit, cancel)
+		defer stall.Stop()
+	}
+	return from.Next()
+}
+
 // part takes one event of the stream. Tokens go on at once. What follows the
 // last token is held until the closing event is there, so that a resumption
 // can't send it twice.
