proxy: an attempt's end is told from its own failure, also where the answer breaks

Two faults at the end of an attempt. A failure was kept over the attempts of a request. Where a later attempt ended without one of its own (the caller went while an event waited for it), the slot was ended with that of the earlier one, so that a healthy server could be taken for leaving or busy because another had refused. The failure is now dropped when an attempt begins. Where a long answer broke, by the server or by the caller, the panic that breaks the caller's connection passed over the slot's cost and the observer: the slot was free of charge and the attempt was not counted. Both are now told whichever way the attempt ends. Each test fails without its mend.

--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -34,7 +34,7 @@
 	deadline time.Time
 	want     dispatch.Request
 	x        *attempt.Exchange
-	last     *backend.Error // of the attempt that failed last
+	last     *backend.Error // of the last attempt; nil: it had no failure
 	finish   Finish
 }
 
@@ -89,7 +89,7 @@
 			return false
 		}
 		u.x.Begin()
-		action := u.one(s, try)
+		action := u.attemptOnce(s, try)
 		if action == attempt.Retry && !u.mayRetry() {
 			action = u.x.Step(u.event(attempt.Denied))
 		}
@@ -107,15 +107,23 @@
 	}
 }
 
-// one runs one attempt and ends its slot, whatever happens.
-func (u *run) one(s *slot, try func(*slot) attempt.Action) attempt.Action {
-	defer s.end(attempt.Unknown, nil)
+// attemptOnce runs one attempt and ends its slot, also where try panics to break
+// the caller's connection.
+func (u *run) attemptOnce(s *slot, try func(*slot) attempt.Action) attempt.Action {
+	u.last = nil // an earlier attempt's failure says nothing of this server
 	u.p.Observer.Running(u.want.Customer, 1)
-	defer u.p.Observer.Running(u.want.Customer, -1)
+	outcome := attempt.Unknown
+	defer func() { u.attemptEnded(s, outcome) }()
 	action := try(s)
-	outcome := u.x.Last()
+	outcome = u.x.Last()
+	return action
+}
+
+// attemptEnded ends the slot and tells the observer.
+func (u *run) attemptEnded(s *slot, outcome attempt.Outcome) {
 	failure := u.failureOf(outcome)
 	s.end(outcome, failure)
+	u.p.Observer.Running(u.want.Customer, -1)
 	u.p.Observer.Attempt(Attempt{
 		Pool:    u.want.Pool,
 		Server:  s.Server().ID,
@@ -124,10 +132,9 @@
 	})
 	u.finish.Cost += s.cost
 	u.want.Avoid = append(u.want.Avoid, s.Server().ID)
-	return action
 }
 
-// failureOf returns the last failure, unless the attempt ended well.
+// failureOf returns the attempt's last failure, nil if it ended well or had none.
 func (u *run) failureOf(o attempt.Outcome) *backend.Error {
 	if o == attempt.Ended {
 		return nil
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -85,13 +85,14 @@
 }
 
 // read takes the answer whole before any of it goes out, if it is not too long.
+// The slot's cost is told also where the caller's connection is broken.
 func (s *serviceRun) read(slot *slot, answer *backend.Answer) attempt.Action {
+	defer func() { slot.progress(busy(slot)) }()
 	body, whole, failure := answer.ReadUpTo(maxBuffered)
 	if failure == nil && !whole {
 		s.sendLong(answer, body)
 		s.sent = true
 	}
-	slot.progress(busy(slot))
 	if failure != nil {
 		return s.failed(failure)
 	}
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -7,14 +7,17 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	pathpkg "path"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/standin/service"
 )
@@ -99,6 +102,8 @@
 				}
 				_, _ = io.WriteString(w, "y")
 			}))
+			seen := &recorder{}
+			rig.proxy.Observer = seen
 			got := send(t, "GET", rig.URL+"/services/dispatch/long", "", nil)
 			assert.Equal(t, got.err != nil, cut)
 			if !cut {
@@ -110,10 +115,44 @@
 				want = attempt.Unknown
 			}
 			assert.DeepEqual(t, rig.picker.results(t), []attempt.Outcome{want})
+			assert.Assert(t, rig.picker.slots[0].results[0].Cost > 0) // a cut answer is not free
+			assert.DeepEqual(t, seen.attempts, []Attempt{{Pool: "s/dispatch", Server: "s0", Outcome: want}})
+			assert.Assert(t, seen.finish.Cost > 0)
 		}
 	}
 }
 
+// recorder keeps what the observer is told of attempts and of the last end.
+type recorder struct {
+	NopObserver
+	attempts []Attempt
+	finish   Finish
+}
+
+func (o *recorder) Attempt(a Attempt) { o.attempts = append(o.attempts, a) }
+func (o *recorder) Finish(f Finish)   { o.finish = f }
+
+// A server that refused is not taken for the one that the next attempt runs at.
+func TestFailureIsOfItsOwnAttempt(t *testing.T) {
+	rig := newRig(t)
+	r := httptest.NewRequest("GET", jobURL, nil)
+	u := rig.proxy.newRun(httptest.NewRecorder(), r, rig.customer, arrival{time.Now(), time.Minute}, "s/dispatch", serviceRule("GET", false))
+	defer u.close()
+	refused := &backend.Error{Outcome: attempt.Refused, Leaving: true}
+	for i, try := range []func(*slot) attempt.Action{
+		func(*slot) attempt.Action { return u.failed(refused) },
+		func(*slot) attempt.Action { // the caller goes within the answer
+			u.x.Step(u.event(attempt.Header))
+			return u.x.Step(u.event(attempt.Expired))
+		},
+	} {
+		granted := &fakeSlot{p: rig.picker}
+		u.x.Begin()
+		u.attemptOnce(&slot{Slot: granted, now: time.Now, began: time.Now()}, try)
+		assert.Equal(t, granted.results[0].Leaving, i == 0)
+	}
+}
+
 // Calls that servers may take for one another are not to be repeated either.
 func TestOnceMatchesEveryForm(t *testing.T) {
 	list := []string{"POST /bookings", "POST /stock/*", "put /Hold/"}
