attempt: the sixth retry's wait is bounded by its own doubling

Backoff jumped from 160 ms to the cap of 500 ms at n = 6, where twice 160 ms is still below it: the comment's shift was one off from the code's. The test has both sides of that step.

--- a/internal/core/attempt/allowance.go
+++ b/internal/core/attempt/allowance.go
@@ -43,19 +43,20 @@
 // Tokens returns what is left, for the metrics.
 func (a *Allowance) Tokens() float64 { return a.tokens }
 
-// The bounds of the wait before a retry.
+// The bounds of the wait before a retry: the base is doubled with each attempt,
+// up to the cap.
 const (
 	backoffBase = 10 * time.Millisecond
 	backoffCap  = 500 * time.Millisecond
+	// maxDoublings is the most that are needed: base << maxDoublings is above
+	// the cap.
+	maxDoublings = 6
 )
 
 // Backoff returns how long to wait before the retry that follows attempt
 // number n (from 1): full jitter over an exponential bound, as the talk
 // advises against synchronised clients. u is uniform in [0,1).
 func Backoff(n int, u float64) time.Duration {
-	bound := backoffCap
-	if n < 6 { // 10 ms << 6 is above the cap
-		bound = min(backoffCap, backoffBase<<(n-1))
-	}
+	bound := min(backoffCap, backoffBase<<min(n-1, maxDoublings))
 	return time.Duration(u * float64(bound))
 }
--- a/internal/core/attempt/allowance_test.go
+++ b/internal/core/attempt/allowance_test.go
@@ -40,6 +40,8 @@
 	assert.Equal(t, Backoff(1, 0), time.Duration(0))
 	assert.Equal(t, Backoff(1, 0.5), 5*time.Millisecond)
 	assert.Equal(t, Backoff(3, 0.5), 20*time.Millisecond)
+	assert.Equal(t, Backoff(6, 0.5), 160*time.Millisecond)
+	assert.Equal(t, Backoff(7, 0.5), backoffCap/2)
 	for n := 1; n < 100; n++ {
 		assert.Assert(t, Backoff(n, 0.999) < backoffCap)
 	}
