members: a departed router gives its core nothing more

member.Node.Depart is the last call the core allows, but the link goes on for a moment: a peer's message or view after it was still stepped, could be answered, and could begin an exchange of views while Run waited for those under way (a WaitGroup must not grow from zero meanwhile). The shell now drops all input after the departure, and refuses a peer that asks for the view with a typed error. The fields name what the mutex guards.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -21,12 +21,13 @@
 	maxMessage = 1 << 20
 )
 
-// Effects are what the membership needs of the process.
+// Effects are what the membership needs of the process. All but Sync are called
+// with the lock of Members held, so that none of them may call back.
 type Effects struct {
-	// Send gives a message to a peer, best effort. It must not block or call
-	// back.
+	// Send gives a message to a peer, best effort. It must not block.
 	Send func(to msg.RouterID, body []byte)
-	// Sync asks a peer for its view and returns the answer.
+	// Sync asks a peer for its view and returns the answer, from a goroutine of
+	// its own.
 	Sync func(ctx context.Context, to msg.RouterID, req []byte) ([]byte, error)
 	// Changed takes the new view. Calls follow each other in order.
 	Changed func([]member.Member)
@@ -40,12 +41,14 @@
 type Members struct {
 	effects Effects
 	start   time.Time
-	changes uint64
+	ctx     context.Context // bounds the exchanges of views
 
-	mu   sync.Mutex
-	node *member.Node
-	wg   sync.WaitGroup
-	ctx  context.Context
+	mu       sync.Mutex
+	node     *member.Node
+	changes  uint64 // of the view
+	departed bool   // nothing more is given to the core
+
+	wg sync.WaitGroup // exchanges under way
 }
 
 // New returns a view that holds this router only. ctx bounds the exchanges
@@ -68,8 +71,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			m.do(func(n *member.Node, now time.Duration) { n.Depart(now) })
-			m.wg.Wait()
+			m.depart()
 			return nil
 		case <-t.C:
 			m.do(func(n *member.Node, now time.Duration) { n.Tick(now) })
@@ -77,12 +79,31 @@
 	}
 }
 
-// do gives the core one input and carries out what it asks for.
-func (m *Members) do(input func(n *member.Node, now time.Duration)) {
+// do gives the core one input and carries out what it asks for. It returns false
+// after the departure: the core takes nothing more.
+func (m *Members) do(input func(n *member.Node, now time.Duration)) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.departed {
+		return false
+	}
 	input(m.node, time.Since(m.start))
-	rd := m.node.Ready()
+	m.carryOut(m.node.Ready())
+	return true
+}
+
+// depart announces the end of this process and waits for the exchanges under
+// way.
+func (m *Members) depart() {
+	m.do(func(n *member.Node, now time.Duration) {
+		n.Depart(now)
+		m.departed = true
+	})
+	m.wg.Wait()
+}
+
+// carryOut does what the core asks for. The mutex is held.
+func (m *Members) carryOut(rd member.Ready) {
 	for _, o := range rd.Send {
 		if body, err := wire.Marshal(o.Message); err == nil {
 			m.effects.Send(o.To, body)
@@ -133,14 +154,23 @@
 	return nil
 }
 
-// Answer answers a peer that asks for this router's view.
+// Departed is the error of a router that has announced its end.
+type Departed struct{}
+
+// Error implements error.
+func (Departed) Error() string { return "the router has departed" }
+
+// Answer answers a peer that asks for this router's view. Its error is
+// *wire.Error or Departed.
 func (m *Members) Answer(req []byte) ([]byte, error) {
 	var full member.Full
 	if err := wire.Unmarshal(req, maxMessage, &full); err != nil {
 		return nil, err
 	}
 	var reply member.Full
-	m.do(func(n *member.Node, now time.Duration) { reply = n.SyncReply(now, full) })
+	if !m.do(func(n *member.Node, now time.Duration) { reply = n.SyncReply(now, full) }) {
+		return nil, Departed{}
+	}
 	return wire.Marshal(reply)
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -139,6 +139,34 @@
 	})
 }
 
+// A router that has departed says nothing more, whatever peers say.
+func TestDepartedRouterIsSilent(t *testing.T) {
+	said := 0
+	ctx, stop := context.WithCancel(t.Context())
+	m := New(ctx, "r1", 1, "dc", Effects{
+		Send: func(msg.RouterID, []byte) { said++ },
+		Sync: func(context.Context, msg.RouterID, []byte) ([]byte, error) {
+			said++
+			return nil, context.Canceled
+		},
+		Changed: func([]member.Member) { said++ },
+		Newer:   func(uint64) { said++ },
+	})
+	stop()
+	assert.NilError(t, m.Run(ctx))
+	said = 0
+	ping, err := wire.Marshal(member.Message{Type: member.Ping, Incarnation: 1, Settings: 9})
+	assert.NilError(t, err)
+	assert.NilError(t, m.Step("r2", ping))
+	m.SetCandidates([]member.Candidate{{ID: "r2"}})
+	view, err := wire.Marshal(member.Full{})
+	assert.NilError(t, err)
+	_, err = m.Answer(view)
+	assert.ErrorType(t, err, Departed{})
+	m.wg.Wait()
+	assert.Equal(t, said, 0)
+}
+
 func TestMalformedMessagesAreTypedErrors(t *testing.T) {
 	m := (&wires{ctx: t.Context()}).router("r1", 1, nil, nil)
 	for _, body := range [][]byte{nil, {0xff}, []byte("text"), make([]byte, maxMessage+1)} {
