backend: names that say what they are, and a cause that is true

Call.Fresh is NewConn, the transports are pooled and single, gate.touched is mayHaveSent. The event decoder and cleanAnswer are used in the package only; Event.Lines was counted and never read. An engine that answers by a status of failure is logged as "server failed by status": it was logged as refused, which says that the request has not run.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -32,7 +32,7 @@
 		!mayHaveBody(method, resp.StatusCode)
 	return &Answer{
 		Status: resp.StatusCode,
-		Header: CleanAnswer(resp.Header),
+		Header: cleanAnswer(resp.Header),
 		Length: resp.ContentLength,
 		body:   resp.Body,
 		framed: framed,
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -55,9 +55,9 @@
 	Body    []byte
 	// Timeout is what is left of the caller's deadline; it is passed on.
 	Timeout time.Duration
-	// Fresh asks for a connection of its own, so that a server that closes an
-	// idle one can't make the outcome unknown.
-	Fresh bool
+	// NewConn asks for a connection of the call's own, so that a server that
+	// closes an idle one can't make the outcome unknown.
+	NewConn bool
 	// Guard is asked just before each write of the request; an error stops it.
 	Guard func() error
 	// Refused lists the statuses by which the server refuses before running.
@@ -71,16 +71,15 @@
 
 // Client talks to backend servers. It is safe for concurrent use.
 type Client struct {
-	kept  *http.Transport // keeps idle connections
-	fresh *http.Transport // one connection for one request
+	pooled *http.Transport // keeps idle connections
+	single *http.Transport // one connection for one request
 }
 
 // New returns a client. Close it when no request runs any more.
 func New() *Client {
-	kept := newTransport()
-	fresh := newTransport()
-	fresh.DisableKeepAlives = true
-	return &Client{kept: kept, fresh: fresh}
+	single := newTransport()
+	single.DisableKeepAlives = true
+	return &Client{pooled: newTransport(), single: single}
 }
 
 // newTransport returns a transport without redirects, proxies, compression or
@@ -105,8 +104,8 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.kept.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
+	c.pooled.CloseIdleConnections()
+	c.single.CloseIdleConnections()
 }
 
 // Do sends the call and returns the answer once its header is there and
@@ -116,9 +115,9 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	g := &gate{guard: call.Guard, stop: stop}
 	req := newRequest(withGate(ctx, g), call)
-	transport := c.kept
-	if call.Fresh {
-		transport = c.fresh
+	transport := c.pooled
+	if call.NewConn {
+		transport = c.single
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
@@ -151,7 +150,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c := info.Conn.(*conn)
-			if g.touched() {
+			if g.mayHaveSent() {
 				g.stop(errReplayed)
 				c.hold(nil)
 				return
@@ -203,11 +202,11 @@
 // sendError classes a failure before the answer's header. Sealing the gate
 // first makes "not sent" certain.
 func sendError(g *gate, err error) *Error {
-	touched := g.seal()
+	mayHaveSent := g.seal()
 	if refusal := g.refusal(); refusal != nil {
 		err = refusal
 	}
-	if touched {
+	if mayHaveSent {
 		return &Error{Stage: StageSend, Outcome: attempt.Unknown, Err: err}
 	}
 	return &Error{Stage: StageDial, Outcome: attempt.NotSent, Leaving: isDial(err), Err: err}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -178,7 +178,7 @@
 	defer client.Close()
 	for _, fresh := range []bool{true, false} {
 		call := srv.call()
-		call.Fresh = fresh
+		call.NewConn = fresh
 		answer, failure := client.Do(t.Context(), call)
 		assert.Assert(t, failure == nil)
 		_, _, failure = answer.ReadUpTo(10)
@@ -237,7 +237,7 @@
 			cancel()
 		}()
 		call := srv.call()
-		call.Fresh = true
+		call.NewConn = true
 		_, failure := client.Do(ctx, call)
 		assert.Assert(t, failure != nil)
 		outcomes[failure.Outcome]++
@@ -277,7 +277,7 @@
 		"Idempotency-Key": {"k"}, "Accept": {"a", "b"},
 	}
 	assert.DeepEqual(t, CleanRequest(in), http.Header{"Idempotency-Key": {"k"}, "Accept": {"a", "b"}})
-	answer := CleanAnswer(http.Header{"Connection": {"X-Private"}, "X-Private": {"1"}, "Windscale-Run": {"no"}, "Etag": {"e"}})
+	answer := cleanAnswer(http.Header{"Connection": {"X-Private"}, "X-Private": {"1"}, "Windscale-Run": {"no"}, "Etag": {"e"}})
 	assert.DeepEqual(t, answer, http.Header{"Etag": {"e"}})
 }
 
@@ -336,5 +336,5 @@
 	n, err := c.Write([]byte("x"))
 	assert.Equal(t, n, 0)
 	assert.ErrorIs(t, err, errSealed)
-	assert.Assert(t, !g.touched())
+	assert.Assert(t, !g.mayHaveSent())
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -46,8 +46,8 @@
 	g.mu.Unlock()
 }
 
-// touched reports whether a byte may have left.
-func (g *gate) touched() bool {
+// mayHaveSent reports whether a byte may have left.
+func (g *gate) mayHaveSent() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.started > 0
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -57,6 +57,7 @@
 	errSealed       Fault = "attempt is over"
 	errReplayed     Fault = "connection was replaced after a byte had left"
 	ErrStatus       Fault = "refused by status"
+	ErrServerFailed Fault = "server failed by status"
 	ErrFence        Fault = "refused for an old fencing number"
 	ErrForeign      Fault = "answer of another request"
 	ErrUpgrade      Fault = "server switched to another protocol unasked"
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -32,9 +32,9 @@
 	return clean
 }
 
-// CleanAnswer returns the headers of a server's answer that go on to the
+// cleanAnswer returns the headers of a server's answer that go on to the
 // caller.
-func CleanAnswer(h http.Header) http.Header {
+func cleanAnswer(h http.Header) http.Header {
 	clean := endToEnd(h)
 	remove(clean, []string{"Content-Length"}) // set anew from the checked body
 	return clean
--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -13,32 +13,31 @@
 	maxEvent = 256 << 10
 )
 
-// Event is one event of a stream.
-type Event struct {
-	Raw   []byte // as received, with the empty line that ends it
-	Data  []byte
-	ID    int64 // token position; -1: none
-	Lines int
+// event is one event of a stream.
+type event struct {
+	Raw  []byte // as received, with the empty line that ends it
+	Data []byte // the data fields, joined by LF; nil: there was none
+	ID   int64  // token position; -1: none
 }
 
-// Decoder reads events. Memory is bounded by the longest event allowed.
-type Decoder struct {
+// decoder reads events. Memory is bounded by the longest event allowed.
+type decoder struct {
 	r *bufio.Reader
 }
 
-// NewDecoder returns a decoder that reads from r.
-func NewDecoder(r io.Reader) *Decoder {
-	return &Decoder{r: bufio.NewReaderSize(r, maxLine)}
+// newDecoder returns a decoder that reads from r.
+func newDecoder(r io.Reader) *decoder {
+	return &decoder{r: bufio.NewReaderSize(r, maxLine)}
 }
 
 // Next returns the next event that has data; comments and events without data
 // are skipped. The error is io.EOF only between events; an event that is cut
 // short is io.ErrUnexpectedEOF and is never returned.
-func (d *Decoder) Next() (Event, error) {
+func (d *decoder) Next() (event, error) {
 	for {
-		e, err := d.event()
+		e, err := d.read()
 		if err != nil {
-			return Event{}, err
+			return event{}, err
 		}
 		if e.Data != nil {
 			return e, nil
@@ -46,30 +45,30 @@
 	}
 }
 
-// event reads up to and including the next empty line.
-func (d *Decoder) event() (Event, error) {
-	e := Event{ID: -1}
+// read reads up to and including the next empty line.
+func (d *decoder) read() (event, error) {
+	e := event{ID: -1}
 	for {
 		line, err := d.line(len(e.Raw) > 0)
 		if err != nil {
-			return Event{}, err
+			return event{}, err
 		}
 		e.Raw = append(e.Raw, line...)
 		if len(e.Raw) > maxEvent {
-			return Event{}, ErrEvent
+			return event{}, ErrEvent
 		}
 		text := trimEnd(line)
 		if len(text) == 0 {
 			return e, nil
 		}
 		if err := e.field(text); err != nil {
-			return Event{}, err
+			return event{}, err
 		}
 	}
 }
 
 // line returns the next line with its end. It is valid until the next call.
-func (d *Decoder) line(within bool) ([]byte, error) {
+func (d *decoder) line(within bool) ([]byte, error) {
 	line, err := d.r.ReadSlice('\n')
 	switch {
 	case err == nil:
@@ -91,11 +90,10 @@
 
 // field takes one line of an event. A carriage return within a line would be
 // a line's end to other readers of the stream, so it is malformed.
-func (e *Event) field(text []byte) error {
+func (e *event) field(text []byte) error {
 	if bytes.ContainsAny(text, "\r\x00") {
 		return ErrLine
 	}
-	e.Lines++
 	name, value, _ := bytes.Cut(text, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -115,7 +113,7 @@
 
 // position takes an event ID, which must be a token position in its shortest
 // form and come once.
-func (e *Event) position(value []byte) error {
+func (e *event) position(value []byte) error {
 	n, err := strconv.ParseInt(string(value), 10, 64)
 	if err != nil || n < 0 || e.ID >= 0 || strconv.FormatInt(n, 10) != string(value) {
 		return ErrEvent
--- a/internal/backend/sse_test.go
+++ b/internal/backend/sse_test.go
@@ -32,7 +32,7 @@
 }
 
 // read returns the data of all events up to the first error.
-func read(d *Decoder) (data []string, raw []byte, err error) {
+func read(d *decoder) (data []string, raw []byte, err error) {
 	for {
 		e, err := d.Next()
 		if err != nil {
@@ -55,7 +55,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, stream string) {
-		got, raw, err := read(NewDecoder(iotestOneByte{strings.NewReader(stream)}))
+		got, raw, err := read(newDecoder(iotestOneByte{strings.NewReader(stream)}))
 		assert.Assert(t, err != nil)
 		assert.Assert(t, len(raw) <= len(stream))
 		want, whole := naive(stream)
@@ -88,9 +88,9 @@
 
 func TestDecoderIsBounded(t *testing.T) {
 	long := "data: " + strings.Repeat("x", maxLine)
-	_, _, err := read(NewDecoder(strings.NewReader(long + "\n\n")))
+	_, _, err := read(newDecoder(strings.NewReader(long + "\n\n")))
 	assert.Equal(t, err, error(ErrLine))
 	lines := bytes.Repeat([]byte("data: "+strings.Repeat("x", 1000)+"\n"), maxEvent/1000+1)
-	_, _, err = read(NewDecoder(bytes.NewReader(lines)))
+	_, _, err = read(newDecoder(bytes.NewReader(lines)))
 	assert.Equal(t, err, error(ErrEvent))
 }
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -51,7 +51,7 @@
 // Stream reads a model's streamed answer.
 type Stream struct {
 	answer   *Answer
-	decoder  *Decoder
+	decoder  *decoder
 	finished bool
 	usage    *Usage
 }
@@ -62,7 +62,7 @@
 	if err != nil || kind != eventStream || answer.Status != http.StatusOK {
 		return nil, bodyError(ErrContentType)
 	}
-	return &Stream{answer: answer, decoder: NewDecoder(answer)}, nil
+	return &Stream{answer: answer, decoder: newDecoder(answer)}, nil
 }
 
 // Usage returns the usage the engine gave, or nil.
@@ -97,7 +97,7 @@
 
 // take reads the finish reason and the usage of a chunk, and reports whether
 // it is one of the events that follow the last token.
-func (s *Stream) take(e Event) (bool, error) {
+func (s *Stream) take(e event) (bool, error) {
 	var c chunk
 	if err := json.Unmarshal(e.Data, &c); err != nil {
 		return false, ErrEvent
--- a/internal/proxy/model.go
+++ b/internal/proxy/model.go
@@ -94,7 +94,7 @@
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusConflict:
 		return nil
 	default:
-		return notWhole(backend.ErrStatus)
+		return notWhole(backend.ErrServerFailed)
 	}
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -49,7 +49,7 @@
 		call.Header.Set(backend.HeaderFence, s.fence)
 	}
 	call.Body = s.body
-	call.Fresh = s.once
+	call.NewConn = s.once
 	call.Guard = s.guard
 	call.ChecksFence = s.fence != ""
 	call.Refused = s.service.RefusedStatus
