dispatch: reasons under the core's names, mapped one by one

FleetFull was about one router and is RouterFull, as in the core; Gone is CallerGone and says that it is the time's end too. The shell converted the core's reasons by their number, so that one added to either list would have told callers another reason: they are now mapped by name. Draining was never given: a draining router serves what it has accepted. SharingAlone's split is documented as the measurements' baseline only.

--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -166,10 +166,10 @@
 }
 
 // callers holds the reasons of refusals that are the caller's own doing: they
-// are no outcome of the fleet's. What a customer's own rate and concurrency
-// limits turn away is among them; a full queue is not.
+// are no outcome of the fleet's. What a customer's own rate turns away is among
+// them; a full queue is not.
 var callers = map[string]bool{
-	dispatch.Gone.String():        true,
+	dispatch.CallerGone.String():  true,
 	problem.BadRequest.Name:       true,
 	problem.BadTimeout.Name:       true,
 	problem.BadKey.Name:           true,
@@ -180,9 +180,7 @@
 	problem.ClaimRunning.Name:     true,
 	problem.ClaimMismatch.Name:    true,
 	problem.BodyTooLarge.Name:     true,
-	problem.HeaderTooLarge.Name:   true,
 	problem.RateLimited.Name:      true,
-	problem.ConcurrencyFull.Name:  true,
 }
 
 // totals judges a customer's counters. One whose answer is unknown to the
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,23 +69,21 @@
 // The reasons of a Refusal.
 const (
 	QueueFull    Reason = iota + 1 // the customer's queue is full
-	FleetFull                      // the router holds all the waiting requests it may
+	RouterFull                     // the router holds all the waiting requests it may
 	QueueTimeout                   // waited the longest time
 	NoServer                       // no server is known for the pool
-	Gone                           // the caller's context ended
-	Draining                       // the router is shutting down
+	CallerGone                     // the context ended: the caller went, or its time is over
 )
 
 var reasonNames = map[Reason]string{
 	QueueFull:    "queue-full",
-	FleetFull:    "router-full",
+	RouterFull:   "router-full",
 	QueueTimeout: "queue-timeout",
 	NoServer:     "no-server",
-	Gone:         "caller-gone",
-	Draining:     "draining",
+	CallerGone:   "caller-gone",
 }
 
-// String returns the reason's name, stable in metrics and problem types.
+// String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
 
 // Refusal is the error of Acquire. The request has not run.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -237,11 +237,10 @@
 // slotProblems are the types of what the picker refuses.
 var slotProblems = map[dispatch.Reason]problem.Type{
 	dispatch.QueueFull:    problem.QueueFull,
-	dispatch.FleetFull:    problem.RouterFull,
+	dispatch.RouterFull:   problem.RouterFull,
 	dispatch.QueueTimeout: problem.QueueTimeout,
 	dispatch.NoServer:     problem.NoServer,
-	dispatch.Gone:         problem.Deadline,
-	dispatch.Draining:     problem.Draining,
+	dispatch.CallerGone:   problem.Deadline,
 }
 
 // noSlot tells the caller that no slot was had. After an earlier attempt it
@@ -252,7 +251,7 @@
 		return
 	}
 	t := slotProblems[r.Reason]
-	if r.Reason == dispatch.Gone && u.ctx.Err() == nil {
+	if r.Reason == dispatch.CallerGone && u.ctx.Err() == nil {
 		t = problem.QueueTimeout
 	}
 	after := r.RetryAfter
--- a/internal/sharing/inputs.go
+++ b/internal/sharing/inputs.go
@@ -47,6 +47,7 @@
 	return b
 }
 
+// unpack reads the binary form of IP:port.
 func unpack(b share.Addr) (addr string, ok bool) {
 	var a netip.AddrPort
 	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() {
@@ -73,8 +74,9 @@
 	s.locked(func(n *share.Node, now time.Duration) { n.Load(now, r) })
 }
 
-// SetSplit divides the slots of every server among n routers that share alone.
-// It is the naive baseline that measurements compare with.
+// SetSplit divides the slots of every server among n routers that know nothing
+// of each other. It is the naive baseline that measurements compare with, and
+// for nothing else: see config.SharingAlone.
 func (s *Sharer) SetSplit(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sharing/mechanism_test.go
+++ b/internal/sharing/mechanism_test.go
@@ -28,7 +28,7 @@
 				slot.End(dispatch.Result{Outcome: attempt.NotSent})
 				continue
 			}
-			assert.Equal(t, reason(t, err), dispatch.Gone)
+			assert.Equal(t, reason(t, err), dispatch.CallerGone)
 			met++
 		}
 		assert.Assert(t, met > 0)
@@ -45,6 +45,6 @@
 		large := want("2")
 		large.Bytes = 101
 		_, err = s.Acquire(t.Context(), large)
-		assert.Equal(t, reason(t, err), dispatch.FleetFull)
+		assert.Equal(t, reason(t, err), dispatch.RouterFull)
 	})
 }
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -33,9 +33,10 @@
 type Sharer struct {
 	effects Effects
 	start   time.Time
-	mu      sync.Mutex
+
+	mu      sync.Mutex // guards what follows
 	node    *share.Node
-	split   int // divides each server's slots: above 1 only where routers share alone
+	split   int // divides each server's slots: above 1 only in the baseline, see SetSplit
 	waiting map[msg.RequestID]*waiter
 }
 
@@ -50,7 +51,7 @@
 	refusal *dispatch.Refusal
 }
 
-// New returns a Sharer.
+// New returns a Sharer. Run must be running for time to pass in it.
 func New(cfg share.Config, effects Effects) *Sharer {
 	return &Sharer{
 		effects: effects,
@@ -82,6 +83,7 @@
 	s.locked(input)
 }
 
+// locked is do for a caller that holds the mutex.
 func (s *Sharer) locked(input func(n *share.Node, now time.Duration)) {
 	input(s.node, time.Since(s.start))
 	rd := s.node.Ready()
@@ -102,6 +104,8 @@
 	}
 }
 
+// started gives a waiting request its server. One that was withdrawn meanwhile
+// has told the core so.
 func (s *Sharer) started(st share.Start) {
 	w, ok := s.waiting[st.Request]
 	if !ok {
@@ -115,13 +119,22 @@
 	w.verdict <- verdict{server: dispatch.Server{ID: st.Server, Addr: addr}}
 }
 
+// refused tells a waiting request that it gets no slot.
 func (s *Sharer) refused(r share.Refuse) {
 	w, ok := s.waiting[r.Request]
 	if !ok {
 		return
 	}
 	delete(s.waiting, r.Request)
-	w.verdict <- verdict{refusal: &dispatch.Refusal{Reason: dispatch.Reason(r.Reason), RetryAfter: r.RetryAfter}}
+	w.verdict <- verdict{refusal: &dispatch.Refusal{Reason: reasons[r.Reason], RetryAfter: r.RetryAfter}}
+}
+
+// reasons are the core's reasons as the entry knows them.
+var reasons = map[share.Reason]dispatch.Reason{
+	share.QueueFull:    dispatch.QueueFull,
+	share.RouterFull:   dispatch.RouterFull,
+	share.QueueTimeout: dispatch.QueueTimeout,
+	share.NoServer:     dispatch.NoServer,
 }
 
 // Acquire implements dispatch.Picker.
@@ -134,16 +147,17 @@
 	case <-ctx.Done():
 	}
 	if s.cancel(r.ID) {
-		return nil, &dispatch.Refusal{Reason: dispatch.Gone}
+		return nil, &dispatch.Refusal{Reason: dispatch.CallerGone}
 	}
 	v := <-w.verdict // decided meanwhile
 	if v.refusal != nil {
 		return nil, v.refusal
 	}
 	s.end(r.ID, share.Result{Unused: true})
-	return nil, &dispatch.Refusal{Reason: dispatch.Gone}
+	return nil, &dispatch.Refusal{Reason: dispatch.CallerGone}
 }
 
+// arrive lets the request wait.
 func (s *Sharer) arrive(r dispatch.Request, w *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,6 +177,7 @@
 	return true
 }
 
+// slot is what Acquire returns for a verdict.
 func (s *Sharer) slot(id msg.RequestID, v verdict) (dispatch.Slot, error) {
 	if v.refusal != nil {
 		return nil, v.refusal
@@ -170,6 +185,7 @@
 	return &slot{s: s, id: id, server: v.server}, nil
 }
 
+// end frees the slot of a request.
 func (s *Sharer) end(id msg.RequestID, r share.Result) {
 	s.do(func(n *share.Node, now time.Duration) { n.End(now, id, r) })
 }
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -85,7 +85,7 @@
 		_, err = s.Acquire(t.Context(), want("4"))
 		assert.Equal(t, reason(t, err), dispatch.QueueFull)
 		cancel()
-		assert.Equal(t, reason(t, (<-third).err), dispatch.Gone)
+		assert.Equal(t, reason(t, (<-third).err), dispatch.CallerGone)
 		first.End(dispatch.Result{Outcome: attempt.Ended, Cost: 5})
 		first.End(dispatch.Result{Outcome: attempt.Ended, Cost: 5}) // a second one does nothing
 		got := <-second
