problem: drop four types that no caller was ever answered

A check demands that each type is used by the entry or the proxy; it fails on the list as it was. The observer's test used the type internal as a name only; it now uses server-lost.

--- a/internal/checks/checks_test.go
+++ b/internal/checks/checks_test.go
@@ -182,3 +182,25 @@
 		assert.Check(t, code[num] != "", "docs/EVENTS.md has event %d, the code does not", num)
 	}
 }
+
+// What callers are told to expect is what the entry and the proxy can answer.
+func TestEveryProblemIsGiven(t *testing.T) {
+	f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, "internal/problem/problem.go"), nil, 0)
+	assert.NilError(t, err)
+	given := map[string]bool{}
+	for _, dir := range []string{"internal/entry", "internal/proxy"} {
+		for _, source := range sources(t, dir) {
+			ast.Inspect(source, func(n ast.Node) bool {
+				if sel, ok := n.(*ast.SelectorExpr); ok && fmt.Sprint(sel.X) == "problem" {
+					given[sel.Sel.Name] = true
+				}
+				return true
+			})
+		}
+	}
+	all, ok := f.Scope.Lookup("All").Decl.(*ast.ValueSpec).Values[0].(*ast.CompositeLit)
+	assert.Assert(t, ok && len(all.Elts) > 0)
+	for _, typ := range all.Elts {
+		assert.Check(t, given[fmt.Sprint(typ)], "no caller is ever answered problem.%s", typ)
+	}
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -1,6 +1,6 @@
-// Package problem writes every refusal that a caller sees, as an RFC 9457
-// problem document. Its types are stable: callers may act on them. They are
-// listed in docs/PROBLEMS.md.
+// Package problem writes the refusals that callers see, as RFC 9457 problem
+// documents: all but net/http's own, of what is no request. Its types are
+// stable: callers may act on them. They are listed in docs/PROBLEMS.md.
 package problem
 
 import (
@@ -53,10 +53,7 @@
 	BodyTooLarge      = Type{"body-too-large", 413, "The request's body is too large"}
 	ClaimMismatch     = Type{"claim-mismatch", 422, "The Idempotency-Key was used for a request of another content"}
 	RateLimited       = Type{"rate-limited", 429, "The customer's request rate is used up"}
-	ConcurrencyFull   = Type{"concurrency-full", 429, "The customer has as many requests running as it may"}
 	QueueFull         = Type{"queue-full", 429, "The customer's queue is full"}
-	HeaderTooLarge    = Type{"header-too-large", 431, "The request's headers are too large"}
-	Internal          = Type{"internal", 500, "The router failed"}
 	ServerLost        = Type{"server-lost", 502, "The backend server did not answer; the request may have run"}
 	AnswerCut         = Type{"answer-cut", 502, "The backend server's answer was cut"}
 	AnswerLost        = Type{"answer-lost", 502, "The request ran, but its answer was not kept"}
@@ -68,7 +65,6 @@
 	ServerRefused     = Type{"server-refused", 503, "The backend servers refused the request before running it"}
 	ClaimsUnavailable = Type{"claims-unavailable", 503, "Idempotency-Keys can't be checked now"}
 	ClaimLapsed       = Type{"claim-lapsed", 503, "The claim of the Idempotency-Key lapsed before the request was sent"}
-	Draining          = Type{"draining", 503, "The router is shutting down"}
 	NotReady          = Type{"not-ready", 503, "The router has no settings yet"}
 	Deadline          = Type{"deadline", 504, "The request's deadline passed"}
 )
@@ -77,10 +73,9 @@
 var All = []Type{
 	BadRequest, BadTimeout, BadKey, Unauthorized, Forbidden, NotFound,
 	MethodNotAllowed, RequestTimeout, ClaimRunning, BodyTooLarge,
-	ClaimMismatch, RateLimited, ConcurrencyFull, QueueFull, HeaderTooLarge,
-	Internal, ServerLost, AnswerCut, AnswerLost, OutcomeUnknown, RouterFull,
-	QueueTimeout, NoServer, ServerUnreachable, ServerRefused,
-	ClaimsUnavailable, ClaimLapsed, Draining, NotReady, Deadline,
+	ClaimMismatch, RateLimited, QueueFull, ServerLost, AnswerCut, AnswerLost,
+	OutcomeUnknown, RouterFull, QueueTimeout, NoServer, ServerUnreachable,
+	ServerRefused, ClaimsUnavailable, ClaimLapsed, NotReady, Deadline,
 }
 
 // Info is what a problem document says beside its type.
--- a/internal/router/observe_test.go
+++ b/internal/router/observe_test.go
@@ -32,7 +32,7 @@
 		{proxy.Finish{Outcome: attempt.NotSent, Problem: problem.QueueFull.Name}, "refused_total.queue-full"},
 		{proxy.Finish{Outcome: attempt.Refused, Problem: problem.ServerRefused.Name}, "refused_total.server-refused"},
 		{proxy.Finish{Outcome: attempt.Unknown, Problem: problem.ServerLost.Name}, "unknown_total"},
-		{proxy.Finish{Problem: problem.Internal.Name}, "unknown_total"}, // a forgotten outcome is no refusal
+		{proxy.Finish{Problem: problem.ServerLost.Name}, "unknown_total"}, // a forgotten outcome is no refusal
 		{proxy.Finish{Outcome: attempt.Ended, Problem: problem.AnswerLost.Name}, "failed_total"},
 		{proxy.Finish{Outcome: attempt.Unknown, Broken: true}, "failed_total"},
 		{proxy.Finish{Outcome: attempt.Unknown, Problem: problem.Deadline.Name, Gone: true}, "gone_total"},
