pause: one Around for the two jittered intervals

hosts and claims had the same function under two names. The host follower's methods stand after its constructor, and say which goroutine calls what.

--- a/internal/claims/sweeper.go
+++ b/internal/claims/sweeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -75,7 +74,7 @@
 // Run sweeps until ctx ends. It is one actor of the router's run group and
 // returns nil.
 func (s *Sweeper) Run(ctx context.Context) error {
-	wait := around(sweepIdle) // routers that start together do not ask together
+	wait := pause.Around(sweepIdle) // routers that start together do not ask together
 	for pause.For(ctx, wait) {
 		wait = s.step(ctx)
 	}
@@ -92,7 +91,7 @@
 	case len(ask.Commit) > 0:
 		err = s.commit(ctx, ask.Commit)
 	default:
-		return around(sweepIdle)
+		return pause.Around(sweepIdle)
 	}
 	return s.settle(ctx, err)
 }
@@ -172,8 +171,5 @@
 		s.failing = true
 		events.ClaimSweepFailed.Log(ctx, s.log, slog.LevelWarn, "cause", err)
 	}
-	return around(sweepPause)
+	return pause.Around(sweepPause)
 }
-
-// around returns a time between half of d and one and a half.
-func around(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +46,8 @@
 	return l
 }
 
-// Follower reads the list again and again.
+// Follower reads the list again and again. Run does so; any goroutine may call
+// the other methods.
 type Follower struct {
 	src     platform.HostList
 	log     *slog.Logger
@@ -57,34 +57,35 @@
 	errs    atomic.Uint64
 }
 
+// NewFollower starts from an initial list, such as the seeds. changed is
+// called from Run's goroutine after each successful reading.
+func NewFollower(src platform.HostList, initial *List, log *slog.Logger, changed func(*List)) *Follower {
+	f := &Follower{src: src, log: log, changed: changed}
+	f.store(initial)
+	return f
+}
+
+// Current returns the last list read.
+func (f *Follower) Current() *List { return f.cur.Load() }
+
 // Stats is how the reading goes.
 type Stats struct {
 	Age    time.Duration // since the list was read, or the follower was made
 	Errors uint64        // calls that failed
 }
 
-// Stats returns how the reading goes. Any goroutine may call it.
+// Stats returns how the reading goes.
 func (f *Follower) Stats() Stats {
 	return Stats{Age: time.Since(*f.readAt.Load()), Errors: f.errs.Load()}
 }
 
+// store puts a list in force, read now.
 func (f *Follower) store(l *List) {
 	now := time.Now()
 	f.cur.Store(l)
 	f.readAt.Store(&now)
 }
 
-// NewFollower starts from an initial list, such as the seeds. changed is
-// called from Run's goroutine after each successful reading.
-func NewFollower(src platform.HostList, initial *List, log *slog.Logger, changed func(*List)) *Follower {
-	f := &Follower{src: src, log: log, changed: changed}
-	f.store(initial)
-	return f
-}
-
-// Current returns the last list read. Any goroutine may call it.
-func (f *Follower) Current() *List { return f.cur.Load() }
-
 // Run reads the list until ctx ends. An outage is logged when it begins and
 // when it ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -98,12 +99,13 @@
 			events.HostListBack.Log(ctx, f.log, slog.LevelInfo)
 		}
 		down = err != nil
-		if !pause.For(ctx, jittered(Interval)) {
+		if !pause.For(ctx, pause.Around(Interval)) {
 			return nil
 		}
 	}
 }
 
+// read reads the list once.
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -117,8 +119,3 @@
 	f.changed(l)
 	return nil
 }
-
-// jittered spreads d over half to one and a half times itself.
-func jittered(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -21,3 +21,13 @@
 		assert.Assert(t, !For(ctx, 0))
 	})
 }
+
+func TestAroundSpreads(t *testing.T) {
+	least, most := time.Hour, time.Duration(0)
+	for range 1000 {
+		d := Around(time.Second)
+		least, most = min(least, d), max(most, d)
+	}
+	assert.Assert(t, least >= time.Second/2 && most < 3*time.Second/2, "%v to %v", least, most)
+	assert.Assert(t, most > least)
+}
