msg: pools are named in one place

proxy and probe each had the prefixes of pools. Prober.Wait was for tests only; a load question's status is told by number, which also unknown ones have.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,20 +40,14 @@
 func (r Report) Pools() []msg.PoolID {
 	var pools []msg.PoolID
 	for _, m := range r.Models {
-		pools = append(pools, ModelPool(m))
+		pools = append(pools, msg.ModelPool(m))
 	}
 	if r.Service != "" {
-		pools = append(pools, ServicePool(r.Service))
+		pools = append(pools, msg.ServicePool(r.Service))
 	}
 	return pools
 }
 
-// ModelPool is the pool of a model.
-func ModelPool(model string) msg.PoolID { return msg.PoolID("m/" + model) }
-
-// ServicePool is the pool of a plain service.
-func ServicePool(name string) msg.PoolID { return msg.PoolID("s/" + name) }
-
 // StatusError says that a server answered a question with another status than
 // 200.
 type StatusError struct {
@@ -60,7 +55,7 @@
 }
 
 // Error implements error.
-func (e *StatusError) Error() string { return "load report: " + http.StatusText(e.Status) }
+func (e *StatusError) Error() string { return "load report: status " + strconv.Itoa(e.Status) }
 
 // Prober asks servers, at most one question to each at a time.
 type Prober struct {
@@ -71,7 +66,7 @@
 
 	mu     sync.Mutex
 	asking map[msg.ServerID]bool
-	wg     sync.WaitGroup
+	wg     sync.WaitGroup // questions under way
 }
 
 // New returns a prober that has asked nobody yet.
@@ -107,6 +102,7 @@
 	})
 }
 
+// begin notes that the server is being asked; false says that it was already.
 func (p *Prober) begin(id msg.ServerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -117,15 +113,14 @@
 	return true
 }
 
+// end notes that the server may be asked again.
 func (p *Prober) end(id msg.ServerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.asking, id)
 }
 
-// Wait waits for the questions under way.
-func (p *Prober) Wait() { p.wg.Wait() }
-
+// ask asks one question and waits for the answer.
 func (p *Prober) ask(ctx context.Context, addr string) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -44,13 +44,13 @@
 	<-asked
 	<-asked
 	close(let)
-	p.Wait()
+	p.wg.Wait()
 	assert.Equal(t, len(asked), 0)
 	a := <-out
 	assert.NilError(t, a.err)
 	assert.DeepEqual(t, a.r.Pools(), []msg.PoolID{"m/a", "s/b"})
 	p.Ask(t.Context(), "s1", addr(slow))
-	p.Wait()
+	p.wg.Wait()
 	assert.Equal(t, len(asked), 1)
 }
 
@@ -76,18 +76,18 @@
 	p, out := newProber()
 	for _, mode = range []string{"status", "text", "long", "redirect"} {
 		p.Ask(t.Context(), "s1", addr(s))
-		p.Wait()
+		p.wg.Wait()
 		a := <-out
 		assert.Assert(t, a.err != nil, mode)
 		_, isStatus := errors.AsType[*StatusError](a.err)
 		assert.Equal(t, isStatus, mode == "status" || mode == "redirect")
 	}
 	p.Ask(t.Context(), "s1", "127.0.0.1:1")
-	p.Wait()
+	p.wg.Wait()
 	assert.Assert(t, (<-out).err != nil)
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	p.Ask(ctx, "s1", addr(s))
-	p.Wait()
+	p.wg.Wait()
 	assert.Equal(t, len(out), 0) // no report after the end
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,7 +113,7 @@
 		p.turnAway(w, c, problem.Forbidden, "the model is not allowed to this customer")
 		return
 	}
-	u := p.newRun(w, r, c, a, msg.PoolID(modelPool+request.Model), modelRule)
+	u := p.newRun(w, r, c, a, msg.ModelPool(request.Model), modelRule)
 	defer u.close()
 	u.want.Prefix = request.prefix()
 	u.want.Bytes = len(body)
@@ -156,7 +156,7 @@
 		p.turnAway(w, c, problem.BadKey, "")
 		return
 	}
-	u := p.newRun(w, r, c, a, msg.PoolID(servicePool+service), serviceRule(r.Method, once))
+	u := p.newRun(w, r, c, a, msg.ServicePool(service), serviceRule(r.Method, once))
 	defer u.close()
 	u.want.Bytes = len(body)
 	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	modelPool   = "m/"
-	servicePool = "s/"
-	allowAll    = "*"
+	// allowAll in a customer's list allows every name; at the end of a path that
+	// is not to be repeated it stands for any rest.
+	allowAll = "*"
 
 	// prefixBytes of a prompt decide its prefix hash.
 	prefixBytes = 256
