entry, admin, router: doc comments and names for a first reader

Fields of arriving bodies are named for what they count, hasToken and logChange for what they do, a server's leaving for who says it. Functions that had no comment have one; the API's Backend and Status say what their numbers are of. Server.Shutdown copies the list of generations before it appends to it.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -24,7 +24,8 @@
 	Incarnation uint64       `json:"incarnation"`
 }
 
-// Status is what GET /v1/status answers.
+// Status is what GET /v1/status answers. Running and Waiting are requests of
+// callers of this router.
 type Status struct {
 	Router          msg.RouterID `json:"router"`
 	Incarnation     uint64       `json:"incarnation"`
@@ -38,16 +39,17 @@
 	Members         []Member     `json:"members"`
 }
 
-// Backend is one backend server as this router sees it.
+// Backend is one backend server as this router sees it. What follows State is
+// known at the router that admits to the server only.
 type Backend struct {
 	ID         msg.ServerID `json:"id"`
 	Addr       string       `json:"addr"`
 	DataCentre string       `json:"dataCentre"`
-	State      string       `json:"state"`
+	State      string       `json:"state"` // live, silent or leaving
 	Pools      []msg.PoolID `json:"pools"`
-	AdmittedBy msg.RouterID `json:"admittedBy,omitempty"`
-	Slots      int          `json:"slots"`
-	Limit      int          `json:"limit"`
+	AdmittedBy msg.RouterID `json:"admittedBy,omitempty"` // this router, or empty
+	Slots      int          `json:"slots"`                // as the server reports
+	Limit      int          `json:"limit"`                // of requests at once, adapted
 	Running    int          `json:"running"`
 }
 
@@ -79,7 +81,7 @@
 		return c.JSON(http.StatusOK, r.Explain(msg.CustomerID(c.QueryParam("customer"))))
 	})
 	g.POST("/v1/drain", func(c *echo.Context) error {
-		auth.change(c, events.DrainOrdered)
+		auth.logChange(c, events.DrainOrdered)
 		r.Drain()
 		return c.JSON(http.StatusAccepted, r.Status())
 	})
@@ -87,6 +89,7 @@
 	return e
 }
 
+// readyz tells the platform's balancer whether to send callers here.
 func readyz(c *echo.Context, s Status) error {
 	if !s.Ready || s.Draining {
 		return c.String(http.StatusServiceUnavailable, "not ready\n")
@@ -103,6 +106,7 @@
 // maxOrder bounds the body of an order, in bytes.
 const maxOrder = 4096
 
+// setLink cuts or mends the link to a peer.
 func setLink(c *echo.Context, r Router, auth Auth) error {
 	var o linkOrder
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxOrder)
@@ -112,6 +116,6 @@
 	if !r.SetLink(o.Peer, o.Cut) {
 		return c.String(http.StatusForbidden, "this router's configuration does not allow faults\n")
 	}
-	auth.change(c, events.LinkOrdered, "peer", o.Peer, "cut", o.Cut)
+	auth.logChange(c, events.LinkOrdered, "peer", o.Peer, "cut", o.Cut)
 	return c.NoContent(http.StatusNoContent)
 }
--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -55,20 +55,21 @@
 			return operator{name: name, by: byCertificate}, true
 		}
 	}
-	return operator{by: byToken}, a.tokenOf(r)
+	return operator{by: byToken}, a.hasToken(r)
 }
 
-// tokenOf compares digests, so that the time taken tells nothing of the
-// token, its length included.
-func (a Auth) tokenOf(r *http.Request) bool {
+// hasToken says whether the request has the operators' token. It compares
+// digests, so that the time taken tells nothing of the token, its length
+// included.
+func (a Auth) hasToken(r *http.Request) bool {
 	want := sha256.Sum256([]byte(a.Token))
 	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	got := sha256.Sum256([]byte(given))
 	return ok && a.Token != "" && subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
-// change logs what an operator has ordered.
-func (a Auth) change(c *echo.Context, e events.Event, args ...any) {
+// logChange logs what an operator has ordered.
+func (a Auth) logChange(c *echo.Context, e events.Event, args ...any) {
 	if a.Log == nil {
 		return
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -10,27 +10,29 @@
 // bodies bounds the memory of all bodies that are arriving. Once one is whole,
 // the sharing counts it among the waiting requests.
 type bodies struct {
-	held atomic.Int64 // bytes
+	bytes atomic.Int64 // read so far, of all
 }
 
 // body is one body that is arriving. It belongs to the request's goroutine.
 type body struct {
 	io.ReadCloser
-	of   *bodies
-	most int64 // of all bodies
-	held int64
+	all   *bodies
+	limit int64 // of all bodies together, in bytes
+	bytes int64 // read so far, of this one
 }
 
-func (b *bodies) body(r io.ReadCloser, most int64) *body {
-	return &body{ReadCloser: r, of: b, most: most}
+// newBody counts r among all bodies, which may have limit bytes together.
+// release must follow.
+func (b *bodies) newBody(r io.ReadCloser, limit int64) *body {
+	return &body{ReadCloser: r, all: b, limit: limit}
 }
 
 // Read implements io.Reader. When the router holds too much its error is a
 // *problem.Error.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.held += int64(n)
-	if b.of.held.Add(int64(n)) > b.most {
+	b.bytes += int64(n)
+	if b.all.bytes.Add(int64(n)) > b.limit {
 		b.release()
 		return 0, &problem.Error{Type: problem.RouterFull}
 	}
@@ -42,6 +44,6 @@
 
 // release gives the memory back, once.
 func (b *body) release() {
-	b.of.held.Add(-b.held)
-	b.held = 0
+	b.all.bytes.Add(-b.bytes)
+	b.bytes = 0
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,9 +35,16 @@
 	bodyTime time.Duration // for what is left of a refused request's body
 }
 
-// New returns an entry that reads the settings in force by snapshot.
+// New returns an entry. snapshot returns the settings in force, nil before there
+// are any; each request calls it once, from its own goroutine.
 func New(snapshot func() *settings.Snapshot, proxy Proxy, counts *metrics.Entry) *Entry {
-	return &Entry{snapshot: snapshot, proxy: proxy, counts: counts, rates: newRates(time.Now), bodyTime: refusedBodyTime}
+	return &Entry{
+		snapshot: snapshot,
+		proxy:    proxy,
+		counts:   counts,
+		rates:    newRates(time.Now),
+		bodyTime: refusedBodyTime,
+	}
 }
 
 // Handler returns the routes.
@@ -65,6 +72,7 @@
 	return problem.NotFound
 }
 
+// service serves a call to a plain service.
 func (e *Entry) service(c *echo.Context) error {
 	name, path, ok := serviceCall(c.Request())
 	if !ok {
@@ -121,7 +129,7 @@
 		problem.Refuse(w, problem.BodyTooLarge, "", 0)
 		return
 	}
-	body := e.bodies.body(http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody), s.Fleet.QueueBytes)
+	body := e.bodies.newBody(http.MaxBytesReader(w, r.Body, s.Fleet.MaxBody), s.Fleet.QueueBytes)
 	defer body.release()
 	r.Body = body
 	r.Header.Del("Authorization") // the key is windscale's; servers never see it
--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -18,6 +18,7 @@
 	by map[msg.CustomerID]*rate.Limiter
 }
 
+// newRates returns the rates of a router that has seen no request yet.
 func newRates(now func() time.Time) *rates {
 	return &rates{now: now, by: map[msg.CustomerID]*rate.Limiter{}}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -24,6 +24,7 @@
 	idleTimeout   time.Duration
 }
 
+// limitsOf picks them out of the settings.
 func limitsOf(f settings.Fleet) limits {
 	return limits{f.MaxHeader, f.HeaderTimeout, f.IdleTimeout}
 }
@@ -37,10 +38,10 @@
 	ln      net.Listener
 	log     *slog.Logger
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards what follows
 	cur     *generation
 	old     []*generation // that may have connections
-	closing bool
+	closing bool          // Shutdown was called
 }
 
 // generation is one http.Server and the connections handed to it.
@@ -64,6 +65,7 @@
 	return s
 }
 
+// start returns a generation that serves connections handed to it.
 func (s *Server) start(l limits) *generation {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -190,7 +192,7 @@
 	_ = s.ln.Close()
 	s.mu.Lock()
 	s.closing = true
-	all := append(s.old, s.cur)
+	all := append(slices.Clone(s.old), s.cur)
 	s.mu.Unlock()
 	var g errgroup.Group
 	for _, gen := range all {
@@ -199,6 +201,7 @@
 	return errors.Annotate(g.Wait(), "shutdown of the entry")
 }
 
+// shutdown waits for the requests in progress, and cuts them when ctx ends.
 func (g *generation) shutdown(ctx context.Context) error {
 	err := g.srv.Shutdown(ctx)
 	if err != nil {
@@ -207,7 +210,7 @@
 	return err
 }
 
-// handoff is a net.Listener fed by hand.
+// handoff is a net.Listener whose connections come from Server.hand.
 type handoff struct {
 	addr net.Addr
 	ch   chan net.Conn
@@ -215,6 +218,7 @@
 	once sync.Once
 }
 
+// newHandoff returns an open one that calls itself addr.
 func newHandoff(addr net.Addr) *handoff {
 	return &handoff{addr: addr, ch: make(chan net.Conn), done: make(chan struct{})}
 }
--- a/internal/router/adminapi.go
+++ b/internal/router/adminapi.go
@@ -33,9 +33,9 @@
 // Backends implements admin.Router. Only the servers that this router admits
 // to have slots in its answer.
 func (r *Router) Backends() []admin.Backend {
-	mine := map[msg.ServerID]share.ServerView{}
+	admitted := map[msg.ServerID]share.ServerView{}
 	for _, v := range r.sharer.ServerViews() {
-		mine[v.Server] = v
+		admitted[v.Server] = v
 	}
 	var list []admin.Backend
 	for _, h := range r.hosts.Current().All {
@@ -44,7 +44,7 @@
 		}
 		id := msg.ServerID(h.ID)
 		b := admin.Backend{ID: id, Addr: h.Addr, DataCentre: h.DataCentre, State: r.servers.state(id)}
-		if v, ok := mine[id]; ok {
+		if v, ok := admitted[id]; ok {
 			b.AdmittedBy = r.cfg.ID
 			b.Pools = v.Pools
 			b.Slots = v.Slots
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -40,6 +40,7 @@
 	})
 }
 
+// draining reports whether the drain has begun.
 func (d *drain) draining() bool { return d.began.Load() != 0 }
 
 // addDrain adds the actor that waits for SIGTERM, SIGINT or an operator, and
@@ -61,6 +62,8 @@
 	}, func(error) { close(failed) })
 }
 
+// drainNow leaves the fleet, lets every request end, and returns a *CutError if
+// some could not.
 func (r *Router) drainNow(srv *entry.Server) error {
 	limit := settings.DefaultFleet().DrainLimit
 	if s := r.follower.Current(); s != nil {
@@ -83,7 +86,7 @@
 	err := r.shutdown(ctx, srv)
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
-	pause.For(context.Background(), lastWords)
+	pause.For(context.Background(), finalSends)
 	return err
 }
 
@@ -104,5 +107,5 @@
 	return &CutError{Requests: r.drain.cut.Load(), Err: ctx.Err()}
 }
 
-// lastWords is the time for the last reports to leave.
-const lastWords = 50 * time.Millisecond
+// finalSends is the time for the last messages to peers to leave the process.
+const finalSends = 50 * time.Millisecond
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -17,7 +17,8 @@
 	kindMembers  uint8 = 4 // conversation: the asker's view; what it lacks
 )
 
-// sendShare is called under the sharer's lock; the link does not block.
+// sendShare sends a message of the sharing to a peer. It is called under the
+// sharer's lock; the link does not block.
 func (r *Router) sendShare(to msg.RouterID, m *share.Message) {
 	body, err := share.Encode(m)
 	if err != nil {
@@ -40,6 +41,7 @@
 	}
 }
 
+// receiveShare gives a peer's message to the sharing.
 func (r *Router) receiveShare(from msg.RouterID, body []byte) {
 	m, err := share.Decode(body)
 	if err != nil {
@@ -50,12 +52,14 @@
 	r.sharer.Step(from, m)
 }
 
+// receiveMember gives a peer's message to the membership.
 func (r *Router) receiveMember(from msg.RouterID, body []byte) {
 	if err := r.members.Step(from, body); err != nil {
 		events.MessageMalformed.Log(r.ctx, r.log, slog.LevelWarn, "peer", from, "err", err)
 	}
 }
 
+// syncMembers exchanges views with a peer.
 func (r *Router) syncMembers(ctx context.Context, to msg.RouterID, req []byte) ([]byte, error) {
 	return r.link.Fetch(ctx, to, kindMembers, req)
 }
@@ -73,13 +77,14 @@
 	return "", false
 }
 
-// probe is called under the sharer's lock.
+// probe asks a server for its load. It is called under the sharer's lock.
 func (r *Router) probe(id msg.ServerID) {
 	if addr, ok := r.serverAddr(id); ok {
 		r.prober.Ask(r.ctx, id, addr)
 	}
 }
 
+// serverAddr returns a server's address by the host list.
 func (r *Router) serverAddr(id msg.ServerID) (string, bool) {
 	h, ok := r.hosts.Current().Servers[id]
 	return h.Addr, ok
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -15,6 +15,7 @@
 	"github.com/windscale/windscale/internal/platform"
 )
 
+// newMembers connects the membership with the link and the sharing.
 func (r *Router) newMembers() *members.Members {
 	effects := members.Effects{
 		Send:       func(to msg.RouterID, body []byte) { r.link.Send(to, kindMember, body) },
@@ -98,6 +99,7 @@
 	return live
 }
 
+// membersState is the membership and the host list as the metrics show them.
 func (r *Router) membersState() metrics.MembersState {
 	view, changes := r.members.View()
 	list := r.hosts.Stats()
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -35,6 +35,7 @@
 // Resume implements proxy.Observer.
 func (o *observer) Resume(_ msg.PoolID, allowed bool) { o.spend(allowed) }
 
+// spend counts a retry or resumption that was asked for.
 func (o *observer) spend(allowed bool) {
 	if allowed {
 		o.metrics.Retries.Spent()
@@ -81,6 +82,7 @@
 	}
 }
 
+// promised returns the customer's objectives in force.
 func (o *observer) promised(id msg.CustomerID) settings.Objective {
 	s := o.snapshot()
 	if s == nil {
--- a/internal/router/served.go
+++ b/internal/router/served.go
@@ -16,6 +16,7 @@
 
 func newServed() *served { return &served{by: map[msg.PoolID]map[msg.CustomerID]msg.Cost{}} }
 
+// add counts what one request has cost.
 func (s *served) add(pool msg.PoolID, c msg.CustomerID, cost msg.Cost) {
 	if cost <= 0 {
 		return
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -63,12 +63,13 @@
 
 // watched is what is held of a server. It may come back after it left.
 type watched struct {
-	silent bool
-	listed bool // as leaving, in the host list
-	says   bool // itself that it is leaving
+	silent        bool
+	listedLeaving bool // by the host list
+	saysLeaving   bool // by its own load report
 }
 
-func (s watched) leaving() bool { return s.listed || s.says }
+// leaving reports whether the server is to get no new work.
+func (s watched) leaving() bool { return s.listedLeaving || s.saysLeaving }
 
 func newServerWatch(log *slog.Logger) *serverWatch {
 	return &serverWatch{log: log, last: map[msg.ServerID]watched{}}
@@ -98,6 +99,7 @@
 	})
 }
 
+// silent notes that a server gave no load report.
 func (w *serverWatch) silent(id msg.ServerID, err error) {
 	before := w.update(id, func(s *watched) { s.silent = true })
 	if !before.silent {
@@ -105,16 +107,17 @@
 	}
 }
 
+// answered notes that a server gave a load report.
 func (w *serverWatch) answered(id msg.ServerID, leaving bool) {
-	before := w.update(id, func(s *watched) { s.silent, s.says = false, leaving })
+	before := w.update(id, func(s *watched) { s.silent, s.saysLeaving = false, leaving })
 	if before.silent {
 		events.ServerBack.Log(context.Background(), w.log, slog.LevelInfo, "server", id)
 	}
 }
 
-// listed takes what the host list says.
+// listed notes what the host list says.
 func (w *serverWatch) listed(id msg.ServerID, leaving bool) {
-	w.update(id, func(s *watched) { s.listed = leaving })
+	w.update(id, func(s *watched) { s.listedLeaving = leaving })
 }
 
 // state is the word for a server in operators' tables.
