config: sharing = alone is documented as the baseline of measurements only

FaultsOf was for tests only. The comment on unknown said that it reports empty sections, which it does not. Every reader of a value says what it demands.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/juju/errors"
 	"gopkg.in/ini.v1"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -22,10 +21,14 @@
 // Sharing says how a router decides who gets the next slot.
 type Sharing string
 
-// The ways of sharing. Alone is the naive baseline that measurements compare
-// with: each router decides by what it has seen itself.
+// The ways of sharing.
 const (
+	// SharingFleet is the default: one share of each customer in the whole fleet.
 	SharingFleet Sharing = "fleet"
+	// SharingAlone is the naive baseline that measurements compare with, and is
+	// for nothing else: each router hands out a fixed part of every server's
+	// slots by what it has seen itself, so that customers get no fair share of
+	// the fleet.
 	SharingAlone Sharing = "alone"
 )
 
@@ -84,6 +87,7 @@
 	known  []string // "section.key" asked for
 }
 
+// router reads every key. What is faulty is left empty, or at its default.
 func (p *parser) router() *Router {
 	return &Router{
 		ID:          msg.RouterID(p.text("router", "id")),
@@ -107,6 +111,7 @@
 	}
 }
 
+// fault notes what is wrong with a key.
 func (p *parser) fault(section, key string, kind FaultKind, detail string) {
 	p.faults = append(p.faults, Fault{File: p.path, Section: section, Key: key, Kind: kind, Detail: detail})
 }
@@ -128,6 +133,7 @@
 	return strings.TrimSpace(sec.Key(key).String())
 }
 
+// text returns a value that must be there.
 func (p *parser) text(section, key string) string {
 	v := p.optional(section, key)
 	if v == "" {
@@ -136,6 +142,7 @@
 	return v
 }
 
+// addr returns an address that must be there, IP:port.
 func (p *parser) addr(section, key string) string {
 	v := p.text(section, key)
 	if v == "" {
@@ -147,6 +154,7 @@
 	return v
 }
 
+// url returns a base URL that must be there, without a slash at its end.
 func (p *parser) url(section, key string) string {
 	v := p.text(section, key)
 	if v != "" && !strings.HasPrefix(v, "http://") && !strings.HasPrefix(v, "https://") {
@@ -170,6 +178,7 @@
 	return choices[0]
 }
 
+// level returns a log level, by default info.
 func (p *parser) level(section, key string) slog.Level {
 	v := p.optional(section, key)
 	if v == "" {
@@ -182,6 +191,7 @@
 	return l
 }
 
+// readable returns the path of a file that can be read.
 func (p *parser) readable(section, key string, needed bool) string {
 	v := p.optional(section, key)
 	if v == "" {
@@ -243,6 +253,7 @@
 // minToken is the fewest characters of an operators' token.
 const minToken = 16
 
+// secret returns the text of the file that the key names.
 func (p *parser) secret(section, key string) string {
 	v := p.readable(section, key, true)
 	if v == "" {
@@ -259,6 +270,7 @@
 	return token
 }
 
+// seeds returns the seeds, ID@IP:PORT by commas.
 func (p *parser) seeds(section, key string) []Seed {
 	v := p.optional(section, key)
 	if v == "" {
@@ -277,7 +289,8 @@
 	return seeds
 }
 
-// unknown reports each section and key that nothing asked for.
+// unknown reports each key that nothing asked for. A section without keys says
+// nothing, whatever its name.
 func (p *parser) unknown() {
 	known := map[string]bool{}
 	for _, k := range p.known {
@@ -291,11 +304,3 @@
 		}
 	}
 }
-
-// FaultsOf returns the faults of a Load error.
-func FaultsOf(err error) []Fault {
-	if e, ok := errors.AsType[*Error](err); ok {
-		return e.Faults
-	}
-	return nil
-}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -47,7 +48,7 @@
 		kind FaultKind
 	}
 	got := map[at]bool{}
-	for _, f := range FaultsOf(err) {
+	for _, f := range faultsOf(err) {
 		got[at{f.Section + "." + f.Key, f.Kind}] = true
 	}
 	want := []at{
@@ -114,7 +115,7 @@
 		goodTLS + "entry_cert = DIR/r1.pem\nentry_key = DIR/token\n": "entry_cert",
 	} {
 		_, err := Load(good(t, t.TempDir(), lines))
-		faults := FaultsOf(err)
+		faults := faultsOf(err)
 		if want == "" {
 			assert.NilError(t, err)
 			continue
@@ -134,3 +135,11 @@
 	assert.Assert(t, r.AdminTLS)
 	assert.DeepEqual(t, r.Seeds, []Seed{{ID: "r2", Addr: "127.0.0.1:1"}})
 }
+
+// faultsOf returns the faults of a Load error.
+func faultsOf(err error) []Fault {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.Faults
+	}
+	return nil
+}
