--- a/cmd/windscale-router/main.go
+++ b/cmd/windscale-router/main.go
@@ -53,6 +53,7 @@
 
 func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
 
+// command runs the command line and returns the exit code.
 func command(args []string, out, errOut io.Writer) int {
 	var o options
 	p := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
@@ -90,29 +91,34 @@
 	return exitUsage
 }
 
+// serve runs the router until it has drained or failed, and returns the exit
+// code.
 func serve(cfg *config.Router, errOut io.Writer) int {
 	log := logger(cfg, errOut)
-	r, err := router.New(cfg, log)
-	if err != nil {
+	if err := runRouter(cfg, log); err != nil {
 		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
 		return exitFailed
 	}
+	return 0
+}
+
+// runRouter builds the router and runs its actors.
+func runRouter(cfg *config.Router, log *slog.Logger) error {
+	r, err := router.New(cfg, log)
+	if err != nil {
+		return err
+	}
 	if err := r.Publish(); err != nil {
-		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
-		return exitFailed
+		return err
 	}
 	var g run.Group
 	if err := r.Actors(&g); err != nil {
-		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
-		return exitFailed
+		return err
 	}
-	if err := g.Run(); err != nil {
-		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
-		return exitFailed
-	}
-	return 0
+	return g.Run()
 }
 
+// logger writes events to w in the configured format, each at a bounded rate.
 func logger(cfg *config.Router, w io.Writer) *slog.Logger {
 	opts := &slog.HandlerOptions{Level: cfg.LogLevel}
 	var h slog.Handler = slog.NewJSONHandler(w, opts)
