--- a/internal/claims/index.go
+++ b/internal/claims/index.go
@@ -13,7 +13,7 @@
 type index struct {
 	table platform.Table
 	now   func() time.Time
-	book  *claim.Book
+	core  *claim.Index
 
 	keep  int64         // the latest of the batch, Unix ms
 	page  *platform.Row // that the batch's claims go to, as last read; nil: not known
@@ -21,11 +21,11 @@
 }
 
 func newIndex(table platform.Table, writer claim.Writer, now func() time.Time) *index {
-	return &index{table: table, now: now, book: claim.NewBook(writer)}
+	return &index{table: table, now: now, core: claim.NewIndex(writer)}
 }
 
 // hour is that of the batch's claims.
-func (x *index) hour() claim.Hour { return x.book.Hour(x.keep) }
+func (x *index) hour() claim.Hour { return x.core.Hour(x.keep) }
 
 // readWith reads the rows of a batch, and in the same call the page for its
 // claims, if it has any (keep, Unix ms, is not 0).
@@ -35,7 +35,7 @@
 		return x.table.Read(ctx, keys...)
 	}
 	x.forget()
-	rows, err := x.table.Read(ctx, append(keys, x.book.PageKey(x.hour()))...)
+	rows, err := x.table.Read(ctx, append(keys, x.core.PageKey(x.hour()))...)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +48,7 @@
 	now := x.now().UnixMilli()
 	if h := claim.HourOf(now); h != x.begun {
 		x.begun = h
-		x.book.Forget(now)
+		x.core.Forget(now)
 	}
 }
 
@@ -57,7 +57,7 @@
 func (x *index) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	for !x.book.Registered(x.hour()) {
+	for !x.core.Registered(x.hour()) {
 		if err := x.registerOnce(ctx); err != nil {
 			return err
 		}
@@ -70,11 +70,11 @@
 // together, so that conflicts are no failure.
 func (x *index) registerOnce(ctx context.Context) error {
 	hour := x.hour()
-	rows, err := x.table.Read(ctx, x.book.RegisterKeys(hour)...)
+	rows, err := x.table.Read(ctx, x.core.RegisterKeys(hour)...)
 	if err != nil {
 		return err
 	}
-	changes, err := x.book.Register(x.now().UnixMilli(), hour, stored(rows))
+	changes, err := x.core.Register(x.now().UnixMilli(), hour, stored(rows))
 	if err != nil {
 		return err
 	}
@@ -95,13 +95,13 @@
 	page := x.page
 	x.page = nil
 	if page == nil {
-		rows, err := x.table.Read(ctx, x.book.PageKey(x.hour()))
+		rows, err := x.table.Read(ctx, x.core.PageKey(x.hour()))
 		if err != nil {
 			return platform.Write{}, err
 		}
 		page = &rows[0]
 	}
-	change, err := x.book.Name(x.hour(), claim.Stored(*page), keys)
+	change, err := x.core.Name(x.hour(), claim.Stored(*page), keys)
 	return platform.Write(change), err
 }
 
--- a/internal/core/claim/index.go
+++ b/internal/core/claim/index.go
@@ -128,9 +128,9 @@
 	return int(xxhash.Sum64String(string(w.Router)) % manifestShards)
 }
 
-// Book is the writing side of the index in one run of a router. It is not safe
+// Index is the writing side of the index in one run of a router. It is not safe
 // for concurrent use: one goroutine writes the claims.
-type Book struct {
+type Index struct {
 	writer Writer
 	floor  Hour               // hours before it are swept
 	hours  map[Hour]*openHour // that this run has written in
@@ -142,42 +142,42 @@
 	page       int
 }
 
-// NewBook returns the book of a run that has written nothing yet.
-func NewBook(w Writer) *Book {
-	return &Book{writer: w, hours: map[Hour]*openHour{}}
+// NewIndex returns the index of a run that has written nothing yet.
+func NewIndex(w Writer) *Index {
+	return &Index{writer: w, hours: map[Hour]*openHour{}}
 }
 
 // Hour returns the hour in whose pages claims are named that are kept until keep
 // (Unix ms) at the most.
-func (b *Book) Hour(keep int64) Hour { return max(HourOf(keep), b.floor) }
+func (x *Index) Hour(keep int64) Hour { return max(HourOf(keep), x.floor) }
 
-func (b *Book) at(h Hour) *openHour {
-	if b.hours[h] == nil {
-		b.hours[h] = &openHour{}
+func (x *Index) at(h Hour) *openHour {
+	if x.hours[h] == nil {
+		x.hours[h] = &openHour{}
 	}
-	return b.hours[h]
+	return x.hours[h]
 }
 
 // Forget drops what is held of hours that are over, now (Unix ms).
-func (b *Book) Forget(now int64) {
-	for h := range b.hours {
+func (x *Index) Forget(now int64) {
+	for h := range x.hours {
 		if h.end() < now {
-			delete(b.hours, h)
+			delete(x.hours, h)
 		}
 	}
 }
 
 // PageKey returns the table key of the page that the hour's next claims go to.
-func (b *Book) PageKey(h Hour) string { return pageKey(h, b.writer, b.at(h).page) }
+func (x *Index) PageKey(h Hour) string { return pageKey(h, x.writer, x.at(h).page) }
 
 // Name adds claims to the page as it was read, or to a new one if that is full.
 // The change must be part of the transaction that takes them. A page that can't
 // be read is left as it is.
-func (b *Book) Name(h Hour, page Stored, keys []Key) (Change, error) {
+func (x *Index) Name(h Hour, page Stored, keys []Key) (Change, error) {
 	var p Page
 	if page.decode(&p) != nil || len(p.Keys) >= pageKeys {
-		b.at(h).page++
-		page, p = Stored{Key: b.PageKey(h)}, Page{}
+		x.at(h).page++
+		page, p = Stored{Key: x.PageKey(h)}, Page{}
 	}
 	p.Keys = append(p.Keys, keys...)
 	return page.replace(p)
@@ -185,11 +185,11 @@
 
 // Registered reports whether the hour's manifest is known to name the writer.
 // Only then may its pages be written.
-func (b *Book) Registered(h Hour) bool { return b.at(h).registered }
+func (x *Index) Registered(h Hour) bool { return x.at(h).registered }
 
 // RegisterKeys returns the table keys that Register has to see.
-func (b *Book) RegisterKeys(h Hour) []string {
-	return []string{cursorKey, manifestKey(h, b.writer.shard())}
+func (x *Index) RegisterKeys(h Hour) []string {
+	return []string{cursorKey, manifestKey(h, x.writer.shard())}
 }
 
 // Register decides, now (Unix ms), how the writer gets into the hour's manifest,
@@ -197,20 +197,20 @@
 // Registered says yes, or the hour was swept already and Hour names a later one.
 // Changes are to be committed together, and the rows read again after. Rows that
 // can't be read stop no claim: a manifest is begun anew.
-func (b *Book) Register(now int64, h Hour, rows []Stored) ([]Change, error) {
+func (x *Index) Register(now int64, h Hour, rows []Stored) ([]Change, error) {
 	cursor, m := Cursor{Hour: min(h, HourOf(now)) - lookBack}, Manifest{}
 	if rows[0].decode(&cursor) == nil && cursor.Hour > h {
-		b.floor = cursor.Hour
+		x.floor = cursor.Hour
 		return nil, nil
 	}
 	if rows[1].decode(&m) != nil {
 		m = Manifest{}
 	}
-	if slices.Contains(m.Writers, b.writer) {
-		b.at(h).registered = true
+	if slices.Contains(m.Writers, x.writer) {
+		x.at(h).registered = true
 		return nil, nil
 	}
-	m.Writers = append(m.Writers, b.writer)
+	m.Writers = append(m.Writers, x.writer)
 	named, err := rows[1].replace(m)
 	if err != nil || rows[0].Version != 0 {
 		return []Change{named}, err
--- a/internal/core/claim/retention_test.go
+++ b/internal/core/claim/sweep_test.go
@@ -79,14 +79,14 @@
 type retention struct {
 	rows
 	runs    uint64
-	books   [2]*claim.Book
+	indexes [2]*claim.Index
 	sweeps  [2]*claim.Sweep
 	claimed int
 }
 
 func (f *retention) restart(i int) {
 	f.runs++
-	f.books[i] = claim.NewBook(claim.Writer{Router: msg.RouterID(fmt.Sprint("r", i)), Incarnation: f.runs})
+	f.indexes[i] = claim.NewIndex(claim.Writer{Router: msg.RouterID(fmt.Sprint("r", i)), Incarnation: f.runs})
 	f.sweeps[i] = claim.NewSweep("s")
 }
 
@@ -103,7 +103,7 @@
 
 // take claims some keys that are free, in one transaction with their page.
 func (f *retention) take(t *rapid.T) {
-	book, now := f.books[rapid.IntRange(0, 1).Draw(t, "writer")], f.clock(t)
+	index, now := f.indexes[rapid.IntRange(0, 1).Draw(t, "writer")], f.clock(t)
 	f.claimed++
 	want := claim.Want{Holder: msg.RequestID(fmt.Sprint(f.claimed)), Keep: now + rapid.Int64Range(1, 180).Draw(t, "keep")*minute}
 	want.Until = now + minute
@@ -112,11 +112,11 @@
 	for i := range count {
 		keys = append(keys, fmt.Sprint("claim/", first+i))
 	}
-	if !f.register(t, book, now, want.Keep) {
+	if !f.register(t, index, now, want.Keep) {
 		return
 	}
-	hour := book.Hour(want.Keep)
-	got := f.read(append(keys, book.PageKey(hour)))
+	hour := index.Hour(want.Keep)
+	got := f.read(append(keys, index.PageKey(hour)))
 	var changes []claim.Change
 	var taken []claim.Key
 	for _, row := range got[:count] {
@@ -129,20 +129,20 @@
 			taken = append(taken, claim.Key(row.Key))
 		}
 	}
-	page, err := book.Name(hour, got[count], taken)
+	page, err := index.Name(hour, got[count], taken)
 	assert.NilError(t, err)
 	f.commit(t, append(changes, page))
 }
 
 // register gets a writer into its hour's manifest, unless the table fails or the
 // writer dies in between.
-func (f *retention) register(t *rapid.T, book *claim.Book, now, keep int64) bool {
+func (f *retention) register(t *rapid.T, index *claim.Index, now, keep int64) bool {
 	for range 6 {
-		hour := book.Hour(keep)
-		if book.Registered(hour) {
+		hour := index.Hour(keep)
+		if index.Registered(hour) {
 			return true
 		}
-		changes, err := book.Register(now, hour, f.read(book.RegisterKeys(hour)))
+		changes, err := index.Register(now, hour, f.read(index.RegisterKeys(hour)))
 		assert.NilError(t, err)
 		if len(changes) > 0 {
 			f.commit(t, changes)
@@ -216,16 +216,16 @@
 
 // A writer whose clock is far behind names its claims where they will be swept.
 func TestHoursThatAreSweptTakeNoClaims(t *testing.T) {
-	book := claim.NewBook(claim.Writer{Router: "r", Incarnation: 1})
+	index := claim.NewIndex(claim.Writer{Router: "r", Incarnation: 1})
 	b, err := cbor.Marshal(claim.Cursor{Hour: 50})
 	assert.NilError(t, err)
 	rows := []claim.Stored{{Key: "claimindex/cursor", Value: b, Version: 1}, {Key: "m"}}
 	keep := 40 * 60 * minute
-	changes, err := book.Register(39*60*minute, book.Hour(keep), rows)
+	changes, err := index.Register(39*60*minute, index.Hour(keep), rows)
 	assert.NilError(t, err)
 	assert.Equal(t, len(changes), 0)
-	assert.Equal(t, book.Hour(keep), claim.Hour(50))
-	assert.Assert(t, !book.Registered(40) && !book.Registered(50))
+	assert.Equal(t, index.Hour(keep), claim.Hour(50))
+	assert.Assert(t, !index.Registered(40) && !index.Registered(50))
 }
 
 // One router sweeps an hour, and another one the next or if that one leaves.
