proxy, attempt: names of the field, and smaller pieces

Exchange.Begin and Resumed are BeginAttempt and BeginLeg; Gone is CallerGone, comeBack is defaultRetryAfter, turnAway is refuseEarly, notFirst is answerRepeat. The observer's methods say how often they are called. No behaviour changes.

--- a/internal/core/attempt/exchange.go
+++ b/internal/core/attempt/exchange.go
@@ -70,8 +70,8 @@
 // NewExchange returns an exchange that has not begun.
 func NewExchange(r Rule) *Exchange { return &Exchange{rule: r} }
 
-// Begin starts the next attempt and returns its number.
-func (x *Exchange) Begin() int {
+// BeginAttempt starts the next attempt and returns its number.
+func (x *Exchange) BeginAttempt() int {
 	x.attempt++
 	x.leg = 0
 	x.wrote = false
@@ -79,8 +79,8 @@
 	return x.attempt
 }
 
-// Resumed starts the next leg of the current attempt and returns its number.
-func (x *Exchange) Resumed() int {
+// BeginLeg starts the next leg of the current attempt and returns its number.
+func (x *Exchange) BeginLeg() int {
 	x.leg++
 	x.resumes++
 	x.header = false
--- a/internal/core/attempt/exchange_test.go
+++ b/internal/core/attempt/exchange_test.go
@@ -96,7 +96,7 @@
 // what was wrong, if anything.
 func (w *world) play(r Rule, at []point, allowed int) string {
 	x := NewExchange(r)
-	x.Begin()
+	x.BeginAttempt()
 	for i := 0; ; i++ {
 		action := w.leg(x, at[min(i, len(at)-1)])
 		if (action == Retry || action == Resume) && i >= allowed {
@@ -107,9 +107,9 @@
 		}
 		switch action {
 		case Retry:
-			x.Begin()
+			x.BeginAttempt()
 		case Resume:
-			x.Resumed()
+			x.BeginLeg()
 		default:
 			return ""
 		}
@@ -192,17 +192,17 @@
 // A late event of an earlier attempt or leg changes nothing.
 func TestLateEventsAreDropped(t *testing.T) {
 	x := NewExchange(Rule{Repeat: true, Resume: true, MaxAttempts: 3, MaxResumes: 2})
-	x.Begin()
+	x.BeginAttempt()
 	assert.Equal(t, x.Step(Event{Kind: Wrote, Attempt: 1}), Continue)
 	assert.Equal(t, x.Step(Event{Kind: Cut, Attempt: 1}), Retry)
-	x.Begin()
+	x.BeginAttempt()
 	for k := DialFailed; k <= Expired; k++ {
 		assert.Equal(t, x.Step(Event{Kind: k, Attempt: 1}), Drop)
 	}
 	x.Step(Event{Kind: Header, Attempt: 2})
 	assert.Equal(t, x.Step(Event{Kind: Token, Attempt: 2}), Deliver)
 	assert.Equal(t, x.Step(Event{Kind: Cut, Attempt: 2}), Resume)
-	leg := x.Resumed()
+	leg := x.BeginLeg()
 	assert.Equal(t, x.Step(Event{Kind: Token, Attempt: 2, Leg: 0, Position: 1}), Drop)
 	x.Step(Event{Kind: Header, Attempt: 2, Leg: leg})
 	assert.Equal(t, x.Step(Event{Kind: Token, Attempt: 2, Leg: leg, Position: 0}), Drop)
@@ -213,7 +213,7 @@
 // An answer without a header that names the request is never whole.
 func TestNoAnswerWithoutItsHeader(t *testing.T) {
 	x := NewExchange(Rule{MaxAttempts: 1})
-	x.Begin()
+	x.BeginAttempt()
 	x.Step(Event{Kind: Wrote, Attempt: 1})
 	assert.Equal(t, x.Step(Event{Kind: Closing, Attempt: 1}), Fail)
 	assert.Equal(t, x.Outcome(), Unknown)
@@ -222,14 +222,14 @@
 // A stream that is cut again and again is resumed a bounded number of times.
 func TestResumptionsAreBounded(t *testing.T) {
 	x := NewExchange(Rule{Repeat: true, Resume: true, MaxAttempts: 3, MaxResumes: 5})
-	x.Begin()
+	x.BeginAttempt()
 	action, resumes := Resume, 0
 	for ; action == Resume && resumes < 100; resumes++ {
 		leg := x.Leg()
 		x.Step(Event{Kind: Header, Attempt: 1, Leg: leg})
 		x.Step(Event{Kind: Token, Attempt: 1, Leg: leg, Position: x.Next()})
 		if action = x.Step(Event{Kind: Cut, Attempt: 1, Leg: leg}); action == Resume {
-			x.Resumed()
+			x.BeginLeg()
 		}
 	}
 	assert.Equal(t, action, Break)
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -155,7 +155,7 @@
 	}
 	x := attempt.NewExchange(attempt.Rule{MaxAttempts: 3})
 	for action := attempt.Retry; action == attempt.Retry; {
-		x.Begin()
+		x.BeginAttempt()
 		action = f.attempt(t, r, x)
 	}
 	ran := slices.Contains(f.runs[r.key], r.id)
--- a/internal/proxy/bounds_test.go
+++ b/internal/proxy/bounds_test.go
@@ -52,7 +52,7 @@
 		full++
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		assert.ErrorType(t, c.put(ctx, chunk), Gone{})
+		assert.ErrorType(t, c.put(ctx, chunk), CallerGone{})
 	}
 	assert.Assert(t, taken <= 2*(maxSpool+len(chunk)), "%d bytes", taken) // one spool is being written
 	close(w.let)
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -11,14 +11,14 @@
 // engine's stream is no longer read.
 const maxSpool = 256 << 10
 
-// Gone is the error of a caller that no longer takes its answer.
-type Gone struct{ Err error }
+// CallerGone is the error of a caller that no longer takes its answer.
+type CallerGone struct{ Err error }
 
 // Error implements error.
-func (g Gone) Error() string { return "caller is gone: " + g.Err.Error() }
+func (g CallerGone) Error() string { return "caller is gone: " + g.Err.Error() }
 
 // Unwrap returns the cause.
-func (g Gone) Unwrap() error { return g.Err }
+func (g CallerGone) Unwrap() error { return g.Err }
 
 // callerStream writes a streamed answer from a goroutine of its own, so that a
 // slow caller does not hold up the engine's slot while its buffer has room.
@@ -60,7 +60,7 @@
 		case <-c.space:
 		case <-c.done:
 		case <-ctx.Done():
-			return Gone{ctx.Err()}
+			return CallerGone{ctx.Err()}
 		}
 	}
 }
@@ -149,7 +149,7 @@
 // fail notes that the caller is gone.
 func (c *callerStream) fail(err error) {
 	c.mu.Lock()
-	c.err = Gone{err}
+	c.err = CallerGone{err}
 	c.buf = nil
 	c.mu.Unlock()
 	c.gone()
--- a/internal/proxy/claimed.go
+++ b/internal/proxy/claimed.go
@@ -38,11 +38,11 @@
 	storeTime = 250 * time.Millisecond
 )
 
-// claimed is what a call with a key holds.
+// claimed is the claim that a call with a key holds.
 type claimed struct {
 	key      claim.Key
 	lease    claim.Lease
-	finished bool
+	finished bool // its result was handed to Claims
 }
 
 // idempotencyKey returns the caller's key. ok is false if it is malformed.
@@ -65,7 +65,7 @@
 // serveClaimed runs a call that may not be repeated and has a key.
 func (s *serviceRun) serveClaimed(key string) {
 	if s.p.Claims == nil {
-		s.refuse(problem.ClaimsUnavailable, comeBack)
+		s.refuse(problem.ClaimsUnavailable, defaultRetryAfter)
 		return
 	}
 	fleet := s.p.Snapshot().Fleet
@@ -80,11 +80,11 @@
 	s.queueCtx = ctx
 	verdict, row, err := s.p.Claims.Take(ctx, s.claim.key, s.wantClaim(fleet))
 	if err != nil {
-		s.refuse(problem.ClaimsUnavailable, comeBack)
+		s.refuse(problem.ClaimsUnavailable, defaultRetryAfter)
 		return
 	}
 	if verdict != claim.Take {
-		s.notFirst(verdict, row)
+		s.answerRepeat(verdict, row)
 		return
 	}
 	s.runClaimed(row)
@@ -103,15 +103,16 @@
 	}
 }
 
-// notFirst answers a request whose key was used before.
-func (s *serviceRun) notFirst(v claim.Verdict, row *claim.Row) {
+// answerRepeat answers a request whose key was used before, by what is known of
+// the first.
+func (s *serviceRun) answerRepeat(v claim.Verdict, row *claim.Row) {
 	switch v {
 	case claim.Replay:
 		header := row.Answer.Header
 		s.w.Header().Set(headerReplayed, "true")
 		s.send(wholeAnswer{status: row.Answer.Status, header: header, body: row.Answer.Body, length: -1})
 	case claim.InProgress:
-		s.refuseKey(problem.ClaimRunning, attempt.Unknown, comeBack)
+		s.refuseKey(problem.ClaimRunning, attempt.Unknown, defaultRetryAfter)
 	case claim.Mismatch:
 		s.refuseKey(problem.ClaimMismatch, attempt.NotSent, 0)
 	case claim.AnswerLost:
@@ -176,8 +177,9 @@
 	return &claim.Answer{Status: s.answer.status, Header: s.answer.header, Body: s.answer.body}
 }
 
-// logLapsed logs that the call was kept back or refused for its lease's sake.
-func (s *serviceRun) logLapsed(event events.Event) {
+// logLease logs that the call was not sent, or was refused, because its lease
+// was over.
+func (s *serviceRun) logLease(event events.Event) {
 	event.Log(s.ctx, s.p.Log, slog.LevelWarn, "request", s.want.ID, "pool", s.want.Pool)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,12 +49,12 @@
 // Observer learns what happens, for the metrics. Its methods are called from
 // the requests' goroutines and must not block.
 type Observer interface {
-	Attempt(Attempt)
+	Attempt(Attempt)                 // once for each attempt, when it is over
 	Waiting(c msg.CustomerID, n int) // n more, or fewer, wait for a slot
 	Running(c msg.CustomerID, n int) // n more, or fewer, run
 	Retry(pool msg.PoolID, allowed bool)
 	Resume(pool msg.PoolID, allowed bool)
-	Finish(f Finish)
+	Finish(f Finish) // once for each request, as the last call for it
 }
 
 // NopObserver ignores everything.
@@ -106,11 +106,11 @@
 	}
 	request, ok := parseModel(body)
 	if !ok {
-		p.turnAway(w, c, problem.BadRequest, "the body is not a chat completion request")
+		p.refuseEarly(w, c, problem.BadRequest, "the body is not a chat completion request")
 		return
 	}
 	if !allowed(c.Models, request.Model) {
-		p.turnAway(w, c, problem.Forbidden, "the model is not allowed to this customer")
+		p.refuseEarly(w, c, problem.Forbidden, "the model is not allowed to this customer")
 		return
 	}
 	u := p.newRun(w, r, c, a, msg.ModelPool(request.Model), modelRule)
@@ -130,16 +130,11 @@
 func (p *Proxy) Service(w http.ResponseWriter, r *http.Request, c *settings.Customer, service, path string) {
 	decoded, ok := canonical(path)
 	if !ok || !printable(r.URL.RawQuery) {
-		p.turnAway(w, c, problem.BadRequest, "the path is not canonical")
+		p.refuseEarly(w, c, problem.BadRequest, "the path is not canonical")
 		return
 	}
-	if !allowed(c.Services, service) {
-		p.turnAway(w, c, problem.Forbidden, "the service is not allowed to this customer")
-		return
-	}
-	known, ok := p.Snapshot().Services[service]
+	known, ok := p.serviceOf(w, c, service)
 	if !ok {
-		p.turnAway(w, c, problem.NotFound, "there is no such service")
 		return
 	}
 	a, ok := p.arrived(w, r, c)
@@ -153,7 +148,7 @@
 	once := isOnce(known.Once, r.Method, decoded)
 	key, ok := idempotencyKey(r.Header.Values(headerKey))
 	if once && !ok {
-		p.turnAway(w, c, problem.BadKey, "")
+		p.refuseEarly(w, c, problem.BadKey, "")
 		return
 	}
 	u := p.newRun(w, r, c, a, msg.ServicePool(service), serviceRule(r.Method, once))
@@ -168,12 +163,26 @@
 	s.serve()
 }
 
-// turnAway refuses a request before a run is made of it.
-func (p *Proxy) turnAway(w http.ResponseWriter, c *settings.Customer, t problem.Type, detail string) {
+// serviceOf returns a service that the customer may call. On failure it has
+// refused the request.
+func (p *Proxy) serviceOf(w http.ResponseWriter, c *settings.Customer, name string) (settings.Service, bool) {
+	if !allowed(c.Services, name) {
+		p.refuseEarly(w, c, problem.Forbidden, "the service is not allowed to this customer")
+		return settings.Service{}, false
+	}
+	known, ok := p.Snapshot().Services[name]
+	if !ok {
+		p.refuseEarly(w, c, problem.NotFound, "there is no such service")
+	}
+	return known, ok
+}
+
+// refuseEarly refuses a request before a run is made of it.
+func (p *Proxy) refuseEarly(w http.ResponseWriter, c *settings.Customer, t problem.Type, detail string) {
 	p.Observer.Finish(Finish{Customer: c.Path, Problem: t.Name, Outcome: attempt.NotSent})
 	after := time.Duration(0)
 	if t.Status == http.StatusServiceUnavailable {
-		after = comeBack
+		after = defaultRetryAfter
 	}
 	problem.Refuse(w, t, detail, after)
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -66,7 +66,7 @@
 func (p *Proxy) arrived(w http.ResponseWriter, r *http.Request, c *settings.Customer) (arrival, bool) {
 	limit, ok := timeLimit(r.Header, c.RequestTime)
 	if !ok {
-		p.turnAway(w, c, problem.BadTimeout, "")
+		p.refuseEarly(w, c, problem.BadTimeout, "")
 		return arrival{}, false
 	}
 	return arrival{at: p.Now(), limit: limit}, true
@@ -84,15 +84,15 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if stderrors.As(err, &tooLarge) {
-		p.turnAway(w, c, problem.BodyTooLarge, "")
+		p.refuseEarly(w, c, problem.BodyTooLarge, "")
 		return nil, false
 	}
 	var refusal *problem.Error
 	if stderrors.As(err, &refusal) {
-		p.turnAway(w, c, refusal.Type, "")
+		p.refuseEarly(w, c, refusal.Type, "")
 		return nil, false
 	}
-	p.turnAway(w, c, problem.RequestTimeout, "the body did not arrive whole")
+	p.refuseEarly(w, c, problem.RequestTimeout, "the body did not arrive whole")
 	return nil, false
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -18,10 +18,11 @@
 	"github.com/windscale/windscale/internal/problem"
 )
 
-// comeBack is the Retry-After of refusals that know nothing better.
-const comeBack = time.Second
+// defaultRetryAfter is the Retry-After of refusals that know nothing better.
+const defaultRetryAfter = time.Second
 
-// run is one request on its way. It belongs to the request's goroutine.
+// run is one request, over all its attempts. It belongs to the request's
+// goroutine.
 type run struct {
 	p        *Proxy
 	w        http.ResponseWriter
@@ -88,7 +89,7 @@
 			u.noSlot(refusal)
 			return false
 		}
-		u.x.Begin()
+		u.x.BeginAttempt()
 		action := u.attemptOnce(s, try)
 		if action == attempt.Retry && !u.mayRetry() {
 			action = u.x.Step(u.event(attempt.Denied))
@@ -256,14 +257,14 @@
 	}
 	after := r.RetryAfter
 	if after <= 0 {
-		after = comeBack
+		after = defaultRetryAfter
 	}
 	u.refuse(t, after)
 }
 
 // fail tells the caller that the attempts did not bring an answer.
 func (u *run) fail() {
-	after := comeBack
+	after := defaultRetryAfter
 	if u.last != nil && u.last.RetryAfter > 0 {
 		after = u.last.RetryAfter
 	}
@@ -307,48 +308,3 @@
 	events.AnswerBroken.Log(u.ctx, u.p.Log, slog.LevelWarn, "request", u.want.ID, "pool", u.want.Pool)
 	panic(http.ErrAbortHandler)
 }
-
-// slot is a slot that is ended once.
-type slot struct {
-	dispatch.Slot
-	now   func() time.Time
-	began time.Time
-	first time.Duration
-	cost  msg.Cost
-	ended bool
-}
-
-// progress reports the total cost so far.
-func (s *slot) progress(c msg.Cost) {
-	s.cost = c
-	s.Progress(c)
-}
-
-// sawFirst notes that the first token or byte came.
-func (s *slot) sawFirst() {
-	if s.first == 0 {
-		s.first = s.now().Sub(s.began)
-	}
-}
-
-// end gives the slot back. Later calls do nothing.
-func (s *slot) end(o attempt.Outcome, failure *backend.Error) {
-	if s.ended {
-		return
-	}
-	s.ended = true
-	if o == attempt.NotSent || o == attempt.Refused {
-		s.cost = 0
-	}
-	result := dispatch.Result{
-		Outcome: o,
-		Cost:    s.cost,
-		First:   s.first,
-		Total:   s.now().Sub(s.began),
-	}
-	if failure != nil {
-		result.Leaving = failure.Leaving
-		result.Busy = failure.Busy
-	}
-	s.End(result)
-}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -19,9 +19,9 @@
 	path    string // decoded
 	rawPath string // as it is sent
 	body    []byte
-	once    bool
-	guard   func() error
-	fence   string
+	once    bool         // the settings list it as not to be repeated
+	guard   func() error // asked before each write, see backend.Call; nil: none
+	fence   string       // fencing number of the claim; empty: the server checks none
 	answer  wholeAnswer
 	sent    bool     // the answer was long and went out as it came
 	claim   *claimed // nil: no key, or it need not be claimed
@@ -71,9 +71,9 @@
 	var lapsed claim.Lapsed
 	switch {
 	case stderrors.As(failure, &lapsed):
-		s.logLapsed(events.ClaimLapsed)
+		s.logLease(events.ClaimLapsed)
 	case stderrors.Is(failure, backend.ErrFence):
-		s.logLapsed(events.ClaimFenced)
+		s.logLease(events.ClaimFenced)
 	default:
 		return s.failed(failure)
 	}
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -147,7 +147,7 @@
 		},
 	} {
 		granted := &fakeSlot{p: rig.picker}
-		u.x.Begin()
+		u.x.BeginAttempt()
 		u.attemptOnce(&slot{Slot: granted, now: time.Now, began: time.Now()}, try)
 		assert.Equal(t, granted.results[0].Leaving, i == 0)
 	}
--- a/internal/proxy/stall_test.go
+++ b/internal/proxy/stall_test.go
@@ -30,7 +30,7 @@
 			_, failure := m.nextPart(late(wait), func() { stalls.Add(1) })
 			assert.Assert(t, failure == nil)
 		}
-		m.x.Begin()
+		m.x.BeginAttempt()
 		next(time.Hour) // the first token
 		assert.Equal(t, stalls.Load(), int64(0))
 		m.x.Step(m.event(attempt.Header))
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -78,7 +78,7 @@
 			return nil, m.x.Step(m.event(attempt.Denied))
 		}
 		from := m.x.Next()
-		m.x.Resumed()
+		m.x.BeginLeg()
 		call := m.call(s)
 		call.Echo = true
 		answer, failure := m.p.Backend.Resume(ctx, call, from)
