proxy: an engine's usage is believed within bounds

The usage of an answer was taken as it came into the customer's account. A negative count gave the customer service back, a very large one overflowed the sum. Each count now counts from 0 to 2^32. Cause found by reading; the test fails without the bounds.

--- a/internal/proxy/mechanism_test.go
+++ b/internal/proxy/mechanism_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/core/claim"
 	"github.com/windscale/windscale/internal/core/msg"
@@ -203,3 +205,19 @@
 		assert.DeepEqual(t, got, want)
 	}
 }
+
+// An engine's usage is no way to take service back.
+func TestCostIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		usage backend.Usage
+		cost  msg.Cost
+	}{
+		{backend.Usage{Prompt: 3, Completion: 5}, 23},
+		{backend.Usage{Prompt: -3, Completion: 5}, 20},
+		{backend.Usage{Prompt: 3, Completion: -5}, 3},
+		{backend.Usage{Prompt: math.MaxInt64, Completion: math.MaxInt64}, 5 * maxTokens},
+		{backend.Usage{Prompt: math.MinInt64, Completion: math.MinInt64}, 0},
+	} {
+		assert.Equal(t, costOf(c.usage), c.cost)
+	}
+}
--- a/internal/proxy/model.go
+++ b/internal/proxy/model.go
@@ -16,6 +16,8 @@
 	// bytesPerToken is the rough size of a prompt's tokens, for the cost until
 	// the engine has told the usage.
 	bytesPerToken = 4
+	// maxTokens bounds what an engine's usage is believed.
+	maxTokens = 1 << 32
 )
 
 const chatPath = "/v1/chat/completions"
@@ -119,10 +121,12 @@
 	go m.p.cancelAt(m.ctx, server, id, number)
 }
 
-// costOf is the cost of a model answer: prompt tokens and four times the
-// generated ones.
+// costOf is the cost of a model answer. An engine that counts wrongly neither
+// gives its customers service back nor lets the sums overflow.
 func costOf(u backend.Usage) msg.Cost {
-	return msg.Cost(promptTokenCost*u.Prompt + generatedTokenCost*u.Completion)
+	prompt := min(max(u.Prompt, 0), maxTokens)
+	completion := min(max(u.Completion, 0), maxTokens)
+	return msg.Cost(promptTokenCost*prompt + generatedTokenCost*completion)
 }
 
 // costSoFar is a rough cost until the usage is known.
