router: a drain waits for the results of claims

Found by reading: a handler waits 250 ms for its claim's result to be written, then answers, and the writing is tried on for a minute. The drain ended with the last handler, so that with a slow table the result was lost with the process and the next request with the key was told outcome-unknown, though its answer had been given. The drain now lets the results be written, up to its limit; a second signal still ends it.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -180,6 +180,21 @@
 	return written
 }
 
+// Settle waits until every result is written or given up, or ctx ends, and
+// reports whether all are. Nothing may be finished after. A router that drains
+// calls it once its requests have ended, with Run still running: an answer whose
+// result is lost with the process can't be told to a caller who asks again.
+func (c *Claims) Settle(ctx context.Context) bool {
+	for range maxFinishing { // with all places taken, no result waits
+		select {
+		case c.finishing <- struct{}{}:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // finish tries to write a result until it is there or its time is over.
 func (c *Claims) finish(key claim.Key, holder msg.RequestID, r claim.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -273,3 +273,34 @@
 		assert.Equal(t, tab.state(key), claim.Free)
 	})
 }
+
+// A router that drains loses no result while the table comes back in time, and
+// waits no longer than it may.
+func TestResultsAreSettledBeforeTheEnd(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		within(t, 1, func(t *testing.T, tab *table, routers []*Claims) {
+			c := routers[0]
+			_, _, err := c.Take(t.Context(), key, want("a"))
+			assert.NilError(t, err)
+			down := func(is bool) {
+				tab.mu.Lock()
+				defer tab.mu.Unlock()
+				tab.down = is
+			}
+			down(true)
+			c.Finish(key, "a", claim.Result{State: claim.Done, Answer: &claim.Answer{Status: 200}})
+			if back {
+				time.AfterFunc(10*time.Second, func() { down(false) })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			began := time.Now()
+			assert.Equal(t, c.Settle(ctx), back)
+			if back {
+				assert.Equal(t, tab.state(key), claim.Done)
+				return
+			}
+			assert.Equal(t, time.Since(began), 30*time.Second)
+		})
+	}
+}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -62,8 +62,8 @@
 	}, func(error) { close(failed) })
 }
 
-// drainNow leaves the fleet, lets every request end, and returns a *CutError if
-// some could not.
+// drainNow leaves the fleet, lets every request end and the results of claims be
+// written, and returns a *CutError if some requests could not end.
 func (r *Router) drainNow(srv *entry.Server) error {
 	limit := settings.DefaultFleet().DrainLimit
 	if s := r.follower.Current(); s != nil {
@@ -84,6 +84,7 @@
 	srv.Retire()
 	pause.For(ctx, lameDuck)
 	err := r.shutdown(ctx, srv)
+	r.claims.Settle(ctx) // what is not written by the drain limit stays unknown
 	r.drain.ended.Store(true)
 	events.DrainEnded.Log(ctx, r.log, slog.LevelInfo, "cut", r.drain.cut.Load())
 	pause.For(context.Background(), finalSends)
