proxy: a call that was partly written is not told as a lapsed claim

The lease is checked before each write. Where it ended after the first, the outcome was unknown, as the header said, but the problem was claim-lapsed, whose title says that the request was not sent and whose advice is to come back with the same key. It is server-lost now; claim-lapsed is for calls of which nothing left.

--- a/internal/proxy/mechanism_test.go
+++ b/internal/proxy/mechanism_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -221,3 +222,20 @@
 		assert.Equal(t, costOf(c.usage), c.cost)
 	}
 }
+
+// A lease that ends while the request is being written does not let the caller
+// believe that nothing was sent.
+func TestLapsedClaimIsToldTruthfully(t *testing.T) {
+	for sent, want := range map[attempt.Outcome]string{attempt.NotSent: "claim-lapsed", attempt.Unknown: "server-lost"} {
+		rig := newRig(t)
+		w := httptest.NewRecorder()
+		u := rig.proxy.newRun(w, httptest.NewRequest("POST", bookURL, nil), rig.customer, arrival{time.Now(), time.Minute}, "s/dispatch", serviceRule("POST", true))
+		defer u.close()
+		s := &serviceRun{run: u}
+		u.x.BeginAttempt()
+		assert.Equal(t, s.notAnswered(&backend.Error{Stage: backend.StageSend, Outcome: sent, Err: claim.Lapsed{}}), attempt.Fail)
+		u.fail()
+		assert.Equal(t, u.finish.Problem, want)
+		assert.Equal(t, w.Header().Get("Windscale-Run"), sent.Ran())
+	}
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -271,11 +271,16 @@
 	u.refuse(u.problem(), after)
 }
 
+// lapsed reports whether the lease of the claim stopped the call.
+func (u *run) lapsed() bool {
+	var lapsed claim.Lapsed
+	return u.last != nil && (stderrors.As(u.last, &lapsed) || stderrors.Is(u.last, backend.ErrFence))
+}
+
 // problem returns the type of a failure after all attempts.
 func (u *run) problem() problem.Type {
-	var lapsed claim.Lapsed
 	switch {
-	case u.last != nil && (stderrors.As(u.last, &lapsed) || stderrors.Is(u.last, backend.ErrFence)):
+	case u.lapsed() && !u.x.Outcome().MayHaveRun():
 		return problem.ClaimLapsed
 	case u.expired():
 		return problem.Deadline
