proxy: nothing is queued for a caller once its time is over

put could queue an event after its context had ended, if the buffer just had room. TestSlowCallerHoldsBoundedMemory failed now and then for this; the test is unchanged.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -50,9 +50,10 @@
 	return c
 }
 
-// put queues p. It waits while the buffer is full.
+// put queues p. It waits while the buffer is full. Once ctx has ended it queues
+// nothing and returns CallerGone.
 func (c *callerStream) put(ctx context.Context, p []byte) error {
-	for {
+	for ctx.Err() == nil {
 		if ok, err := c.tryPut(p); ok || err != nil {
 			return err
 		}
@@ -60,9 +61,9 @@
 		case <-c.space:
 		case <-c.done:
 		case <-ctx.Done():
-			return CallerGone{ctx.Err()}
 		}
 	}
+	return CallerGone{ctx.Err()}
 }
 
 // tryPut queues p if there is room.
