proxy: a body that parsers read in two ways is refused

encoding/json ignores the letter case of keys and takes the last of two. With {"model":"forbidden","Model":"allowed"} the customer's list was asked about the allowed model, while an engine that minds case would have run the other one, if it held both. The keys that are read (model, stream, messages) may now come once, and in no other spelling by case; the reading is one pass as before.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -106,19 +106,19 @@
 	}
 	request, ok := parseModel(body)
 	if !ok {
-		p.refuseEarly(w, c, problem.BadRequest, "the body is not a chat completion request")
+		p.refuseEarly(w, c, problem.BadRequest, "the body is no chat completion request, or has a key that is read in two spellings")
 		return
 	}
-	if !allowed(c.Models, request.Model) {
+	if !allowed(c.Models, request.model) {
 		p.refuseEarly(w, c, problem.Forbidden, "the model is not allowed to this customer")
 		return
 	}
-	u := p.newRun(w, r, c, a, msg.ModelPool(request.Model), modelRule)
+	u := p.newRun(w, r, c, a, msg.ModelPool(request.model), modelRule)
 	defer u.close()
 	u.want.Prefix = request.prefix()
 	u.want.Bytes = len(body)
 	m := modelRun{run: u, body: body}
-	if request.Stream {
+	if request.stream {
 		m.serveStream()
 		return
 	}
