--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -22,7 +22,7 @@
 	maxBatch     = 64                   // claims of one transaction
 	maxQueue     = 1024                 // claims waiting for their batch
 	callTime     = time.Second          // of one call to the table
-	maxTries     = 4                    // of one claim
+	maxTries     = 4                    // of one op, before it fails
 	finishTime   = time.Minute          // how long a result is tried to be written
 	maxFinishing = 1024                 // results waiting to be written
 )
@@ -65,6 +65,7 @@
 	Batch(writes int) // a commit took effect
 }
 
+// nopObserver counts nothing.
 type nopObserver struct{}
 
 func (nopObserver) Taken()      {}
--- a/internal/claims/index.go
+++ b/internal/claims/index.go
@@ -20,6 +20,7 @@
 	begun claim.Hour    // the hour in which old state was dropped last
 }
 
+// newIndex returns the index of a run that has written nothing yet.
 func newIndex(table platform.Table, writer claim.Writer, now func() time.Time) *index {
 	return &index{table: table, now: now, core: claim.NewIndex(writer)}
 }
--- a/internal/claims/sweeper.go
+++ b/internal/claims/sweeper.go
@@ -46,6 +46,7 @@
 	Unswept(late time.Duration) // since when the first hour that is not swept is due
 }
 
+// nopSweepObserver counts nothing.
 type nopSweepObserver struct{}
 
 func (nopSweepObserver) Deleted(int)           {}
--- a/internal/core/claim/index.go
+++ b/internal/core/claim/index.go
@@ -105,11 +105,13 @@
 	return nil
 }
 
+// pageKey returns the table key of a writer's page, numbered from 0.
 func pageKey(h Hour, w Writer, page int) string {
 	run := string(w.Router) + "/" + strconv.FormatUint(w.Incarnation, 36)
 	return indexPrefix + strconv.FormatInt(int64(h), 10) + "/" + run + "/" + strconv.Itoa(page)
 }
 
+// manifestKey returns the table key of a shard of the hour's manifest.
 func manifestKey(h Hour, shard int) string {
 	return indexPrefix + strconv.FormatInt(int64(h), 10) + "/" + strconv.Itoa(shard)
 }
@@ -151,6 +153,7 @@
 // (Unix ms) at the most.
 func (x *Index) Hour(keep int64) Hour { return max(HourOf(keep), x.floor) }
 
+// at returns what is held of an hour.
 func (x *Index) at(h Hour) *openHour {
 	if x.hours[h] == nil {
 		x.hours[h] = &openHour{}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -30,6 +30,7 @@
 	cut   atomic.Uint64 // requests cut at the limit
 }
 
+// newDrain returns the state of a router that serves.
 func newDrain() *drain { return &drain{asked: make(chan struct{})} }
 
 // start asks for the drain; only the first call counts.
--- a/internal/router/mirror.go
+++ b/internal/router/mirror.go
@@ -24,6 +24,7 @@
 // once; the error is *metrics.AlreadyPublishedError.
 func (r *Router) Publish() error { return r.metrics.Publish() }
 
+// processState says which process this is.
 func (r *Router) processState() metrics.ProcessState {
 	return metrics.ProcessState{
 		Router:      r.cfg.ID,
@@ -33,6 +34,7 @@
 	}
 }
 
+// linkState sums the link over the kinds of message.
 func linkState(s link.Stats) metrics.LinkState {
 	state := metrics.LinkState{
 		Denied:       s.Refused,
@@ -52,6 +54,7 @@
 	return state
 }
 
+// drainState says how far the shutdown is.
 func (r *Router) drainState() metrics.DrainState {
 	waiting, running := r.sharer.Counts()
 	state := metrics.DrainState{State: "serving", Left: waiting + running, Cut: r.drain.cut.Load()}
@@ -65,6 +68,7 @@
 	return state
 }
 
+// settingsState says which settings are in force and how they came.
 func (r *Router) settingsState() metrics.SettingsState {
 	stats := r.follower.Stats()
 	state := metrics.SettingsState{
@@ -84,6 +88,7 @@
 	return state
 }
 
+// sharingState says what customers got and what servers this router admits to.
 func (r *Router) sharingState() metrics.SharingState {
 	stats := r.sharer.Stats()
 	state := metrics.SharingState{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,6 +123,7 @@
 	return all
 }
 
+// newSharer connects the sharing with the link, the probes and the settings.
 func (r *Router) newSharer() *sharing.Sharer {
 	cfg := share.Config{
 		ID:          r.cfg.ID,
@@ -138,6 +139,7 @@
 	return sharing.New(cfg, effects)
 }
 
+// newProxy connects the proxy with the sharing, the claims and the metrics.
 func (r *Router) newProxy() *proxy.Proxy {
 	return &proxy.Proxy{
 		Picker:   r.sharer,
@@ -150,6 +152,7 @@
 	}
 }
 
+// listen loads the fleet identity and opens the three listeners.
 func (r *Router) listen() error {
 	var err error
 	r.identity, err = certwatch.Fleet(r.cfg.ID, r.cfg.CA, r.cfg.Cert, r.cfg.Key, r.log)
@@ -230,6 +233,7 @@
 	return err
 }
 
+// adminServer returns the server of the operators' API.
 func (r *Router) adminServer() *http.Server {
 	auth := admin.Auth{Token: r.cfg.AdminToken, TLS: r.identity, Log: r.log}
 	return &http.Server{
--- a/internal/router/served.go
+++ b/internal/router/served.go
@@ -14,6 +14,7 @@
 	by map[msg.PoolID]map[msg.CustomerID]msg.Cost
 }
 
+// newServed returns empty sums.
 func newServed() *served { return &served{by: map[msg.PoolID]map[msg.CustomerID]msg.Cost{}} }
 
 // add counts what one request has cost.
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -30,6 +30,7 @@
 	Source  []byte `cbor:"3,keyasint,omitempty"`
 }
 
+// newFollower connects the settings with the platform and the peers.
 func (r *Router) newFollower() *settingsstore.Follower {
 	return settingsstore.NewFollower(settingsstore.Config{
 		Table:   r.platform,
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -71,6 +71,7 @@
 // leaving reports whether the server is to get no new work.
 func (s watched) leaving() bool { return s.listedLeaving || s.saysLeaving }
 
+// newServerWatch returns a watch that has seen no server.
 func newServerWatch(log *slog.Logger) *serverWatch {
 	return &serverWatch{log: log, last: map[msg.ServerID]watched{}}
 }
