--- a/internal/proxy/mechanism_test.go
+++ b/internal/proxy/mechanism_test.go
@@ -229,7 +229,7 @@
 	for sent, want := range map[attempt.Outcome]string{attempt.NotSent: "claim-lapsed", attempt.Unknown: "server-lost"} {
 		rig := newRig(t)
 		w := httptest.NewRecorder()
-		u := rig.proxy.newRun(w, httptest.NewRequest("POST", bookURL, nil), rig.customer, arrival{time.Now(), time.Minute}, "s/dispatch", serviceRule("POST", true))
+		u := rig.proxy.newRun(w, httptest.NewRequest("POST", bookURL, nil), rig.customer, arrival{at: time.Now(), limit: time.Minute}, "s/dispatch", serviceRule("POST", true))
 		defer u.close()
 		s := &serviceRun{run: u}
 		u.x.BeginAttempt()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,11 +100,7 @@
 	if !ok {
 		return
 	}
-	body, ok := p.readBody(w, r, c, a)
-	if !ok {
-		return
-	}
-	request, ok := parseModel(body)
+	request, ok := parseModel(a.body)
 	if !ok {
 		p.refuseEarly(w, c, problem.BadRequest, "the body is no chat completion request, or has a key that is read in two spellings")
 		return
@@ -116,8 +112,7 @@
 	u := p.newRun(w, r, c, a, msg.ModelPool(request.model), modelRule)
 	defer u.close()
 	u.want.Prefix = request.prefix()
-	u.want.Bytes = len(body)
-	m := modelRun{run: u, body: body}
+	m := modelRun{run: u, body: a.body}
 	if request.stream {
 		m.serveStream()
 		return
@@ -141,10 +136,6 @@
 	if !ok {
 		return
 	}
-	body, ok := p.readBody(w, r, c, a)
-	if !ok {
-		return
-	}
 	once := isOnce(known.Once, r.Method, decoded)
 	key, ok := idempotencyKey(r.Header.Values(headerKey))
 	if once && !ok {
@@ -153,8 +144,7 @@
 	}
 	u := p.newRun(w, r, c, a, msg.ServicePool(service), serviceRule(r.Method, once))
 	defer u.close()
-	u.want.Bytes = len(body)
-	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
+	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: a.body, once: once}
 	if once && key != "" {
 		u.keepRunning()
 		s.serveClaimed(key)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -49,28 +49,31 @@
 	return false
 }
 
-// arrival is when a request came and how long it may take in all.
+// arrival is a request that came whole.
 type arrival struct {
-	at    time.Time
-	limit time.Duration
+	at    time.Time     // when it came
+	limit time.Duration // how long it may take in all
+	body  []byte
 }
 
-// arrived reads the request's time limit. On failure it has refused the
-// request.
+// arrived reads the request's time limit and its body. On failure it has refused
+// the request.
 func (p *Proxy) arrived(w http.ResponseWriter, r *http.Request, c *settings.Customer) (arrival, bool) {
 	limit, ok := timeLimit(r.Header, c.RequestTime)
 	if !ok {
 		p.refuseEarly(w, c, problem.BadTimeout, "")
 		return arrival{}, false
 	}
-	return arrival{at: p.Now(), limit: limit}, true
+	a := arrival{at: p.Now(), limit: limit}
+	a.body, ok = p.readBody(w, r, c, limit)
+	return a, ok
 }
 
 // readBody reads the body whole, within the request's time; the entry has
 // capped its size. On failure it has refused the request.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *settings.Customer, a arrival) ([]byte, bool) {
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *settings.Customer, limit time.Duration) ([]byte, bool) {
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(a.limit)) // writers in tests have none
+	_ = rc.SetReadDeadline(time.Now().Add(limit)) // writers in tests have none
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -52,6 +52,7 @@
 			Pool:     pool,
 			Customer: c.Path,
 			Weight:   c.Weight,
+			Bytes:    len(a.body),
 			Limits: dispatch.Limits{
 				QueueLen:    c.QueueLen,
 				QueueTime:   c.QueueTime,
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -136,7 +136,7 @@
 func TestFailureIsOfItsOwnAttempt(t *testing.T) {
 	rig := newRig(t)
 	r := httptest.NewRequest("GET", jobURL, nil)
-	u := rig.proxy.newRun(httptest.NewRecorder(), r, rig.customer, arrival{time.Now(), time.Minute}, "s/dispatch", serviceRule("GET", false))
+	u := rig.proxy.newRun(httptest.NewRecorder(), r, rig.customer, arrival{at: time.Now(), limit: time.Minute}, "s/dispatch", serviceRule("GET", false))
 	defer u.close()
 	refused := &backend.Error{Outcome: attempt.Refused, Leaving: true}
 	for i, try := range []func(*slot) attempt.Action{
