--- a/internal/core/share/bench_test.go
+++ b/internal/core/share/bench_test.go
@@ -13,9 +13,14 @@
 // the servers.
 func fleetOf(w workload, config share.Config) *fleet {
 	f := newFleet(1, w.routers, config)
+	addrs := map[msg.ServerID]share.Addr{}
 	for i := range w.servers {
+		addrs[msg.ServerID(fmt.Sprintf("s%d", i))] = share.Addr("\x0a\x00\x00\x01\x1f\x90")
 		f.addServer(fmt.Sprintf("s%d", i), w.slots, w.rate, w.pool(i%w.pools))
 	}
+	for _, n := range f.nodes {
+		n.SetAddrs(addrs)
+	}
 	f.setServers()
 	f.run(2 * time.Second)
 	return f
