--- a/test/cmd/slopes/design.go
+++ b/test/cmd/slopes/design.go
@@ -169,7 +169,7 @@
 
 func (f *figures) claims() {
 	rows := f.at("claim-rows", 1)
-	f.add("claims", "rows written for a call", rows, "", "the claim and its result")
+	f.add("claims", "rows written for a call", rows, "", "the claim, its result, the index")
 	f.add("claims", "calls until the table's writes are full, rows counted", tableWrites/rows, "/s", "300 writes/s, the low end of several hundred, ÷ rows a call")
 	f.add("claims", "calls a node may make of those", tableWrites/rows/designRouters, "/s", "÷ 410: batches of one")
 	f.add("claims", "transactions a call at 10 calls/s a router", f.at("claim-commits", 10), "", "the line")
@@ -267,7 +267,7 @@
 func directTable(c control) string {
 	f := &figures{}
 	f.rows.WriteString("| role | figure | value | from |\n|---|---|---|---|\n")
-	from := fmt.Sprintf("%d simulated routers, %d servers, %s after %s", designRouters, designServers, simRun, simWarm)
+	from := fmt.Sprintf("%d simulated routers, %d servers, %s after %s", designRouters, designServers, simWindow*simWindows, simWarm)
 	f.add("admission", "grants, the fleet", c.grants, "/s", from)
 	f.add("counters", "sent for sharing", c.bytes, "bytes/s", from)
 	f.add("counters", "messages sent", c.messages, "/s", from)
--- a/test/cmd/slopes/fleet.go
+++ b/test/cmd/slopes/fleet.go
@@ -261,28 +261,37 @@
 	parts    map[string]float64 // of bytes
 }
 
-// measure runs the fleet until it is in a steady state, and then for d.
-func (f *simFleet) measure(warm, d time.Duration) control {
+// measure runs the fleet until it is in a steady state, and then for some
+// windows. Processor time is that of the window that took least: what else the
+// machine does only ever adds.
+func (f *simFleet) measure(warm, window time.Duration, windows int) control {
 	f.populate()
 	f.run(warm)
-	f.messages, f.bytes, f.grants, f.compute = 0, 0, 0, 0
+	f.messages, f.bytes, f.grants = 0, 0, 0
 	f.parts = map[string]int{}
 	f.pairs = map[[2]int]bool{}
-	f.run(d)
-	per := d.Seconds() * float64(f.size.routers)
+	var least time.Duration
+	for i := range windows {
+		f.compute = 0
+		f.run(window)
+		if i == 0 || f.compute < least {
+			least = f.compute
+		}
+	}
+	routers, all := float64(f.size.routers), window.Seconds()*float64(windows)
 	c := control{
-		bytes:    float64(f.bytes) / per,
-		messages: float64(f.messages) / per,
-		core:     f.compute.Seconds() / per,
-		grants:   float64(f.grants) / d.Seconds(),
-		peers:    2 * float64(len(f.pairs)) / float64(f.size.routers),
+		bytes:    float64(f.bytes) / (all * routers),
+		messages: float64(f.messages) / (all * routers),
+		core:     least.Seconds() / (window.Seconds() * routers),
+		grants:   float64(f.grants) / all,
+		peers:    2 * float64(len(f.pairs)) / routers,
 		parts:    map[string]float64{},
 	}
 	for name, n := range f.parts {
-		c.parts[name] = float64(n) / per
+		c.parts[name] = float64(n) / (all * routers)
 	}
 	with := heap()
 	f.nodes = nil
-	c.memory = (with - heap()) / float64(f.size.routers)
+	c.memory = (with - heap()) / routers
 	return c
 }
--- a/test/cmd/slopes/main.go
+++ b/test/cmd/slopes/main.go
@@ -92,7 +92,7 @@
 
 // direct simulates the whole fleet of the design and writes what it spends.
 func direct(page string) error {
-	c := newFleet(scaled(designRouters, designBacklogged)).measure(simWarm, simRun)
+	c := newFleet(scaled(designRouters, designBacklogged)).measure(simWarm, simWindow, simWindows)
 	table := directTable(c)
 	fmt.Print(table)
 	if page == "" {
--- a/test/cmd/slopes/sharing.go
+++ b/test/cmd/slopes/sharing.go
@@ -142,8 +142,9 @@
 
 // The time that a simulated fleet is given to settle, and measured for.
 const (
-	simWarm = 8 * time.Second // two merges
-	simRun  = 8 * time.Second
+	simWarm    = 8 * time.Second // two merges
+	simWindow  = share.DefaultMergeInterval
+	simWindows = 2
 )
 
 // scaled is a fleet of the design's shape with the given number of routers.
@@ -164,10 +165,10 @@
 	routers, customers := []int{24, 48, 96, 144}, []int{25, 100, 200}
 	byRouters, byCustomers := map[int]control{}, map[int]control{}
 	for _, n := range routers {
-		byRouters[n] = newFleet(scaled(n, designBacklogged)).measure(simWarm, simRun)
+		byRouters[n] = newFleet(scaled(n, designBacklogged)).measure(simWarm, simWindow, simWindows)
 	}
 	for _, n := range customers {
-		byCustomers[n] = newFleet(scaled(24, n)).measure(simWarm, simRun)
+		byCustomers[n] = newFleet(scaled(24, n)).measure(simWarm, simWindow, simWindows)
 	}
 	largest = byRouters[routers[len(routers)-1]]
 	field := func(m map[int]control, get func(control) float64) func(int) float64 {
