--- a/internal/claims/bounds_test.go
+++ b/internal/claims/bounds_test.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -9,13 +10,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/claim"
+	"github.com/windscale/windscale/internal/platform"
 )
 
 // While nothing is served, claims beyond the queue are refused at once, and
 // results beyond their bound are given up at once.
 func TestWhatWaitsForTheTableIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(&table{}, claim.Writer{}, time.Now, slog.New(slog.DiscardHandler))
+		c := New(&table{rows: map[string]platform.Row{}}, claim.Writer{}, time.Now, slog.New(slog.DiscardHandler))
 		for range maxQueue {
 			assert.Assert(t, c.submit(&op{}))
 		}
@@ -29,6 +31,12 @@
 		default:
 			t.Fatal("one more waits")
 		}
-		time.Sleep(2 * finishTime)
+		for len(c.ops) > 0 {
+			<-c.ops
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = c.Run(ctx) }()
+		time.Sleep(finishTime) // what waits is written
+		cancel()
 	})
 }
