--- a/internal/router/inforce_test.go
+++ b/internal/router/inforce_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,6 +36,8 @@
 	b := blocking{make(chan struct{})}
 	f.addServer("d1", b)
 	r1 := f.start("r1", "")
+	release := sync.OnceFunc(func() { close(b.release) })
+	t.Cleanup(release) // before the router's drain, which waits for the calls
 	r1.untilReady(t, 1)
 	code := func(path string, header map[string]string) int {
 		got, _ := r1.call(t, "GET", "/services/dispatch"+path, "", header)
@@ -62,6 +65,6 @@
 	got, body := r1.call(t, "GET", "/services/dispatch/jobs/1", "", nil)
 	assert.Equal(t, got, 503)
 	assert.Assert(t, strings.Contains(body, "router-full"), body)
-	close(b.release)
+	release()
 	assert.DeepEqual(t, []int{<-ends, <-ends}, []int{200, 200})
 }
