--- a/internal/proxy/bounds_test.go
+++ b/internal/proxy/bounds_test.go
@@ -59,7 +59,7 @@
 	assert.Assert(t, taken <= maxSpool+len(chunk), "%d bytes", taken)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.ErrorType(t, c.put(ctx, chunk), Gone{})
+	assert.ErrorType(t, c.put(ctx, chunk), CallerGone{})
 	close(w.let)
 	assert.NilError(t, c.drain())
 	assert.Assert(t, !w.bare.Load())
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -18,10 +18,11 @@
 	"github.com/windscale/windscale/internal/problem"
 )
 
-// comeBack is the Retry-After of refusals that know nothing better.
-const comeBack = time.Second
+// defaultRetryAfter is the Retry-After of refusals that know nothing better.
+const defaultRetryAfter = time.Second
 
-// run is one request on its way. It belongs to the request's goroutine.
+// run is one request, over all its attempts. It belongs to the request's
+// goroutine.
 type run struct {
 	p        *Proxy
 	w        http.ResponseWriter
@@ -34,7 +35,7 @@
 	deadline time.Time
 	want     dispatch.Request
 	x        *attempt.Exchange
-	last     *backend.Error // of the attempt that failed last
+	last     *backend.Error // of the last attempt; nil: it had no failure
 	finish   Finish
 }
 
@@ -88,8 +89,8 @@
 			u.noSlot(refusal)
 			return false
 		}
-		u.x.Begin()
-		action := u.one(s, try)
+		u.x.BeginAttempt()
+		action := u.attemptOnce(s, try)
 		if action == attempt.Retry && !u.mayRetry() {
 			action = u.x.Step(u.event(attempt.Denied))
 		}
@@ -107,15 +108,23 @@
 	}
 }
 
-// one runs one attempt and ends its slot, whatever happens.
-func (u *run) one(s *slot, try func(*slot) attempt.Action) attempt.Action {
-	defer s.end(attempt.Unknown, nil)
+// attemptOnce runs one attempt and ends its slot, also where try panics to break
+// the caller's connection.
+func (u *run) attemptOnce(s *slot, try func(*slot) attempt.Action) attempt.Action {
+	u.last = nil // an earlier attempt's failure says nothing of this server
 	u.p.Observer.Running(u.want.Customer, 1)
-	defer u.p.Observer.Running(u.want.Customer, -1)
+	outcome := attempt.Unknown
+	defer func() { u.attemptEnded(s, outcome) }()
 	action := try(s)
-	outcome := u.x.Last()
+	outcome = u.x.Last()
+	return action
+}
+
+// attemptEnded ends the slot and tells the observer.
+func (u *run) attemptEnded(s *slot, outcome attempt.Outcome) {
 	failure := u.failureOf(outcome)
 	s.end(outcome, failure)
+	u.p.Observer.Running(u.want.Customer, -1)
 	u.p.Observer.Attempt(Attempt{
 		Pool:    u.want.Pool,
 		Server:  s.Server().ID,
@@ -124,10 +133,9 @@
 	})
 	u.finish.Cost += s.cost
 	u.want.Avoid = append(u.want.Avoid, s.Server().ID)
-	return action
 }
 
-// failureOf returns the last failure, unless the attempt ended well.
+// failureOf returns the attempt's last failure, nil if it ended well or had none.
 func (u *run) failureOf(o attempt.Outcome) *backend.Error {
 	if o == attempt.Ended {
 		return nil
@@ -230,11 +238,10 @@
 // slotProblems are the types of what the picker refuses.
 var slotProblems = map[dispatch.Reason]problem.Type{
 	dispatch.QueueFull:    problem.QueueFull,
-	dispatch.FleetFull:    problem.RouterFull,
+	dispatch.RouterFull:   problem.RouterFull,
 	dispatch.QueueTimeout: problem.QueueTimeout,
 	dispatch.NoServer:     problem.NoServer,
-	dispatch.Gone:         problem.Deadline,
-	dispatch.Draining:     problem.Draining,
+	dispatch.CallerGone:   problem.Deadline,
 }
 
 // noSlot tells the caller that no slot was had. After an earlier attempt it
@@ -245,19 +252,19 @@
 		return
 	}
 	t := slotProblems[r.Reason]
-	if r.Reason == dispatch.Gone && u.ctx.Err() == nil {
+	if r.Reason == dispatch.CallerGone && u.ctx.Err() == nil {
 		t = problem.QueueTimeout
 	}
 	after := r.RetryAfter
 	if after <= 0 {
-		after = comeBack
+		after = defaultRetryAfter
 	}
 	u.refuse(t, after)
 }
 
 // fail tells the caller that the attempts did not bring an answer.
 func (u *run) fail() {
-	after := comeBack
+	after := defaultRetryAfter
 	if u.last != nil && u.last.RetryAfter > 0 {
 		after = u.last.RetryAfter
 	}
@@ -301,48 +308,3 @@
 	events.AnswerBroken.Log(u.ctx, u.p.Log, slog.LevelWarn, "request", u.want.ID, "pool", u.want.Pool)
 	panic(http.ErrAbortHandler)
 }
-
-// slot is a slot that is ended once.
-type slot struct {
-	dispatch.Slot
-	now   func() time.Time
-	began time.Time
-	first time.Duration
-	cost  msg.Cost
-	ended bool
-}
-
-// progress reports the total cost so far.
-func (s *slot) progress(c msg.Cost) {
-	s.cost = c
-	s.Progress(c)
-}
-
-// sawFirst notes that the first token or byte came.
-func (s *slot) sawFirst() {
-	if s.first == 0 {
-		s.first = s.now().Sub(s.began)
-	}
-}
-
-// end gives the slot back. Later calls do nothing.
-func (s *slot) end(o attempt.Outcome, failure *backend.Error) {
-	if s.ended {
-		return
-	}
-	s.ended = true
-	if o == attempt.NotSent || o == attempt.Refused {
-		s.cost = 0
-	}
-	result := dispatch.Result{
-		Outcome: o,
-		Cost:    s.cost,
-		First:   s.first,
-		Total:   s.now().Sub(s.began),
-	}
-	if failure != nil {
-		result.Leaving = failure.Leaving
-		result.Busy = failure.Busy
-	}
-	s.End(result)
-}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -19,9 +19,9 @@
 	path    string // decoded
 	rawPath string // as it is sent
 	body    []byte
-	once    bool
-	guard   func() error
-	fence   string
+	once    bool         // the settings list it as not to be repeated
+	guard   func() error // asked before each write, see backend.Call; nil: none
+	fence   string       // fencing number of the claim; empty: the server checks none
 	answer  wholeAnswer
 	sent    bool     // the answer was long and went out as it came
 	claim   *claimed // nil: no key, or it need not be claimed
@@ -49,7 +49,7 @@
 		call.Header.Set(backend.HeaderFence, s.fence)
 	}
 	call.Body = s.body
-	call.Fresh = s.once
+	call.NewConn = s.once
 	call.Guard = s.guard
 	call.ChecksFence = s.fence != ""
 	call.Refused = s.service.RefusedStatus
@@ -71,9 +71,9 @@
 	var lapsed claim.Lapsed
 	switch {
 	case stderrors.As(failure, &lapsed):
-		s.logLapsed(events.ClaimLapsed)
+		s.logLease(events.ClaimLapsed)
 	case stderrors.Is(failure, backend.ErrFence):
-		s.logLapsed(events.ClaimFenced)
+		s.logLease(events.ClaimFenced)
 	default:
 		return s.failed(failure)
 	}
@@ -85,13 +85,14 @@
 }
 
 // read takes the answer whole before any of it goes out, if it is not too long.
+// The slot's cost is told also where the caller's connection is broken.
 func (s *serviceRun) read(slot *slot, answer *backend.Answer) attempt.Action {
+	defer func() { slot.progress(busy(slot)) }()
 	body, whole, failure := answer.ReadUpTo(maxBuffered)
 	if failure == nil && !whole {
 		s.sendLong(answer, body)
 		s.sent = true
 	}
-	slot.progress(busy(slot))
 	if failure != nil {
 		return s.failed(failure)
 	}
