cli: one parser, one set of exit codes for four programs

windscale-load, -standin, -cert and -burn each had the same parsing, help and exit codes written out. windscale-load now says what is wrong instead of printing the nil error and an empty list.

--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -4,24 +4,17 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/version"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1 // the report could not be made
-	exitUsage  = 2 // wrong flags or unreadable input
-)
+const program = "windscale-burn"
 
 const description = `Reports the service-level burn of every customer and group.
 
@@ -52,35 +45,18 @@
 func run(args []string) int {
 	opts := defaults()
 	opts.Version = func() {
-		fmt.Println("windscale-burn", version.String())
-		os.Exit(exitOK)
+		fmt.Println(program, version.String())
+		os.Exit(cli.ExitOK)
 	}
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = description
-	if _, err := parser.ParseArgs(args); err != nil {
-		return usage(err)
+	if _, err := cli.NewParser(&opts, description).ParseArgs(args); err != nil {
+		return cli.Report(program, err, os.Stdout, os.Stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	r, err := newReporter(ctx, opts, log)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "windscale-burn:", err)
-		return exitUsage
-	}
-	if err := r.run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "windscale-burn:", err)
-		return exitFailed
-	}
-	return exitOK
-}
-
-func usage(err error) int {
-	var f *flags.Error
-	if errors.As(err, &f) && f.Type == flags.ErrHelp {
-		fmt.Println(f.Message)
-		return exitOK
+	if err != nil { // only flags and files were read yet
+		return cli.Report(program, &cli.UsageError{What: err.Error()}, os.Stdout, os.Stderr)
 	}
-	fmt.Fprintln(os.Stderr, "windscale-burn:", err)
-	return exitUsage
+	return cli.Report(program, r.run(ctx), os.Stdout, os.Stderr)
 }
--- a/cmd/windscale-burn/main_test.go
+++ b/cmd/windscale-burn/main_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/burn"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/metrics"
@@ -86,13 +87,13 @@
 	f := newFixture(t)
 	args := []string{"--platform", f.platform, "--admin-token-file", f.path("token"),
 		"--samples", f.path("samples"), "--readings", "1", "--output", "json", "--out", f.path("out")}
-	assert.Equal(t, run(args), exitFailed, "no settings yet")
+	assert.Equal(t, run(args), cli.ExitFailed, "no settings yet")
 	f.accept(t)
-	assert.Equal(t, run(args), exitOK)
+	assert.Equal(t, run(args), cli.ExitOK)
 	f.customer.Request()
 	f.customer.Answered(time.Second)
 	f.customer.FirstToken(time.Minute, time.Second)
-	assert.Equal(t, run(args), exitOK) // the readings last between the runs
+	assert.Equal(t, run(args), cli.ExitOK) // the readings last between the runs
 	b, err := os.ReadFile(f.path("out"))
 	assert.NilError(t, err)
 	var report struct {
@@ -117,7 +118,7 @@
 	assert.Assert(t, found)
 
 	html := append(args, "--output", "html")
-	assert.Equal(t, run(html), exitOK)
+	assert.Equal(t, run(html), cli.ExitOK)
 	b, err = os.ReadFile(f.path("out"))
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(string(b), "<svg"))
@@ -127,7 +128,7 @@
 	f := newFixture(t)
 	args := []string{"--router", f.router, "--settings", f.path("settings.ini"), "--admin-token-file", f.path("token"),
 		"--interval", "1ms", "--out", f.path("out")}
-	assert.Equal(t, run(args), exitOK)
+	assert.Equal(t, run(args), cli.ExitOK)
 	b, err := os.ReadFile(f.path("out"))
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(string(b), "g/desk"), string(b))
@@ -148,8 +149,8 @@
 		append(token, "--platform", f.platform, "--samples", f.path("bad.ini")),
 		append(token, "--platform", f.platform, "--output", "xml"),
 	} {
-		assert.Equal(t, run(args), exitUsage, "%v", args)
+		assert.Equal(t, run(args), cli.ExitUsage, "%v", args)
 	}
-	assert.Equal(t, run([]string{"--help"}), exitOK)
-	assert.Equal(t, run(append(token, "--platform", "http://127.0.0.1:1")), exitFailed)
+	assert.Equal(t, run([]string{"--help"}), cli.ExitOK)
+	assert.Equal(t, run(append(token, "--platform", "http://127.0.0.1:1")), cli.ExitFailed)
 }
--- a/cmd/windscale-burn/tls_test.go
+++ b/cmd/windscale-burn/tls_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/fleetcert"
 )
 
@@ -41,10 +42,10 @@
 
 	args := []string{"--settings", f.path("settings.ini"), "--interval", "1ms", "--out", f.path("out"),
 		"--ca", f.path("ca.pem"), "--cert", f.path("ana.pem"), "--key", f.path("ana-key.pem")}
-	assert.Equal(t, run(append(args, "--router", url)), exitOK)
+	assert.Equal(t, run(append(args, "--router", url)), cli.ExitOK)
 	report, err := os.ReadFile(f.path("out"))
 	assert.NilError(t, err)
 	assert.Assert(t, !strings.Contains(string(report), "missing"), string(report))
-	assert.Equal(t, run(append(args, "--router", server.URL)), exitUsage) // plain HTTP
-	assert.Equal(t, run(args[:len(args)-2]), exitUsage)                   // no key
+	assert.Equal(t, run(append(args, "--router", server.URL)), cli.ExitUsage) // plain HTTP
+	assert.Equal(t, run(args[:len(args)-2]), cli.ExitUsage)                   // no key
 }
--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -5,25 +5,19 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/fleetcert"
 	"github.com/windscale/windscale/internal/version"
 )
 
 const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-
 	caCertName = "ca.pem"
 	caKeyName  = "ca-key.pem"
 
@@ -94,7 +88,7 @@
 	for _, text := range c.IPs {
 		ip := net.ParseIP(text)
 		if ip == nil {
-			return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--ip: not an IP number: " + text}
+			return &cli.UsageError{What: "--ip: not an IP number: " + text}
 		}
 		ips = append(ips, ip)
 	}
@@ -174,33 +168,15 @@
 // run does one command and returns the exit code.
 func run(args []string) int {
 	var opts options
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = examples
+	parser := cli.NewParser(&opts, examples)
 	parser.SubcommandsOptional = true
 	_, err := parser.ParseArgs(args)
 	if err == nil && opts.Version {
 		fmt.Println("windscale-cert", version.String())
-		return exitOK
+		return cli.ExitOK
 	}
 	if err == nil && parser.Active == nil {
-		err = &flags.Error{Type: flags.ErrCommandRequired, Message: "a command is required; see --help"}
-	}
-	return report(err)
-}
-
-func report(err error) int {
-	if err == nil {
-		return exitOK
-	}
-	var usage *flags.Error
-	if !errors.As(err, &usage) {
-		fmt.Fprintln(os.Stderr, "windscale-cert:", err)
-		return exitFailed
-	}
-	if usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return exitOK
+		err = &cli.UsageError{What: "a command is required; see --help"}
 	}
-	fmt.Fprintln(os.Stderr, "windscale-cert:", usage.Message)
-	return exitUsage
+	return cli.Report("windscale-cert", err, os.Stdout, os.Stderr)
 }
--- a/cmd/windscale-load/main.go
+++ b/cmd/windscale-load/main.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,18 +17,12 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/load"
 	"github.com/windscale/windscale/internal/version"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const outputJSON = "json"
 
 const examples = `Plays callers by a plan and checks every answer byte for byte.
@@ -43,7 +36,7 @@
 
 type options struct {
 	Version        func()        `long:"version" description:"print the version and exit"`
-	Plan           string        `long:"plan" description:"INI file: one section per stream of callers"`
+	Plan           string        `long:"plan" required:"true" value-name:"FILE" description:"INI file: one section per stream of callers"`
 	Duration       time.Duration `long:"duration" default:"20s" description:"how long requests are sent"`
 	Grace          time.Duration `long:"grace" default:"30s" description:"how long answers are awaited after that"`
 	Seed           uint64        `long:"seed" default:"1" description:"seed of the requests and their times"`
@@ -59,23 +52,26 @@
 		fmt.Println("windscale-load", version.String())
 		os.Exit(0)
 	}
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = examples
-	rest, err := parser.Parse()
-	var usage *flags.Error
-	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return
+	rest, err := cli.NewParser(&opts, examples).Parse()
+	if err == nil {
+		err = opts.check(rest)
 	}
-	if err != nil || len(rest) > 0 || !opts.usable() {
-		fmt.Fprintln(os.Stderr, "wrong usage; see windscale-load --help:", err, rest)
-		os.Exit(exitUsage)
+	if err != nil {
+		os.Exit(cli.Report("windscale-load", err, os.Stdout, os.Stderr))
 	}
 	os.Exit(play(opts))
 }
 
-func (o options) usable() bool {
-	return o.Plan != "" && o.Duration > 0 && o.Grace >= 0 && o.MaxOutstanding > 0
+func (o options) check(rest []string) error {
+	switch {
+	case len(rest) > 0:
+		return &cli.UsageError{What: "unexpected argument " + rest[0]}
+	case o.Duration <= 0 || o.MaxOutstanding <= 0:
+		return &cli.UsageError{What: "--duration and --max-outstanding must be above 0"}
+	case o.Grace < 0:
+		return &cli.UsageError{What: "--grace must not be below 0"}
+	}
+	return nil
 }
 
 // play runs the plan and returns the exit code.
@@ -89,24 +85,24 @@
 	}
 	data, err := os.ReadFile(opts.Plan)
 	if err != nil {
-		return fail(exitUsage, err)
+		return fail(cli.ExitUsage, err)
 	}
 	sections, err := load.ParsePlan(data)
 	if err != nil {
-		return fail(exitUsage, err)
+		return fail(cli.ExitUsage, err)
 	}
 	report, err := load.Run(ctx, sections, opts.load())
 	if err != nil {
-		return fail(exitFailed, err)
+		return fail(cli.ExitFailed, err)
 	}
 	events.LoadEnded.Log(ctx, log, slog.LevelInfo, "wrong", report.Wrong)
 	if err := opts.write(report); err != nil {
-		return fail(exitFailed, err)
+		return fail(cli.ExitFailed, err)
 	}
 	if report.Wrong > 0 {
-		return exitFailed
+		return cli.ExitFailed
 	}
-	return 0
+	return cli.ExitOK
 }
 
 func (o options) load() load.Options {
--- a/cmd/windscale-standin/commands.go
+++ b/cmd/windscale-standin/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/standin/engine"
 	"github.com/windscale/windscale/internal/standin/platform"
 	"github.com/windscale/windscale/internal/standin/service"
@@ -41,7 +42,7 @@
 // Execute implements flags.Commander.
 func (e *engineCommand) Execute([]string) error {
 	if e.Slots < 1 || e.Rate <= 0 || e.Knee < 0 {
-		return &usageError{what: "--slots and --rate must be above 0, --knee not below"}
+		return &cli.UsageError{What: "--slots and --rate must be above 0, --knee not below"}
 	}
 	eng := engine.New(engine.Options{
 		ID: e.ID, Models: splitList(e.Models), Slots: e.Slots, Rate: e.Rate, Knee: e.Knee, Prefill: e.Prefill,
@@ -64,7 +65,7 @@
 // Execute implements flags.Commander.
 func (s *serviceCommand) Execute([]string) error {
 	if s.Slots < 1 {
-		return &usageError{what: "--slots must be above 0"}
+		return &cli.UsageError{What: "--slots must be above 0"}
 	}
 	svc := service.New(service.Options{
 		ID: s.ID, Name: s.Name, Slots: s.Slots, Delay: s.Delay, ReportLag: s.ReportLag, ChecksFence: s.ChecksFence,
--- a/cmd/windscale-standin/main.go
+++ b/cmd/windscale-standin/main.go
@@ -7,22 +7,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/version"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const examples = `Stand-ins for the platform and for backend servers.
 
 Examples:
@@ -47,33 +40,18 @@
 		fmt.Println("windscale-standin", version.String())
 		os.Exit(0)
 	}
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = examples
-	_, err := parser.Parse()
+	_, err := cli.NewParser(&opts, examples).Parse()
 	os.Exit(exitCode(err))
 }
 
-// exitCode tells the user of a failure and returns the exit code.
+// exitCode tells the user of a failure and returns the exit code. What fails
+// after the start is logged as an event.
 func exitCode(err error) int {
-	if err == nil {
-		return 0
-	}
-	var option *usageError
-	if errors.As(err, &option) {
-		fmt.Fprintln(os.Stderr, option)
-		return exitUsage
-	}
-	var usage *flags.Error
-	if !errors.As(err, &usage) {
-		events.ProcessFailed.Log(context.Background(), logger(), slog.LevelError, "err", err)
-		return exitFailed
-	}
-	if usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return 0
+	if cli.ExitCode(err) != cli.ExitFailed {
+		return cli.Report("windscale-standin", err, os.Stdout, os.Stderr)
 	}
-	fmt.Fprintln(os.Stderr, usage.Message)
-	return exitUsage
+	events.ProcessFailed.Log(context.Background(), logger(), slog.LevelError, "err", err)
+	return cli.ExitFailed
 }
 
 func logger() *slog.Logger { return slog.New(slog.NewJSONHandler(os.Stderr, nil)) }
--- a/cmd/windscale-standin/serve.go
+++ b/cmd/windscale-standin/serve.go
@@ -26,14 +26,6 @@
 	leaveNotice = 500 * time.Millisecond
 )
 
-// usageError is an option whose value can't be used.
-type usageError struct {
-	what string
-}
-
-// Error implements error.
-func (e *usageError) Error() string { return e.what }
-
 // drainer is a stand-in that can be told to leave.
 type drainer interface {
 	Leave()
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,66 @@
+// Package cli is what the programs' command lines have in common: the parser,
+// the exit codes, and what goes to which output. Only package main and the
+// command lines' own packages use it, from the main goroutine.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of every program.
+const (
+	ExitOK     = 0
+	ExitFailed = 1 // the operation failed
+	ExitUsage  = 2 // wrong usage or input
+)
+
+// UsageError says that the command line can't be used as it stands.
+type UsageError struct{ What string }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.What }
+
+// NewParser returns a parser that fills opts, a pointer to a struct with the
+// tags of go-flags. The help begins with description.
+func NewParser(opts any, description string) *flags.Parser {
+	p := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = description
+	return p
+}
+
+// ExitCode returns the exit code for err: [ExitOK] for nil and for a request
+// for help, [ExitUsage] for what the parser or a [UsageError] refuses, and
+// [ExitFailed] for anything else.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	if e, ok := errors.AsType[*flags.Error](err); ok {
+		if e.Type == flags.ErrHelp {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	if _, ok := errors.AsType[*UsageError](err); ok {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// Report tells the user of err, after the program's name, and returns its exit
+// code. Help goes to out, all else to errOut.
+func Report(program string, err error, out, errOut io.Writer) int {
+	code := ExitCode(err)
+	switch {
+	case err == nil:
+	case code == ExitOK:
+		_, _ = fmt.Fprintln(out, err)
+	default:
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", program, err)
+	}
+	return code
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// failure is what the command under test returns.
+type failure struct{}
+
+func (failure) Error() string { return "no such luck" }
+
+type runCommand struct {
+	Fail bool                  `long:"fail"`
+	Args struct{ File string } `positional-args:"yes"`
+	ran  bool
+}
+
+func (c *runCommand) Execute([]string) error {
+	c.ran = true
+	if c.Fail {
+		return errors.Annotate(failure{}, "run")
+	}
+	return nil
+}
+
+func TestExitCodesAndOutputs(t *testing.T) {
+	cases := []struct {
+		args     string
+		code     int
+		ran      bool
+		out, err string // parts of what is printed
+	}{
+		{"run", ExitOK, true, "", ""},
+		{"run file", ExitOK, true, "", ""},
+		{"--help", ExitOK, false, "What it does.", ""},
+		{"run --help", ExitOK, false, "--fail", ""},
+		{"run --fail", ExitFailed, true, "", "prog: run: no such luck\n"},
+		{"", ExitUsage, false, "", "prog: "},
+		{"jump", ExitUsage, false, "", "jump"},
+		{"run --far", ExitUsage, false, "", "far"},
+	}
+	for _, c := range cases {
+		var opts struct {
+			Run runCommand `command:"run"`
+		}
+		_, err := NewParser(&opts, "What it does.").ParseArgs(strings.Fields(c.args))
+		var out, errOut bytes.Buffer
+		assert.Equal(t, Report("prog", err, &out, &errOut), c.code, c.args)
+		assert.Equal(t, opts.Run.ran, c.ran, c.args)
+		assert.Check(t, strings.Contains(out.String(), c.out), c.args)
+		assert.Check(t, strings.Contains(errOut.String(), c.err), c.args)
+		assert.Equal(t, c.out == "", out.Len() == 0, c.args)
+		assert.Equal(t, c.err == "", errOut.Len() == 0, c.args)
+	}
+}
+
+func TestExitCodeLooksThroughWrapping(t *testing.T) {
+	assert.Equal(t, ExitCode(errors.Trace(&UsageError{What: "--n"})), ExitUsage)
+	assert.Equal(t, ExitCode(errors.Trace(&flags.Error{Type: flags.ErrRequired})), ExitUsage)
+	assert.Equal(t, ExitCode(errors.Trace(failure{})), ExitFailed)
+}
