--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/settingsstore"
 )
@@ -30,7 +31,7 @@
 		RemoveLive: f.RemoveLive,
 	}
 	if f.Base == nil && head != nil {
-		return e, &UsageError{What: "--base is needed: the version that the change starts from; in force is " + versionText(head.Version)}
+		return e, &cli.UsageError{What: "--base is needed: the version that the change starts from; in force is " + versionText(head.Version)}
 	}
 	if f.Base != nil {
 		e.Base = *f.Base
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,18 +14,11 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/windscale/windscale/internal/adminclient"
-	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
 	"github.com/windscale/windscale/internal/settingsstore"
 )
 
-// The exit codes.
-const (
-	ExitOK     = 0
-	ExitFailed = 1 // the operation failed
-	ExitUsage  = 2 // wrong usage or input
-)
-
 const callTimeout = 10 * time.Second // of one call to the platform
 
 const examples = `See and change a fleet of routers.
@@ -132,18 +125,18 @@
 		if c, ok := c.(command); ok {
 			return c.run(ctx, a)
 		}
-		return &UsageError{What: "name a command; see --help"}
+		return &cli.UsageError{What: "name a command; see --help"}
 	}
 	if _, err := parser.ParseArgs(args); err != nil {
 		return a.fail(err)
 	}
-	return ExitOK
+	return cli.ExitOK
 }
 
 // platform returns the adapter for the platform.
 func (a *app) platform() (*httpplatform.Client, error) {
 	if a.opts.Platform == "" {
-		return nil, &UsageError{What: "--platform is needed"}
+		return nil, &cli.UsageError{What: "--platform is needed"}
 	}
 	return httpplatform.New(a.opts.Platform, a.http), nil
 }
@@ -161,24 +154,21 @@
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
 		a.printf(a.out, "%s\n", help.Message)
-		return ExitOK
+		return cli.ExitOK
 	}
 	a.report(err)
 	return exitCode(err)
 }
 
+// exitCode is that of package cli, but for the failures that are the input's.
 func exitCode(err error) int {
-	var usage *UsageError
-	var parse *flags.Error
 	var invalid *settingsstore.InvalidError
 	var missing *settingsstore.NoVersionError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &parse), errors.As(err, &missing):
-		return ExitUsage
+	case errors.As(err, &missing):
+		return cli.ExitUsage
 	case errors.As(err, &invalid) && invalid.Version == 0:
-		return ExitUsage
+		return cli.ExitUsage
 	}
-	return ExitFailed
+	return cli.ExitCode(err)
 }
-
-var _ platform.HostList = (*httpplatform.Client)(nil)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/core/share"
@@ -144,7 +145,7 @@
 func (f *fleetUnderTest) ok(args ...string) string {
 	f.t.Helper()
 	code, out, note := f.run(args...)
-	assert.Equal(f.t, code, ExitOK, "%s%s", out, note)
+	assert.Equal(f.t, code, cli.ExitOK, "%s%s", out, note)
 	return out
 }
 
@@ -191,12 +192,12 @@
 	f.ok("settings", "apply", f.write("2.ini", "[tree]\nweight = 2\n"), "--base", "1", "--editor", "ben")
 	mine := f.write("3.ini", "[tree]\nweight = 3\n")
 	code, _, note := f.run("settings", "apply", mine, "--base", "1")
-	assert.Equal(t, code, ExitFailed)
+	assert.Equal(t, code, cli.ExitFailed)
 	assert.Assert(t, cmp.Contains(note, "version 2 by ben is in force"))
 	assert.Assert(t, cmp.Contains(note, "~ [tree] weight = 2 (was 1)"))
 	assert.Assert(t, cmp.Contains(note, "~ [tree] weight = 3 (was 2)"))
 	code, _, note = f.run("settings", "apply", mine)
-	assert.Equal(t, code, ExitUsage)
+	assert.Equal(t, code, cli.ExitUsage)
 	assert.Assert(t, cmp.Contains(note, "--base is needed"))
 }
 
@@ -208,7 +209,7 @@
 	f.addHost("r8", strings.TrimPrefix(paused.URL, "http://"))
 	f.putHosts()
 	code, out, note := f.run("--output", "json", "settings", "apply", f.write("1.ini", "[tree]\n"), "--wait", "1s")
-	assert.Equal(t, code, ExitFailed)
+	assert.Equal(t, code, cli.ExitFailed)
 	assert.Assert(t, cmp.Contains(note, "version 1 is accepted, but after 1s not in force on r8 (no answer), r9 (no answer)"))
 	var got applied
 	assert.NilError(t, json.Unmarshal([]byte(out), &got))
@@ -220,14 +221,14 @@
 	f := newFleet(t)
 	bad := f.write("bad.ini", "[fleet]\nmax_bodi = 1\n[tree/a]\nweight = 0\nkeys = none\n")
 	code, out, note := f.run("settings", "check", bad)
-	assert.Equal(t, code, ExitUsage)
+	assert.Equal(t, code, cli.ExitUsage)
 	assert.Equal(t, out, "")
 	lines := strings.Split(strings.TrimSpace(note), "\n")
 	assert.Equal(t, len(lines), 3)
 	assert.Assert(t, cmp.Contains(lines[1], "[fleet] max_bodi: unknown-key"))
 	assert.Assert(t, cmp.Contains(lines[2], "[tree/a] weight: bad-value"))
 	code, out, _ = f.run("--output", "json", "settings", "check", bad)
-	assert.Equal(t, code, ExitUsage)
+	assert.Equal(t, code, cli.ExitUsage)
 	assert.Assert(t, cmp.Contains(out, `"kind": "unknown-key"`))
 }
 
@@ -255,7 +256,7 @@
 	assert.DeepEqual(t, strings.Fields(rows[1])[:4], []string{"r1", "m/plan", "2", "1.5s"})
 	assert.Assert(t, cmp.Contains(rows[1], "its turn (12 in the pool)"))
 	code, _, _ := f.run("drain", "r7")
-	assert.Equal(t, code, ExitFailed)
+	assert.Equal(t, code, cli.ExitFailed)
 }
 
 func TestUsage(t *testing.T) {
@@ -270,7 +271,7 @@
 		{"customer", "effective", "x", "--file", f.write("x.ini", "[tree]\n")},
 	} {
 		code, _, note := f.run(args...)
-		assert.Equal(t, code, ExitUsage, "%v", args)
+		assert.Equal(t, code, cli.ExitUsage, "%v", args)
 		assert.Assert(t, note != "")
 	}
 	assert.Assert(t, cmp.Contains(f.ok("--help"), "Exit codes"))
--- a/internal/ctl/effective.go
+++ b/internal/ctl/effective.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/settings"
 )
 
@@ -23,7 +24,7 @@
 	}
 	values, ok := snap.Effective(c.Args.Path)
 	if !ok {
-		return &UsageError{What: "no customer or group " + c.Args.Path}
+		return &cli.UsageError{What: "no customer or group " + c.Args.Path}
 	}
 	return a.show(values, "KEY VALUE FROM", func(add func(...any)) {
 		for _, v := range values {
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -9,14 +9,6 @@
 	"time"
 )
 
-// UsageError says that the command line or its input is wrong.
-type UsageError struct {
-	What string
-}
-
-// Error implements error.
-func (e *UsageError) Error() string { return e.What }
-
 // InputError says that a file can't be read.
 type InputError struct {
 	File string
--- a/internal/ctl/file.go
+++ b/internal/ctl/file.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/settingsstore"
 )
@@ -17,7 +18,7 @@
 func (f fileArg) read() ([]byte, error) {
 	file, err := os.Open(f.File)
 	if err != nil {
-		return nil, &UsageError{What: err.Error()}
+		return nil, &cli.UsageError{What: err.Error()}
 	}
 	defer func() { _ = file.Close() }()
 	text, err := io.ReadAll(io.LimitReader(file, settings.MaxSource+1))
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -13,6 +13,7 @@
 
 	"github.com/windscale/windscale/internal/admin"
 	"github.com/windscale/windscale/internal/adminclient"
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/platform"
 )
@@ -159,7 +160,7 @@
 func (a *app) admin() (*adminclient.Client, error) {
 	a.adminOnce.Do(func() { a.adminClient, a.adminErr = adminclient.New(a.opts.Admin) })
 	if a.adminErr != nil {
-		return nil, &UsageError{What: a.adminErr.Error()}
+		return nil, &cli.UsageError{What: a.adminErr.Error()}
 	}
 	return a.adminClient, nil
 }
--- a/internal/ctl/tls_test.go
+++ b/internal/ctl/tls_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/admin"
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/fleetcert"
 	"github.com/windscale/windscale/internal/platform/httpplatform"
@@ -65,23 +66,23 @@
 		code          int
 		note          string
 	}{
-		"operator":               {"r3", "--ca ca.pem --cert ana.pem --key ana-key.pem", ExitOK, ""},
-		"token":                  {"r3", "--ca ca.pem --admin-token-file token", ExitOK, ""},
-		"expired with the token": {"r3", "--ca ca.pem --cert old.pem --key old-key.pem --admin-token-file token", ExitOK, ""},
-		"another router":         {"r4", "--ca ca.pem --cert ana.pem --key ana-key.pem", ExitFailed, "another router than expected: r5"},
-		"router of another CA":   {"r6", "--ca ca.pem --cert ana.pem --key ana-key.pem", ExitFailed, "not issued by the fleet's CA"},
-		"router without TLS":     {"r1", "--ca ca.pem --cert ana.pem --key ana-key.pem", ExitFailed, "router r1"},
-		"plain HTTP":             {"r3", "--admin-token-file token", ExitFailed, "answers 400"},
-		"expired":                {"r3", "--ca ca.pem --cert old.pem --key old-key.pem", ExitFailed, "answers 401"},
-		"operator of another CA": {"r3", "--ca ca.pem --cert bo.pem --key bo-key.pem", ExitFailed, "answers 401"},
-		"a router's certificate": {"r3", "--ca ca.pem --cert r9.pem --key r9-key.pem", ExitUsage, "--cert: "},
-		"no credential":          {"r3", "--ca ca.pem", ExitUsage, "--admin-token-file is needed"},
-		"no CA":                  {"r3", "--cert ana.pem --key ana-key.pem", ExitUsage, "--cert needs --ca"},
-		"no key":                 {"r3", "--ca ca.pem --cert ana.pem", ExitUsage, "together"},
-		"key of another":         {"r3", "--ca ca.pem --cert ana.pem --key bo-key.pem", ExitUsage, "malformed PEM"},
-		"no such file":           {"r3", "--ca none.pem --cert ana.pem --key ana-key.pem", ExitUsage, "none.pem"},
-		"a key in place of a CA": {"r3", "--ca ana-key.pem --admin-token-file token", ExitUsage, "--ca: "},
-		"no such token file":     {"r3", "--admin-token-file none", ExitUsage, "none"},
+		"operator":               {"r3", "--ca ca.pem --cert ana.pem --key ana-key.pem", cli.ExitOK, ""},
+		"token":                  {"r3", "--ca ca.pem --admin-token-file token", cli.ExitOK, ""},
+		"expired with the token": {"r3", "--ca ca.pem --cert old.pem --key old-key.pem --admin-token-file token", cli.ExitOK, ""},
+		"another router":         {"r4", "--ca ca.pem --cert ana.pem --key ana-key.pem", cli.ExitFailed, "another router than expected: r5"},
+		"router of another CA":   {"r6", "--ca ca.pem --cert ana.pem --key ana-key.pem", cli.ExitFailed, "not issued by the fleet's CA"},
+		"router without TLS":     {"r1", "--ca ca.pem --cert ana.pem --key ana-key.pem", cli.ExitFailed, "router r1"},
+		"plain HTTP":             {"r3", "--admin-token-file token", cli.ExitFailed, "answers 400"},
+		"expired":                {"r3", "--ca ca.pem --cert old.pem --key old-key.pem", cli.ExitFailed, "answers 401"},
+		"operator of another CA": {"r3", "--ca ca.pem --cert bo.pem --key bo-key.pem", cli.ExitFailed, "answers 401"},
+		"a router's certificate": {"r3", "--ca ca.pem --cert r9.pem --key r9-key.pem", cli.ExitUsage, "--cert: "},
+		"no credential":          {"r3", "--ca ca.pem", cli.ExitUsage, "--admin-token-file is needed"},
+		"no CA":                  {"r3", "--cert ana.pem --key ana-key.pem", cli.ExitUsage, "--cert needs --ca"},
+		"no key":                 {"r3", "--ca ca.pem --cert ana.pem", cli.ExitUsage, "together"},
+		"key of another":         {"r3", "--ca ca.pem --cert ana.pem --key bo-key.pem", cli.ExitUsage, "malformed PEM"},
+		"no such file":           {"r3", "--ca none.pem --cert ana.pem --key ana-key.pem", cli.ExitUsage, "none.pem"},
+		"a key in place of a CA": {"r3", "--ca ana-key.pem --admin-token-file token", cli.ExitUsage, "--ca: "},
+		"no such token file":     {"r3", "--admin-token-file none", cli.ExitUsage, "none"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			args := []string{"--platform", f.url, "drain", c.router}
@@ -99,14 +100,14 @@
 	}
 	var out, note strings.Builder
 	flags := []string{"--platform", f.url, "--output", "json", "--ca", filepath.Join(f.dir, "ca.pem"), "--admin-token-file", filepath.Join(f.dir, "token")}
-	assert.Equal(t, Run(t.Context(), append(flags, "status"), &out, &note), ExitOK, note.String())
+	assert.Equal(t, Run(t.Context(), append(flags, "status"), &out, &note), cli.ExitOK, note.String())
 	assert.Assert(t, strings.Contains(out.String(), `"draining": true`), out.String())
 }
 
 // Each command stands in the examples of --help.
 func TestHelpShowsEachCommand(t *testing.T) {
 	var out, note strings.Builder
-	assert.Equal(t, Run(t.Context(), []string{"--help"}, &out, &note), ExitOK)
+	assert.Equal(t, Run(t.Context(), []string{"--help"}, &out, &note), cli.ExitOK)
 	for _, c := range []string{
 		"settings check", "settings diff", "settings apply", "settings show", "settings history", "settings rollback",
 		"settings key", "customer effective", "status", "backend list", "top", "explain", "drain",
--- a/internal/ctl/top.go
+++ b/internal/ctl/top.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/pause"
 )
 
@@ -62,7 +63,7 @@
 
 func (c *topCommand) run(ctx context.Context, a *app) error {
 	if c.For <= 0 {
-		return &UsageError{What: "--for must be above 0s"}
+		return &cli.UsageError{What: "--for must be above 0s"}
 	}
 	before, err := each[vars](ctx, a, "/debug/vars")
 	if err != nil {
