commands: an argument that nothing takes is wrong usage

windscalectl settings apply a.ini b.ini applied a.ini and drain r1 r2 drained r1, each without a word of the rest; windscale-cert, -burn and -standin took extra arguments too. go-flags hands what is left to the command, which ignored it. All of them, and no command runs then, exit with 2 now.

--- a/cmd/windscale-burn/main_test.go
+++ b/cmd/windscale-burn/main_test.go
@@ -148,6 +148,7 @@
 		append(token, "--router", f.router, "--settings", f.path("absent")),
 		append(token, "--platform", f.platform, "--samples", f.path("bad.ini")),
 		append(token, "--platform", f.platform, "--output", "xml"),
+		append(token, "--platform", f.platform, "extra"),
 	} {
 		assert.Equal(t, run(args), cli.ExitUsage, "%v", args)
 	}
--- a/cmd/windscale-cert/main_test.go
+++ b/cmd/windscale-cert/main_test.go
@@ -18,6 +18,7 @@
 	assert.Equal(t, run([]string{"router", "--ca", dir, "--id", "r1", "--ip", "host", "--out", dir}), cli.ExitUsage)
 	assert.Equal(t, run([]string{"router", "--ca", dir, "--id", "a/b", "--ip", "::1", "--out", dir}), cli.ExitFailed)
 	assert.Equal(t, run([]string{"operator", "--ca", dir, "--name", "ana", "--out", dir}), cli.ExitOK)
+	assert.Equal(t, run([]string{"operator", "--ca", dir, "--name", "bo", "--out", dir, "extra"}), cli.ExitUsage)
 	assert.Equal(t, run(nil), cli.ExitUsage)
 	assert.Equal(t, run([]string{"--version"}), cli.ExitOK)
 	assert.Equal(t, run([]string{"--help"}), cli.ExitOK)
--- a/cmd/windscale-load/main.go
+++ b/cmd/windscale-load/main.go
@@ -52,9 +52,9 @@
 		fmt.Println("windscale-load", version.String())
 		os.Exit(0)
 	}
-	rest, err := cli.NewParser(&opts, examples).Parse()
+	_, err := cli.NewParser(&opts, examples).Parse()
 	if err == nil {
-		err = opts.check(rest)
+		err = opts.check()
 	}
 	if err != nil {
 		os.Exit(cli.Report("windscale-load", err, os.Stdout, os.Stderr))
@@ -62,10 +62,8 @@
 	os.Exit(play(opts))
 }
 
-func (o options) check(rest []string) error {
+func (o options) check() error {
 	switch {
-	case len(rest) > 0:
-		return &cli.UsageError{What: "unexpected argument " + rest[0]}
 	case o.Duration <= 0 || o.MaxOutstanding <= 0:
 		return &cli.UsageError{What: "--duration and --max-outstanding must be above 0"}
 	case o.Grace < 0:
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,13 +25,29 @@
 func (e *UsageError) Error() string { return e.What }
 
 // NewParser returns a parser that fills opts, a pointer to a struct with the
-// tags of go-flags. The help begins with description.
+// tags of go-flags. The help begins with description. Arguments that nothing
+// takes are wrong usage, and then no command runs.
 func NewParser(opts any, description string) *flags.Parser {
 	p := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = description
+	p.CommandHandler = func(command flags.Commander, rest []string) error {
+		if err := NoRest(rest); err != nil || command == nil {
+			return err
+		}
+		return command.Execute(rest)
+	}
 	return p
 }
 
+// NoRest returns a [UsageError] if arguments are left that nothing takes. It is
+// for programs with a command handler of their own.
+func NoRest(rest []string) error {
+	if len(rest) == 0 {
+		return nil
+	}
+	return &UsageError{What: "unexpected argument " + rest[0]}
+}
+
 // ExitCode returns the exit code for err: [ExitOK] for nil and for a request
 // for help, [ExitUsage] for what the parser or a [UsageError] refuses, and
 // [ExitFailed] for anything else.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -43,6 +43,7 @@
 		{"run --fail", ExitFailed, true, "", "prog: run: no such luck\n"},
 		{"", ExitUsage, false, "", "prog: "},
 		{"jump", ExitUsage, false, "", "jump"},
+		{"run file other", ExitUsage, false, "", "unexpected argument other"},
 		{"run --far", ExitUsage, false, "", "far"},
 	}
 	for _, c := range cases {
@@ -60,6 +61,18 @@
 	}
 }
 
+func TestRestWithoutCommands(t *testing.T) {
+	var opts struct {
+		N int `long:"n"`
+	}
+	_, err := NewParser(&opts, "").ParseArgs([]string{"--n", "1"})
+	assert.NilError(t, err)
+	for _, args := range [][]string{{"extra"}, {"--n", "1", "extra"}, {"--", "extra"}} {
+		_, err := NewParser(&opts, "").ParseArgs(args)
+		assert.Equal(t, ExitCode(err), ExitUsage, "%v", args)
+	}
+}
+
 func TestExitCodeLooksThroughWrapping(t *testing.T) {
 	assert.Equal(t, ExitCode(errors.Trace(&UsageError{What: "--n"})), ExitUsage)
 	assert.Equal(t, ExitCode(errors.Trace(&flags.Error{Type: flags.ErrRequired})), ExitUsage)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -118,7 +118,10 @@
 	if _, err := parser.AddGroup("Options", "", &a.opts); err != nil {
 		return a.fail(err)
 	}
-	parser.CommandHandler = func(c flags.Commander, _ []string) error {
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
+		if err := cli.NoRest(rest); err != nil {
+			return err
+		}
 		if a.opts.Version {
 			return a.printVersion()
 		}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -268,6 +268,9 @@
 		{"--output", "xml", "status"},
 		{"settings", "check", "/no/such/file"},
 		{"settings", "show", "7"},
+		{"settings", "check", f.write("a.ini", "[tree]\n"), f.write("b.ini", "[tree]\n")},
+		{"settings", "key", "extra"},
+		{"drain", "r1", "r2"},
 		{"customer", "effective", "x", "--file", f.write("x.ini", "[tree]\n")},
 	} {
 		code, _, note := f.run(args...)
