ctl: a file that can't be read is wrong input, exit code 2

The help says so, but a FILE that opens and then can't be read, such as a directory, ended with 1; only one that does not open ended with 2.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -167,8 +167,9 @@
 func exitCode(err error) int {
 	var invalid *settingsstore.InvalidError
 	var missing *settingsstore.NoVersionError
+	var input *InputError
 	switch {
-	case errors.As(err, &missing):
+	case errors.As(err, &missing), errors.As(err, &input):
 		return cli.ExitUsage
 	case errors.As(err, &invalid) && invalid.Version == 0:
 		return cli.ExitUsage
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -267,6 +267,7 @@
 		{"settings", "apply"},
 		{"--output", "xml", "status"},
 		{"settings", "check", "/no/such/file"},
+		{"settings", "check", t.TempDir()}, // opens, but can't be read
 		{"settings", "show", "7"},
 		{"settings", "check", f.write("a.ini", "[tree]\n"), f.write("b.ini", "[tree]\n")},
 		{"settings", "key", "extra"},
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -11,12 +11,11 @@
 
 // InputError says that a file can't be read.
 type InputError struct {
-	File string
-	Err  error
+	Err error // the cause, which names the file
 }
 
 // Error implements error.
-func (e *InputError) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Err) }
+func (e *InputError) Error() string { return e.Err.Error() }
 
 // Unwrap returns the cause.
 func (e *InputError) Unwrap() error { return e.Err }
--- a/internal/ctl/file.go
+++ b/internal/ctl/file.go
@@ -4,7 +4,6 @@
 	"io"
 	"os"
 
-	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/core/settings"
 	"github.com/windscale/windscale/internal/settingsstore"
 )
@@ -18,12 +17,12 @@
 func (f fileArg) read() ([]byte, error) {
 	file, err := os.Open(f.File)
 	if err != nil {
-		return nil, &cli.UsageError{What: err.Error()}
+		return nil, &InputError{Err: err}
 	}
 	defer func() { _ = file.Close() }()
 	text, err := io.ReadAll(io.LimitReader(file, settings.MaxSource+1))
 	if err != nil {
-		return nil, &InputError{File: f.File, Err: err}
+		return nil, &InputError{Err: err}
 	}
 	return text, nil
 }
