errors: a kind is its text

Four packages had each a number for every kind, a table from numbers to texts and a String that looked one up. The kind is the text now; the table and String are gone, and tests write "" for no error where they wrote 0.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -24,7 +24,7 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	version uint64          // the last one given
-	faults  []platform.Kind // of the next commits; 0: none
+	faults  []platform.Kind // of the next commits; "": none
 	effect  bool            // a commit of unknown outcome takes effect
 	down    bool
 	tried   int
@@ -61,7 +61,7 @@
 	if len(t.faults) > 0 && claimed > 0 {
 		fault, t.faults = t.faults[0], t.faults[1:]
 	}
-	if fault != 0 && (fault != platform.KindUnknown || !t.effect) {
+	if fault != "" && (fault != platform.KindUnknown || !t.effect) {
 		return &platform.Error{Kind: fault, Op: "table.commit"}
 	}
 	for _, w := range writes {
@@ -75,7 +75,7 @@
 	}
 	t.commits += min(claimed, 1)
 	t.widest = max(t.widest, claimed)
-	if fault != 0 {
+	if fault != "" {
 		return &platform.Error{Kind: fault, Op: "table.commit"}
 	}
 	return nil
--- a/internal/fleetcert/errors.go
+++ b/internal/fleetcert/errors.go
@@ -6,36 +6,21 @@
 )
 
 // Kind classes the failures of this package.
-type Kind int
+type Kind string
 
-// The kinds of failure.
+// The kinds of failure; the texts are for people.
 const (
-	KindName     Kind = iota + 1 // a name that no certificate may carry
-	KindGenerate                 // a key or certificate could not be made
-	KindFile                     // a file could not be read or written
-	KindPEM                      // a file does not hold what it should
-	KindIdentity                 // a certificate without exactly one fleet identity
-	KindRole                     // an identity of another role than asked for
-	KindChain                    // a certificate that the fleet's CA did not issue for this use
-	KindPeer                     // a valid router, but not the expected one
-	KindExpired                  // a certificate that is not valid now
+	KindName     Kind = "name not allowed"                          // a name that no certificate may carry
+	KindGenerate Kind = "certificate not made"                      // a key or certificate could not be made
+	KindFile     Kind = "file"                                      // a file could not be read or written
+	KindPEM      Kind = "malformed PEM"                             // a file does not hold what it should
+	KindIdentity Kind = "no single fleet identity"                  // a certificate without exactly one fleet identity
+	KindRole     Kind = "wrong role"                                // an identity of another role than asked for
+	KindChain    Kind = "not issued by the fleet's CA for this use" // a certificate that the fleet's CA did not issue for this use
+	KindPeer     Kind = "another router than expected"              // a valid router, but not the expected one
+	KindExpired  Kind = "not valid at this time"                    // a certificate that is not valid now
 )
 
-var kindNames = map[Kind]string{
-	KindName:     "name not allowed",
-	KindGenerate: "certificate not made",
-	KindFile:     "file",
-	KindPEM:      "malformed PEM",
-	KindIdentity: "no single fleet identity",
-	KindRole:     "wrong role",
-	KindChain:    "not issued by the fleet's CA for this use",
-	KindPeer:     "another router than expected",
-	KindExpired:  "not valid at this time",
-}
-
-// String returns the kind's name.
-func (k Kind) String() string { return kindNames[k] }
-
 // Error is a failure to make, read or accept a certificate.
 type Error struct {
 	Kind    Kind
@@ -54,12 +39,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// KindOf returns the kind of err, or 0 when it is not an error of this
+// KindOf returns the kind of err, or "" when it is not an error of this
 // package.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := errors.AsType[*Error](err); ok {
 		return e.Kind
 	}
-	return 0
+	return ""
 }
--- a/internal/fleetcert/fleetcert_test.go
+++ b/internal/fleetcert/fleetcert_test.go
@@ -55,8 +55,8 @@
 		dial   Kind
 		accept Kind
 	}{
-		{"expected router", issue(a, "r1", now), 0, 0},
-		{"another router", stateOf(t, r2), KindPeer, 0},
+		{"expected router", issue(a, "r1", now), "", ""},
+		{"another router", stateOf(t, r2), KindPeer, ""},
 		{"another CA", issue(other, "r1", now), KindChain, KindChain},
 		{"expired", issue(a, "r1", now.Add(-2*leafLifetime)), KindChain, KindChain},
 		{"operator", issue(a, "ana", now), KindChain, KindRole},
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -8,40 +8,23 @@
 )
 
 // Kind classes the failures of this package.
-type Kind int
+type Kind string
 
-// The kinds of failure.
+// The kinds of failure; the texts are for people.
 const (
-	KindListen     Kind = iota + 1 // the socket could not be opened
-	KindConfig                     // the credentials are not those of the configured router
-	KindNoAddr                     // no address is known for the peer
-	KindDial                       // the peer could not be reached or proved another identity
-	KindBlocked                    // the link to the peer is cut by the admin fault
-	KindClosed                     // this link has stopped
-	KindTimeout                    // the caller's context ended first
-	KindBroken                     // the connection ended within the conversation
-	KindRefused                    // the peer did not answer the conversation
-	KindTooLarge                   // a message beyond the limit
-	KindUnresolved                 // an address that is not IP:port
+	KindListen     Kind = "cannot listen"                 // the socket could not be opened
+	KindConfig     Kind = "credentials of another router" // the credentials are not those of the configured router
+	KindNoAddr     Kind = "no address known"              // no address is known for the peer
+	KindDial       Kind = "cannot dial"                   // the peer could not be reached or proved another identity
+	KindBlocked    Kind = "blocked"                       // the link to the peer is cut by the admin fault
+	KindClosed     Kind = "stopped"                       // this link has stopped
+	KindTimeout    Kind = "timeout"                       // the caller's context ended first
+	KindBroken     Kind = "connection broken"             // the connection ended within the conversation
+	KindRefused    Kind = "refused by the peer"           // the peer did not answer the conversation
+	KindTooLarge   Kind = "message too large"             // a message beyond the limit
+	KindUnresolved Kind = "malformed address"             // an address that is not IP:port
 )
 
-var kindNames = map[Kind]string{
-	KindListen:     "cannot listen",
-	KindConfig:     "credentials of another router",
-	KindNoAddr:     "no address known",
-	KindDial:       "cannot dial",
-	KindBlocked:    "blocked",
-	KindClosed:     "stopped",
-	KindTimeout:    "timeout",
-	KindBroken:     "connection broken",
-	KindRefused:    "refused by the peer",
-	KindTooLarge:   "message too large",
-	KindUnresolved: "malformed address",
-}
-
-// String returns the kind's name.
-func (k Kind) String() string { return kindNames[k] }
-
 // Error is a failure of the link.
 type Error struct {
 	Kind Kind
@@ -51,7 +34,7 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	text := "link: " + e.Kind.String()
+	text := "link: " + string(e.Kind)
 	if e.Peer != "" {
 		text = fmt.Sprintf("link to %s: %s", e.Peer, e.Kind)
 	}
@@ -64,12 +47,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// KindOf returns the kind of err, or 0 when it is not an error of this
+// KindOf returns the kind of err, or "" when it is not an error of this
 // package.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := errors.AsType[*Error](err); ok {
 		return e.Kind
 	}
-	return 0
+	return ""
 }
--- a/internal/link/fetch.go
+++ b/internal/link/fetch.go
@@ -87,7 +87,7 @@
 		return &Error{Kind: KindTimeout, Peer: to, Err: context.Cause(ctx)}
 	case wire.KindOf(err) == wire.KindTooLarge:
 		return &Error{Kind: KindTooLarge, Peer: to, Err: err}
-	case errors.As(err, &reset) || wire.KindOf(err) != 0:
+	case errors.As(err, &reset) || wire.KindOf(err) != "":
 		return &Error{Kind: KindRefused, Peer: to, Err: err}
 	default:
 		return &Error{Kind: KindBroken, Peer: to, Err: err}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -6,28 +6,17 @@
 )
 
 // Kind classes the failures of the platform's services.
-type Kind int
+type Kind string
 
-// The kinds of failure.
+// The kinds of failure; the texts are for people.
 const (
-	KindUnavailable Kind = iota + 1 // the service did not take the call: nothing happened
-	KindConflict                    // a condition failed: nothing happened
-	KindAbsent                      // no such object
-	KindUnknown                     // the call may have taken effect
-	KindMalformed                   // the service answered what its protocol does not allow
+	KindUnavailable Kind = "unavailable"      // the service did not take the call: nothing happened
+	KindConflict    Kind = "conflict"         // a condition failed: nothing happened
+	KindAbsent      Kind = "absent"           // no such object
+	KindUnknown     Kind = "outcome unknown"  // the call may have taken effect
+	KindMalformed   Kind = "malformed answer" // the service answered what its protocol does not allow
 )
 
-var kindNames = map[Kind]string{
-	KindUnavailable: "unavailable",
-	KindConflict:    "conflict",
-	KindAbsent:      "absent",
-	KindUnknown:     "outcome unknown",
-	KindMalformed:   "malformed answer",
-}
-
-// String returns the kind's name.
-func (k Kind) String() string { return kindNames[k] }
-
 // Error is a failure of one call to the platform.
 type Error struct {
 	Kind Kind
@@ -46,11 +35,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// KindOf returns the kind of err, or 0 when it is not a platform error.
+// KindOf returns the kind of err, or "" when it is not a platform error.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := errors.AsType[*Error](err); ok {
 		return e.Kind
 	}
-	return 0
+	return ""
 }
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -6,26 +6,16 @@
 )
 
 // Kind classes the failures of this package.
-type Kind int
+type Kind string
 
-// The kinds of failure.
+// The kinds of failure; the texts are for people.
 const (
-	KindTooLarge  Kind = iota + 1 // longer than the reader's limit; nothing was decoded
-	KindMalformed                 // not CBOR, beyond a limit, or not of the asked type
-	KindVersion                   // an envelope of a version that this program does not speak
-	KindEncode                    // a value that has no CBOR form
+	KindTooLarge  Kind = "too large"       // longer than the reader's limit; nothing was decoded
+	KindMalformed Kind = "malformed"       // not CBOR, beyond a limit, or not of the asked type
+	KindVersion   Kind = "unknown version" // an envelope of a version that this program does not speak
+	KindEncode    Kind = "not encodable"   // a value that has no CBOR form
 )
 
-var kindNames = map[Kind]string{
-	KindTooLarge:  "too large",
-	KindMalformed: "malformed",
-	KindVersion:   "unknown version",
-	KindEncode:    "not encodable",
-}
-
-// String returns the kind's name.
-func (k Kind) String() string { return kindNames[k] }
-
 // Error is a failure to encode or decode a message.
 type Error struct {
 	Kind Kind
@@ -44,12 +34,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// KindOf returns the kind of err, or 0 when it is not an error of this
+// KindOf returns the kind of err, or "" when it is not an error of this
 // package.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := errors.AsType[*Error](err); ok {
 		return e.Kind
 	}
-	return 0
+	return ""
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -42,7 +42,7 @@
 		for len(data) > 0 {
 			e, rest, err := NextEnvelope(data, limit)
 			if err != nil {
-				assert.Assert(t, KindOf(err) != 0)
+				assert.Assert(t, KindOf(err) != "")
 				return
 			}
 			again, err := AppendEnvelope(nil, e.Kind, e.Body)
@@ -60,8 +60,8 @@
 }
 
 var messageSeeds = map[string]Kind{
-	"\xa2\x01\x61a\x02\x05":                    0,
-	"\xa1\x18\x63\x01":                         0,             // an unknown key is skipped
+	"\xa2\x01\x61a\x02\x05":                    "",
+	"\xa1\x18\x63\x01":                         "",            // an unknown key is skipped
 	"\xa2\x02\x01\x02\x02":                     KindMalformed, // a key twice
 	"\xa1\x04\xa2\x61a\x01\x61a\x02":           KindMalformed, // a key twice within
 	"\xa1\x05\xf9\x7e\x00":                     KindMalformed, // NaN
@@ -93,7 +93,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var first, second sample
 		if err := Unmarshal(data, limit, &first); err != nil {
-			assert.Assert(t, KindOf(err) != 0)
+			assert.Assert(t, KindOf(err) != "")
 			return
 		}
 		again, err := Marshal(first)
