--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -1,7 +1,7 @@
 // Package member decides which routers are members of the fleet. It follows
 // SWIM (Das, Gupta, Motivala 2002): probes, indirect probes through others, a
-// suspicion time in which a member can refute, and updates that ride on the
-// probes. It differs in whom a router talks to: members stand on a ring in
+// suspicion time in which a member can refute, and updates that are piggybacked
+// on the probes. It differs in whom a router talks to: members stand on a ring in
 // the order of their IDs' hashes; each probes the one behind it and passes
 // changes on to those 1, 2, 4, 8, ... places behind it. So each member is
 // probed once a period, a change reaches all in log2(n) hops, and a router
@@ -30,20 +30,20 @@
 	ProbeFailure  = 800 * time.Millisecond // then the member is suspect
 	SuspicionTime = 1500 * time.Millisecond
 
-	tombstoneTime = 10 * time.Minute // dead members are remembered this long
-	stallTime     = 500 * time.Millisecond
+	tombstoneTime = 10 * time.Minute       // dead members are remembered this long
+	pauseMin      = 500 * time.Millisecond // between two ticks: this process was paused
 	syncGap       = 500 * time.Millisecond // between two whole-view exchanges begun here
-	contactLeast  = 2 * time.Second        // between tries to reach who is not a member
-	contactMost   = 30 * time.Second
-	relayTime     = time.Second
+	contactMin    = 2 * time.Second        // between tries to reach who is not a member
+	contactMax    = 30 * time.Second
+	relayTime     = time.Second // for the answer to a probe on behalf of another
 )
 
 // Bounds of the protocol.
 const (
 	indirectProbes  = 2
 	fingerEvery     = 8  // periods between probes of another finger
-	retransmissions = 3  // an update rides this often on probes after it was passed on
-	maxRiding       = 8  // updates on one probe
+	retransmissions = 3  // an update is piggybacked this often on probes after it was passed on
+	maxPiggyback    = 8  // updates on one probe
 	maxUpdates      = 32 // updates in one Gossip
 	maxMembers      = 4096
 	maxName         = 64 // bytes of an ID or a data centre
@@ -120,10 +120,10 @@
 	probes      []probe
 	relays      []relay
 
-	fresh    []msg.RouterID       // to be passed on at once
-	riding   map[msg.RouterID]int // to ride on probes this many times more
-	announce bool                 // settings are to be passed on
-	ready    Ready
+	fresh     []msg.RouterID       // to be passed on at once
+	piggyback map[msg.RouterID]int // to go with probes this many times more
+	announce  bool                 // settings are to be passed on
+	ready     Ready
 }
 
 // entry is what a node knows of another router.
@@ -136,10 +136,10 @@
 // New returns a node that knows only itself.
 func New(config Config) *Node {
 	n := &Node{
-		config:  config,
-		members: map[msg.RouterID]*entry{},
-		hints:   map[msg.RouterID]Candidate{},
-		riding:  map[msg.RouterID]int{},
+		config:    config,
+		members:   map[msg.RouterID]*entry{},
+		hints:     map[msg.RouterID]Candidate{},
+		piggyback: map[msg.RouterID]int{},
 		self: Update{
 			ID:          config.ID,
 			Incarnation: config.Incarnation,
@@ -149,7 +149,7 @@
 	}
 	n.nextProbe = time.Duration(config.Rand.Int64N(int64(ProbePeriod)))
 	n.contactTurn = config.Rand.IntN(maxMembers)
-	n.spread(n.self.ID)
+	n.disseminate(n.self.ID)
 	return n
 }
 
@@ -204,7 +204,7 @@
 	n.self.State = state
 	n.self.Refutation++
 	n.changed()
-	n.spread(n.self.ID)
+	n.disseminate(n.self.ID)
 	n.flood(now)
 }
 
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -27,7 +27,7 @@
 
 // Tick lets time pass. It is called each TickPeriod.
 func (n *Node) Tick(now time.Duration) {
-	n.excuse(now)
+	n.extendDeadlines(now)
 	n.checkProbes(now)
 	n.expire(now)
 	n.relays = slices.DeleteFunc(n.relays, func(r relay) bool { return now >= r.deadline })
@@ -44,12 +44,12 @@
 	n.flood(now)
 }
 
-// excuse moves deadlines by the time for which this process was paused: no
+// extendDeadlines extends them by the time for which this process was paused: no
 // answer could have been heard in it.
-func (n *Node) excuse(now time.Duration) {
+func (n *Node) extendDeadlines(now time.Duration) {
 	pause := now - n.lastTick
 	n.lastTick = now
-	if pause < stallTime {
+	if pause < pauseMin {
 		return
 	}
 	for i := range n.probes {
@@ -85,7 +85,7 @@
 }
 
 func (n *Node) ping(to msg.RouterID, seq uint64) {
-	updates := n.ride()
+	updates := n.piggybacked()
 	// A member that is not held alive hears so, and can refute.
 	if e, ok := n.members[to]; ok && e.State >= Suspect {
 		updates = with(updates, e.Update)
@@ -157,7 +157,7 @@
 // routers together do so about once a second.
 func (n *Node) contact(now time.Duration) {
 	others := len(n.view()) - 1
-	n.nextContact = now + min(max(time.Duration(others)*time.Second, contactLeast), contactMost)
+	n.nextContact = now + min(max(time.Duration(others)*time.Second, contactMin), contactMax)
 	if !n.joined {
 		n.nextContact = now + ProbePeriod
 	}
--- a/internal/core/member/step.go
+++ b/internal/core/member/step.go
@@ -15,10 +15,10 @@
 	if n.outdated(from, m) {
 		return
 	}
-	for _, u := range m.Updates[:min(len(m.Updates), maxUpdates+maxRiding)] {
+	for _, u := range m.Updates[:min(len(m.Updates), maxUpdates+maxPiggyback)] {
 		n.apply(now, u)
 	}
-	n.hearSettings(from, m.Settings)
+	n.noteSettings(from, m.Settings)
 	n.compare(now, from, m)
 	switch m.Type {
 	case Ping:
@@ -44,14 +44,14 @@
 	return true
 }
 
-func (n *Node) hearSettings(from msg.RouterID, version uint64) {
+func (n *Node) noteSettings(from msg.RouterID, version uint64) {
 	if version > n.settings && version > n.ready.Newer.Version {
 		n.ready.Newer = NewerSettings{From: from, Version: version}
 	}
 }
 
 func (n *Node) ack(to msg.RouterID, seq uint64) {
-	updates := n.ride()
+	updates := n.piggybacked()
 	if e, ok := n.members[to]; ok && e.State >= Suspect {
 		updates = with(updates, e.Update)
 	}
@@ -122,9 +122,9 @@
 // do not show: the router before this one has the same view, and if another
 // has not, the one behind it finds out.
 func (n *Node) settled() {
-	for id := range n.riding {
+	for id := range n.piggyback {
 		if e, ok := n.members[id]; !ok || e.State != Suspect {
-			delete(n.riding, id)
+			delete(n.piggyback, id)
 		}
 	}
 }
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -55,7 +55,7 @@
 		e.deadline = now + tombstoneTime
 	}
 	n.changed()
-	n.spread(u.ID)
+	n.disseminate(u.ID)
 }
 
 // applySelf hears what others say of this router, and refutes it if wrong.
@@ -64,7 +64,7 @@
 	case u.Incarnation > n.self.Incarnation:
 		n.ready.Superseded = max(n.ready.Superseded, u.Incarnation)
 	case u.Incarnation < n.self.Incarnation:
-		n.spread(n.self.ID) // somebody has not heard of this incarnation
+		n.disseminate(n.self.ID) // somebody has not heard of this incarnation
 	case u.State < Suspect || u.Refutation < n.self.Refutation || n.self.State == Left:
 		return
 	case u.Refutation == math.MaxUint32:
@@ -72,7 +72,7 @@
 	default:
 		n.self.Refutation = u.Refutation + 1
 		n.changed()
-		n.spread(n.self.ID)
+		n.disseminate(n.self.ID)
 	}
 }
 
@@ -84,32 +84,32 @@
 			continue
 		}
 		if e.State == Suspect {
-			n.bury(now, e)
+			n.declareDead(now, e)
 			continue
 		}
 		n.forget(id)
 	}
 }
 
-// bury ends a suspicion. The others end theirs at about the same time, so
+// declareDead ends a suspicion. The others end theirs at about the same time, so
 // there is nothing to pass on.
-func (n *Node) bury(now time.Duration, e *entry) {
+func (n *Node) declareDead(now time.Duration, e *entry) {
 	e.State = Dead
 	e.deadline = now + tombstoneTime
-	delete(n.riding, e.ID)
+	delete(n.piggyback, e.ID)
 	n.changed()
 }
 
 func (n *Node) forget(id msg.RouterID) {
 	delete(n.members, id)
-	delete(n.riding, id)
+	delete(n.piggyback, id)
 	at, _ := slices.BinarySearch(n.order, id)
 	n.order = slices.Delete(n.order, at, at+1)
 }
 
-// spread notes that a member's update is to be passed on.
-func (n *Node) spread(id msg.RouterID) {
-	n.riding[id] = retransmissions
+// disseminate notes that a member's update is to be passed on.
+func (n *Node) disseminate(id msg.RouterID) {
+	n.piggyback[id] = retransmissions
 	if !slices.Contains(n.fresh, id) {
 		n.fresh = append(n.fresh, id)
 	}
@@ -165,22 +165,22 @@
 	}
 }
 
-// ride returns updates to put on a probe or its answer.
-func (n *Node) ride() []Update {
-	if len(n.riding) == 0 {
+// piggybacked returns updates to put on a probe or its answer.
+func (n *Node) piggybacked() []Update {
+	if len(n.piggyback) == 0 {
 		return nil
 	}
 	var updates []Update
 	for _, id := range append([]msg.RouterID{n.self.ID}, n.order...) {
-		left, ok := n.riding[id]
-		if !ok || len(updates) == maxRiding {
+		left, ok := n.piggyback[id]
+		if !ok || len(updates) == maxPiggyback {
 			continue
 		}
 		u, _ := n.lookup(id)
 		updates = append(updates, u)
-		n.riding[id] = left - 1
+		n.piggyback[id] = left - 1
 		if left <= 1 {
-			delete(n.riding, id)
+			delete(n.piggyback, id)
 		}
 	}
 	return updates
