link: one place reads a bounded stream; names and comments

Messages and conversations each read a stream up to the limit, with the count and the log of what is longer; readFrame does so for both, and serve leaves the writing to writeAnswer. Bounds of the backoff are min and max, the second connection of a pair is a duplicate, and what each unexported step does is said.

--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -74,6 +74,8 @@
 	return !c.awaited.IsZero() && now.Sub(c.awaited) >= silentTime
 }
 
+// readDatagrams delivers datagrams until the connection ends, and then forgets
+// it.
 func (c *connection) readDatagrams() {
 	defer c.peer.detach(c)
 	for {
@@ -100,6 +102,7 @@
 	}
 }
 
+// malformed counts and logs a frame that could not be decoded.
 func (c *connection) malformed(err error) {
 	l := c.peer.link
 	l.counters.malformed.Add(1)
@@ -117,25 +120,32 @@
 	}
 }
 
+// readMessage delivers what comes on one message stream.
 func (c *connection) readMessage(stream *quic.ReceiveStream) {
-	const limit = MaxMessage + wire.EnvelopeOverhead
-	data, err := io.ReadAll(io.LimitReader(stream, limit+1))
-	if err != nil {
-		return
-	}
-	if len(data) > limit {
-		c.oversize()
+	data, err := c.readFrame(stream)
+	if KindOf(err) == KindTooLarge {
 		stream.CancelRead(streamTooLarge)
-		return
 	}
-	c.deliver(data, limit)
+	if err == nil {
+		c.deliver(data, maxFrame)
+	}
 }
 
-func (c *connection) oversize() {
+// maxFrame bounds what is read of one stream that a peer opened, in bytes.
+const maxFrame = MaxMessage + wire.EnvelopeOverhead
+
+// readFrame reads a stream to its end. After more than maxFrame bytes it
+// returns KindTooLarge, which is counted and logged.
+func (c *connection) readFrame(stream io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(stream, maxFrame+1))
+	if err != nil || len(data) <= maxFrame {
+		return data, err
+	}
 	l := c.peer.link
 	l.counters.oversize.Add(1)
-	err := &Error{Kind: KindTooLarge, Peer: c.peer.id}
+	err = &Error{Kind: KindTooLarge, Peer: c.peer.id}
 	events.LinkMalformed.Log(l.ctx, l.log, slog.LevelWarn, "peer", c.peer.id, "err", err)
+	return nil, err
 }
 
 func (c *connection) acceptFetches() {
--- a/internal/link/fetch.go
+++ b/internal/link/fetch.go
@@ -75,11 +75,13 @@
 	return envelope.Body, nil
 }
 
+// cancelStream resets both directions.
 func cancelStream(stream *quic.Stream, code quic.StreamErrorCode) {
 	stream.CancelRead(code)
 	stream.CancelWrite(code)
 }
 
+// fetchError classes a failure within a conversation.
 func fetchError(ctx context.Context, to msg.RouterID, err error) error {
 	var reset *quic.StreamError
 	switch {
@@ -105,24 +107,23 @@
 	events.LinkStreamRefused.Log(l.ctx, l.log, slog.LevelInfo, "peer", c.peer.id, "err", err)
 }
 
+// serve reads the question, asks the handler and writes its answer. After an
+// error the stream is to be reset with the code.
 func (c *connection) serve(stream *quic.Stream) (quic.StreamErrorCode, error) {
-	const limit = MaxMessage + wire.EnvelopeOverhead
-	l := c.peer.link
-	data, err := io.ReadAll(io.LimitReader(stream, limit+1))
+	data, err := c.readFrame(stream)
+	if KindOf(err) == KindTooLarge {
+		return streamTooLarge, err
+	}
 	if err != nil {
 		return streamFailed, err
 	}
-	if len(data) > limit {
-		c.oversize()
-		return streamTooLarge, &Error{Kind: KindTooLarge, Peer: c.peer.id}
-	}
-	envelope, _, err := wire.NextEnvelope(data, limit)
+	envelope, _, err := wire.NextEnvelope(data, maxFrame)
 	if err != nil {
 		c.malformed(err)
 		return streamFailed, err
 	}
-	counters := &l.counters.kinds[envelope.Kind]
-	counters.received(len(envelope.Body))
+	l := c.peer.link
+	l.counters.kinds[envelope.Kind].received(len(envelope.Body))
 	answer, err := l.config.FetchHandler(c.quic.Context(), c.peer.id, envelope.Kind, envelope.Body)
 	if err != nil {
 		return streamFailed, err
@@ -130,16 +131,22 @@
 	if len(answer) > MaxAnswer {
 		return streamTooLarge, &Error{Kind: KindTooLarge, Peer: c.peer.id}
 	}
-	frame, err := wire.AppendEnvelope(nil, envelope.Kind, answer)
+	return streamFailed, c.writeAnswer(stream, envelope.Kind, answer)
+}
+
+// writeAnswer writes a handler's answer, within answerTimeout, and ends the
+// stream.
+func (c *connection) writeAnswer(stream *quic.Stream, kind uint8, answer []byte) error {
+	frame, err := wire.AppendEnvelope(nil, kind, answer)
 	if err != nil {
-		return streamFailed, err
+		return err
 	}
 	if err := stream.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return streamFailed, err
+		return err
 	}
 	if _, err := stream.Write(frame); err != nil {
-		return streamFailed, err
+		return err
 	}
-	counters.sent(len(answer))
-	return 0, stream.Close()
+	c.peer.link.counters.kinds[kind].sent(len(answer))
+	return stream.Close()
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -35,20 +35,20 @@
 	coalesceTime  = time.Millisecond
 	datagramSize  = 1150 // bytes; fits the smallest packet that QUIC allows
 
-	dialTimeout  = 2 * time.Second
-	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 2 * time.Second
-	healthyAge   = time.Second // a connection that lived this long was no failure
+	dialTimeout = 2 * time.Second
+	backoffMin  = 50 * time.Millisecond
+	backoffMax  = 2 * time.Second
+	healthyAge  = time.Second // a connection that lived this long was no failure
 
 	idleTimeout   = 10 * time.Minute // without any packet; there is no keepalive
 	silentTime    = 3 * time.Second  // without a packet while one is awaited
-	mergeTime     = 2 * time.Second  // before the lower ID closes a second connection
-	mergeMost     = 30 * time.Second // before the higher ID does
+	lowerCloses   = 2 * time.Second  // the lower ID closes a connection replaced this long ago
+	higherCloses  = 30 * time.Second // and the higher ID does
 	sweepPeriod   = time.Second
 	writeTimeout  = 2 * time.Second
 	answerTimeout = 10 * time.Second
 
-	lingerTime = 200 * time.Millisecond
+	lingerTime = 200 * time.Millisecond // sending goes on this long after Run's ctx ended
 
 	messageStreams = 64 // open at once from one peer
 	fetchStreams   = 64
@@ -62,7 +62,7 @@
 	codeStopped quic.ApplicationErrorCode = iota + 1
 	codeRefused
 	codeBlocked
-	codeSecond // the other connection of the pair is kept
+	codeDuplicate // the other connection of the pair is kept
 	codeSilent
 )
 
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -79,20 +79,21 @@
 	if time.Since(conn.since) >= healthyAge {
 		p.failures = 0
 	} else {
-		p.failed()
+		p.countFailure()
 	}
 	p.mu.Unlock()
 	cause := context.Cause(conn.quic.Context())
 	events.LinkDown.Log(p.link.ctx, p.link.log, slog.LevelInfo, "peer", p.id, "err", cause)
 }
 
-// failed sets the time of the next dial with full jitter. p.mu is held.
-func (p *peer) failed() {
-	most := min(backoffFirst<<min(p.failures, 10), backoffMost)
+// countFailure sets the time of the next dial with full jitter. p.mu is held.
+func (p *peer) countFailure() {
+	backoff := min(backoffMin<<min(p.failures, 10), backoffMax)
 	p.failures++
-	p.nextDial = time.Now().Add(rand.N(most))
+	p.nextDial = time.Now().Add(rand.N(backoff))
 }
 
+// closeAll ends the dial under way and closes every connection.
 func (p *peer) closeAll(code quic.ApplicationErrorCode) {
 	p.mu.Lock()
 	dialing := p.dialing
@@ -105,6 +106,7 @@
 	}
 }
 
+// setBlocked cuts the link to the peer, or lets it dial again at once.
 func (p *peer) setBlocked(blocked bool) {
 	p.mu.Lock()
 	p.blocked = blocked
@@ -176,11 +178,12 @@
 		attempt.err = err
 		p.link.counters.dialFailures.Add(1)
 		p.logDialFailure(err)
-		p.failed()
+		p.countFailure()
 	}
 	close(attempt.done)
 }
 
+// dialOnce dials the peer where it is now and attaches the connection.
 func (p *peer) dialOnce(ctx context.Context) error {
 	text, ok := p.link.config.Resolve(p.id)
 	if !ok {
@@ -215,14 +218,15 @@
 }
 
 // sweep closes connections that are silent, those whose peer the CAs in force
-// no longer trust, and all but the newest when
-// there are several. Both sides dialling at once gives two; the router with
-// the lower ID decides which stays, so that the two never close one each.
+// no longer trust, and all but the newest when there are several. Both sides
+// dialling at once gives two; the router with the lower ID decides which stays,
+// so that the two never close one each. It is called by the link's sweepLoop
+// only.
 func (p *peer) sweep(now time.Time) {
 	conns := p.open()
-	patience := mergeMost
+	keep := higherCloses
 	if p.link.config.ID < p.id {
-		patience = mergeTime
+		keep = lowerCloses
 	}
 	cred := p.link.config.TLS.Current()
 	for i, conn := range conns {
@@ -237,8 +241,8 @@
 			continue
 		}
 		newer := i + 1
-		if newer < len(conns) && now.Sub(conns[newer].since) >= patience {
-			conn.quic.CloseWithError(codeSecond, "")
+		if newer < len(conns) && now.Sub(conns[newer].since) >= keep {
+			conn.quic.CloseWithError(codeDuplicate, "")
 		}
 	}
 }
--- a/internal/link/send.go
+++ b/internal/link/send.go
@@ -19,11 +19,11 @@
 	queued time.Time
 }
 
-// Send gives a message to a peer, best effort: it may be lost, doubled by no
-// one, and overtaken by later ones. It never blocks and may be called from
+// Send gives a message to a peer, best effort: it may be lost or overtaken by
+// later ones, but arrives at most once. It never blocks and may be called from
 // any goroutine; the caller must not change body afterwards. Messages for a
-// peer that cannot be reached are dropped after a while; when too many wait,
-// the oldest go first. All drops are counted.
+// peer that cannot be reached are dropped after queueTime; when too many wait,
+// the oldest are dropped first. All drops are counted.
 func (l *Link) Send(to msg.RouterID, kind uint8, body []byte) {
 	if len(body) > MaxMessage || to == l.config.ID {
 		l.drop(kind)
@@ -104,6 +104,7 @@
 	}
 }
 
+// untilFlush is how long the next batch still waits for more messages.
 func (p *peer) untilFlush() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,6 +163,8 @@
 	}
 }
 
+// sendDatagram returns a *quic.DatagramTooLargeError if the frame is too long
+// for the smallest path.
 func (p *peer) sendDatagram(conn *connection, frame []byte) error {
 	if len(frame) > datagramSize {
 		return &quic.DatagramTooLargeError{MaxDatagramPayloadSize: datagramSize}
@@ -173,6 +176,7 @@
 	return nil
 }
 
+// sendStream sends one frame on a stream of its own, within writeTimeout.
 func (p *peer) sendStream(conn *connection, frame []byte) error {
 	ctx, cancel := context.WithTimeout(conn.quic.Context(), writeTimeout)
 	defer cancel()
