test/cmd: the folders, the limit and the exit codes in one place

report, runbook and fleet had each their flags for the folders, the absolute paths and the main function. report now also waits for the restart that it began when its readings fail, instead of closing the fleet under it.

--- a/test/cmd/fleet/layout.go
+++ b/test/cmd/fleet/layout.go
@@ -65,7 +65,7 @@
 // small is the fleet of the demonstration and of the faults: 3 routers in 3
 // data centres, 4 engines with 2 models, 2 servers of one service.
 func small(o options, name string) (fleet.Config, error) {
-	c, err := o.config(name)
+	c, err := o.Config(name)
 	c.Routers = 3
 	c.DataCentres = 3
 	c.Settings = settings(1)
--- a/test/cmd/fleet/main.go
+++ b/test/cmd/fleet/main.go
@@ -14,20 +14,13 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/test/fleet"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // options are common to the commands.
 type options struct {
-	Bin  string `long:"bin" default:"bin" description:"folder of the programs"`
-	Out  string `long:"out" default:"out" description:"folder for the working folders and the JSON results"`
+	fleet.Folders
 	Seed uint64 `long:"seed" default:"1" description:"seed of the load and of the faults' order"`
 
 	Demo    struct{}       `command:"demo" description:"show the whole path at work; ends by itself"`
@@ -38,13 +31,18 @@
 
 func main() {
 	var o options
-	parser := flags.NewParser(&o, flags.Default)
+	parser := cli.NewParser(&o, "")
 	if _, err := parser.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
+		os.Exit(cli.Report("fleet", err, os.Stdout, os.Stderr))
 	}
+	if err := run(parser.Active.Name, o); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: FAILED: %v\n", parser.Active.Name, err)
+		os.Exit(cli.ExitFailed)
+	}
+}
+
+// run runs one command within its limit, or until Ctrl-C.
+func run(name string, o options) error {
 	commands := map[string]struct {
 		run   func(context.Context, options) error
 		limit time.Duration
@@ -54,25 +52,12 @@
 		"faults":  {faults, 3 * time.Minute},
 		"measure": {measure, 2 * time.Minute},
 	}
-	c := commands[parser.Active.Name]
+	c := commands[name]
 	ctx, cancel := context.WithTimeout(context.Background(), c.limit)
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := c.run(ctx, o); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: FAILED: %v\n", parser.Active.Name, err)
-		os.Exit(exitFailed)
-	}
-}
-
-// config returns the common parts of a fleet's configuration.
-func (o options) config(name string) (fleet.Config, error) {
-	bin, err := filepath.Abs(o.Bin)
-	if err != nil {
-		return fleet.Config{}, err
-	}
-	dir, err := filepath.Abs(filepath.Join(o.Out, name))
-	return fleet.Config{Bin: bin, Dir: dir}, err
+	return c.run(ctx, o)
 }
 
 // writeJSON writes a result to out/NAME.json.
--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -80,7 +80,7 @@
 
 func measureOne(ctx context.Context, o options, sharing string) (figures, error) {
 	g := figures{Sharing: sharing}
-	c, err := o.config("measure-" + sharing)
+	c, err := o.Config("measure-" + sharing)
 	if err != nil {
 		return g, err
 	}
--- a/test/cmd/report/main.go
+++ b/test/cmd/report/main.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -14,17 +15,12 @@
 	"strconv"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/windscale/windscale/internal/core/burn"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/test/fleet"
 )
 
 const (
-	exitFailed = 1
-	exitUsage  = 2
-
 	limit    = 100 * time.Second // of the whole command
 	loadTime = 24 * time.Second
 	interval = 2 * time.Second
@@ -52,58 +48,25 @@
 	reader = fleet.Customer{Path: "desks/drivers"}
 )
 
-type options struct {
-	Bin string `long:"bin" default:"bin" description:"folder of the programs"`
-	Out string `long:"out" default:"out" description:"folder for the report and the logs"`
-}
-
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "report: FAILED:", err)
-		os.Exit(exitFailed)
-	}
+	var folders fleet.Folders
+	fleet.Main("report", &folders, limit, func(ctx context.Context) error { return run(ctx, folders) })
 }
 
-func run(ctx context.Context, o options) error {
-	bin, err := filepath.Abs(o.Bin)
-	if err != nil {
-		return err
-	}
-	out, err := filepath.Abs(o.Out)
+func run(ctx context.Context, folders fleet.Folders) error {
+	c, err := config(folders)
 	if err != nil {
 		return err
 	}
-	f, err := fleet.Up(ctx, config(bin, filepath.Join(out, "report")))
+	f, err := fleet.Up(ctx, c)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	fmt.Printf("%d routers are up; %s sends far more than its one engine serves, for %s\n", len(f.Routers), pushed.Path, loadTime)
-	caller, err := f.Call("load", streams(), loadTime, 1)
-	if err != nil {
-		return err
-	}
-	restarted := make(chan error, 1)
-	go func() { restarted <- restartRouter(f) }()
-	if err := report(ctx, f, "table", ""); err != nil {
-		return err
-	}
-	if err := <-restarted; err != nil {
-		return err
-	}
-	if _, err := caller.Report(ctx); err != nil {
+	if err := takeReadings(ctx, f); err != nil {
 		return err
 	}
-	html, data := filepath.Join(out, "burn.html"), filepath.Join(out, "burn.json")
+	html, data := filepath.Join(folders.Out, "burn.html"), filepath.Join(folders.Out, "burn.json")
 	if err := report(ctx, f, "html", html); err != nil {
 		return err
 	}
@@ -114,16 +77,33 @@
 	return check(data)
 }
 
-func config(bin, dir string) fleet.Config {
-	return fleet.Config{
-		Dir: dir, Bin: bin, Routers: 3, DataCentres: 3,
-		Settings:  settings,
-		Customers: []fleet.Customer{pushed, calm, reader},
-		Servers: []fleet.Server{
-			engine("e1", "dc1", "plan"), engine("e2", "dc2", "plan"), engine("e3", "dc3", "claims"),
-			{ID: "d1", DataCentre: "dc1", Kind: "service", Args: []string{"--name", "dispatch", "--slots", "8", "--delay", "5ms"}},
-		},
+// takeReadings reads the routers under load, while one of them restarts, and
+// shows the report as a table.
+func takeReadings(ctx context.Context, f *fleet.Fleet) error {
+	fmt.Printf("%d routers are up; %s sends far more than its one engine serves, for %s\n", len(f.Routers), pushed.Path, loadTime)
+	caller, err := f.Call("load", streams(), loadTime, 1)
+	if err != nil {
+		return err
+	}
+	restarted := make(chan error, 1)
+	go func() { restarted <- restartRouter(f) }()
+	if err := errors.Join(report(ctx, f, "table", ""), <-restarted); err != nil {
+		return err
+	}
+	_, err = caller.Report(ctx)
+	return err
+}
+
+func config(folders fleet.Folders) (fleet.Config, error) {
+	c, err := folders.Config("report")
+	c.Routers, c.DataCentres = 3, 3
+	c.Settings = settings
+	c.Customers = []fleet.Customer{pushed, calm, reader}
+	c.Servers = []fleet.Server{
+		engine("e1", "dc1", "plan"), engine("e2", "dc2", "plan"), engine("e3", "dc3", "claims"),
+		{ID: "d1", DataCentre: "dc1", Kind: "service", Args: []string{"--name", "dispatch", "--slots", "8", "--delay", "5ms"}},
 	}
+	return c, err
 }
 
 func engine(id, dc, model string) fleet.Server {
--- a/test/cmd/runbook/main.go
+++ b/test/cmd/runbook/main.go
@@ -13,17 +13,10 @@
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/windscale/windscale/test/fleet"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-
-	limit = time.Minute
-)
+const limit = time.Minute // of the whole command
 
 const settings = `[service dispatch]
 [tree]
@@ -33,25 +26,13 @@
 `
 
 type options struct {
-	Bin  string `long:"bin" default:"bin" description:"folder of the programs"`
-	Out  string `long:"out" default:"out" description:"folder for the working folder"`
+	fleet.Folders
 	Page string `long:"page" default:"docs/OPERATING.md" description:"the runbook"`
 }
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "runbook: FAILED:", err)
-		os.Exit(exitFailed)
-	}
+	fleet.Main("runbook", &o, limit, func(ctx context.Context) error { return run(ctx, o) })
 }
 
 func run(ctx context.Context, o options) error {
@@ -59,27 +40,20 @@
 	if err != nil {
 		return err
 	}
-	bin, err := filepath.Abs(o.Bin)
-	if err != nil {
-		return err
-	}
-	dir, err := filepath.Abs(filepath.Join(o.Out, "runbook"))
+	c, err := o.Config("runbook")
 	if err != nil {
 		return err
 	}
-	f, err := fleet.Up(ctx, fleet.Config{
-		Dir: dir, Bin: bin, Routers: 3, DataCentres: 3,
-		Settings:  settings,
-		Customers: []fleet.Customer{{Path: "operations/prober"}},
-		Servers: []fleet.Server{
-			{ID: "d1", DataCentre: "dc1", Kind: "service", Args: []string{"--name", "dispatch"}},
-		},
-	})
+	c.Routers, c.DataCentres = 3, 3
+	c.Settings = settings
+	c.Customers = []fleet.Customer{{Path: "operations/prober"}}
+	c.Servers = []fleet.Server{{ID: "d1", DataCentre: "dc1", Kind: "service", Args: []string{"--name", "dispatch"}}}
+	f, err := fleet.Up(ctx, c)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	if err := edit(filepath.Join(dir, "settings.ini")); err != nil {
+	if err := edit(filepath.Join(f.Dir, "settings.ini")); err != nil {
 		return err
 	}
 	list := commands(string(page))
