--- a/internal/core/burn/report.go
+++ b/internal/core/burn/report.go
@@ -84,13 +84,13 @@
 	}
 	now := h.s.Points[len(h.s.Points)-1]
 	r := Report{At: now.At, Since: h.s.Points[0].At}
-	var bases []Point
+	var bases []Point // by window
 	for _, w := range Windows() {
 		base, short := h.base(now.At.Add(-w))
 		bases = append(bases, base)
 		r.Windows = append(r.Windows, windowState(w, base, now, short))
 	}
-	r.Rows = rows(now, bases, r.Windows, promises)
+	r.Rows = computation{now, bases, r.Windows, promises}.rows()
 	return r
 }
 
@@ -110,6 +110,8 @@
 	}
 }
 
+// windowState says what the readings from base to now know of a window of
+// length w.
 func windowState(w time.Duration, base, now Point, short bool) WindowState {
 	s := WindowState{
 		Length: w,
@@ -120,23 +122,17 @@
 	var read, lost time.Duration
 	for _, id := range slices.Sorted(maps.Keys(now.Routers)) {
 		d := now.Routers[id].minus(base.Routers[id])
-		s.Seen += d.Seen
 		missing := slices.Contains(now.Missing, id)
 		if missing {
 			d.Lost += unread(s.Span, d)
 		}
+		s.Seen += d.Seen
 		read += d.Read
 		lost += d.Lost
-		if d.Missed == 0 && d.Restarts == 0 && d.Lost == 0 && !missing {
-			continue
+		r := RouterReading{Router: id, Missed: d.Missed, Restarts: d.Restarts, Lost: d.Lost, MissingNow: missing}
+		if r != (RouterReading{Router: id}) {
+			s.Routers = append(s.Routers, r)
 		}
-		s.Routers = append(s.Routers, RouterReading{
-			Router:     id,
-			Missed:     d.Missed,
-			Restarts:   d.Restarts,
-			Lost:       d.Lost,
-			MissingNow: missing,
-		})
 	}
 	if read+lost > 0 {
 		s.Read = read.Seconds() / (read + lost).Seconds()
@@ -164,78 +160,76 @@
 	promise bool
 }
 
-func rows(now Point, bases []Point, windows []WindowState, promises map[msg.CustomerID]Promise) []Row {
+// computation is what the rows are computed from.
+type computation struct {
+	now      Point
+	bases    []Point // by window: the point that it starts from
+	windows  []WindowState
+	promises map[msg.CustomerID]Promise
+}
+
+// rows returns the rows by ID, then by objective.
+func (c computation) rows() []Row {
 	ids := map[msg.CustomerID]bool{}
-	for id := range now.Totals {
+	for id := range c.now.Totals {
 		ids[id] = true
 	}
-	for id := range promises {
+	for id := range c.promises {
 		ids[id] = true
 	}
 	var out []Row
 	for _, o := range Objectives() {
-		out = append(out, objectiveRows(o, ids, now, bases, windows, promises)...)
+		out = append(out, c.objective(o, ids)...)
 	}
 	slices.SortStableFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-func objectiveRows(o Objective, ids map[msg.CustomerID]bool, now Point, bases []Point, windows []WindowState, promises map[msg.CustomerID]Promise) []Row {
+// objective returns the rows of one objective, for each customer that was
+// counted or promised it and for the groups above.
+func (c computation) objective(o Objective, ids map[msg.CustomerID]bool) []Row {
 	sums := map[key]*spent{}
 	for id := range ids {
-		p := promises[id]
-		if !p.covers(o) && now.Totals[id][o].Total == 0 {
+		if !c.promises[id].covers(o) && c.now.Totals[id][o].Total == 0 {
 			continue
 		}
-		keys := []key{{id: id}}
+		c.add(sums, key{id: id}, id, o)
 		for _, g := range Groups(id) {
-			keys = append(keys, key{id: g, group: true})
-		}
-		for _, k := range keys {
-			add(sums, k, id, o, p, now, bases)
+			c.add(sums, key{id: g, group: true}, id, o)
 		}
 	}
 	out := make([]Row, 0, len(sums))
 	for k, s := range sums {
-		out = append(out, row(k, o, s, windows))
+		out = append(out, c.row(k, o, s))
 	}
 	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
 // add adds the customer's counts to the row k.
-func add(sums map[key]*spent, k key, id msg.CustomerID, o Objective, p Promise, now Point, bases []Point) {
+func (c computation) add(sums map[key]*spent, k key, id msg.CustomerID, o Objective) {
 	s, ok := sums[k]
 	if !ok {
-		s = &spent{counts: make([]Counts, len(bases)), allowed: make([]float64, len(bases))}
+		s = &spent{counts: make([]Counts, len(c.bases)), allowed: make([]float64, len(c.bases))}
 		sums[k] = s
 	}
+	p := c.promises[id]
 	s.promise = s.promise || p.allowed(o, 1) > 0
 	if k.group && p.allowed(o, 1) == 0 {
 		return
 	}
-	for w, base := range bases {
-		d := now.Totals[id][o].minus(base.Totals[id][o])
+	for w, base := range c.bases {
+		d := c.now.Totals[id][o].minus(base.Totals[id][o])
 		s.counts[w] = s.counts[w].plus(d)
 		s.allowed[w] += p.allowed(o, d.Total)
 	}
 }
 
-func row(k key, o Objective, s *spent, windows []WindowState) Row {
+// row returns the row of what was spent, with its alarms.
+func (c computation) row(k key, o Objective, s *spent) Row {
 	r := Row{ID: k.id, Group: k.group, Objective: o}
-	for w, state := range windows {
-		b := Burn{State: Measured, Counts: s.counts[w]}
-		switch {
-		case !s.promise:
-			b.State = NoObjective
-		case s.counts[w].Total > 0:
-			b.Rate = float64(s.counts[w].Bad) / s.allowed[w]
-		case state.Seen == 0 || state.gaps():
-			b.State = NoData
-		default:
-			b.State = NoRequests
-		}
-		r.Burns = append(r.Burns, b)
+	for w, state := range c.windows {
+		r.Burns = append(r.Burns, s.burn(w, state))
 	}
 	for _, p := range Pairs() {
 		r.Alarms = append(r.Alarms, r.at(p.Short) >= p.Threshold && r.at(p.Long) >= p.Threshold)
@@ -243,6 +237,22 @@
 	return r
 }
 
+// burn returns the burn in the window w, whose state is given.
+func (s *spent) burn(w int, state WindowState) Burn {
+	b := Burn{State: Measured, Counts: s.counts[w]}
+	switch {
+	case !s.promise:
+		b.State = NoObjective
+	case s.counts[w].Total > 0:
+		b.Rate = float64(s.counts[w].Bad) / s.allowed[w]
+	case state.Seen == 0 || state.gaps():
+		b.State = NoData
+	default:
+		b.State = NoRequests
+	}
+	return b
+}
+
 // at returns the rate in the window of length w, or 0 when it is not measured.
 func (r Row) at(w time.Duration) float64 {
 	b := r.Burns[slices.Index(Windows(), w)]
