--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -21,6 +21,17 @@
 	Wait       time.Duration `long:"wait" default:"10s" description:"time to be in force on every live router; 0s: don't wait"`
 }
 
+// begin reads what is in force and returns it with the edit that the flags
+// describe.
+func (f *editFlags) begin(ctx context.Context, a *app) (current, settingsstore.Edit, error) {
+	now, err := a.current(ctx)
+	if err != nil {
+		return now, settingsstore.Edit{}, err
+	}
+	e, err := f.edit(now.head)
+	return now, e, err
+}
+
 // edit returns the edit that the flags describe. Without a base it would
 // silently undo what others changed since the operator's copy was made.
 func (f *editFlags) edit(head *settingsstore.Record) (settingsstore.Edit, error) {
@@ -68,21 +79,13 @@
 	if err != nil {
 		return err
 	}
-	store, err := a.store()
-	if err != nil {
-		return err
-	}
-	head, snap, err := a.readInForce(ctx, store)
-	if err != nil {
-		return err
-	}
-	e, err := c.edit(head)
+	now, e, err := c.begin(ctx, a)
 	if err != nil {
 		return err
 	}
 	e.Source = next.Source
-	return a.putInForce(ctx, c.Wait, settings.Diff(snap, next), func(ctx context.Context) (settingsstore.Accepted, error) {
-		return store.Accept(ctx, e)
+	return a.putInForce(ctx, c.Wait, settings.Diff(now.snap, next), func(ctx context.Context) (settingsstore.Accepted, error) {
+		return now.store.Accept(ctx, e)
 	})
 }
 
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/windscale/windscale/internal/core/settings"
-	"github.com/windscale/windscale/internal/settingsstore"
 )
 
 // diffCommand shows what a file would change in the version in force.
@@ -21,20 +19,16 @@
 }
 
 func (c *diffCommand) run(ctx context.Context, a *app) error {
-	store, err := a.store()
+	now, err := a.current(ctx)
 	if err != nil {
 		return err
 	}
-	head, snap, err := a.readInForce(ctx, store)
-	if err != nil {
-		return err
-	}
-	version := versionOf(head)
+	version := now.version()
 	next, err := c.Args.build(version + 1)
 	if err != nil {
 		return err
 	}
-	changes := settings.Diff(snap, next)
+	changes := settings.Diff(now.snap, next)
 	if a.json() {
 		return a.showJSON(diffed{version, changesOf(changes)})
 	}
@@ -42,28 +36,3 @@
 	a.printChanges(a.out, changes)
 	return nil
 }
-
-// readInForce returns the version in force, nil before the first. The tree is
-// nil too when this release's checks have faults in the version.
-func (a *app) readInForce(ctx context.Context, store *settingsstore.Store) (*settingsstore.Record, *settings.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	head, err := store.Head(ctx)
-	if err != nil {
-		return nil, nil, err
-	}
-	snap, err := store.Snapshot(ctx, head)
-	var invalid *settingsstore.InvalidError
-	if errors.As(err, &invalid) {
-		a.printf(a.note, "%v; no changes can be shown\n", err)
-		return head, nil, nil
-	}
-	return head, snap, err
-}
-
-func versionOf(r *settingsstore.Record) uint64 {
-	if r == nil {
-		return 0
-	}
-	return r.Version
-}
--- a/internal/ctl/rollback.go
+++ b/internal/ctl/rollback.go
@@ -17,23 +17,15 @@
 }
 
 func (c *rollbackCommand) run(ctx context.Context, a *app) error {
-	store, err := a.store()
+	now, e, err := c.begin(ctx, a)
 	if err != nil {
 		return err
 	}
-	head, snap, err := a.readInForce(ctx, store)
+	old, err := load(ctx, now.store, c.Args.Version)
 	if err != nil {
 		return err
 	}
-	e, err := c.edit(head)
-	if err != nil {
-		return err
-	}
-	old, err := load(ctx, store, c.Args.Version)
-	if err != nil {
-		return err
-	}
-	return a.putInForce(ctx, c.Wait, settings.Diff(snap, old), func(ctx context.Context) (settingsstore.Accepted, error) {
-		return store.Rollback(ctx, c.Args.Version, e)
+	return a.putInForce(ctx, c.Wait, settings.Diff(now.snap, old), func(ctx context.Context) (settingsstore.Accepted, error) {
+		return now.store.Rollback(ctx, c.Args.Version, e)
 	})
 }
