commands: the help of each command has its examples and the exit codes

They stood in the program's help alone; a command's own, such as that of windscale-standin engine or windscalectl drain, showed flags only. cli.Describe takes them from the program's description, so that they stand in one place.

--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/windscale/windscale/internal/cli"
-	"github.com/windscale/windscale/internal/version"
 )
 
 const program = "windscale-burn"
@@ -44,10 +42,7 @@
 
 func run(args []string) int {
 	opts := defaults()
-	opts.Version = func() {
-		fmt.Println(program, version.String())
-		os.Exit(cli.ExitOK)
-	}
+	opts.Version = cli.Version(program)
 	if _, err := cli.NewParser(&opts, description).ParseArgs(args); err != nil {
 		return cli.Report(program, err, os.Stdout, os.Stderr)
 	}
--- a/cmd/windscale-load/main.go
+++ b/cmd/windscale-load/main.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -20,9 +19,10 @@
 	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/load"
-	"github.com/windscale/windscale/internal/version"
 )
 
+const program = "windscale-load"
+
 const outputJSON = "json"
 
 const examples = `Plays callers by a plan and checks every answer byte for byte.
@@ -48,16 +48,13 @@
 
 func main() {
 	var opts options
-	opts.Version = func() {
-		fmt.Println("windscale-load", version.String())
-		os.Exit(0)
-	}
+	opts.Version = cli.Version(program)
 	_, err := cli.NewParser(&opts, examples).Parse()
 	if err == nil {
 		err = opts.check()
 	}
 	if err != nil {
-		os.Exit(cli.Report("windscale-load", err, os.Stdout, os.Stderr))
+		os.Exit(cli.Report(program, err, os.Stdout, os.Stderr))
 	}
 	os.Exit(play(opts))
 }
--- a/cmd/windscale-standin/main.go
+++ b/cmd/windscale-standin/main.go
@@ -7,15 +7,15 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 
 	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/events"
-	"github.com/windscale/windscale/internal/version"
 )
 
+const programName = "windscale-standin"
+
 const examples = `Stand-ins for the platform and for backend servers.
 
 Examples:
@@ -36,10 +36,7 @@
 
 func main() {
 	var opts options
-	opts.Version = func() {
-		fmt.Println("windscale-standin", version.String())
-		os.Exit(0)
-	}
+	opts.Version = cli.Version(programName)
 	_, err := cli.NewParser(&opts, examples).Parse()
 	os.Exit(exitCode(err))
 }
@@ -48,7 +45,7 @@
 // after the start is logged as an event.
 func exitCode(err error) int {
 	if cli.ExitCode(err) != cli.ExitFailed {
-		return cli.Report("windscale-standin", err, os.Stdout, os.Stderr)
+		return cli.Report(programName, err, os.Stdout, os.Stderr)
 	}
 	events.ProcessFailed.Log(context.Background(), logger(), slog.LevelError, "err", err)
 	return cli.ExitFailed
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,8 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/windscale/windscale/internal/version"
 )
 
 // The exit codes of every program.
@@ -26,10 +30,12 @@
 
 // NewParser returns a parser that fills opts, a pointer to a struct with the
 // tags of go-flags. The help begins with description. Arguments that nothing
-// takes are wrong usage, and then no command runs.
+// takes are wrong usage, and then no command runs. Commands are described as by
+// [Describe].
 func NewParser(opts any, description string) *flags.Parser {
 	p := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = description
+	Describe(p)
 	p.CommandHandler = func(command flags.Commander, rest []string) error {
 		if err := NoRest(rest); err != nil || command == nil {
 			return err
@@ -39,6 +45,44 @@
 	return p
 }
 
+// exitCodes begins the last paragraph of a program's description.
+const exitCodes = "Exit codes: "
+
+// Describe gives the help of each command what the program's description says
+// of it: the examples, which are its indented lines, that run the command, and
+// the exit codes.
+func Describe(p *flags.Parser) {
+	var codes string
+	if i := strings.LastIndex(p.LongDescription, exitCodes); i >= 0 {
+		codes = p.LongDescription[i:]
+	}
+	describe(p.Commands(), "", p.LongDescription, codes)
+}
+
+// describe does so for commands; path is that of the command above them.
+func describe(all []*flags.Command, path, description, codes string) {
+	for _, c := range all {
+		own := path + " " + c.Name
+		describe(c.Commands(), own, description, codes)
+		text := c.ShortDescription + ".\n\nExamples:\n"
+		for line := range strings.Lines(description) {
+			if strings.HasPrefix(line, "  ") && strings.Contains(strings.TrimSpace(line)+" ", own+" ") {
+				text += line
+			}
+		}
+		c.LongDescription = text + "\n" + codes
+	}
+}
+
+// Version returns what a program's --version does: it prints the version and
+// ends the process.
+func Version(program string) func() {
+	return func() {
+		fmt.Println(program, version.String())
+		os.Exit(ExitOK)
+	}
+}
+
 // NoRest returns a [UsageError] if arguments are left that nothing takes. It is
 // for programs with a command handler of their own.
 func NoRest(rest []string) error {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+func TestCommandsAreDescribed(t *testing.T) {
+	var opts struct {
+		Run  runCommand `command:"run" description:"run a file"`
+		Jump struct {
+			High runCommand `command:"high" description:"jump high"`
+		} `command:"jump" description:"jump over a file"`
+	}
+	p := NewParser(&opts, "Runs and jumps.\n\nExamples:\n  prog run a\n  prog --x 1 jump high b\n  prog run c\n\nExit codes: 0 good, 1 bad.")
+	assert.Equal(t, p.Find("run").LongDescription, "run a file.\n\nExamples:\n  prog run a\n  prog run c\n\nExit codes: 0 good, 1 bad.")
+	assert.Equal(t, p.Find("jump").Find("high").LongDescription, "jump high.\n\nExamples:\n  prog --x 1 jump high b\n\nExit codes: 0 good, 1 bad.")
+}
+
 func TestExitCodeLooksThroughWrapping(t *testing.T) {
 	assert.Equal(t, ExitCode(errors.Trace(&UsageError{What: "--n"})), ExitUsage)
 	assert.Equal(t, ExitCode(errors.Trace(&flags.Error{Type: flags.ErrRequired})), ExitUsage)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -118,6 +118,7 @@
 	if _, err := parser.AddGroup("Options", "", &a.opts); err != nil {
 		return a.fail(err)
 	}
+	cli.Describe(parser)
 	parser.CommandHandler = func(c flags.Commander, rest []string) error {
 		if err := cli.NoRest(rest); err != nil {
 			return err
