--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -54,7 +54,7 @@
 	out.id = resp.Header.Get("Windscale-Request")
 	out.end = time.Now()
 	if out.class == Whole && c.section.Timeout > 0 && out.end.Sub(began) > c.section.Timeout {
-		out.class = Late
+		out.class, out.reason = Late, "late"
 	}
 	return out
 }
