--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -45,7 +45,7 @@
 	Reasons          map[string]int `json:"reasons"`    // of what was late, broken, wrong or not sent
 	PromptTokens     int64          `json:"promptTokens"`
 	CompletionTokens int64          `json:"completionTokens"`
-	Cost             int64          `json:"cost"`          // models: prompt tokens + 2 × completion tokens; services: requests
+	Cost             int64          `json:"cost"`          // models: prompt tokens + 4 × completion tokens; services: requests
 	CostPerSecond    float64        `json:"costPerSecond"` // while the section sent
 	Weight           float64        `json:"weight"`
 	FirstToken       Latency        `json:"firstToken"`
