settings: verdicts and kinds of fault and change are their texts

As in the errors of the other packages, the tables from numbers to texts are gone. The test that the page lists every fault reads the kinds from fault.go, where it read them from the table. settingsstore: askPeers says plainly when silent peers are logged, where one condition swapped and compared twice.

--- a/internal/core/settings/diff.go
+++ b/internal/core/settings/diff.go
@@ -2,29 +2,19 @@
 
 import "fmt"
 
-// ChangeKind classes the differences between two settings.
-type ChangeKind int
+// ChangeKind classes the differences between two settings. Its text is stable
+// in the output of windscalectl.
+type ChangeKind string
 
 // The kinds of Change.
 const (
-	SectionAdded ChangeKind = iota + 1
-	SectionRemoved
-	KeyAdded
-	KeyRemoved
-	KeyChanged
+	SectionAdded   ChangeKind = "section-added"
+	SectionRemoved ChangeKind = "section-removed"
+	KeyAdded       ChangeKind = "key-added"
+	KeyRemoved     ChangeKind = "key-removed"
+	KeyChanged     ChangeKind = "key-changed"
 )
 
-var changeNames = map[ChangeKind]string{
-	SectionAdded:   "section-added",
-	SectionRemoved: "section-removed",
-	KeyAdded:       "key-added",
-	KeyRemoved:     "key-removed",
-	KeyChanged:     "key-changed",
-}
-
-// String returns the kind's name.
-func (k ChangeKind) String() string { return changeNames[k] }
-
 // Change is one difference between two settings as they are written.
 type Change struct {
 	Kind    ChangeKind
--- a/internal/core/settings/docs_test.go
+++ b/internal/core/settings/docs_test.go
@@ -30,12 +30,16 @@
 	assert.DeepEqual(t, got, want)
 }
 
-// docs/SETTINGS.md names every kind of fault.
+// docs/SETTINGS.md names every kind of fault that fault.go declares.
 func TestPageListsEveryFault(t *testing.T) {
+	source, err := os.ReadFile("fault.go")
+	assert.NilError(t, err)
+	declared := regexp.MustCompile(`(?m)^\tFault\w+ +FaultKind = "(.+?)"`).FindAllSubmatch(source, -1)
+	assert.Equal(t, len(declared), strings.Count(string(source), "\tFault"))
 	text, err := os.ReadFile("../../../docs/SETTINGS.md")
 	assert.NilError(t, err)
-	for _, name := range faultNames {
-		assert.Check(t, cmp.Contains(string(text), "\n- `"+name+"`: "))
+	for _, d := range declared {
+		assert.Check(t, cmp.Contains(string(text), "\n- `"+string(d[1])+"`: "))
 	}
 }
 
--- a/internal/core/settings/fault.go
+++ b/internal/core/settings/fault.go
@@ -2,49 +2,29 @@
 
 import "strings"
 
-// FaultKind classes what can be wrong with a settings text.
-type FaultKind int
+// FaultKind classes what can be wrong with a settings text. Its text is stable
+// in the output of windscalectl.
+type FaultKind string
 
 // The kinds of Fault.
 const (
-	FaultSyntax            FaultKind = iota + 1 // the text is not INI
-	FaultTooLarge                               // a limit on size, count or depth is passed
-	FaultUnknownSection                         // no such section
-	FaultUnknownKey                             // no such key in this kind of section
-	FaultBadValue                               // the value does not have the key's form
-	FaultBadName                                // a name in the section's path is malformed
-	FaultDuplicateSection                       // a section of settings or a group stands twice
-	FaultDuplicateCustomer                      // a customer stands twice
-	FaultDuplicateKey                           // a key stands twice in a section
-	FaultSharedKey                              // the same caller's key is listed twice
-	FaultParentIsCustomer                       // a section with keys has sections below it
-	FaultMissingParent                          // the section above is not written
-	FaultNoKeys                                 // a customer without keys or a group without customers
-	FaultUnknownService                         // a service is allowed that has no section
-	FaultRemovedLive                            // a customer is gone whose keys were live
+	FaultSyntax            FaultKind = "syntax"                // the text is not INI
+	FaultTooLarge          FaultKind = "too-large"             // a limit on size, count or depth is passed
+	FaultUnknownSection    FaultKind = "unknown-section"       // no such section
+	FaultUnknownKey        FaultKind = "unknown-key"           // no such key in this kind of section
+	FaultBadValue          FaultKind = "bad-value"             // the value does not have the key's form
+	FaultBadName           FaultKind = "bad-name"              // a name in the section's path is malformed
+	FaultDuplicateSection  FaultKind = "duplicate-section"     // a section of settings or a group stands twice
+	FaultDuplicateCustomer FaultKind = "duplicate-customer"    // a customer stands twice
+	FaultDuplicateKey      FaultKind = "duplicate-key"         // a key stands twice in a section
+	FaultSharedKey         FaultKind = "shared-key"            // the same caller's key is listed twice
+	FaultParentIsCustomer  FaultKind = "parent-is-customer"    // a section with keys has sections below it
+	FaultMissingParent     FaultKind = "missing-parent"        // the section above is not written
+	FaultNoKeys            FaultKind = "no-keys"               // a customer without keys or a group without customers
+	FaultUnknownService    FaultKind = "unknown-service"       // a service is allowed that has no section
+	FaultRemovedLive       FaultKind = "removed-live-customer" // a customer is gone whose keys were live
 )
 
-var faultNames = map[FaultKind]string{
-	FaultSyntax:            "syntax",
-	FaultTooLarge:          "too-large",
-	FaultUnknownSection:    "unknown-section",
-	FaultUnknownKey:        "unknown-key",
-	FaultBadValue:          "bad-value",
-	FaultBadName:           "bad-name",
-	FaultDuplicateSection:  "duplicate-section",
-	FaultDuplicateCustomer: "duplicate-customer",
-	FaultDuplicateKey:      "duplicate-key",
-	FaultSharedKey:         "shared-key",
-	FaultParentIsCustomer:  "parent-is-customer",
-	FaultMissingParent:     "missing-parent",
-	FaultNoKeys:            "no-keys",
-	FaultUnknownService:    "unknown-service",
-	FaultRemovedLive:       "removed-live-customer",
-}
-
-// String returns the kind's name, stable in the output of windscalectl.
-func (k FaultKind) String() string { return faultNames[k] }
-
 // Fault is one thing wrong with a settings text. It never shows the value of
 // a caller's key.
 type Fault struct {
@@ -61,7 +41,7 @@
 	if f.Key != "" {
 		b.WriteString(f.Key + ": ")
 	}
-	b.WriteString(f.Kind.String())
+	b.WriteString(string(f.Kind))
 	if f.Detail != "" {
 		b.WriteString(": " + f.Detail)
 	}
--- a/internal/core/settings/holder.go
+++ b/internal/core/settings/holder.go
@@ -11,30 +11,18 @@
 }
 
 // Verdict is what became of an offer.
-type Verdict int
+type Verdict string
 
 // The verdicts on an offer.
 const (
-	Taken     Verdict = iota + 1 // it is in force now
-	Known                        // it is in force already
-	Older                        // a higher version is in force
-	Mismatch                     // the text does not have the digest
-	Diverging                    // the version in force has another digest
-	Faulty                       // the text does not pass the checks of this release
+	Taken     Verdict = "taken"           // it is in force now
+	Known     Verdict = "known"           // it is in force already
+	Older     Verdict = "older"           // a higher version is in force
+	Mismatch  Verdict = "digest-mismatch" // the text does not have the digest
+	Diverging Verdict = "diverging"       // the version in force has another digest
+	Faulty    Verdict = "faulty"          // the text does not pass the checks of this release
 )
 
-var verdictNames = map[Verdict]string{
-	Taken:     "taken",
-	Known:     "known",
-	Older:     "older",
-	Mismatch:  "digest-mismatch",
-	Diverging: "diverging",
-	Faulty:    "faulty",
-}
-
-// String returns the verdict's name.
-func (v Verdict) String() string { return verdictNames[v] }
-
 // Holder holds the version in force at one router. It takes only a higher
 // version than it has, whole and checked, whoever offers it, and so never goes
 // back. It may be used from one goroutine at a time; the snapshots it returns
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -64,7 +64,7 @@
 func faultsOf(all []settings.Fault) []fault {
 	out := []fault{}
 	for _, f := range all {
-		out = append(out, fault{f.Section, f.Key, f.Kind.String(), f.Detail})
+		out = append(out, fault{f.Section, f.Key, string(f.Kind), f.Detail})
 	}
 	return out
 }
@@ -81,7 +81,7 @@
 func changesOf(all []settings.Change) []change {
 	out := []change{}
 	for _, c := range all {
-		out = append(out, change{c.Kind.String(), c.Section, c.Key, c.Old, c.New})
+		out = append(out, change{string(c.Kind), c.Section, c.Key, c.Old, c.New})
 	}
 	return out
 }
--- a/internal/settingsstore/follower.go
+++ b/internal/settingsstore/follower.go
@@ -236,6 +236,8 @@
 	return offer, nil
 }
 
+// askPeers offers the highest version of a peer. That no peer answers is logged
+// when it begins.
 func (f *Follower) askPeers(ctx context.Context) {
 	if f.config.Peers == nil {
 		return
@@ -243,12 +245,13 @@
 	asked, cancel := context.WithTimeout(ctx, f.config.PeerTimeout)
 	defer cancel()
 	version, digest, source, err := f.config.Peers.Highest(asked)
-	if f.stats.peersMute.Swap(err != nil) != (err != nil) && err != nil {
-		events.SettingsPeersMute.Log(ctx, f.config.Log, slog.LevelInfo, "error", err)
-	}
 	if err != nil {
+		if !f.stats.peersMute.Swap(true) {
+			events.SettingsPeersMute.Log(ctx, f.config.Log, slog.LevelInfo, "error", err)
+		}
 		return
 	}
+	f.stats.peersMute.Store(false)
 	f.OfferPeer(version, digest, source)
 }
 
@@ -299,7 +302,7 @@
 		return
 	}
 	f.refused = r
-	args := []any{"version", o.Version, "from", from, "verdict", verdict.String()}
+	args := []any{"version", o.Version, "from", from, "verdict", string(verdict)}
 	if len(faults) > 0 {
 		args = append(args, "faults", len(faults), "first", faults[0].Error())
 	}
