--- a/cmd/windscale-burn/report.go
+++ b/cmd/windscale-burn/report.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	_ "github.com/jessevdk/go-flags" // reads the tags of the options
 	"github.com/juju/errors"
 
 	"github.com/windscale/windscale/internal/adminclient"
--- a/cmd/windscale-load/main.go
+++ b/cmd/windscale-load/main.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	_ "github.com/jessevdk/go-flags" // reads the tags of the options
+
 	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/load"
