--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -38,7 +39,7 @@
 
 // Error implements error.
 func (e *StatusError) Error() string {
-	return "the router answered " + http.StatusText(e.Status)
+	return fmt.Sprintf("the router answered %d %s", e.Status, http.StatusText(e.Status))
 }
 
 // NoMetricsError says that a page does not hold windscale's metrics.
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,7 +60,9 @@
 }
 
 // Error implements error.
-func (e *StatusError) Error() string { return "status " + http.StatusText(e.Status) }
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", e.Status, http.StatusText(e.Status))
+}
 
 // TooLargeError is an answer longer than the form allows.
 type TooLargeError struct {
