test/cmd/fleet: functions of one job each

faults, run, measureOne and demo did several things in turn. The watch of the settings no longer blocks for ever when a scenario fails before its end.

--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -50,14 +50,9 @@
 	}
 	fmt.Printf("\nload of %d customers for %s; claims-staff sends more than its queue may hold\n", len(customers), demoLoad)
 	list := new(checklist)
-	for _, step := range []func(context.Context, *fleet.Fleet, *checklist) error{changeSettings, drainRouter, leaveServer} {
-		sleep(ctx, demoStep)
-		if err := step(ctx, f, list); err != nil {
-			return err
-		}
+	if err := demoSteps(ctx, f, list); err != nil {
+		return err
 	}
-	fmt.Println("\nwindscalectl status")
-	list.check(showStatus(ctx, f) == nil, "windscalectl status")
 	report, err := caller.Report(ctx)
 	if err != nil {
 		return err
@@ -72,6 +67,20 @@
 	return list.err()
 }
 
+// demoSteps does what operators do while the load runs.
+func demoSteps(ctx context.Context, f *fleet.Fleet, list *checklist) error {
+	for _, step := range []func(context.Context, *fleet.Fleet, *checklist) error{changeSettings, drainRouter, leaveServer} {
+		sleep(ctx, demoStep)
+		if err := step(ctx, f, list); err != nil {
+			return err
+		}
+	}
+	fmt.Println("\nwindscalectl status")
+	list.check(showStatus(ctx, f) == nil, "windscalectl status")
+	return nil
+}
+
+// changeSettings changes a weight and waits until it is in force everywhere.
 func changeSettings(ctx context.Context, f *fleet.Fleet, list *checklist) error {
 	fmt.Println("\na settings change: quetzal's weight from 1 to 1.5")
 	took, err := f.Apply(ctx, settings(1.5), true)
@@ -82,6 +91,7 @@
 	return nil
 }
 
+// drainRouter ends a router by SIGTERM; it must finish what it has.
 func drainRouter(ctx context.Context, f *fleet.Fleet, list *checklist) error {
 	r := f.Routers[len(f.Routers)-1]
 	s, err := r.Status(ctx)
@@ -100,6 +110,7 @@
 	return nil
 }
 
+// leaveServer marks a server as leaving; it must get nothing new.
 func leaveServer(ctx context.Context, f *fleet.Fleet, list *checklist) error {
 	b := f.Backends[0]
 	fmt.Printf("\n%s marked as leaving in the host list\n", b.ID)
--- a/test/cmd/fleet/faults.go
+++ b/test/cmd/fleet/faults.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/load"
+	"github.com/windscale/windscale/internal/standin/backend"
 	"github.com/windscale/windscale/test/fleet"
 )
 
@@ -67,6 +68,22 @@
 		return err
 	}
 	defer f.Close()
+	results, err := runScenarios(ctx, f, o)
+	if err != nil {
+		return err
+	}
+	if err := o.writeJSON("faults", results); err != nil {
+		return err
+	}
+	ran, err := f.Record(ctx)
+	if err != nil {
+		return err
+	}
+	return checkFaults(results, ran)
+}
+
+// runScenarios runs the scenarios that were asked for and prints their rows.
+func runScenarios(ctx context.Context, f *fleet.Fleet, o options) ([]result, error) {
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	var results []result
 	table := newFaultTable()
@@ -76,14 +93,16 @@
 		}
 		r, err := s.run(ctx, f, o.Seed+uint64(i), rng)
 		if err != nil {
-			return &fleet.Error{What: "scenario " + s.name(), Err: err}
+			return nil, &fleet.Error{What: "scenario " + s.name(), Err: err}
 		}
 		results = append(results, r)
 		table.row(r)
 	}
-	if err := o.writeJSON("faults", results); err != nil {
-		return err
-	}
+	return results, nil
+}
+
+// checkFaults holds what must hold of every scenario, and of all that ran.
+func checkFaults(results []result, ran []backend.Run) error {
 	list := new(checklist)
 	for _, r := range results {
 		if r.breached() {
@@ -91,10 +110,6 @@
 				r.Reverted, r.Recovered, r.Whole, strings.Join(r.Examples, "\n"))
 		}
 	}
-	ran, err := f.Record(ctx)
-	if err != nil {
-		return err
-	}
 	twice := fleet.Doubled(ran)
 	list.check(len(twice) == 0, "%d doubled executions of bookings with and without keys in all %d runs %s",
 		len(twice), len(ran), strings.Join(twice, ", "))
@@ -129,9 +144,8 @@
 	return append(singles, pairs...)
 }
 
-// run provokes the faults under load and heals them, changes the settings
-// meanwhile, waits for the recovery and holds what callers saw against the
-// servers' records.
+// run provokes the faults under load and heals them, waits for the recovery
+// and holds what callers saw against the servers' records.
 func (s scenario) run(ctx context.Context, f *fleet.Fleet, seed uint64, rng *rand.Rand) (result, error) {
 	r := result{Scenario: s.name()}
 	t := &trial{Fleet: f, name: strings.ReplaceAll(s.name(), " ", "-"), seed: seed}
@@ -142,30 +156,45 @@
 		return r, err
 	}
 	watch := watchSettings(ctx, f)
+	if err := s.strike(ctx, t, rng); err != nil {
+		return r, err
+	}
+	healed := time.Now()
+	r.Recovered = recovered(ctx, f)
+	r.RecoverySeconds = time.Since(healed).Seconds()
+	r.Reverted = watch()
+	err := t.judge(ctx, &r)
+	return r, err
+}
+
+// strike provokes the faults one after the other, changes the settings while
+// they hold, and heals them.
+func (s scenario) strike(ctx context.Context, t *trial, rng *rand.Rand) error {
 	sleep(ctx, scenarioWarm)
 	stagger := time.Duration(rng.Int64N(int64(staggerMost)))
 	for i, fault := range s {
 		sleep(ctx, time.Duration(i)*stagger)
 		if err := fault.inject(ctx, t); err != nil {
-			return r, err
+			return err
 		}
 	}
 	held := time.After(faultHold)
-	_, _ = f.Apply(ctx, settings(1+rng.Float64()), false) // may fail truthfully, by the fault
+	_, _ = t.Apply(ctx, settings(1+rng.Float64()), false) // may fail truthfully, by the fault
 	<-held
 	for _, fault := range s {
 		if err := fault.heal(ctx, t); err != nil {
-			return r, err
+			return err
 		}
 	}
-	healed := time.Now()
-	r.Recovered = recovered(ctx, f)
-	r.RecoverySeconds = time.Since(healed).Seconds()
-	r.Reverted = watch()
+	return nil
+}
+
+// judge waits for the ends of all load and fills in what callers saw.
+func (t *trial) judge(ctx context.Context, r *result) error {
 	for i, c := range t.callers {
 		report, err := c.Report(ctx)
 		if err != nil {
-			return r, err
+			return err
 		}
 		v := fleet.Judge(report)
 		if i == 0 {
@@ -176,7 +205,7 @@
 		v.Doubled = 0 // the twin's keys are the mix's, the flood has none
 		r.AddBreaches(v)
 	}
-	return r, nil
+	return nil
 }
 
 // longest is the longest time to a whole answer, in seconds.
@@ -205,7 +234,7 @@
 // in force. The function returned ends it and tells how often one went back.
 func watchSettings(ctx context.Context, f *fleet.Fleet) func() int {
 	ctx, cancel := context.WithCancel(ctx)
-	reverted := make(chan int)
+	reverted := make(chan int, 1) // buffered: nobody waits after a failure
 	go func() {
 		back := 0
 		last := make(map[string]uint64)
--- a/test/cmd/fleet/measure.go
+++ b/test/cmd/fleet/measure.go
@@ -78,19 +78,14 @@
 	return list.err()
 }
 
+// measureOne runs the load under one way of sharing.
 func measureOne(ctx context.Context, o options, sharing string) (figures, error) {
 	g := figures{Sharing: sharing}
-	c, err := o.Config("measure-" + sharing)
+	w := newWorkload()
+	c, err := large(o, sharing, w.customers)
 	if err != nil {
 		return g, err
 	}
-	c.Routers = measureRouters
-	c.DataCentres = 3
-	c.Sharing = sharing
-	c.Settings = common
-	c.Servers = manyServers()
-	w := newWorkload()
-	c.Customers = w.customers
 	f, err := fleet.Up(ctx, c)
 	if err != nil {
 		return g, err
@@ -119,6 +114,18 @@
 	return g, nil
 }
 
+// large is the fleet that is measured.
+func large(o options, sharing string, customers []fleet.Customer) (fleet.Config, error) {
+	c, err := o.Config("measure-" + sharing)
+	c.Routers = measureRouters
+	c.DataCentres = 3
+	c.Sharing = sharing
+	c.Settings = common
+	c.Servers = manyServers()
+	c.Customers = customers
+	return c, err
+}
+
 // manyServers are 20 engines, sped up, and 3 servers of a plain service.
 func manyServers() []fleet.Server {
 	var all []fleet.Server
--- a/test/cmd/fleet/sample.go
+++ b/test/cmd/fleet/sample.go
@@ -85,6 +85,7 @@
 	return nil
 }
 
+// count reads the routers' totals.
 func count(ctx context.Context, f *fleet.Fleet) (c counters, err error) {
 	for _, r := range f.Routers {
 		vars, err := r.Vars(ctx)
--- a/test/fleet/files.go
+++ b/test/fleet/files.go
@@ -27,6 +27,7 @@
 	return nil
 }
 
+// routerINI returns the router's own file; all other routers are its seeds.
 func (f *Fleet) routerINI(r *Router) string {
 	var seeds []string
 	for _, o := range f.Routers {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -161,6 +161,7 @@
 	return nil
 }
 
+// issueCertificates makes the fleet's CA and a certificate for each router.
 func (f *Fleet) issueCertificates(ctx context.Context) error {
 	dir := f.path("tls")
 	if err := f.run(ctx, "cert", "windscale-cert", "ca", "--out", dir); err != nil {
@@ -175,6 +176,8 @@
 	return nil
 }
 
+// startStandins starts the platform and the backend servers, and waits until
+// all answer.
 func (f *Fleet) startStandins(ctx context.Context) error {
 	addr := strings.TrimPrefix(f.URL, "http://")
 	var err error
@@ -225,6 +228,7 @@
 	return f.putHosts(ctx)
 }
 
+// startRouters starts every router and waits until all are healthy.
 func (f *Fleet) startRouters(ctx context.Context) error {
 	for _, r := range f.Routers {
 		if err := f.StartRouter(r); err != nil {
