--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -144,6 +144,8 @@
 	return write(dir, name+".pem", pair.Cert, certMode, os.O_TRUNC)
 }
 
+// write makes the file DIR/NAME, and the directory if need be; flag says what
+// becomes of one that is there.
 func write(dir, name string, text []byte, mode os.FileMode, flag int) error {
 	path := filepath.Join(dir, name)
 	if err := os.MkdirAll(dir, dirMode); err != nil {
--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -83,6 +83,8 @@
 	return s.round(targets, samples, errs, now)
 }
 
+// round puts the samples together. A router that was not read is named as
+// when it was read last, else by its URL.
 func (s *Scraper) round(targets []Target, samples []burn.Sample, errs []error, now time.Time) (burn.Round, []Failure) {
 	if s.names == nil {
 		s.names = map[string]msg.RouterID{}
@@ -116,6 +118,7 @@
 	} `json:"windscale"`
 }
 
+// read reads one router.
 func (s *Scraper) read(ctx context.Context, t Target) (burn.Sample, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
--- a/internal/core/settings/build.go
+++ b/internal/core/settings/build.go
@@ -41,6 +41,8 @@
 	b.faults = append(b.faults, Fault{section, key, kind, detail})
 }
 
+// sections sorts the sections by kind, and builds the tree when all services
+// are known.
 func (b *builder) sections(all []*section) {
 	var branches []*section
 	for _, s := range all {
@@ -62,6 +64,7 @@
 	b.limits()
 }
 
+// service builds a plain service from its section.
 func (b *builder) service(s *section) {
 	name := strings.TrimPrefix(s.name, servicePrefix)
 	if !goodItem(name) {
@@ -73,6 +76,7 @@
 	b.snap.Services[name] = svc
 }
 
+// tree checks every section of the tree and builds the customers.
 func (b *builder) tree(t *tree) {
 	b.snap.tree = t
 	for _, s := range t.sections {
@@ -95,6 +99,7 @@
 	}
 }
 
+// customer builds the customer of a leaf from the values that hold there.
 func (b *builder) customer(t *tree, name string) {
 	c := DefaultCustomer()
 	c.Path = customerID(name)
--- a/internal/core/settings/parse.go
+++ b/internal/core/settings/parse.go
@@ -89,6 +89,8 @@
 	return "a quote is not closed, or a key has no name"
 }
 
+// collect returns the sections in the order of the text. One that stands
+// twice is a fault and is left out.
 func collect(file *ini.File) ([]*section, []Fault) {
 	var out []*section
 	var faults []Fault
@@ -118,6 +120,7 @@
 	return Fault{Section: sec.Name(), Kind: kind, Detail: "the section stands more than once"}
 }
 
+// read copies one section and reports the keys that stand twice.
 func read(sec *ini.Section) (*section, []Fault) {
 	s := &section{name: sec.Name(), values: map[string]string{}}
 	var faults []Fault
--- a/internal/core/settings/tree.go
+++ b/internal/core/settings/tree.go
@@ -15,6 +15,7 @@
 	children map[string]int      // by section name
 }
 
+// newTree makes the tree of the sections; the root need not be written.
 func newTree(sections []*section) *tree {
 	t := &tree{nodes: map[string]*section{}, children: map[string]int{}}
 	for _, s := range sections {
--- a/internal/core/settings/value.go
+++ b/internal/core/settings/value.go
@@ -77,6 +77,8 @@
 	}
 }
 
+// parseSize reads a whole number of bytes, with or without a unit; false also
+// if it does not fit 64 bits.
 func parseSize(s string) (int64, bool) {
 	unit := int64(1)
 	for _, u := range sizeUnits {
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -98,16 +98,16 @@
 // where the output is JSON and there is more to say than a line.
 func (a *app) report(err error) {
 	var invalid *settingsstore.InvalidError
-	var lost *settingsstore.ConflictError
-	var doubt *settingsstore.UnsettledError
+	var conflicted *settingsstore.ConflictError
+	var unsettled *settingsstore.UnsettledError
 	a.printf(a.note, "windscalectl: %v\n", err)
 	switch {
 	case errors.As(err, &invalid):
 		a.reportFaults(invalid.Faults)
-	case errors.As(err, &lost):
-		a.reportConflict(lost)
-	case errors.As(err, &doubt):
-		a.printf(a.note, "Give the same command again with --edit-id %s to settle it.\n", doubt.EditID)
+	case errors.As(err, &conflicted):
+		a.reportConflict(conflicted)
+	case errors.As(err, &unsettled):
+		a.printf(a.note, "Give the same command again with --edit-id %s to settle it.\n", unsettled.EditID)
 	}
 }
 
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -18,8 +18,8 @@
 	listEvery = time.Second            // at the host list
 )
 
-// sighting is what a router said of its settings.
-type sighting struct {
+// reading is what a router said of its settings.
+type reading struct {
 	router  string
 	version uint64
 	err     error
@@ -30,7 +30,7 @@
 type follow struct {
 	admin string // its address
 	stop  context.CancelFunc
-	last  sighting
+	last  reading
 }
 
 // waiter waits until a version is in force on every live router.
@@ -40,7 +40,7 @@
 	wait    time.Duration
 	start   time.Time
 	routers map[string]*follow
-	seen    chan sighting
+	seen    chan reading
 	listErr error
 	line    string // of progress, the last shown
 }
@@ -56,7 +56,7 @@
 		wait:    wait,
 		start:   time.Now(),
 		routers: map[string]*follow{},
-		seen:    make(chan sighting),
+		seen:    make(chan reading),
 	}
 	err := w.run(ctx)
 	out.InForce, out.Lagging = w.split()
@@ -122,7 +122,7 @@
 	w.routers[h.ID] = &follow{
 		admin: h.Admin,
 		stop:  stop,
-		last:  sighting{router: h.ID, err: &RouterError{Router: h.ID}},
+		last:  reading{router: h.ID, err: &RouterError{Router: h.ID}},
 	}
 	go w.look(ctx, h)
 }
@@ -132,7 +132,7 @@
 	for {
 		var status admin.Status
 		err := w.app.call(ctx, h, http.MethodGet, "/v1/status", &status)
-		s := sighting{router: h.ID, version: status.SettingsVersion, err: err}
+		s := reading{router: h.ID, version: status.SettingsVersion, err: err}
 		select {
 		case w.seen <- s:
 		case <-ctx.Done():
@@ -144,13 +144,13 @@
 	}
 }
 
-func (w *waiter) note(s sighting) {
+func (w *waiter) note(s reading) {
 	if f := w.routers[s.router]; f != nil {
 		f.last = s
 	}
 }
 
-func (w *waiter) has(s sighting) bool { return s.err == nil && s.version >= w.version }
+func (w *waiter) has(s reading) bool { return s.err == nil && s.version >= w.version }
 
 // done says whether each of the live routers, of which there must be one, has
 // the version.
--- a/internal/fleetcert/authority.go
+++ b/internal/fleetcert/authority.go
@@ -105,6 +105,8 @@
 	return a.issue(who, nil, []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}, now)
 }
 
+// issue makes a key and signs its certificate. The error is KindName or
+// KindGenerate.
 func (a *Authority) issue(who Identity, ips []net.IP, usage []x509.ExtKeyUsage, now time.Time) (Pair, error) {
 	if err := who.check(); err != nil {
 		return Pair{}, err
@@ -124,6 +126,8 @@
 	return sign(template, a.cert, key, a.key)
 }
 
+// newTemplate returns what all certificates have, with a random serial
+// number.
 func newTemplate(name string, now time.Time, lifetime time.Duration) (*x509.Certificate, error) {
 	limit := new(big.Int).Lsh(big.NewInt(1), serialBits)
 	serial, err := rand.Int(rand.Reader, limit)
--- a/internal/fleetcert/tls.go
+++ b/internal/fleetcert/tls.go
@@ -207,6 +207,7 @@
 	return config
 }
 
+// base returns the TLS settings that all listeners and dialers share.
 func (c Credentials) base(protocol string) *tls.Config {
 	var certs []tls.Certificate
 	if len(c.Cert.Certificate) > 0 {
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -59,6 +59,8 @@
 	return out
 }
 
+// roundTrip sends the request and returns the answer, whose body is not yet
+// read.
 func (c *client) roundTrip(ctx context.Context, r *request) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, r.method, r.target+r.path, bytes.NewReader(r.body))
 	if err != nil {
@@ -83,6 +85,7 @@
 	return c.http.Do(req)
 }
 
+// judge checks an answer against the one that the request must get.
 func (c *client) judge(r *request, resp *http.Response) result {
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
@@ -101,6 +104,7 @@
 	return out
 }
 
+// refusal reads an answer other than 200.
 func refusal(resp *http.Response) result {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxProblem)) // the status says enough
 	out := result{verdict: verdict{class: Refused}, problem: "status " + strconv.Itoa(resp.StatusCode)}
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -40,6 +40,8 @@
 	byKey map[string]int
 }
 
+// compareRecords reads every server's record and compares it with what all
+// players were told.
 func compareRecords(ctx context.Context, players []*player, servers []string) *Records {
 	out := &Records{Unreadable: []string{}, FalseNotRun: []string{}, RunTwice: []string{}, AnsweredNotRun: []string{}}
 	seen := runs{byID: map[string]int{}, byKey: map[string]int{}}
@@ -97,6 +99,7 @@
 	}
 }
 
+// readRecord says false if the record could not be read whole.
 func readRecord(ctx context.Context, server string) (backend.Log, bool) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -80,6 +80,7 @@
 	left int // requests that may still be drawn; -1: no limit
 }
 
+// newPlayer returns the player of one section, with connections of its own.
 func newPlayer(s *Section, opts Options, start time.Time) (*player, error) {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: max(opts.MaxOutstanding, s.Workers),
@@ -191,6 +192,7 @@
 	return group.Wait()
 }
 
+// caller is one caller of a closed loop; n tells the callers apart.
 func (p *player) caller(sending, waiting context.Context, n int) error {
 	gen := newGenerator(p.section, p.opts.Seed, n+1)
 	gen.seq = n
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -78,6 +78,7 @@
 	return &t.series[n]
 }
 
+// noteSent counts a request that is about to be sent.
 func (t *tally) noteSent(r *request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,6 +145,7 @@
 	}
 }
 
+// noteRefusal counts a refusal. The mutex is held.
 func (t *tally) noteRefusal(due time.Time, res result) {
 	t.refused[res.problem]++
 	t.ran[res.ran]++
@@ -164,6 +166,7 @@
 	t.notRun = append(t.notRun, res.id)
 }
 
+// noteAnswer counts a whole answer in time. The mutex is held.
 func (t *tally) noteAnswer(r *request, due time.Time, res result) {
 	t.cost += r.cost()
 	if res.end.Before(t.end) {
--- a/internal/platform/httpplatform/services.go
+++ b/internal/platform/httpplatform/services.go
@@ -34,6 +34,7 @@
 	return c.readMany(ctx, keys)
 }
 
+// readOne reads one row by GET; a row that is not there has version 0.
 func (c *Client) readOne(ctx context.Context, key string) (platform.Row, error) {
 	k := call{op: "table.read", method: http.MethodGet, path: wire.Path(wire.Rows, key)}
 	ans, err := c.do(ctx, k)
@@ -54,6 +55,7 @@
 	return platform.Row{Key: key, Value: ans.body, Version: version}, nil
 }
 
+// readMany reads several rows as of one moment.
 func (c *Client) readMany(ctx context.Context, keys []string) ([]platform.Row, error) {
 	k := call{op: "table.read", method: http.MethodPost, path: wire.Read, header: contentType(typeJSON)}
 	var err error
@@ -95,6 +97,7 @@
 	return c.write(ctx, k)
 }
 
+// commitCall returns the call that commits the writes.
 func commitCall(writes []platform.Write) (call, error) {
 	k := call{op: "table.commit", write: true}
 	first := writes[0]
@@ -118,6 +121,7 @@
 	return k, nil
 }
 
+// transactionCall makes k the call of one transaction.
 func transactionCall(k call, writes []platform.Write) (call, error) {
 	k.method = http.MethodPost
 	k.path = wire.Transactions
--- a/internal/settingsstore/accept.go
+++ b/internal/settingsstore/accept.go
@@ -60,6 +60,8 @@
 	return s.commit(ctx, e, next, row, rec)
 }
 
+// checkChange refuses to remove customers with live keys, unless the edit
+// allows it.
 func (s *Store) checkChange(ctx context.Context, e Edit, head *Record, next *settings.Snapshot) error {
 	if e.RemoveLive {
 		return nil
@@ -174,6 +176,8 @@
 	return s.compare(ctx, e, next, head, rows[0])
 }
 
+// compare says whether the version's row is this edit's, accepted by an
+// earlier try, or another's.
 func (s *Store) compare(ctx context.Context, e Edit, next *settings.Snapshot, head *Record, row platform.Row) (Accepted, error) {
 	won, err := decodeRecord(row)
 	if err != nil {
@@ -188,6 +192,7 @@
 	return Accepted{}, s.conflict(ctx, e, next, head)
 }
 
+// conflict returns the ConflictError, with the changes if they can be read.
 func (s *Store) conflict(ctx context.Context, e Edit, next *settings.Snapshot, head *Record) error {
 	c := &ConflictError{Base: e.Base, Won: *head}
 	won, err := s.Snapshot(ctx, head)
--- a/internal/settingsstore/follower.go
+++ b/internal/settingsstore/follower.go
@@ -285,6 +285,8 @@
 	return verdict
 }
 
+// take puts a snapshot in force and tells the function of Notify. f.mu is
+// held.
 func (f *Follower) take(from string, s *settings.Snapshot) {
 	f.stats.taken.Add(1)
 	f.current.Store(s)
@@ -295,6 +297,8 @@
 	}
 }
 
+// refuse counts a refused offer and logs it, unless it is the one refused
+// last.
 func (f *Follower) refuse(from string, o settings.Offer, verdict settings.Verdict, faults []settings.Fault) {
 	f.stats.refused.Add(1)
 	r := refusal{o.Version, o.Digest, verdict}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -161,6 +161,7 @@
 	return nil
 }
 
+// runNew runs a request that is let in and writes its answer.
 func (e *Engine) runNew(w http.ResponseWriter, r *http.Request, req Request, fault Fault) {
 	if fault.Mode == EchoWrongID {
 		cross(w, &req)
@@ -190,6 +191,7 @@
 	req.Messages = append(req.Messages, answer.Message{Role: "user", Content: "another caller's question"})
 }
 
+// newJob makes the job of a request; one without an ID gets one.
 func (e *Engine) newJob(r *http.Request, req Request) *job {
 	prompt := answer.Prompt(req.Messages)
 	key := jobKey{id: r.Header.Get(backend.HeaderRequest), attempt: r.Header.Get(backend.HeaderAttempt)}
--- a/internal/standin/engine/output.go
+++ b/internal/standin/engine/output.go
@@ -141,6 +141,7 @@
 	o.finish()
 }
 
+// finish sends the finish reason, the usage and the end of the stream.
 func (o output) finish() {
 	if o.fault.Mode == CutAfter {
 		backend.Break()
