--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -9,22 +9,13 @@
 	"time"
 )
 
-// UsageError says that the command line or its input is wrong.
-type UsageError struct {
-	What string
-}
-
-// Error implements error.
-func (e *UsageError) Error() string { return e.What }
-
 // InputError says that a file can't be read.
 type InputError struct {
-	File string
-	Err  error
+	Err error // the cause, which names the file
 }
 
 // Error implements error.
-func (e *InputError) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Err) }
+func (e *InputError) Error() string { return e.Err.Error() }
 
 // Unwrap returns the cause.
 func (e *InputError) Unwrap() error { return e.Err }
