backend: a router that can't dial does not tell its servers away

Every failed dial was told to the sharing as a server that is away, also those that failed within the router's own host: no file descriptor, no free port, no address to dial. A router short of descriptors would have had healthy servers given no new work. Only a refused or unanswered connection tells of the server now.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
+	"syscall"
 
 	"github.com/windscale/windscale/internal/core/attempt"
 )
@@ -93,8 +95,15 @@
 	_ = resp.Body.Close()
 }
 
-// isDial reports whether no connection could be had.
-func isDial(err error) bool {
+// unreachable reports whether the server did not take a connection. What fails
+// within this host (no file descriptor, no port, no address to dial) says nothing
+// of the server.
+func unreachable(err error) bool {
 	var op *net.OpError
-	return stderrors.As(err, &op) && op.Op == "dial"
+	if !stderrors.As(err, &op) || op.Op != "dial" {
+		return false
+	}
+	var call *os.SyscallError
+	refused := stderrors.As(op.Err, &call) && call.Syscall == "connect"
+	return op.Timeout() || refused && !stderrors.Is(call, syscall.EADDRNOTAVAIL)
 }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -209,7 +209,7 @@
 	if mayHaveSent {
 		return &Error{Stage: StageSend, Outcome: attempt.Unknown, Err: err}
 	}
-	return &Error{Stage: StageDial, Outcome: attempt.NotSent, Leaving: isDial(err), Err: err}
+	return &Error{Stage: StageDial, Outcome: attempt.NotSent, Leaving: unreachable(err), Err: err}
 }
 
 // refusedBy returns the refusal that the status is, or nil.
