Revert leading prompt prefixes to the same server

Cause: the engines cache prompt prefixes in limited memory, so requests of one prefix were led to one server by rendezvous hashing where it was free enough. Ruled out: that the hash or the choice did not work; requests of one prefix were seen to run at one engine (70 of 71).

--- a/internal/core/share/account.go
+++ b/internal/core/share/account.go
@@ -55,7 +55,6 @@
 	slots   int
 	at      time.Duration // last told
 	avoid   []msg.ServerID
-	prefix  uint64   // of the entry's oldest request; 0: none
 	pending []uint64 // grants that the entry had not seen when it last told
 }
 
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -231,7 +231,7 @@
 		return
 	}
 	c := r.account
-	r.seq, r.slots, r.prefix, r.at = m.Seq, w.Slots, w.Prefix, a.n.now
+	r.seq, r.slots, r.at = m.Seq, w.Slots, a.n.now
 	c.usedAt = a.n.now
 	if w.Weight > 0 {
 		c.weight = w.Weight
--- a/internal/core/share/grant.go
+++ b/internal/core/share/grant.go
@@ -48,29 +48,10 @@
 	if best == nil {
 		return false
 	}
-	a.grant(a.cached(best, to), to)
+	a.grant(best, to)
 	return true
 }
 
-// cached returns, of the servers at least half as free as s that the
-// registration may use, the one that rendezvous hashing gives its prefix; s if
-// it has none. Who is granted, and that a slot is used, does not depend on it.
-func (a *admitter) cached(s *poolServer, r *registration) *poolServer {
-	if r.prefix == 0 {
-		return s
-	}
-	high, least := uint64(0), (s.free()+1)/2
-	for _, x := range r.account.pool.sorted {
-		if x.free() < least || slices.Contains(r.avoid, x.id) {
-			continue
-		}
-		if v := prefixRank(r.prefix, string(x.id)); v >= high {
-			s, high = x, v
-		}
-	}
-	return s
-}
-
 // next returns the registration that a slot of the server should go to: of
 // the least served customer, the server's pools in turn.
 func (a *admitter) next(s *poolServer) *registration {
--- a/internal/core/share/msg.go
+++ b/internal/core/share/msg.go
@@ -47,7 +47,6 @@
 	Count    int            `cbor:"5,keyasint,omitempty"`
 	Slots    int            `cbor:"6,keyasint,omitempty"` // of all the admitters told
 	Avoid    []msg.ServerID `cbor:"7,keyasint,omitempty"`
-	Prefix   uint64         `cbor:"8,keyasint,omitempty"` // of the oldest request
 }
 
 // Grant gives a queue one slot of a server.
--- a/internal/core/share/node_test.go
+++ b/internal/core/share/node_test.go
@@ -110,27 +110,3 @@
 	}
 	assert.Equal(t, running, 2)
 }
-
-func TestSamePrefixGoesToTheSameServerWhileItIsFree(t *testing.T) {
-	f := smallFleet(4, 8)
-	for i, id := range f.ids { // the entries get to know the pool
-		f.arrive(request(fmt.Sprint("first", i), "a", 1, id))
-	}
-	f.run(f.now + time.Second)
-	used := map[msg.ServerID]int{}
-	f.done = func(r *simRequest) { used[r.server.id]++ }
-	for i := range 40 {
-		r := request(fmt.Sprint(i), "a", 1, f.ids[i%4])
-		r.Prefix = 7 << 32
-		f.arrive(r)
-		f.run(f.now + 100*time.Millisecond)
-	}
-	assert.Equal(t, len(used), 1, "%v", used)
-	for i := range 40 { // more at once than the server's slots: none waits for it
-		r := request(fmt.Sprint("b", i), "a", 100, f.ids[i%4])
-		r.Prefix = 7 << 32
-		f.arrive(r)
-	}
-	f.run(f.now + 1500*time.Millisecond)
-	assert.Assert(t, len(used) == 8, "%v", used)
-}
--- a/internal/core/share/queue.go
+++ b/internal/core/share/queue.go
@@ -244,14 +244,6 @@
 	return q.reqs[0]
 }
 
-// prefix is the oldest request's, cut to what messages carry.
-func (q *queue) prefix() uint64 {
-	if w := q.head(); w != nil {
-		return w.req.Prefix >> 32
-	}
-	return 0
-}
-
 // eligible is how many requests could run now.
 func (q *queue) eligible() int {
 	limit := q.customer.limits.Concurrency
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -76,7 +76,6 @@
 	Pool     msg.PoolID
 	Customer msg.CustomerID
 	Weight   float64 // above 0
-	Prefix   uint64  // hash of the prompt's prefix, its upper half used; 0: none
 	Bytes    int
 	Avoid    []msg.ServerID
 	Limits   Limits
--- a/internal/core/share/spread.go
+++ b/internal/core/share/spread.go
@@ -80,33 +80,6 @@
 	}
 }
 
-// first chooses the admitter that an empty queue's first request goes to. One
-// with a prefix goes to the admitter whose servers have it in their caches, if
-// that one may have a free slot.
-func (e *entry) first(q *queue) int {
-	if prefix := q.prefix(); prefix != 0 {
-		if i := q.pool.byPrefix(prefix); q.pool.admitters[i].full <= e.n.now {
-			return i
-		}
-	}
-	return q.pool.pick(e.pickSeed())
-}
-
-// byPrefix returns the admitter that rendezvous hashing gives the prefix.
-func (p *entryPool) byPrefix(prefix uint64) int {
-	best, high := 0, uint64(0)
-	for i := range p.admitters {
-		if v := prefixRank(prefix, string(p.admitters[i].id)); v >= high {
-			best, high = i, v
-		}
-	}
-	return best
-}
-
-func prefixRank(prefix uint64, name string) uint64 {
-	return mix(prefix ^ xxhash.Sum64String(name))
-}
-
 func (e *entry) pickSeed() uint64 {
 	e.picks++
 	return mix(e.picks ^ xxhash.Sum64String(string(e.n.cfg.ID)))
@@ -176,7 +149,7 @@
 		return
 	}
 	if q.spread == 0 {
-		q.start = e.first(q)
+		q.start = q.pool.pick(e.pickSeed())
 		q.spreadAt, q.widenAfter = e.n.now, e.n.cfg.SpreadDelay
 	}
 	q.spread = min(all, max(q.spread, n))
@@ -234,7 +207,7 @@
 	if p := e.peers[to]; p != nil && m.about(p.incarnation) {
 		m.Seen = p.seen
 	}
-	w := Wait{Queue: q.num, Count: t.count, Slots: q.slots, Prefix: q.prefix()}
+	w := Wait{Queue: q.num, Count: t.count, Slots: q.slots}
 	if !t.known {
 		w.Pool, w.Customer, w.Avoid = q.pool.id, q.key.customer, q.avoid
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,7 +17,6 @@
 	Pool     msg.PoolID
 	Customer msg.CustomerID
 	Weight   float64        // the customer's effective weight, above 0
-	Prefix   uint64         // hash of the prompt's prefix; 0: none
 	Bytes    int            // memory the request holds while it waits
 	Avoid    []msg.ServerID // servers already tried
 	Limits   Limits
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,7 +115,6 @@
 	}
 	u := p.newRun(w, r, c, a, msg.ModelPool(request.Model), modelRule)
 	defer u.close()
-	u.want.Prefix = request.prefix()
 	u.want.Bytes = len(body)
 	m := modelRun{run: u, body: body}
 	if request.Stream {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -11,8 +11,6 @@
 	"time"
 	"unicode"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/windscale/windscale/internal/backend"
 	"github.com/windscale/windscale/internal/core/attempt"
 	"github.com/windscale/windscale/internal/core/settings"
@@ -24,9 +22,6 @@
 	// is not to be repeated it stands for any rest.
 	allowAll = "*"
 
-	// prefixBytes of a prompt decide its prefix hash.
-	prefixBytes = 256
-
 	// maxAttempts bounds the attempts of one request, beside the allowance.
 	maxAttempts = 3
 	// maxResumes bounds the resumptions of one stream.
@@ -98,9 +93,8 @@
 
 // modelRequest is what is read of a chat completion request.
 type modelRequest struct {
-	Model    string          `json:"model"`
-	Stream   bool            `json:"stream"`
-	Messages json.RawMessage `json:"messages"`
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
 }
 
 // parseModel reads a chat completion request.
@@ -110,15 +104,6 @@
 	return m, err == nil && m.Model != ""
 }
 
-// prefix hashes the beginning of the prompt.
-func (m modelRequest) prefix() uint64 {
-	start := m.Messages
-	if len(start) > prefixBytes {
-		start = start[:prefixBytes]
-	}
-	return xxhash.Sum64(start)
-}
-
 // allowed reports whether a name is in a customer's list.
 func allowed(list []string, name string) bool {
 	return slices.Contains(list, name) || slices.Contains(list, allowAll)
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -244,8 +244,7 @@
 
 func (e cutError) Error() string { return string(e) }
 
-// prompts makes each prompt another one: the same prefix leads to the same
-// engine while it has room.
+// prompts makes each prompt another one, so that each answer is another one.
 var prompts atomic.Int64
 
 // chat streams a completion of up to so many tokens and checks every byte of
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -212,7 +212,6 @@
 		Pool:     r.Pool,
 		Customer: r.Customer,
 		Weight:   r.Weight,
-		Prefix:   r.Prefix,
 		Bytes:    r.Bytes,
 		Avoid:    r.Avoid,
 		Limits:   share.Limits(r.Limits),
