--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -22,7 +22,7 @@
 	maxBatch     = 64                   // claims of one transaction
 	maxQueue     = 1024                 // claims waiting for their batch
 	callTime     = time.Second          // of one call to the table
-	maxTries     = 4                    // of one claim
+	maxTries     = 4                    // of one op, before it fails
 	finishTime   = time.Minute          // how long a result is tried to be written
 	maxFinishing = 1024                 // results waiting to be written
 )
@@ -65,6 +65,7 @@
 	Batch(writes int) // a commit took effect
 }
 
+// nopObserver counts nothing.
 type nopObserver struct{}
 
 func (nopObserver) Taken()      {}
@@ -180,6 +181,21 @@
 	return written
 }
 
+// Settle waits until every result is written or given up, or ctx ends, and
+// reports whether all are. Nothing may be finished after. A router that drains
+// calls it once its requests have ended, with Run still running: an answer whose
+// result is lost with the process can't be told to a caller who asks again.
+func (c *Claims) Settle(ctx context.Context) bool {
+	for range maxFinishing { // with all places taken, no result waits
+		select {
+		case c.finishing <- struct{}{}:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // finish tries to write a result until it is there or its time is over.
 func (c *Claims) finish(key claim.Key, holder msg.RequestID, r claim.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,24 +100,19 @@
 	if !ok {
 		return
 	}
-	body, ok := p.readBody(w, r, c, a)
+	request, ok := parseModel(a.body)
 	if !ok {
+		p.refuseEarly(w, c, problem.BadRequest, "the body is no chat completion request, or has a key that is read in two spellings")
 		return
 	}
-	request, ok := parseModel(body)
-	if !ok {
-		p.refuseEarly(w, c, problem.BadRequest, "the body is not a chat completion request")
-		return
-	}
-	if !allowed(c.Models, request.Model) {
+	if !allowed(c.Models, request.model) {
 		p.refuseEarly(w, c, problem.Forbidden, "the model is not allowed to this customer")
 		return
 	}
-	u := p.newRun(w, r, c, a, msg.ModelPool(request.Model), modelRule)
+	u := p.newRun(w, r, c, a, msg.ModelPool(request.model), modelRule)
 	defer u.close()
-	u.want.Bytes = len(body)
-	m := modelRun{run: u, body: body}
-	if request.Stream {
+	m := modelRun{run: u, body: a.body}
+	if request.stream {
 		m.serveStream()
 		return
 	}
@@ -140,10 +135,6 @@
 	if !ok {
 		return
 	}
-	body, ok := p.readBody(w, r, c, a)
-	if !ok {
-		return
-	}
 	once := isOnce(known.Once, r.Method, decoded)
 	key, ok := idempotencyKey(r.Header.Values(headerKey))
 	if once && !ok {
@@ -152,8 +143,7 @@
 	}
 	u := p.newRun(w, r, c, a, msg.ServicePool(service), serviceRule(r.Method, once))
 	defer u.close()
-	u.want.Bytes = len(body)
-	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: body, once: once}
+	s := serviceRun{run: u, service: known, path: decoded, rawPath: path, body: a.body, once: once}
 	if once && key != "" {
 		u.keepRunning()
 		s.serveClaimed(key)
