--- a/cmd/windscale-router/main.go
+++ b/cmd/windscale-router/main.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 	"github.com/oklog/run"
 
+	"github.com/windscale/windscale/internal/cli"
 	"github.com/windscale/windscale/internal/config"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/router"
@@ -55,9 +56,7 @@
 
 func command(args []string, out, errOut io.Writer) int {
 	var o options
-	p := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	p.LongDescription = help
-	if _, err := p.ParseArgs(args); err != nil {
+	if _, err := cli.NewParser(&o, help).ParseArgs(args); err != nil {
 		return usage(err, out, errOut)
 	}
 	if o.Version {
