--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -26,6 +26,10 @@
 
 const token = "operators' token"
 
+func clientOf(srv *httptest.Server) func(msg.RouterID) *http.Client {
+	return func(msg.RouterID) *http.Client { return srv.Client() }
+}
+
 // fakeRouter serves the metrics of a registry as a router does.
 func fakeRouter(t *testing.T, id msg.RouterID) (*metrics.Registry, *httptest.Server) {
 	r := metrics.New()
@@ -56,7 +60,7 @@
 	c.Failed()
 	c.FirstToken(2*time.Second, time.Second)
 	c.BetweenTokens(time.Millisecond, time.Second)
-	s := &Scraper{Client: srv.Client(), Token: token, Timeout: time.Minute}
+	s := &Scraper{For: clientOf(srv), Token: token, Timeout: time.Minute}
 	gone := httptest.NewServer(nil)
 	gone.Close()
 	targets := []Target{{URL: srv.URL}, {ID: "r2", URL: gone.URL}}
@@ -82,7 +86,7 @@
 
 func TestScrapeFailures(t *testing.T) {
 	_, srv := fakeRouter(t, "r1")
-	s := &Scraper{Client: srv.Client(), Token: "another", Timeout: time.Minute}
+	s := &Scraper{For: clientOf(srv), Token: "another", Timeout: time.Minute}
 	_, failed := s.Scrape(context.Background(), []Target{{URL: srv.URL}}, epoch)
 	var status *StatusError
 	assert.Assert(t, errors.As(failed[0].Err, &status))
--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -56,12 +56,9 @@
 
 // Scraper reads routers. Its methods are for one goroutine at a time.
 type Scraper struct {
-	Client *http.Client
-	Token  string // the operators' token; empty: none is sent
-	// For returns the client for a router, whose ID may be empty; nil: Client
-	// is for all.
-	For     func(msg.RouterID) *http.Client
-	Timeout time.Duration // for one router
+	Token   string                          // the operators' token; empty: none is sent
+	For     func(msg.RouterID) *http.Client // the client for a router, whose ID may be empty
+	Timeout time.Duration                   // for one router
 
 	names map[string]msg.RouterID // by URL, once a router has said its name
 }
@@ -129,7 +126,7 @@
 	if s.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+s.Token)
 	}
-	resp, err := s.client(t.ID).Do(req)
+	resp, err := s.For(t.ID).Do(req)
 	if err != nil {
 		return burn.Sample{}, errors.Trace(err)
 	}
@@ -140,13 +137,6 @@
 	return parse(io.LimitReader(resp.Body, maxPage))
 }
 
-func (s *Scraper) client(id msg.RouterID) *http.Client {
-	if s.For == nil {
-		return s.Client
-	}
-	return s.For(id)
-}
-
 // parse makes a sample of a router's page.
 func parse(r io.Reader) (burn.Sample, error) {
 	var p page
--- a/internal/standin/backend/http.go
+++ b/internal/standin/backend/http.go
@@ -37,16 +37,6 @@
 	w.WriteHeader(status)
 }
 
-// WriteJSON answers v with status 200.
-func WriteJSON(w http.ResponseWriter, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	WriteWhole(w, "application/json", body)
-}
-
 // WriteWhole answers body with its length.
 func WriteWhole(w http.ResponseWriter, contentType string, body []byte) {
 	w.Header().Set("Content-Type", contentType)
--- a/test/fleet/check_test.go
+++ b/test/fleet/check_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -28,7 +29,7 @@
 
 func (f *router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/_record" {
-		backend.WriteJSON(w, f.record.Log("d1"))
+		_ = json.NewEncoder(w).Encode(f.record.Log("d1"))
 		return
 	}
 	id := "r" + time.Duration(f.ids.Add(1)).String()
--- a/test/fleet/files.go
+++ b/test/fleet/files.go
@@ -84,9 +84,6 @@
 	return err
 }
 
-// Version is the latest version of the settings that is known to be accepted.
-func (f *Fleet) Version() uint64 { return f.version }
-
 // Apply makes the sections, and the customers', the settings. It returns how
 // long that took, with wait until they were in force on every live router.
 func (f *Fleet) Apply(ctx context.Context, sections string, wait bool) (time.Duration, error) {
