--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
 
 	"github.com/windscale/windscale/internal/core/msg"
 )
@@ -270,82 +269,3 @@
 	_, ok := n.members["x"]
 	assert.Assert(t, !ok)
 }
-
-// TestFuzz drives a small fleet through loss, cuts, kills, restarts and
-// departures. At all times: no view goes back to an older incarnation, and a
-// member that is killed for good does not come back once all have dropped it.
-// After healing: all views are the running routers, each as it sees itself.
-func TestFuzz(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 9).Draw(t, "routers"))
-		seen := map[[2]msg.RouterID]uint64{}
-		w.observe = func(id msg.RouterID, n *Node, _ Ready) {
-			for _, m := range n.Members() {
-				key := [2]msg.RouterID{id, m.ID}
-				if m.Incarnation < seen[key] {
-					t.Fatalf("%s went back to an older incarnation of %s", id, m.ID)
-				}
-				seen[key] = m.Incarnation
-			}
-		}
-		for _, id := range w.ids {
-			w.start(id)
-		}
-		router := rapid.SampledFrom(w.ids)
-		pass := func() { w.run(time.Duration(rapid.IntRange(1, 600).Draw(t, "steps")) * step) }
-		t.Repeat(map[string]func(*rapid.T){
-			"pass": func(t *rapid.T) { pass() },
-			"loss": func(t *rapid.T) { w.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss"); pass() },
-			"cut": func(t *rapid.T) {
-				w.cut(router.Draw(t, "a"), router.Draw(t, "b"), rapid.Bool().Draw(t, "on"))
-			},
-			"partition": func(t *rapid.T) {
-				side := rapid.IntRange(1, len(w.ids)-1).Draw(t, "side")
-				for i, a := range w.ids {
-					for j, b := range w.ids {
-						w.cut(a, b, (i < side) != (j < side))
-					}
-				}
-				pass()
-			},
-			"kill": func(t *rapid.T) { w.kill(router.Draw(t, "id")) },
-			"restart": func(t *rapid.T) {
-				id := router.Draw(t, "id")
-				for key := range seen { // the new process has seen nothing yet
-					if key[0] == id {
-						delete(seen, key)
-					}
-				}
-				w.start(id)
-			},
-			"leave": func(t *rapid.T) {
-				id := router.Draw(t, "id")
-				if n, ok := w.nodes[id]; ok {
-					n.Leave(w.now)
-					w.take(id, n)
-				}
-			},
-			"depart": func(t *rapid.T) {
-				id := router.Draw(t, "id")
-				if n, ok := w.nodes[id]; ok {
-					n.Depart(w.now)
-					w.take(id, n)
-					w.kill(id)
-				}
-			},
-		})
-		w.loss = 0
-		clear(w.cuts)
-		w.hostList() // the seeds may all be gone
-		w.run(settle)
-		if text := w.disagreement(); text != "" {
-			t.Fatal(text)
-		}
-		w.observe = func(id msg.RouterID, _ *Node, r Ready) {
-			if r.Changed {
-				t.Fatalf("%s changed its view of a fleet at rest", id)
-			}
-		}
-		w.run(20 * time.Second)
-	})
-}
