--- a/cmd/windscale-router/main.go
+++ b/cmd/windscale-router/main.go
@@ -13,8 +13,6 @@
 	"os"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-	"github.com/juju/errors"
 	"github.com/oklog/run"
 
 	"github.com/windscale/windscale/internal/cli"
@@ -24,12 +22,6 @@
 	"github.com/windscale/windscale/internal/version"
 )
 
-// The exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // How much of one event the log takes; the next line says what was left out.
 const (
 	eventsPerSecond = 2
@@ -58,47 +50,37 @@
 func command(args []string, out, errOut io.Writer) int {
 	var o options
 	if _, err := cli.NewParser(&o, help).ParseArgs(args); err != nil {
-		return usage(err, out, errOut)
+		return cli.Report("windscale-router", err, out, errOut)
 	}
 	if o.Version {
 		_, _ = fmt.Fprintln(out, version.String())
-		return 0
+		return cli.ExitOK
 	}
 	if o.Config == "" {
 		_, _ = fmt.Fprintln(errOut, "--config is needed; see --help")
-		return exitUsage
+		return cli.ExitUsage
 	}
 	cfg, err := config.Load(o.Config)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
-		return exitUsage
+		return cli.ExitUsage
 	}
 	if o.Check {
 		_, _ = fmt.Fprintln(out, o.Config+": no faults")
-		return 0
+		return cli.ExitOK
 	}
 	return serve(cfg, errOut)
 }
 
-// usage prints help to out, a wrong call to errOut.
-func usage(err error, out, errOut io.Writer) int {
-	if e, ok := errors.AsType[*flags.Error](err); ok && e.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(out, e.Message)
-		return 0
-	}
-	_, _ = fmt.Fprintln(errOut, err)
-	return exitUsage
-}
-
 // serve runs the router until it has drained or failed, and returns the exit
 // code.
 func serve(cfg *config.Router, errOut io.Writer) int {
 	log := logger(cfg, errOut)
 	if err := runRouter(cfg, log); err != nil {
 		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
-		return exitFailed
+		return cli.ExitFailed
 	}
-	return 0
+	return cli.ExitOK
 }
 
 // runRouter builds the router and runs its actors.
--- a/cmd/windscale-router/main_test.go
+++ b/cmd/windscale-router/main_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/cli"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -15,10 +17,10 @@
 	}{
 		"--help":                {0, "Exit codes"},
 		"--version":             {0, ""},
-		"--version extra":       {exitUsage, "unexpected argument extra"},
-		"":                      {exitUsage, "--config is needed"},
-		"--no-such-flag":        {exitUsage, "no-such-flag"},
-		"--config /no/such.ini": {exitUsage, "/no/such.ini"},
+		"--version extra":       {cli.ExitUsage, "unexpected argument extra"},
+		"":                      {cli.ExitUsage, "--config is needed"},
+		"--no-such-flag":        {cli.ExitUsage, "no-such-flag"},
+		"--config /no/such.ini": {cli.ExitUsage, "/no/such.ini"},
 	} {
 		var out, errOut bytes.Buffer
 		code := command(strings.Fields(args), &out, &errOut)
