--- a/test/cmd/fleet/demo.go
+++ b/test/cmd/fleet/demo.go
@@ -28,12 +28,8 @@
 // demo shows the whole path under load: a settings change, a drain, a leaving
 // server, refusals with their reasons.
 func demo(ctx context.Context, o options) error {
-	c, err := small(o, "demo")
-	if err != nil {
-		return err
-	}
 	began := time.Now()
-	f, err := fleet.Up(ctx, c)
+	f, err := small(ctx, o, "demo")
 	if err != nil {
 		return err
 	}
@@ -180,11 +176,7 @@
 
 // up leaves a fleet running until Ctrl-C.
 func up(ctx context.Context, o options) error {
-	c, err := small(o, "up")
-	if err != nil {
-		return err
-	}
-	f, err := fleet.Up(ctx, c)
+	f, err := small(ctx, o, "up")
 	if err != nil {
 		return err
 	}
--- a/test/cmd/fleet/faults.go
+++ b/test/cmd/fleet/faults.go
@@ -59,11 +59,7 @@
 
 // faults runs each fault alone, then each pair, in an order given by the seed.
 func faults(ctx context.Context, o options) error {
-	c, err := small(o, "faults")
-	if err != nil {
-		return err
-	}
-	f, err := fleet.Up(ctx, c)
+	f, err := small(ctx, o, "faults")
 	if err != nil {
 		return err
 	}
--- a/test/cmd/fleet/layout.go
+++ b/test/cmd/fleet/layout.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/windscale/windscale/test/fleet"
@@ -62,10 +63,13 @@
 	return common + fmt.Sprintf("\n[tree/operations]\nweight = 1\n\n[tree/quetzal]\nweight = %g\n", quetzalWeight)
 }
 
-// small is the fleet of the demonstration and of the faults: 3 routers in 3
+// small starts the fleet of the demonstration and of the faults: 3 routers in 3
 // data centres, 4 engines with 2 models, 2 servers of one service.
-func small(o options, name string) (fleet.Config, error) {
+func small(ctx context.Context, o options, name string) (*fleet.Fleet, error) {
 	c, err := o.Config(name)
+	if err != nil {
+		return nil, err
+	}
 	c.Routers = 3
 	c.DataCentres = 3
 	c.Settings = settings(1)
@@ -78,7 +82,7 @@
 		service("d1", "dc1", "dispatch", "--checks-fence"),
 		service("d2", "dc2", "dispatch", "--checks-fence"),
 	}
-	return c, err
+	return fleet.Up(ctx, c)
 }
 
 func engine(id, dc, models, slots string) fleet.Server {
