--- a/test/operating/certificates_test.go
+++ b/test/operating/certificates_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	page    = "../../docs/operating.d/certificates.md"
+	page    = "../../docs/CERTIFICATES.md"
 	pageURL = "http://127.0.0.1:9000" // of the platform, on the page
 	issue   = 2                       // blocks before the routers run
 	soon    = 60 * time.Second        // generous: nothing waits so long unless it fails
