--- a/internal/proxy/chat.go
+++ b/internal/proxy/chat.go
@@ -5,18 +5,13 @@
 	"encoding/json"
 	"io"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// prefixBytes of a prompt decide its prefix hash.
-const prefixBytes = 256
-
 // modelRequest is what is read of a chat completion request.
 type modelRequest struct {
 	model    string
 	stream   bool
-	messages json.RawMessage
+	messages json.RawMessage // read so that it comes once; the engine gets the body as it is
 }
 
 // parseModel reads a chat completion request. The engine reads the same bytes
@@ -68,8 +63,3 @@
 	}
 	return false
 }
-
-// prefix hashes the beginning of the prompt.
-func (m modelRequest) prefix() uint64 {
-	return xxhash.Sum64(m.messages[:min(len(m.messages), prefixBytes)])
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,7 +111,6 @@
 	}
 	u := p.newRun(w, r, c, a, msg.ModelPool(request.model), modelRule)
 	defer u.close()
-	u.want.Prefix = request.prefix()
 	m := modelRun{run: u, body: a.body}
 	if request.stream {
 		m.serveStream()
