--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -118,7 +118,6 @@
 	Slots   int
 	Running int
 	Queued  int
-	Age     time.Duration // how old the report is
 	Leaving bool
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -48,7 +48,6 @@
 		Slots:   rep.Slots,
 		Running: rep.Running,
 		Queued:  rep.Queued,
-		Age:     time.Duration(rep.AgeMs) * time.Millisecond,
 		Leaving: rep.Leaving,
 	})
 }
