--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"maps"
 	"sync"
-	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/core/share"
