metrics: the test of publishing twice can run more than once in a process

Cause: expvar keeps a name for the process's life, so the test failed with -count=2. It still demands that the first publishes and the next one is told.

--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"expvar"
 	"os"
 	"regexp"
 	"slices"
@@ -94,7 +95,10 @@
 }
 
 func TestPublishTwiceIsAnErrorAndNoPanic(t *testing.T) {
-	assert.NilError(t, New().Publish())
+	if expvar.Get(MapName) == nil { // the process is told to run the tests again
+		assert.NilError(t, New().Publish())
+	}
+	assert.Assert(t, expvar.Get(MapName) != nil)
 	_, twice := New().Publish().(*AlreadyPublishedError)
 	assert.Assert(t, twice)
 }
