load: callers go past routers that are not ready

Cause: they went past a problem type of draining routers that no router sends any more; a draining router refuses connections, and one without settings says not-ready, which the platform's balancer would see at /readyz.

--- a/internal/load/move_test.go
+++ b/internal/load/move_test.go
@@ -9,23 +9,24 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/problem"
 	"github.com/windscale/windscale/internal/standin/answer"
 	"github.com/windscale/windscale/internal/standin/backend"
 )
 
-// A caller goes past routers that are gone or draining, as the platform's
+// A caller goes past routers that are gone or not ready, as the platform's
 // balancer would, and loses nothing by it.
-func TestRequestsMoveOnFromDrainingAndGoneRouters(t *testing.T) {
+func TestRequestsMoveOnFromUnreadyAndGoneRouters(t *testing.T) {
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, gone.Close())
-	draining := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	unready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/problem+json")
 		w.Header().Set("Windscale-Run", "no")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = w.Write([]byte(`{"type":"` + drainingType + `"}`))
+		_, _ = w.Write([]byte(`{"type":"` + problem.NotReady.URN() + `"}`))
 	}))
-	defer draining.Close()
+	defer unready.Close()
 	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		path := r.URL.Path[len("/services/dispatch"):]
 		backend.WriteWhole(w, "application/json", answer.Body(path, nil))
@@ -33,7 +34,7 @@
 	defer live.Close()
 	sections := []Section{{
 		Name: "s", Kind: Status, Subject: "dispatch", Workers: 1, Count: 3, Weight: 1,
-		Targets: []string{"http://" + gone.Addr().String(), draining.URL, live.URL},
+		Targets: []string{"http://" + gone.Addr().String(), unready.URL, live.URL},
 	}}
 	report, err := Run(t.Context(), sections, Options{Duration: time.Minute, Grace: time.Minute, Seed: 1, MaxOutstanding: 1})
 	assert.NilError(t, err)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/windscale/windscale/internal/pause"
+	"github.com/windscale/windscale/internal/problem"
 )
 
 // Options bound a run.
@@ -226,17 +227,14 @@
 	}
 }
 
-// drainingType is the problem type of a router that is shutting down.
-const drainingType = "urn:windscale:problem:draining"
-
 // sendToAny sends a request once, as the platform's balancer would: past
-// targets that don't accept connections or say that they are shutting down,
-// which is certain not to have run it.
+// targets that don't accept connections or say that they are not ready, which
+// is certain not to have run it.
 func (p *player) sendToAny(waiting context.Context, r *request) result {
 	for left := len(p.section.Targets) - 1; ; left-- {
 		res := p.client.send(waiting, r)
-		drains := res.class == Refused && res.ran == "no" && res.problem == drainingType
-		if left == 0 || res.class != NotSent && !drains {
+		notReady := res.class == Refused && res.ran == "no" && res.problem == problem.NotReady.URN()
+		if left == 0 || res.class != NotSent && !notReady {
 			return res
 		}
 		p.tally.noteMoved(res)
