--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -216,14 +216,14 @@
 	return c.verdict.end(Whole, "")
 }
 
-// problem is what is read of an RFC 9457 body.
-type problem struct {
+// problemDoc is what is read of an RFC 9457 body.
+type problemDoc struct {
 	Type string `json:"type"`
 }
 
 // problemType returns the type of a problem, or "none".
 func problemType(body []byte) string {
-	var p problem
+	var p problemDoc
 	if json.Unmarshal(body, &p) != nil || p.Type == "" {
 		return "none"
 	}
