--- a/test/targets.mk
+++ b/test/targets.mk
@@ -4,7 +4,7 @@
 SEED ?= 1
 FLEET = bin/fleet --bin bin --out out --seed $(SEED)
 
-.PHONY: demo up faults measure fleet-programs
+.PHONY: demo up faults measure bench fleet-programs
 
 fleet-programs:
 	mkdir -p bin out
@@ -19,5 +19,9 @@
 faults: fleet-programs ## provoke failures, one by one and in pairs; within three minutes
 	$(FLEET) faults
 
-measure: fleet-programs ## fairness, utilisation, control traffic; within two minutes
+measure: fleet-programs bench ## fairness, utilisation, control traffic, on processes and on the core alone
 	$(FLEET) measure
+
+bench: ## the core alone: sharing at 8, 40 and 410 routers, and the grant decision; within two minutes
+	go test -run xxx -bench 'Sharing|Short' -benchtime 1x ./internal/core/share
+	go test -run xxx -bench Grant ./internal/core/share
