make test runs the runbook's commands

Cause: the commands of docs/OPERATING.md were run by make runbook only, so that a page could go stale unseen.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(GO) vet ./...
 	$(STATICCHECK) ./...
 
-test: lint build
+# The runbook's commands run first, against a fleet on loopback.
+test: lint build runbook
 	$(GO) test -race ./...
 
 clean:
