--- a/internal/core/msg/pool.go
+++ b/internal/core/msg/pool.go
@@ -1,5 +1,7 @@
 package msg
 
+import "strings"
+
 // The beginnings of pools' names.
 const (
 	modelPool   = "m/"
@@ -11,3 +13,6 @@
 
 // ServicePool returns the pool of a plain service.
 func ServicePool(name string) PoolID { return PoolID(servicePool + name) }
+
+// IsService says whether the pool is a plain service's.
+func (p PoolID) IsService() bool { return strings.HasPrefix(string(p), servicePool) }
--- a/internal/core/share/admit.go
+++ b/internal/core/share/admit.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/msg"
@@ -16,10 +15,6 @@
 // there of which this router will hear no end.
 const foreignProbes = 5
 
-// plainPrefix begins the names of plain services' pools. Their calls are
-// short, so their slots are granted ahead.
-const plainPrefix = "s/"
-
 // longPause is a time between two ticks that means the process was paused.
 const longPause = time.Second
 
@@ -81,7 +76,7 @@
 	p, ok := a.pools[id]
 	if !ok {
 		p = &admitPool{
-			id: id, plain: strings.HasPrefix(string(id), plainPrefix),
+			id: id, plain: id.IsService(),
 			accounts: map[msg.CustomerID]*account{}, byHash: map[uint64]*account{},
 		}
 		a.pools[id] = p
