--- /dev/null
+++ b/cmd/windscale-edge/main.go
@@ -0,0 +1,126 @@
+// Command windscale-edge is one router on the users' platform: callers come to
+// it, and it takes their requests to the backend servers.
+//
+// Exit codes: 0 a graceful end, 1 a failure while running, 2 wrong arguments
+// or settings.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/oklog/run"
+
+	"github.com/windscale/windscale/internal/cli"
+	"github.com/windscale/windscale/internal/edge/node"
+	"github.com/windscale/windscale/internal/edge/settings"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/logpipe"
+	"github.com/windscale/windscale/internal/version"
+	"github.com/windscale/windscale/platform"
+)
+
+const program = "windscale-edge"
+
+const help = `One router on the users' platform. It reads its settings from the file that the
+platform names in the environment, or from --settings, and serves until SIGTERM,
+which ends it gracefully. SIGHUP makes it read the file again.
+
+Examples:
+  windscale-edge --settings edge.ini --check
+  windscale-edge --settings edge.ini
+
+Exit codes: 0 graceful end, 1 failure while running, 2 wrong arguments or settings.`
+
+// memoryPart is the part of the memory limit at which the garbage collector
+// works harder.
+const memoryPart = 0.6
+
+// collectAt is how much the heap may grow between two collections, in percent.
+const collectAt = 100
+
+// options are the command line.
+type options struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"the settings file; otherwise the platform's environment names it"`
+	Check    bool   `long:"check" description:"check the settings, print every fault, and end"`
+	Version  bool   `long:"version" description:"print the version and end"`
+}
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// command runs the command line and returns the exit code.
+func command(args []string, out, errOut io.Writer) int {
+	var o options
+	if _, err := cli.NewParser(&o, help).ParseArgs(args); err != nil {
+		return cli.Report(program, err, out, errOut)
+	}
+	if o.Version {
+		_, _ = fmt.Fprintln(out, version.String())
+		return cli.ExitOK
+	}
+	path := o.Settings
+	if path == "" {
+		path = os.Getenv(platform.EnvSettings)
+	}
+	if path == "" {
+		_, _ = fmt.Fprintln(errOut, program+": no settings file; see --help")
+		return cli.ExitUsage
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return cli.ExitUsage
+	}
+	if o.Check {
+		_, _ = fmt.Fprintln(out, path+": no faults")
+		return cli.ExitOK
+	}
+	return serve(path, s, out)
+}
+
+// serve runs the router until it has drained or failed.
+func serve(path string, s *settings.Settings, out io.Writer) int {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryPart))
+	debug.SetGCPercent(collectAt)
+	level := new(slog.LevelVar)
+	level.Set(s.LogLevel)
+	pipe := logpipe.New(out)
+	log := slog.New(slog.NewJSONHandler(pipe, &slog.HandlerOptions{Level: level})).With("host", s.Name)
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = pipe.Run(ctx, log) // ends with ctx
+	}()
+	code := runNode(path, s, level, log)
+	cancel()
+	<-written
+	return code
+}
+
+// runNode runs the router's actors.
+func runNode(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger) int {
+	events.ProcessStarted.Log(context.Background(), log, slog.LevelInfo, "version", version.String(), "dataCentre", s.DataCentre)
+	hup := make(chan os.Signal, 1)
+	term := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	n, err := node.New(path, s, level, log)
+	if err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return cli.ExitFailed
+	}
+	var g run.Group
+	n.Actors(&g, hup, term)
+	if err := g.Run(); err != nil {
+		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
+		return cli.ExitFailed
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/internal/core/fair/fair.go
@@ -0,0 +1,163 @@
+// Package fair knows which customers have more than their max-min share of
+// what the fleet serves. Each router counts what it was asked and what it
+// served; routers tell each other their sums. It has no input or output.
+package fair
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// memory is the time over which rates are averaged: half of the window in
+	// which shares are owed (4 s on the users' sheets).
+	memory = 2 * time.Second
+	// stale is how long a router's word counts.
+	stale = 1500 * time.Millisecond
+	// fresh is how long a computed level is used.
+	fresh = 50 * time.Millisecond
+	// margin is how far above the level a customer may be before it waits.
+	margin = 1.1
+	// leastRate is the rate below which a customer is forgotten, tokens/s.
+	leastRate = 1.0
+)
+
+// Rates are what one customer asked and got, in tokens a second.
+type Rates struct {
+	Asked  float64
+	Served float64
+}
+
+// rate is a sum that decays.
+type rate struct {
+	asked  float64
+	served float64
+	at     time.Time
+}
+
+// decay brings the sums to now.
+func (r *rate) decay(now time.Time) {
+	f := math.Exp(-float64(now.Sub(r.at)) / float64(memory))
+	r.asked *= f
+	r.served *= f
+	r.at = now
+}
+
+// word is what another router said.
+type word struct {
+	at    time.Time
+	rates map[string]Rates
+}
+
+// Meter counts at one router. It is not safe for concurrent use.
+type Meter struct {
+	own   map[string]*rate
+	peers map[string]word
+	sums  map[string]Rates
+	level float64
+	at    time.Time
+}
+
+// New returns an empty meter.
+func New() *Meter {
+	return &Meter{own: map[string]*rate{}, peers: map[string]word{}, sums: map[string]Rates{}}
+}
+
+// get returns the customer's sums, brought to now.
+func (m *Meter) get(customer string, now time.Time) *rate {
+	r := m.own[customer]
+	if r == nil {
+		r = &rate{at: now}
+		m.own[customer] = r
+	}
+	r.decay(now)
+	return r
+}
+
+// perSecond turns an amount into the rate that it adds to.
+const perSecond = float64(time.Second) / float64(memory)
+
+// Asked counts a request of so many tokens.
+func (m *Meter) Asked(customer string, tokens float64, now time.Time) {
+	m.get(customer, now).asked += tokens * perSecond
+}
+
+// Served counts a request that was sent to a server.
+func (m *Meter) Served(customer string, tokens float64, now time.Time) {
+	m.get(customer, now).served += tokens * perSecond
+}
+
+// Peer takes another router's word.
+func (m *Meter) Peer(peer string, rates map[string]Rates, now time.Time) {
+	m.peers[peer] = word{at: now, rates: rates}
+}
+
+// Own returns this router's rates.
+func (m *Meter) Own(now time.Time) map[string]Rates {
+	all := make(map[string]Rates, len(m.own))
+	for name, r := range m.own {
+		r.decay(now)
+		if r.asked < leastRate {
+			delete(m.own, name)
+			continue
+		}
+		all[name] = Rates{Asked: r.asked, Served: r.served}
+	}
+	return all
+}
+
+// Over reports whether the customer has more than its max-min share of what
+// all customers were served lately.
+func (m *Meter) Over(customer string, now time.Time) bool {
+	m.update(now)
+	return m.sums[customer].Served > m.level*margin
+}
+
+// Level returns the max-min level, in tokens a second.
+func (m *Meter) Level(now time.Time) float64 {
+	m.update(now)
+	return m.level
+}
+
+// update adds up all routers' rates and finds the level.
+func (m *Meter) update(now time.Time) {
+	if now.Sub(m.at) < fresh && !m.at.IsZero() {
+		return
+	}
+	m.at = now
+	m.sums = m.Own(now)
+	for peer, w := range m.peers {
+		if now.Sub(w.at) > stale {
+			delete(m.peers, peer)
+			continue
+		}
+		for name, r := range w.rates {
+			sum := m.sums[name]
+			sum.Asked += r.Asked
+			sum.Served += r.Served
+			m.sums[name] = sum
+		}
+	}
+	m.level = level(m.sums)
+}
+
+// level returns the rate L with sum(min(asked, L)) = sum(served): what each
+// customer could have had at most if all had been given even shares.
+func level(sums map[string]Rates) float64 {
+	asked := make([]float64, 0, len(sums))
+	left := 0.0
+	for _, r := range sums {
+		asked = append(asked, r.Asked)
+		left += r.Served
+	}
+	slices.Sort(asked)
+	for i, a := range asked {
+		share := left / float64(len(asked)-i)
+		if a >= share {
+			return share
+		}
+		left -= a
+	}
+	return math.Inf(1)
+}
--- /dev/null
+++ b/internal/core/pick/job.go
@@ -0,0 +1,156 @@
+package pick
+
+import (
+	"slices"
+	"time"
+)
+
+// Outcome is what became of a request at a server.
+type Outcome int
+
+// The outcomes.
+const (
+	Worked    Outcome = iota + 1 // a whole answer
+	Failed                       // no answer, a broken one, or a failure of the server
+	Full                         // it said that it has no room
+	Leaving                      // another server has the address, or it is gone
+	Abandoned                    // the caller left or the time was over: no verdict
+)
+
+const (
+	// learn is the weight of one observation of a speed.
+	learn = 0.1
+	// slowest bounds how slow a server counts.
+	slowest = 12.0
+	// reactMs is what passes before an engine's first token beside reading:
+	// one step and the way there and back.
+	reactMs = 10.0
+)
+
+// Job is one request at one server.
+type Job struct {
+	s       *server
+	service string
+	prompt  Request
+	missing int64
+	memory  int64
+	began   time.Time
+	expect  time.Duration
+	started bool
+	ended   bool
+}
+
+// ServerID returns the server's ID.
+func (j *Job) ServerID() string { return j.s.ID }
+
+// Begin notes that the request is sent to the chosen server. It returns nil if
+// the server is not known any more.
+func (p *Picker) Begin(req Request, c Choice, now time.Time) *Job {
+	s := p.servers[c.Server.ID]
+	if s == nil {
+		return nil
+	}
+	j := &Job{
+		s:       s,
+		service: req.Service,
+		prompt:  req,
+		began:   now,
+		expect:  c.Wait + c.Own,
+	}
+	if s.engine != nil {
+		j.missing = int64(c.Missing)
+		j.memory = int64(promptTokens(req.Prompt) + req.Out)
+		s.cache.add(req.Prompt)
+	}
+	if len(s.waiting) == 0 {
+		s.progress = now
+	}
+	s.waiting = append(s.waiting, j)
+	s.own.Waiting += j.missing
+	s.own.Memory += j.memory
+	s.own.Running++
+	if s.health.strikes > 0 {
+		s.health.trying = true
+	}
+	return j
+}
+
+// First notes that the first event or the answer has come, and learns the
+// server's speed from it.
+func (p *Picker) First(j *Job, now time.Time) {
+	if j.started || j.ended {
+		return
+	}
+	p.unwait(j, now)
+	took := float64(now.Sub(j.began)) / float64(time.Millisecond)
+	ratio := (took + 1) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
+	s := j.s
+	s.slow += learn * (min(ratio, slowest)*s.slow - s.slow)
+	s.slow = min(max(s.slow, 1), slowest)
+}
+
+// unwait takes the job out of those that wait for their first token.
+func (p *Picker) unwait(j *Job, now time.Time) {
+	if j.started {
+		return
+	}
+	j.started = true
+	s := j.s
+	if i := slices.Index(s.waiting, j); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+	s.own.Waiting -= j.missing
+	s.progress = now
+}
+
+// Verdict is what an end changed in the belief about the server.
+type Verdict int
+
+// The verdicts.
+const (
+	Unchanged Verdict = iota
+	Suspected
+	Cleared
+)
+
+// End notes what became of the job.
+func (p *Picker) End(j *Job, o Outcome, now time.Time) Verdict {
+	if j.ended {
+		return Unchanged
+	}
+	p.unwait(j, now)
+	j.ended = true
+	s := j.s
+	s.own.Running--
+	s.own.Memory -= j.memory
+	return p.judge(s, o, now)
+}
+
+// judge takes the outcome into the server's health.
+func (p *Picker) judge(s *server, o Outcome, now time.Time) Verdict {
+	switch o {
+	case Worked:
+		if s.health.worked() {
+			return Cleared
+		}
+	case Failed, Leaving:
+		if s.health.failed(now) {
+			return Suspected
+		}
+	case Full:
+		s.health.trying = false
+		s.health.full(now)
+	case Abandoned:
+		s.health.trying = false
+	}
+	return Unchanged
+}
+
+// Late notes that the job's server should have answered by now. The job goes
+// on; its end is judged as usual.
+func (p *Picker) Late(j *Job, now time.Time) Verdict {
+	if j.ended {
+		return Unchanged
+	}
+	return p.judge(j.s, Failed, now)
+}
--- /dev/null
+++ b/internal/core/pick/pick.go
@@ -0,0 +1,434 @@
+// Package pick chooses the backend server of a request by the time that its
+// first token is expected to take there: the work that waits at the server,
+// of all routers, and the part of the prompt that the server would have to
+// read. It has no input or output; time comes in as an argument.
+//
+// Invariants: a job is in its server's waiting list from Begin until its first
+// event or its end; the sums of a server are those of its jobs.
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+const (
+	// tokensPerMs is how fast an engine reads prompts, until it is learnt:
+	// 38.7 and 42.6 tokens a millisecond on the users' sheets, less the steps
+	// between the chunks of a prompt (5.5 ms for 1,024 tokens).
+	tokensPerMs = 32.0
+	// unknownShare is the part of a shared prompt that counts as missing at its
+	// home server while this router has not sent it there.
+	unknownShare = 0.25
+	// secondShare is the same for the second choice.
+	secondShare = 0.7
+	// otherCentreMs is what bytes between data centres cost, in the time of an
+	// engine: the price of 18 KB against what an engine earns in a millisecond.
+	otherCentreMs = 8.0
+	// otherCentrePlainMs is the same for a plain service, which has time to
+	// spare in quiet times.
+	otherCentrePlainMs = 4.0
+	// slotWaitMs is what a request waits for each one before it when all slots
+	// of an engine are taken.
+	slotWaitMs = 40.0
+	// memoryWaitMs is added when a prompt and its answer don't fit.
+	memoryWaitMs = 400.0
+	// memoryFull is the part of an engine's memory that running requests may
+	// take before others are preempted.
+	memoryFull = 0.92
+	// plainWorkMs is how long a plain service works on a request, until it is
+	// learnt.
+	plainWorkMs = 20.0
+	// plainQueue is how many requests for each slot may be at a plain server
+	// before it refuses more.
+	plainQueue = 3.0
+	// warmupX is how much slower a server counts that has just started.
+	warmupX = 1.5
+	// peerStale is how long a router's word of its load counts.
+	peerStale = 1500 * time.Millisecond
+)
+
+// Load is what one router has at one server.
+type Load struct {
+	Waiting int64 // tokens of prompts that are still to be read
+	Memory  int64 // tokens that its running requests take
+	Running int   // requests
+}
+
+// Request is what is to be placed.
+type Request struct {
+	Service string
+	Prompt  []routing.Part
+	Out     int // tokens that are made at most
+	// Tried lists servers that this request was sent to already.
+	Tried []string
+}
+
+// Choice is a server with what led to it.
+type Choice struct {
+	Server  routing.Server
+	Wait    time.Duration // before the request's own work begins
+	Own     time.Duration // the request's own work up to its first token
+	Missing int           // tokens of the prompt that the server is thought to lack
+	Full    bool          // every server is at its bound
+	// Candidates is how many servers could have been chosen.
+	Candidates int
+}
+
+// server is what the picker knows of one start of a backend server.
+type server struct {
+	routing.Server
+	engine    *routing.Engine
+	own       Load
+	peers     Load
+	waiting   []*Job // in the order in which they were sent
+	progress  time.Time
+	cache     *cache
+	slow      float64 // how much slower than expected it answers; 1: as expected
+	health    health
+	connLimit int
+}
+
+// Picker is the state of the choice at one router.
+type Picker struct {
+	dataCentre string
+	servers    map[string]*server
+	services   map[string][]*server
+	specs      map[string]*routing.Service
+	peers      map[string]peerLoad
+	rates      map[string]*speed // by service
+}
+
+// speed is what was learnt of a service's speed.
+type speed struct {
+	tokensPerMs float64
+	workMs      float64
+	slow        float64 // the median slowness of its servers
+}
+
+// peerLoad is the last word of another router.
+type peerLoad struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// New returns a picker of a router in the data centre.
+func New(dataCentre string) *Picker {
+	return &Picker{
+		dataCentre: dataCentre,
+		servers:    map[string]*server{},
+		services:   map[string][]*server{},
+		specs:      map[string]*routing.Service{},
+		peers:      map[string]peerLoad{},
+		rates:      map[string]*speed{},
+	}
+}
+
+// SetServices takes what the configuration says of the services.
+func (p *Picker) SetServices(list []routing.Service) {
+	clear(p.specs)
+	for i := range list {
+		p.specs[list[i].Name] = &list[i]
+	}
+	for _, s := range p.servers {
+		p.describe(s)
+	}
+}
+
+// describe takes over what the configuration says of the server's service.
+func (p *Picker) describe(s *server) {
+	s.engine = nil
+	spec := p.specs[s.Service]
+	if spec == nil {
+		return
+	}
+	s.connLimit = spec.MaxConnections
+	if spec.Engine == nil {
+		return
+	}
+	s.engine = spec.Engine
+	if s.cache == nil {
+		s.cache = newCache(spec.Engine.CacheTokens)
+	}
+}
+
+// SetServers takes the list of servers that may get requests. What is known of
+// servers that stay is kept.
+func (p *Picker) SetServers(list []routing.Server) {
+	named := make(map[string]bool, len(list))
+	clear(p.services)
+	for _, entry := range list {
+		named[entry.ID] = true
+		s := p.servers[entry.ID]
+		if s == nil {
+			s = &server{slow: 1}
+			p.servers[entry.ID] = s
+		}
+		s.Server = entry
+		p.describe(s)
+		if entry.State == routing.ServerReady {
+			p.services[entry.Service] = append(p.services[entry.Service], s)
+		}
+	}
+	for id, s := range p.servers {
+		if !named[id] && s.own.Running == 0 {
+			delete(p.servers, id)
+		}
+	}
+	for _, list := range p.services {
+		slices.SortFunc(list, func(a, b *server) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// rate returns what is known of the service's speed.
+func (p *Picker) rate(service string) *speed {
+	r := p.rates[service]
+	if r == nil {
+		r = &speed{tokensPerMs: tokensPerMs, workMs: plainWorkMs, slow: 1}
+		p.rates[service] = r
+	}
+	return r
+}
+
+// Choose returns the server with the least expected time. ok is false if there
+// is none that may be asked.
+func (p *Picker) Choose(req Request, now time.Time) (best Choice, ok bool) {
+	list := p.services[req.Service]
+	home, second := homes(req.Prompt, list, now)
+	least := math.Inf(1)
+	rank := math.MaxInt
+	for _, s := range list {
+		if slices.Contains(req.Tried, s.ID) {
+			continue
+		}
+		r := s.health.rank(now)
+		if r == rankNever || r > rank {
+			continue
+		}
+		c := p.expect(s, req, s == home, s == second, now)
+		best.Candidates++
+		cost := float64(c.Wait+c.Own)/float64(time.Millisecond) + p.distance(s)
+		if r < rank || cost < least {
+			least = cost
+			rank = r
+			c.Candidates = best.Candidates
+			best = c
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+// distance is what a server in another data centre costs.
+func (p *Picker) distance(s *server) float64 {
+	switch {
+	case s.DataCentre == p.dataCentre:
+		return 0
+	case s.engine != nil:
+		return otherCentreMs
+	}
+	return otherCentrePlainMs
+}
+
+// expect works out what the request would find at the server.
+func (p *Picker) expect(s *server, req Request, home, second bool, now time.Time) Choice {
+	if s.engine == nil {
+		return p.expectPlain(s)
+	}
+	rate := p.rate(s.Service).tokensPerMs / s.slowness(p.rate(s.Service).slow)
+	missing := s.missing(req.Prompt, home, second)
+	ms := s.backlog(now, rate) / rate
+	if over := s.own.Running + s.peers.Running + 1 - s.engine.Slots; over > 0 {
+		ms += float64(over) * slotWaitMs
+	}
+	need := int64(promptTokens(req.Prompt) + req.Out)
+	if float64(s.own.Memory+s.peers.Memory+need) > memoryFull*float64(s.engine.CacheTokens) {
+		ms += memoryWaitMs
+	}
+	return Choice{
+		Server:  s.Server,
+		Wait:    millis(ms),
+		Own:     millis(float64(missing) / rate),
+		Missing: missing,
+	}
+}
+
+// slowness is how much slower than its service the server counts.
+func (s *server) slowness(usual float64) float64 {
+	x := max(s.slow/usual, 1)
+	if s.Warmup > 0 {
+		x = max(x, warmupX)
+	}
+	return x
+}
+
+// expectPlain does so for a plain service: its slots work side by side.
+func (p *Picker) expectPlain(s *server) Choice {
+	work := p.rate(s.Service).workMs * s.slowness(p.rate(s.Service).slow)
+	load := float64(s.own.Running + s.peers.Running)
+	slots := float64(max(s.Slots, 1))
+	// A server with free slots answers at once; that with most of them free is
+	// the least likely to be full when the request comes.
+	ms := work * max(0, load-slots+1) / slots
+	return Choice{
+		Server: s.Server,
+		Wait:   millis(ms),
+		Own:    millis(work * (1 + load/slots/4)),
+		Full:   load >= slots*(1+plainQueue),
+	}
+}
+
+// backlog is how many tokens of prompts the server has still to read: this
+// router's, less what it has read since the last sign of progress, and the
+// other routers'.
+func (s *server) backlog(now time.Time, rate float64) float64 {
+	total := float64(s.own.Waiting)
+	if len(s.waiting) > 0 {
+		done := rate * float64(now.Sub(s.progress)) / float64(time.Millisecond)
+		total -= min(done, float64(s.waiting[0].missing))
+	}
+	return max(total, 0) + float64(s.peers.Waiting)
+}
+
+// promptTokens is the length of the prompt.
+func promptTokens(prompt []routing.Part) int {
+	n := 0
+	for _, part := range prompt {
+		n += part.Tokens
+	}
+	return n
+}
+
+// missing is how many tokens of the prompt the server is thought to lack.
+func (s *server) missing(prompt []routing.Part, home, second bool) int {
+	kept, all := s.cache.kept(prompt)
+	if len(prompt) < 2 {
+		return all - kept
+	}
+	own := prompt[len(prompt)-1].Tokens
+	shared := all - own
+	if kept >= shared {
+		return all - kept
+	}
+	lack := float64(shared - kept)
+	switch {
+	case home:
+		lack *= unknownShare
+	case second:
+		lack *= secondShare
+	}
+	return own + int(lack)
+}
+
+// homes returns the two servers that keep a shared prompt: rendezvous hashing,
+// so that all routers agree without talking. Suspected servers are passed over.
+func homes(prompt []routing.Part, list []*server, now time.Time) (home, second *server) {
+	if len(prompt) < 2 {
+		return nil, nil
+	}
+	key := prompt[len(prompt)-2].ID
+	var top, next uint64
+	for _, s := range list {
+		if s.health.rank(now) != rankGood {
+			continue
+		}
+		score := xxhash.Sum64String(key + "/" + s.ID)
+		switch {
+		case home == nil || score > top:
+			second, next = home, top
+			home, top = s, score
+		case second == nil || score > next:
+			second, next = s, score
+		}
+	}
+	return home, second
+}
+
+// millis is a duration of ms milliseconds.
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// PeerLoad takes another router's word of its load.
+func (p *Picker) PeerLoad(peer string, loads map[string]Load, now time.Time) {
+	p.peers[peer] = peerLoad{at: now, loads: loads}
+	p.sumPeers(now)
+}
+
+// sumPeers adds up what the other routers said, leaving out old words.
+func (p *Picker) sumPeers(now time.Time) {
+	for _, s := range p.servers {
+		s.peers = Load{}
+	}
+	for peer, word := range p.peers {
+		if now.Sub(word.at) > peerStale {
+			delete(p.peers, peer)
+			continue
+		}
+		for id, l := range word.loads {
+			s := p.servers[id]
+			if s == nil {
+				continue
+			}
+			s.peers.Waiting += l.Waiting
+			s.peers.Memory += l.Memory
+			s.peers.Running += l.Running
+		}
+	}
+}
+
+// Tick forgets old words of other routers.
+func (p *Picker) Tick(now time.Time) {
+	p.sumPeers(now)
+	for name, list := range p.services {
+		p.rate(name).slow = median(list)
+	}
+}
+
+// median returns the median of how much slower than expected the servers are:
+// what all of them have in common says nothing of one.
+func median(list []*server) float64 {
+	if len(list) == 0 {
+		return 1
+	}
+	all := make([]float64, 0, len(list))
+	for _, s := range list {
+		all = append(all, s.slow)
+	}
+	slices.Sort(all)
+	return max(all[len(all)/2], 1)
+}
+
+// Loads returns this router's load at each server where it has any.
+func (p *Picker) Loads() map[string]Load {
+	loads := make(map[string]Load, len(p.servers))
+	for id, s := range p.servers {
+		if s.own != (Load{}) {
+			loads[id] = s.own
+		}
+	}
+	return loads
+}
+
+// ConnLimit is how many connections the server of the ID takes from all
+// routers; 0: not told.
+func (p *Picker) ConnLimit(id string) int {
+	if s := p.servers[id]; s != nil {
+		return s.connLimit
+	}
+	return 0
+}
+
+// Known reports whether the server is still known.
+func (p *Picker) Known(id string) bool {
+	_, ok := p.servers[id]
+	return ok
+}
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,131 @@
+// Package roster keeps the list of backend servers as the platform's store
+// tells it. Entries may lapse while the store can't be reached though the
+// servers live; those are doubtful for a while after it is back, and are
+// forgotten only then. It has no input or output.
+package roster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// ReturnGrace is how long after the store is back an entry that is missing
+// counts as doubtful: servers that live write theirs within about 2 s
+// (PROTOCOL, service discovery), and no bound on removed servers holds until
+// 3 s after.
+const ReturnGrace = 2200 * time.Millisecond
+
+// Roster is the list. It is not safe for concurrent use.
+type Roster struct {
+	servers  map[string]routing.Server
+	doubtful map[string]time.Time // when each is forgotten
+	downAt   time.Time            // zero: the store answers
+	backAt   time.Time
+	Version  uint64 // of the store, that the list is as of
+}
+
+// New returns an empty list.
+func New() *Roster {
+	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]time.Time{}}
+}
+
+// StoreDown notes that the store does not answer.
+func (r *Roster) StoreDown(now time.Time) {
+	if r.downAt.IsZero() {
+		r.downAt = now
+	}
+}
+
+// StoreBack notes that the store answers.
+func (r *Roster) StoreBack(now time.Time) {
+	if r.downAt.IsZero() {
+		return
+	}
+	r.downAt = time.Time{}
+	r.backAt = now
+}
+
+// shaky reports whether a missing entry may be that of a server that lives.
+func (r *Roster) shaky(now time.Time) bool {
+	if !r.downAt.IsZero() {
+		return true
+	}
+	return !r.backAt.IsZero() && now.Sub(r.backAt) < ReturnGrace
+}
+
+// Apply takes changed and removed entries.
+func (r *Roster) Apply(changed []routing.Server, gone []string, now time.Time) {
+	for _, s := range changed {
+		r.servers[s.ID] = s
+		delete(r.doubtful, s.ID)
+	}
+	for _, id := range gone {
+		r.lose(id, now)
+	}
+}
+
+// Replace takes the whole list anew.
+func (r *Roster) Replace(list []routing.Server, now time.Time) {
+	named := make(map[string]bool, len(list))
+	for _, s := range list {
+		named[s.ID] = true
+	}
+	r.Apply(list, nil, now)
+	for id := range r.servers {
+		if !named[id] {
+			r.lose(id, now)
+		}
+	}
+}
+
+// lose forgets an entry, or doubts it.
+func (r *Roster) lose(id string, now time.Time) {
+	if _, known := r.servers[id]; !known {
+		return
+	}
+	if !r.shaky(now) {
+		delete(r.servers, id)
+		delete(r.doubtful, id)
+		return
+	}
+	if _, already := r.doubtful[id]; !already {
+		r.doubtful[id] = now.Add(ReturnGrace)
+	}
+}
+
+// Tick forgets the doubtful entries whose time is over, and reports whether
+// there were any. While the store is down nothing is forgotten.
+func (r *Roster) Tick(now time.Time) bool {
+	changed := false
+	if !r.downAt.IsZero() {
+		return false
+	}
+	for id, until := range r.doubtful {
+		if now.Before(until) || now.Sub(r.backAt) < ReturnGrace {
+			continue
+		}
+		delete(r.doubtful, id)
+		delete(r.servers, id)
+		changed = true
+	}
+	return changed
+}
+
+// List returns the servers in the order of their IDs.
+func (r *Roster) List() []routing.Server {
+	list := make([]routing.Server, 0, len(r.servers))
+	for _, s := range r.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b routing.Server) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Doubtful reports whether the entry was missing when the list was last read.
+func (r *Roster) Doubtful(id string) bool {
+	_, ok := r.doubtful[id]
+	return ok
+}
--- /dev/null
+++ b/internal/edge/follow/follow.go
@@ -0,0 +1,176 @@
+// Package follow keeps a router's state in step with the platform's store: the
+// configuration and the list of backend servers, each read once and then
+// followed by a call that waits for changes.
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/platform"
+)
+
+const (
+	// wait is how long a call waits for a change. A call whose connection has
+	// died is noticed that much later, and configurations are to be in force
+	// within 2 s; calls are priced.
+	wait = 2 * time.Second
+	// backoffLeast and backoffMost bound the pause after a failed call.
+	backoffLeast = 60 * time.Millisecond
+	backoffMost  = 500 * time.Millisecond
+)
+
+// Store is the platform's store as the follower uses it.
+type Store interface {
+	ReadConfig(ctx context.Context) (platform.Change, error)
+	FollowConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
+	ReadServers(ctx context.Context) (platform.Change, error)
+	FollowServers(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
+}
+
+// Follower follows the store.
+type Follower struct {
+	State *state.State
+	Store Store
+	Log   *slog.Logger
+}
+
+// source is one of the two tables.
+type source struct {
+	name   string
+	read   func(context.Context) (platform.Change, error)
+	follow func(context.Context, uint64, time.Duration) (platform.Change, error)
+	take   func(c platform.Change, whole bool) bool
+	down   func()
+	back   func()
+}
+
+// Config follows the configuration until ctx ends.
+func (f *Follower) Config(ctx context.Context) error {
+	return f.run(ctx, source{
+		name:   "configuration",
+		read:   f.Store.ReadConfig,
+		follow: f.Store.FollowConfig,
+		take:   f.takeConfig,
+		down:   func() {},
+		back:   func() {},
+	})
+}
+
+// Servers follows the list of backend servers until ctx ends.
+func (f *Follower) Servers(ctx context.Context) error {
+	return f.run(ctx, source{
+		name:   "backend servers",
+		read:   f.Store.ReadServers,
+		follow: f.Store.FollowServers,
+		take:   f.takeServers,
+		down:   f.State.StoreDown,
+		back:   f.State.StoreBack,
+	})
+}
+
+// takeConfig puts a newer configuration in force.
+func (f *Follower) takeConfig(c platform.Change, _ bool) bool {
+	f.State.Confirm(0)
+	if c.Config != nil && f.State.TakeConfig(c.Config, c.Raw) {
+		events.ConfigInForce.Log(context.Background(), f.Log, slog.LevelInfo, "version", c.Config.Version, "from", "store",
+			"routes", len(c.Config.Routes), "customers", len(c.Config.Customers))
+	}
+	return true
+}
+
+// takeServers takes the list or what has changed of it.
+func (f *Follower) takeServers(c platform.Change, whole bool) bool {
+	if whole {
+		if !f.State.ServersReplaced(c.Servers, c.Ver) {
+			return false
+		}
+	} else {
+		f.State.ServersChanged(c.Servers, c.Gone, c.Ver)
+	}
+	for _, s := range c.Servers {
+		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", s.ID, "service", s.Service,
+			"ready", s.Takes(), "addr", s.Addr, "ver", c.Ver)
+	}
+	for _, id := range c.Gone {
+		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", id, "gone", true, "ver", c.Ver)
+	}
+	return true
+}
+
+// run reads the source and follows it.
+func (f *Follower) run(ctx context.Context, s source) error {
+	var after uint64
+	known := false
+	lost := false
+	pause := backoffLeast
+	for ctx.Err() == nil {
+		c, err := f.next(ctx, s, known, after)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			if kind(err) == platform.KindHistory {
+				events.StoreHistory.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "after", after)
+				known = false
+				continue
+			}
+			s.down()
+			if !lost {
+				lost = true
+				events.StoreLost.Log(ctx, f.Log, slog.LevelWarn, "what", s.name, "err", err, "after", after)
+			}
+			sleep(ctx, pause)
+			pause = min(pause*2, backoffMost)
+			continue
+		}
+		if lost {
+			lost = false
+			events.StoreRegained.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "ver", c.Ver)
+		}
+		s.back()
+		pause = backoffLeast
+		for _, bad := range c.Bad {
+			events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", s.name, "err", bad)
+		}
+		if c.Ver < after || !s.take(c, !known) {
+			sleep(ctx, backoffLeast) // an old view: read again
+			continue
+		}
+		known = true
+		after = c.Ver
+	}
+	return ctx.Err()
+}
+
+// next makes the next call.
+func (f *Follower) next(ctx context.Context, s source, known bool, after uint64) (platform.Change, error) {
+	if known {
+		return s.follow(ctx, after, wait)
+	}
+	return s.read(ctx)
+}
+
+// kind is the kind of the platform's error, 0 for another.
+func kind(err error) platform.Kind {
+	var e *platform.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+// sleep waits for about d, so that routers don't call all at once.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/edge/front/run.go
@@ -0,0 +1,319 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/upstream"
+)
+
+const (
+	// maxDials bounds the servers that one request tries to reach in vain.
+	maxDials = 4
+	// leastLeft is the time below which a request is not sent any more.
+	leastLeft = 5 * time.Millisecond
+	// lateX and lateBase say when an answer is so late that its server is
+	// suspected: so many times what was expected, and this beside.
+	lateX    = 4
+	lateBase = 700 * time.Millisecond
+	// lateX and lateBasePlain are the same for plain services.
+	lateBasePlain = 250 * time.Millisecond
+	// gapX is how many of the longest pauses that are in time make a stream's
+	// pause one in which its server is suspected.
+	gapX = 5
+	// leastGap bounds it from below.
+	leastGap = 900 * time.Millisecond
+)
+
+// verdict is what one exchange left the request with.
+type verdict int
+
+const (
+	done    verdict = iota + 1 // the caller has its answer
+	gone                       // the caller has left
+	again                      // it may be sent to another server
+	gaveUp                     // it may not
+	cut                        // the answer had begun and can't go on
+	timeout                    // the time is over
+)
+
+// run sends the request to servers until one answers or no other may be asked.
+func (q *request) run() {
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer cancel()
+	var f *Refusal
+	for {
+		placed := q.place()
+		if placed.Why != state.WhyNone {
+			f = q.unplaced(placed)
+			break
+		}
+		v := q.try(ctx, placed)
+		if v == done {
+			return
+		}
+		if v == gone {
+			panic(http.ErrAbortHandler) // nobody reads an answer
+		}
+		if v == timeout {
+			f = &Refusal{Status: http.StatusGatewayTimeout, Reason: "the time is over", Offered: true}
+			break
+		}
+		if v != again || !q.mayRetry() {
+			f = q.failed()
+			break
+		}
+	}
+	if q.started {
+		q.log(slog.LevelInfo, events.EdgeCut, "reason", f.Reason, "last", q.last, "tries", len(q.tried))
+		q.h.Metrics.cut()
+		panic(http.ErrAbortHandler) // the caller sees that the answer is not whole
+	}
+	q.refuse(f)
+}
+
+// place asks for a server.
+func (q *request) place() state.Placed {
+	return q.h.State.Place(state.Need{
+		Service:  q.service,
+		Route:    q.route,
+		Customer: q.customer,
+		Ask:      &q.ask,
+		Tried:    q.tried,
+		Again:    len(q.tried) > 0,
+	})
+}
+
+// mayRetry reports whether the request may go to one more server.
+func (q *request) mayRetry() bool {
+	if q.sent >= q.route.MaxAttempts || len(q.tried) >= maxDials {
+		return false
+	}
+	if q.mayRun && !q.route.Repeatable() {
+		return false
+	}
+	return time.Until(q.deadline) > leastLeft
+}
+
+// unplaced is the answer to a request that no server was found for.
+func (q *request) unplaced(p state.Placed) *Refusal {
+	if len(q.tried) > 0 {
+		f := q.failed()
+		f.Reason += "; then: " + p.Why.String()
+		return f
+	}
+	q.log(slog.LevelInfo, events.EdgeRefused, "why", p.Why.String(), "server", p.Choice.Server.ID,
+		"waitMs", p.Choice.Wait.Milliseconds(), "ownMs", p.Choice.Own.Milliseconds(), "candidates", p.Choice.Candidates)
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no capacity: " + p.Why.String(), Back: p.Back}
+}
+
+// failed is the answer to a request whose tries have all failed.
+func (q *request) failed() *Refusal {
+	if q.mayRun {
+		return &Refusal{Status: http.StatusBadGateway, Reason: "a server gave no whole answer", Offered: true}
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no server took the request", Back: comeBack, Offered: q.sent > 0}
+}
+
+// try sends the request to one server.
+func (q *request) try(ctx context.Context, p state.Placed) verdict {
+	server := p.Choice.Server
+	q.tried = append(q.tried, server.ID)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := &exchange{q: q, job: p.Job, server: server, cancel: cancel}
+	x.watch(q.patience(p.Choice))
+	defer x.stopWatch()
+	if q.routine {
+		q.log(slog.LevelInfo, events.EdgeSent, "server", server.ID, "waitMs", p.Choice.Wait.Milliseconds(),
+			"ownMs", p.Choice.Own.Milliseconds(), "missing", p.Choice.Missing, "candidates", p.Choice.Candidates)
+	}
+	answer, err := q.h.Pool.Do(ctx, q.call(p))
+	if err != nil {
+		return x.unanswered(err)
+	}
+	return x.answered(answer)
+}
+
+// patience is how long the server may be silent before it is suspected.
+func (q *request) patience(c pick.Choice) time.Duration {
+	base := lateBase
+	if q.route.Kind != routing.Stream {
+		base = lateBasePlain
+	}
+	return base + lateX*(c.Wait+c.Own)
+}
+
+// call renders the request for a server.
+func (q *request) call(p state.Placed) upstream.Call {
+	if q.header == nil {
+		q.header = upstream.EndToEnd(q.r.Header)
+	}
+	q.h.Headers.ToServer(q.header, time.Until(q.deadline), p.Choice.Server.ID, q.customer, q.last)
+	return upstream.Call{
+		ServerID: p.Choice.Server.ID,
+		Addr:     p.Choice.Server.Addr,
+		MaxConns: p.Conns,
+		Once:     !q.route.Repeatable(),
+		Method:   q.r.Method,
+		Target:   target(q.r),
+		Host:     q.r.Host,
+		Header:   q.header,
+		Body:     q.body,
+		Own:      q.own,
+	}
+}
+
+// own reports whether an answer belongs to the request. A refusal need not
+// name it.
+func (q *request) own(status int, h http.Header) bool {
+	notRun, _, attempt := q.h.Headers.Answer(status, h)
+	if attempt == "" {
+		return notRun
+	}
+	return attempt == q.ask.Attempt
+}
+
+// exchange is one try of a request at one server.
+type exchange struct {
+	q      *request
+	job    *pick.Job
+	server routing.Server
+	cancel context.CancelFunc
+	timer  *time.Timer
+	late   lateMark
+}
+
+// watch suspects the server when it is silent for longer than d. A request that
+// may be sent again leaves it then.
+func (x *exchange) watch(d time.Duration) {
+	q := x.q
+	leave := q.route.Repeatable() && q.sent+1 < q.route.MaxAttempts
+	x.timer = time.AfterFunc(d, func() {
+		x.late.set()
+		q.h.told(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
+		if leave && q.h.State.MayRetry(q.service) {
+			x.cancel()
+		}
+	})
+}
+
+// stopWatch ends the watch.
+func (x *exchange) stopWatch() { x.timer.Stop() }
+
+// unanswered judges an exchange that brought no answer of the request's own.
+func (x *exchange) unanswered(err *upstream.Error) verdict {
+	q := x.q
+	if err.Sent {
+		q.sent++
+		q.mayRun = true
+	}
+	if v := x.over(); v != 0 {
+		return v
+	}
+	outcome := pick.Failed
+	if errors.Is(err, upstream.ErrFull) {
+		outcome = pick.Full
+	}
+	x.end(outcome, err.Error())
+	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "stage", err.Stage.String(),
+		"sent", err.Sent, "kept", err.Kept, "late", x.late.isSet(), "err", err.Err)
+	return again
+}
+
+// over reports whether the request itself is over: its caller has left or its
+// time has. The server is not to blame.
+func (x *exchange) over() verdict {
+	q := x.q
+	if left(q.r.Context()) {
+		x.end(pick.Abandoned, "")
+		q.log(slog.LevelInfo, events.EdgeLeft, "server", x.server.ID, "started", q.started, "last", q.last)
+		q.h.Metrics.left()
+		return gone
+	}
+	if !time.Now().Before(q.deadline) {
+		x.end(pick.Abandoned, "")
+		return timeout
+	}
+	return 0
+}
+
+// end tells the state what became of the job, and logs a change of belief.
+func (x *exchange) end(o pick.Outcome, why string) {
+	x.q.h.told(x.server, x.q.h.State.End(x.job, o), why, x.q.ask.Attempt)
+}
+
+// told logs what changed in the belief about a server.
+func (h *Handler) told(s routing.Server, v pick.Verdict, why, attempt string) {
+	switch v {
+	case pick.Suspected:
+		h.Metrics.suspected()
+		events.ServerSuspected.Log(context.Background(), h.Log, slog.LevelWarn,
+			"server", s.ID, "service", s.Service, "dataCentre", s.DataCentre, "why", why, "request", attempt)
+	case pick.Cleared:
+		events.ServerCleared.Log(context.Background(), h.Log, slog.LevelInfo, "server", s.ID, "service", s.Service, "request", attempt)
+	case pick.Unchanged:
+	}
+}
+
+// answered judges an answer by its status and passes it on if it is the last.
+func (x *exchange) answered(a *upstream.Answer) verdict {
+	q := x.q
+	notRun, other, _ := q.h.Headers.Answer(a.Status, a.Header)
+	if notRun {
+		return x.refused(a, other)
+	}
+	q.sent++
+	q.mayRun = true
+	if a.Status >= http.StatusInternalServerError && q.route.Repeatable() {
+		return x.serverFailed(a)
+	}
+	if q.started || isStream(a) {
+		return x.stream(a)
+	}
+	return x.plain(a)
+}
+
+// refused takes a server's word that it has not run the request.
+func (x *exchange) refused(a *upstream.Answer, other bool) verdict {
+	q := x.q
+	q.sent++
+	if _, whole := readUpTo(a, refusalBody); whole {
+		a.Done()
+	} else {
+		a.Close()
+	}
+	outcome := pick.Full
+	if other {
+		outcome = pick.Leaving
+	}
+	x.end(outcome, "another server has its address")
+	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "notRun", true)
+	return again
+}
+
+// serverFailed handles a failure that the server answered: it is passed on if
+// no other server may be asked.
+func (x *exchange) serverFailed(a *upstream.Answer) verdict {
+	q := x.q
+	if q.started || q.mayRetry() {
+		a.Close()
+		x.end(pick.Failed, "status")
+		q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "notRun", false)
+		return again
+	}
+	return x.plain(a)
+}
+
+// isStream reports whether the answer is a series of events.
+func isStream(a *upstream.Answer) bool {
+	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
--- /dev/null
+++ b/internal/edge/node/node.go
@@ -0,0 +1,226 @@
+// Package node puts one router of the users' platform together: its listeners,
+// what it follows, its peers, and its start, reload and stop.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/windscale/windscale/internal/edge/follow"
+	"github.com/windscale/windscale/internal/edge/front"
+	"github.com/windscale/windscale/internal/edge/peers"
+	"github.com/windscale/windscale/internal/edge/settings"
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/internal/upstream"
+	"github.com/windscale/windscale/platform"
+)
+
+const (
+	// tickEvery is how often the state forgets what is old.
+	tickEvery = 200 * time.Millisecond
+	// retireEvery is how often idle connections to servers are looked through.
+	retireEvery = time.Second
+	// heldPart is the part of the memory that requests' bodies may take.
+	heldPart = 0.25
+	// headerTimeout and idleTimeout bound callers; the configuration's own
+	// limits are 3 s and 15 s on the users' sheets, and callers use idle
+	// connections up to four fifths of the latter.
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+	// registerEvery is how often a router that hears no other reads the store's
+	// list of routers.
+	registerEvery = 5 * time.Second
+)
+
+// Node is one router.
+type Node struct {
+	path     string // of the settings file
+	settings *settings.Settings
+	level    *slog.LevelVar
+	log      *slog.Logger
+
+	state    *state.State
+	store    *platform.Store
+	pool     *upstream.Pool
+	handler  *front.Handler
+	peers    *peers.Peers
+	callers  *http.Server
+	draining atomic.Bool
+
+	callersL, readyL, controlL net.Listener
+}
+
+// New opens a router's listeners. What it serves begins with Actors.
+func New(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger) (*Node, error) {
+	n := &Node{path: path, settings: s, level: level, log: log}
+	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, time.Now)
+	n.store = platform.NewStore(s.Store)
+	n.pool = upstream.NewPool()
+	n.handler = front.New(front.Config{
+		State:   n.state,
+		Pool:    n.pool,
+		Headers: platform.Headers{},
+		Log:     log,
+		OneIn:   s.LogOneInThis,
+		MaxHeld: int64(float64(s.MemoryMB<<20) * heldPart),
+	})
+	n.callers = &http.Server{
+		Handler:           n.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// listen opens the sockets.
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&n.callersL, n.settings.Callers},
+		{&n.readyL, n.settings.Ready},
+		{&n.controlL, n.settings.Control},
+	} {
+		opened, err := net.Listen("tcp4", l.addr)
+		if err != nil {
+			return err
+		}
+		*l.to = opened
+		events.ListenerStarted.Log(context.Background(), n.log, slog.LevelInfo, "addr", l.addr)
+	}
+	addr, err := net.ResolveUDPAddr("udp4", n.settings.Datagrams)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return err
+	}
+	n.peers = peers.New(n.state, n.log, n.settings.Control, conn, platform.DecodeConfig)
+	n.peers.Add(true, n.settings.Seeds...)
+	return nil
+}
+
+// Actors adds what the router does to the group. The group ends when the
+// router was told to stop and has drained.
+func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
+	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log}
+	n.loop(g, f.Config)
+	n.loop(g, f.Servers)
+	n.loop(g, n.peers.Send)
+	n.loop(g, n.peers.Receive)
+	n.loop(g, n.peers.Pull)
+	n.loop(g, n.tick)
+	n.loop(g, n.register)
+	n.loop(g, func(ctx context.Context) error { return n.reload(ctx, hup) })
+	n.loop(g, func(ctx context.Context) error { return n.stop(ctx, term) })
+	n.serve(g, n.readyServer(), n.readyL)
+	n.serve(g, &http.Server{Handler: n.peers.Handler(), ReadHeaderTimeout: headerTimeout}, n.controlL)
+	go n.accept()
+}
+
+// accept serves callers. It is no actor: its listener closes before the rest
+// ends.
+func (n *Node) accept() {
+	if err := n.callers.Serve(n.callersL); err != nil && !n.draining.Load() {
+		events.ProcessFailed.Log(context.Background(), n.log, slog.LevelError, "err", err)
+	}
+}
+
+// loop adds a function that runs until its context ends.
+func (n *Node) loop(g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// serve adds a server that is closed when the group ends.
+func (n *Node) serve(g *run.Group, s *http.Server, l net.Listener) {
+	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+}
+
+// readyServer answers whether this router takes connections.
+func (n *Node) readyServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// ready reports whether requests can be served.
+func (n *Node) ready() bool { return n.state.Ready() && !n.draining.Load() }
+
+// tick keeps the state fresh.
+func (n *Node) tick(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	ready := false
+	var retired time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			n.state.Tick()
+			if now.Sub(retired) > retireEvery {
+				retired = now
+				n.pool.Retire(n.state.Known)
+			}
+			if r := n.ready(); r != ready {
+				ready = r
+				events.ReadyChanged.Log(ctx, n.log, slog.LevelInfo, "ready", ready, "config", n.state.Version())
+			}
+		}
+	}
+}
+
+// register writes this router's address into the store, and reads those of the
+// others while it hears none.
+func (n *Node) register(ctx context.Context) error {
+	written := false
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		t.Reset(registerEvery)
+		if !written {
+			if err := n.store.Register(ctx, n.settings.Control); err != nil {
+				events.StoreRegister.Log(ctx, n.log, slog.LevelWarn, "err", err)
+			} else {
+				written = true
+			}
+		}
+		if n.peers.Live() > 0 {
+			continue
+		}
+		addrs, err := n.store.Routers(ctx)
+		if err != nil {
+			events.StoreRegister.Log(ctx, n.log, slog.LevelWarn, "err", err)
+			continue
+		}
+		n.peers.Add(false, addrs...)
+	}
+}
--- /dev/null
+++ b/internal/edge/state/place.go
@@ -0,0 +1,164 @@
+package state
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+const (
+	// waitLimit is the longest wait before a request's own work at which it is
+	// still sent, and overLimit that of a customer above its share.
+	waitLimit = 300 * time.Millisecond
+	overLimit = 120 * time.Millisecond
+	// plainPart is the part of the time that a plain service's answer is due in
+	// that a request may wait for a slot.
+	plainPart = 1.0
+	// retryLeast and retryMost bound what a caller is told to wait.
+	retryLeast = 40 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// outWeight is what a made token costs against a read one, by the count in
+	// which shares are owed.
+	outWeight = 2.0
+)
+
+// Need is a request that looks for a server.
+type Need struct {
+	Service  string
+	Route    *routing.Route
+	Customer string
+	Ask      *routing.Ask
+	Tried    []string
+	Again    bool // it was sent before; admission is not asked again
+}
+
+// Why says why no server was given.
+type Why int
+
+// The reasons.
+const (
+	WhyNone    Why = iota
+	WhyNoOne       // no server of the service is listed, or all were tried
+	WhyOver        // the customer has more than its share and servers are busy
+	WhyBusy        // the wait is too long everywhere
+	WhySpent       // the retry budget is used up
+	WhyUnknown     // the service is not in the configuration
+)
+
+var whyNames = [...]string{"none", "no server", "over share", "busy", "budget spent", "unknown service"}
+
+// String returns the reason's name.
+func (w Why) String() string { return whyNames[w] }
+
+// Placed is a server given to a request, or why there is none.
+type Placed struct {
+	Job    *pick.Job
+	Choice pick.Choice
+	Conns  int // connections that this router may open to the server
+	Why    Why
+	Back   time.Duration // when a refused caller may come back
+}
+
+// tokens is what the request costs by the count in which shares are owed.
+func (n *Need) tokens() float64 {
+	read := n.Ask.PromptTokens()
+	if parts := n.Ask.Prompt; len(parts) > 1 {
+		read = parts[len(parts)-1].Tokens
+	}
+	return float64(read) + outWeight*float64(n.Ask.TokensOut)
+}
+
+// Place gives the request a server or refuses it.
+func (s *State) Place(n Need) Placed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.table == nil || s.table.Service(n.Service) == nil {
+		return Placed{Why: WhyUnknown, Back: retryLeast}
+	}
+	tokens := n.tokens()
+	bucket := s.bucket(n.Service)
+	if !n.Again {
+		bucket.Request()
+		s.meter.Asked(n.Customer, tokens, now)
+	}
+	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried}
+	c, ok := s.picker.Choose(req, now)
+	if !ok {
+		return Placed{Why: WhyNoOne, Back: retryMost}
+	}
+	if why := s.admit(n, c, now); why != WhyNone {
+		return Placed{Why: why, Choice: c, Back: s.back(c, why)}
+	}
+	if n.Again && !bucket.Take() {
+		return Placed{Why: WhySpent, Choice: c, Back: retryLeast}
+	}
+	if !n.Again {
+		s.meter.Served(n.Customer, tokens, now)
+	}
+	return Placed{
+		Job:    s.picker.Begin(req, c, now),
+		Choice: c,
+		Conns:  max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
+	}
+}
+
+// admit decides whether the request is worth sending: its wait must leave it
+// time, and a customer above its share gives way first.
+func (s *State) admit(n Need, c pick.Choice, now time.Time) Why {
+	if c.Full {
+		return WhyBusy
+	}
+	if n.Again {
+		return WhyNone
+	}
+	limit := waitLimit
+	if s.table.Service(n.Service).Engine == nil {
+		limit = time.Duration(float64(n.Route.Target) * plainPart)
+	}
+	if c.Wait > limit {
+		return WhyBusy
+	}
+	if c.Wait > overLimit && s.table.Service(n.Service).Engine != nil && s.meter.Over(n.Customer, now) {
+		return WhyOver
+	}
+	return WhyNone
+}
+
+// back is when the wait will have fallen so far that the request may be sent.
+func (s *State) back(c pick.Choice, why Why) time.Duration {
+	limit := waitLimit
+	if why == WhyOver {
+		limit = overLimit
+	}
+	return min(max(c.Wait-limit, retryLeast), retryMost)
+}
+
+// First notes that the server's first event or answer has come.
+func (s *State) First(j *pick.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.First(j, s.now())
+}
+
+// End notes what became of a request at its server.
+func (s *State) End(j *pick.Job, o pick.Outcome) pick.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.End(j, o, s.now())
+}
+
+// Late notes that a server has not answered in the time in which it should.
+func (s *State) Late(j *pick.Job) pick.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Late(j, s.now())
+}
+
+// MayRetry reports whether the service's retry budget has something left.
+func (s *State) MayRetry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bucket(service).Tokens() >= 1
+}
--- /dev/null
+++ b/internal/edge/state/state.go
@@ -0,0 +1,251 @@
+// Package state is what a router believes, behind one lock: the configuration
+// in force, the backend servers, its own and its peers' load, the customers'
+// shares and the retry budgets. The decisions are those of the core; this
+// package only serialises access to them and tells what changed.
+package state
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/budget"
+	"github.com/windscale/windscale/internal/core/fair"
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+const (
+	// expectedRouters is the least number of routers that the retry budget is
+	// shared over: a router that has just started knows no other yet.
+	expectedRouters = 8
+	// viewStale is the age of the last word of the store above which an
+	// unknown route or key may be one that this router has not heard of.
+	viewStale = 3500 * time.Millisecond
+)
+
+// State is safe for concurrent use.
+type State struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	table     *routing.Table
+	raw       []byte // the configuration in force, as the operator wrote it
+	confirmed time.Time
+	picker    *pick.Picker
+	roster    *roster.Roster
+	listed    bool // the servers have been read once
+	meter     *fair.Meter
+	budgets   map[string]*budget.Bucket
+	ratio     float64
+	slack     float64
+	routers   int
+}
+
+// New returns the state of a router that knows nothing yet.
+func New(dataCentre string, ratio, slack float64, now func() time.Time) *State {
+	return &State{
+		now:     now,
+		picker:  pick.New(dataCentre),
+		roster:  roster.New(),
+		meter:   fair.New(),
+		budgets: map[string]*budget.Bucket{},
+		ratio:   ratio,
+		slack:   slack,
+		routers: expectedRouters,
+	}
+}
+
+// Table returns the configuration in force, nil before the first is known, and
+// the age of the last word that it is the newest.
+func (s *State) Table() (_ *routing.Table, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table, s.now().Sub(s.confirmed)
+}
+
+// Stale reports whether what is unknown may be newer than the view.
+func Stale(age time.Duration) bool { return age > viewStale }
+
+// Version returns the version of the configuration in force; 0: none.
+func (s *State) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version()
+}
+
+func (s *State) version() int64 {
+	if s.table == nil {
+		return 0
+	}
+	return s.table.Config.Version
+}
+
+// Raw returns the configuration in force as the operator wrote it.
+func (s *State) Raw() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.raw
+}
+
+// Ready reports whether requests can be served: a configuration is in force
+// and the servers are known.
+func (s *State) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table != nil && s.listed
+}
+
+// TakeConfig puts a configuration in force if it is newer than that in force,
+// and reports whether it was.
+func (s *State) TakeConfig(c *routing.Config, raw []byte) bool {
+	table := routing.NewTable(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Version <= s.version() {
+		return false
+	}
+	s.table = table
+	s.raw = raw
+	s.picker.SetServices(c.Services)
+	return true
+}
+
+// Confirm notes that the store said what the newest configuration is, age ago.
+func (s *State) Confirm(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := s.now().Add(-age); at.After(s.confirmed) {
+		s.confirmed = at
+	}
+}
+
+// ServersReplaced takes the whole list of servers, as of a version of the
+// store. An older list than that in force is left out.
+func (s *State) ServersReplaced(list []routing.Server, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version < s.roster.Version {
+		return false
+	}
+	s.roster.Version = version
+	s.roster.Replace(list, s.now())
+	s.listed = true
+	s.picker.SetServers(s.roster.List())
+	return true
+}
+
+// ServersChanged takes changed and removed entries.
+func (s *State) ServersChanged(changed []routing.Server, gone []string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version > s.roster.Version {
+		s.roster.Version = version
+	}
+	if len(changed)+len(gone) == 0 {
+		return
+	}
+	s.roster.Apply(changed, gone, s.now())
+	s.picker.SetServers(s.roster.List())
+}
+
+// Servers returns the list and the version that it is as of.
+func (s *State) Servers() ([]routing.Server, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.List(), s.roster.Version
+}
+
+// StoreDown and StoreBack note whether the store's list can be followed.
+func (s *State) StoreDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.StoreDown(s.now())
+}
+
+// StoreBack notes that the store answers again.
+func (s *State) StoreBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.StoreBack(s.now())
+}
+
+// Tick forgets what is too old.
+func (s *State) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.roster.Tick(now) {
+		s.picker.SetServers(s.roster.List())
+	}
+	s.picker.Tick(now)
+}
+
+// SetRouters says how many routers share the retry budget.
+func (s *State) SetRouters(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n = max(n, expectedRouters)
+	if n == s.routers {
+		return
+	}
+	s.routers = n
+	for _, b := range s.budgets {
+		b.Resize(s.slack, n)
+	}
+}
+
+// SetRetries changes the retry budget's figures.
+func (s *State) SetRetries(ratio, slack float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ratio == s.ratio && slack == s.slack {
+		return
+	}
+	s.ratio = ratio
+	s.slack = slack
+	clear(s.budgets)
+}
+
+// bucket returns the retry budget of a service.
+func (s *State) bucket(service string) *budget.Bucket {
+	b := s.budgets[service]
+	if b == nil {
+		b = budget.New(s.ratio, s.slack, s.routers)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// Draw returns the service that a request of the route goes to.
+func Draw(r *routing.Route) string { return r.Pick(rand.Float64()) }
+
+// Report is what a router tells its peers.
+type Report struct {
+	Loads map[string]pick.Load
+	Rates map[string]fair.Rates
+}
+
+// Report returns this router's load and its customers' rates.
+func (s *State) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Report{Loads: s.picker.Loads(), Rates: s.meter.Own(s.now())}
+}
+
+// PeerReport takes another router's.
+func (s *State) PeerReport(peer string, r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.picker.PeerLoad(peer, r.Loads, now)
+	s.meter.Peer(peer, r.Rates, now)
+}
+
+// Known reports whether the server is listed or has requests of this router.
+func (s *State) Known(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Known(id)
+}
--- /dev/null
+++ b/internal/events/edge.go
@@ -0,0 +1,36 @@
+package events
+
+// The events of windscale-edge: the requests.
+var (
+	EdgeRefused   = Event{340, "request refused"}
+	EdgeSent      = Event{341, "request sent"}
+	EdgeFailed    = Event{342, "attempt at server failed"}
+	EdgeAnswered  = Event{343, "request answered"}
+	EdgeGivenUp   = Event{344, "request ended without a server's answer"}
+	EdgeCut       = Event{345, "answer cut"}
+	EdgeLeft      = Event{346, "caller left"}
+	EdgeResumed   = Event{347, "stream goes on at another server"}
+	EdgeMalformed = Event{348, "request malformed"}
+)
+
+// The events of what windscale-edge believes.
+var (
+	ConfigInForce   = Event{230, "configuration in force"}
+	ConfigRefused   = Event{231, "configuration can't be read"}
+	ReloadDone      = Event{232, "settings file read again"}
+	ReloadRefused   = Event{233, "settings file refused, the last settings stay"}
+	ServerSuspected = Event{420, "backend server suspected"}
+	ServerCleared   = Event{421, "backend server cleared"}
+	ServersChanged  = Event{422, "list of backend servers changed"}
+	PeerFound       = Event{530, "router found"}
+	PeerLost        = Event{531, "router silent"}
+	PeerMalformed   = Event{532, "router's message malformed"}
+	PeerPullFailed  = Event{533, "router gave no view"}
+	StoreLost       = Event{720, "platform's store lost"}
+	StoreRegained   = Event{721, "platform's store back"}
+	StoreRowBad     = Event{722, "row of the platform's store can't be read"}
+	StoreHistory    = Event{723, "history of the platform's store dropped, read anew"}
+	StoreRegister   = Event{724, "router not registered in the platform's store"}
+	ReadyChanged    = Event{107, "readiness changed"}
+	LogDropped      = Event{108, "log lines dropped"}
+)
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,205 @@
+// Package upstream carries one exchange of a request with a backend server
+// over HTTP/1.1 and finds out what became of it. It repeats nothing. Answers
+// are matched by the attempt's id; a connection on which anything else than
+// one whole answer has come is closed.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// dialTimeout: data centres are about a millisecond apart.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as dead.
+	unackedTimeout = 800 * time.Millisecond
+	// keepAliveIdle and keepAliveInterval find servers that went silent.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// idleLimit is how long a connection is kept without use when the server
+	// says nothing of it.
+	idleLimit = 20 * time.Second
+	// freshIdle is the longest idle time of a connection that carries a request
+	// that must not run twice: the longer it was idle, the likelier the server
+	// is closing it.
+	freshIdle = 900 * time.Millisecond
+	// expiryMargin is taken off the idle time that a server tells.
+	expiryMargin = 300 * time.Millisecond
+	readBuffer   = 4 << 10
+)
+
+// Pool keeps connections to backend servers. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	by     map[string]*serverConns // by the server's ID
+	dials  int64                   // connections opened, for the metrics
+}
+
+// serverConns are the connections to one start of a server.
+type serverConns struct {
+	idle []*conn // the most recently used last
+	open int
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		by: map[string]*serverConns{},
+		dialer: net.Dialer{
+			Timeout: dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    keepAliveCount,
+			},
+			Control: setUnackedTimeout,
+		},
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
+
+// setUnackedTimeout bounds how long a dead peer is waited for.
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// get returns a connection to the server: an idle one that may still be used,
+// or a new one if fewer than limit are open.
+func (p *Pool) get(ctx context.Context, id, addr string, limit int, once bool) (*conn, error) {
+	now := time.Now()
+	p.mu.Lock()
+	s := p.by[id]
+	if s == nil {
+		s = &serverConns{}
+		p.by[id] = s
+	}
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		if c.usable(now, once) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		s.open--
+		_ = c.Close()
+	}
+	if limit > 0 && s.open >= limit {
+		p.mu.Unlock()
+		return nil, ErrFull
+	}
+	s.open++
+	p.dials++
+	p.mu.Unlock()
+	raw, err := p.dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		p.forget(id)
+		return nil, err
+	}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// usable reports whether an idle connection may carry another request.
+func (c *conn) usable(now time.Time, once bool) bool {
+	idle := now.Sub(c.idleAt)
+	if idle > idleLimit || once && idle > freshIdle {
+		return false
+	}
+	if !c.expires.IsZero() && now.After(c.expires) {
+		return false
+	}
+	return c.quiet()
+}
+
+// put gives a connection back after a whole exchange.
+func (p *Pool) put(id string, c *conn, keep time.Duration) {
+	now := time.Now()
+	c.used = true
+	c.idleAt = now
+	c.expires = time.Time{}
+	if keep > 0 {
+		c.expires = now.Add(keep - expiryMargin)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.by[id]
+	if s == nil || c.br.Buffered() > 0 {
+		p.drop(id, c)
+		return
+	}
+	s.idle = append(s.idle, c)
+}
+
+// discard closes a connection that can't be used any more.
+func (p *Pool) discard(id string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(id, c)
+}
+
+// drop closes the connection; the lock is held.
+func (p *Pool) drop(id string, c *conn) {
+	_ = c.Close()
+	if s := p.by[id]; s != nil {
+		s.open--
+	}
+}
+
+// forget counts a connection that was never opened.
+func (p *Pool) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.by[id]; s != nil {
+		s.open--
+	}
+}
+
+// Dials returns how many connections were opened.
+func (p *Pool) Dials() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// Retire closes the idle connections of servers that are not in keep, and of
+// all servers those that were idle too long.
+func (p *Pool) Retire(keep func(id string) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.by {
+		kept := s.idle[:0]
+		for _, c := range s.idle {
+			if keep(id) && now.Sub(c.idleAt) <= idleLimit && (c.expires.IsZero() || now.Before(c.expires)) {
+				kept = append(kept, c)
+				continue
+			}
+			s.open--
+			_ = c.Close()
+		}
+		s.idle = kept
+		if !keep(id) && s.open <= 0 {
+			delete(p.by, id)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() { p.Retire(func(string) bool { return false }) }
