roster: a server that leaves soon after an outage is forgotten within the drain bound

Ruled out: a late feed (the removal arrived within 1 ms). Doubt now ends 2.2 s after the return and 1.6 s after the removal, whichever is first; a peer's list is taken as sure.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -18,10 +18,14 @@
 // 3 s after.
 const ReturnGrace = 2200 * time.Millisecond
 
+// doubtMost bounds the doubt of one entry once the store is back: a server that
+// left must get no request later than 2 s after (bound drainMs).
+const doubtMost = 1600 * time.Millisecond
+
 // Roster is the list. It is not safe for concurrent use.
 type Roster struct {
 	servers  map[string]routing.Server
-	doubtful map[string]time.Time // when each is forgotten
+	doubtful map[string]time.Time // since when each is missing
 	downAt   time.Time            // zero: the store answers
 	backAt   time.Time
 	Version  uint64 // of the store, that the list is as of
@@ -67,32 +71,43 @@
 	}
 }
 
-// Replace takes the whole list anew.
-func (r *Roster) Replace(list []routing.Server, now time.Time) {
+// Replace takes the whole list anew. sure says that a missing entry is that of
+// a server that has left, also if this router can't ask the store: the list is
+// that of a router which can.
+func (r *Roster) Replace(list []routing.Server, sure bool, now time.Time) {
 	named := make(map[string]bool, len(list))
 	for _, s := range list {
 		named[s.ID] = true
 	}
 	r.Apply(list, nil, now)
 	for id := range r.servers {
-		if !named[id] {
+		switch {
+		case named[id]:
+		case sure:
+			r.forget(id)
+		default:
 			r.lose(id, now)
 		}
 	}
 }
 
+// forget drops an entry.
+func (r *Roster) forget(id string) {
+	delete(r.servers, id)
+	delete(r.doubtful, id)
+}
+
 // lose forgets an entry, or doubts it.
 func (r *Roster) lose(id string, now time.Time) {
 	if _, known := r.servers[id]; !known {
 		return
 	}
 	if !r.shaky(now) {
-		delete(r.servers, id)
-		delete(r.doubtful, id)
+		r.forget(id)
 		return
 	}
 	if _, already := r.doubtful[id]; !already {
-		r.doubtful[id] = now.Add(ReturnGrace)
+		r.doubtful[id] = now
 	}
 }
 
@@ -103,12 +118,14 @@
 	if !r.downAt.IsZero() {
 		return false
 	}
-	for id, until := range r.doubtful {
-		if now.Before(until) || now.Sub(r.backAt) < ReturnGrace {
+	for id, since := range r.doubtful {
+		if since.Before(r.backAt) {
+			since = r.backAt
+		}
+		if now.Sub(since) < doubtMost && now.Sub(r.backAt) < ReturnGrace {
 			continue
 		}
-		delete(r.doubtful, id)
-		delete(r.servers, id)
+		r.forget(id)
 		changed = true
 	}
 	return changed
--- /dev/null
+++ b/internal/core/roster/roster_test.go
@@ -0,0 +1,81 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// full returns a roster of two servers.
+func full() *Roster {
+	r := New()
+	r.Replace([]routing.Server{{ID: "a"}, {ID: "b"}}, false, start)
+	return r
+}
+
+func ids(r *Roster) string {
+	s := ""
+	for _, server := range r.List() {
+		s += server.ID
+	}
+	return s
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	r := full()
+	r.Apply(nil, []string{"a"}, at(10))
+	assert.Equal(t, ids(r), "b")
+}
+
+func TestEntryThatLapsedInAnOutageStaysUntilItIsBack(t *testing.T) {
+	r := full()
+	r.StoreDown(at(100))
+	r.StoreBack(at(5000))
+	r.Apply(nil, []string{"a"}, at(5000))
+	assert.Equal(t, ids(r), "ab")
+	assert.Assert(t, r.Doubtful("a"))
+	r.Apply([]routing.Server{{ID: "a"}}, nil, at(6000))
+	assert.Assert(t, !r.Tick(at(9000)))
+	assert.Equal(t, ids(r), "ab")
+}
+
+// trouble-1 of tpa-hq: a server left a second after a router had found the
+// store again, and got a request 2,059 ms after its entry had gone.
+func TestServerThatLeavesSoonAfterAnOutageIsForgottenWithinTheBound(t *testing.T) {
+	r := full()
+	r.StoreDown(at(100))
+	r.StoreBack(at(5000))
+	r.Apply(nil, []string{"a"}, at(6000))
+	r.Tick(at(7250))
+	assert.Equal(t, ids(r), "b", "the grace after the return is over")
+
+	r = full()
+	r.StoreDown(at(100))
+	r.StoreBack(at(5000))
+	r.Apply(nil, []string{"a"}, at(5100))
+	r.Tick(at(6750))
+	assert.Equal(t, ids(r), "b", "1,650 ms after its removal")
+}
+
+func TestNothingIsForgottenWhileTheStoreIsDown(t *testing.T) {
+	r := full()
+	r.StoreDown(at(100))
+	r.Apply(nil, []string{"a"}, at(200))
+	assert.Assert(t, !r.Tick(at(60000)))
+	assert.Equal(t, ids(r), "ab")
+}
+
+// A router that the store turns away takes the list of one that it serves.
+func TestListOfARouterThatFollowsTheStoreIsSure(t *testing.T) {
+	r := full()
+	r.StoreDown(at(100))
+	r.Replace([]routing.Server{{ID: "b"}}, true, at(3000))
+	assert.Equal(t, ids(r), "b")
+}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -87,7 +87,7 @@
 // takeServers takes the list or what has changed of it.
 func (f *Follower) takeServers(c platform.Change, whole bool) bool {
 	if whole {
-		if !f.State.ServersReplaced(c.Servers, c.Ver) {
+		if !f.State.ServersReplaced(c.Servers, c.Ver, false) {
 			return false
 		}
 	} else {
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -390,7 +390,7 @@
 		return
 	}
 	if len(v.Servers) > 0 {
-		p.State.ServersReplaced(v.Servers, v.Version)
+		p.State.ServersReplaced(v.Servers, v.Version, true)
 	}
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -122,15 +122,16 @@
 }
 
 // ServersReplaced takes the whole list of servers, as of a version of the
-// store. An older list than that in force is left out.
-func (s *State) ServersReplaced(list []routing.Server, version uint64) bool {
+// store. An older list than that in force is left out. sure says that it comes
+// from a router which follows the store, so that what is missing has left.
+func (s *State) ServersReplaced(list []routing.Server, version uint64, sure bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version < s.roster.Version {
 		return false
 	}
 	s.roster.Version = version
-	s.roster.Replace(list, s.now())
+	s.roster.Replace(list, sure, s.now())
 	s.listed = true
 	s.picker.SetServers(s.roster.List())
 	return true
