--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -24,9 +24,9 @@
 	tokensPerMs = 32.0
 	// unknownShare is the part of a shared prompt that counts as missing at its
 	// home server while this router has not sent it there.
-	unknownShare = 0.25
+	unknownShare = 0.1
 	// secondShare is the same for the second choice.
-	secondShare = 0.7
+	secondShare = 0.4
 	// otherCentreMs is what bytes between data centres cost, in the time of an
 	// engine: the price of 18 KB against what an engine earns in a millisecond.
 	otherCentreMs = 8.0
@@ -41,6 +41,18 @@
 	// memoryFull is the part of an engine's memory that running requests may
 	// take before others are preempted.
 	memoryFull = 0.92
+	// rereadX is what a shared token that has to be read again costs against one
+	// that is read for the first time: its price beside the engine's time.
+	rereadX = 1.6
+	// fetchX is the same for a fetched token's time.
+	fetchX = 7.0
+	// leastFetch is the number of shared tokens below which a fetch is not worth
+	// its setting up.
+	leastFetch = 400
+	// otherCentreFetchX is how much longer a fetch from another data centre takes.
+	otherCentreFetchX = 2.0
+	// fetchSetupMs is what a fetch takes beside its bytes.
+	fetchSetupMs = 4.0
 	// plainWorkMs is how long a plain service works on a request, until it is
 	// learnt.
 	plainWorkMs = 20.0
@@ -74,8 +86,11 @@
 	Server  routing.Server
 	Wait    time.Duration // before the request's own work begins
 	Own     time.Duration // the request's own work up to its first token
-	Missing int           // tokens of the prompt that the server is thought to lack
+	Missing int           // tokens of the prompt that the server is thought to have to read
+	FetchAt string        // the server that it fetches shared parts from; empty: none
 	Full    bool          // every server is at its bound
+	// work is the request's own work with its price, in milliseconds.
+	work float64
 	// Candidates is how many servers could have been chosen.
 	Candidates int
 }
@@ -215,9 +230,9 @@
 		if r == rankNever || r > rank {
 			continue
 		}
-		c := p.expect(s, req, s == home, s == second, now)
+		c := p.expect(s, req, home, second, now)
 		best.Candidates++
-		cost := float64(c.Wait+c.Own)/float64(time.Millisecond) + p.distance(s)
+		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s)
 		if r < rank || cost < least {
 			least = cost
 			rank = r
@@ -241,25 +256,28 @@
 }
 
 // expect works out what the request would find at the server.
-func (p *Picker) expect(s *server, req Request, home, second bool, now time.Time) Choice {
+func (p *Picker) expect(s *server, req Request, home, second *server, now time.Time) Choice {
 	if s.engine == nil {
 		return p.expectPlain(s)
 	}
 	rate := p.rate(s.Service).tokensPerMs / s.slowness(p.rate(s.Service).slow)
-	missing := s.missing(req.Prompt, home, second)
+	need := s.need(req.Prompt, home, second)
+	work := need.cost(rate)
 	ms := s.backlog(now, rate) / rate
 	if over := s.own.Running + s.peers.Running + 1 - s.engine.Slots; over > 0 {
 		ms += float64(over) * slotWaitMs
 	}
-	need := int64(promptTokens(req.Prompt) + req.Out)
-	if float64(s.own.Memory+s.peers.Memory+need) > memoryFull*float64(s.engine.CacheTokens) {
+	size := int64(promptTokens(req.Prompt) + req.Out)
+	if float64(s.own.Memory+s.peers.Memory+size) > memoryFull*float64(s.engine.CacheTokens) {
 		ms += memoryWaitMs
 	}
 	return Choice{
 		Server:  s.Server,
 		Wait:    millis(ms),
-		Own:     millis(float64(missing) / rate),
-		Missing: missing,
+		Own:     millis(need.time(rate)),
+		Missing: int(need.first + need.again),
+		FetchAt: need.fetchAt,
+		work:    work,
 	}
 }
 
@@ -283,7 +301,8 @@
 	return Choice{
 		Server: s.Server,
 		Wait:   millis(ms),
-		Own:    millis(work * (1 + load/slots/4)),
+		Own:    millis(work),
+		work:   work * (1 + load/slots/4),
 		Full:   load >= slots*(1+plainQueue),
 	}
 }
@@ -309,25 +328,63 @@
 	return n
 }
 
-// missing is how many tokens of the prompt the server is thought to lack.
-func (s *server) missing(prompt []routing.Part, home, second bool) int {
+// need is what a server would have to do for a prompt, in tokens.
+type need struct {
+	first   float64 // read for the first time
+	again   float64 // shared ones read though another server has read them
+	fetched float64 // fetched from another server
+	perMs   float64 // tokens fetched in a millisecond
+	fetchAt string
+}
+
+// time is how long the server works on it, in milliseconds.
+func (n need) time(rate float64) float64 {
+	ms := (n.first + n.again) / rate
+	if n.fetched > 0 {
+		ms += fetchSetupMs + n.fetched/n.perMs
+	}
+	return ms
+}
+
+// cost is the same with what the work costs beside its time.
+func (n need) cost(rate float64) float64 {
+	ms := (n.first + n.again*rereadX) / rate
+	if n.fetched > 0 {
+		ms += fetchSetupMs + fetchX*n.fetched/n.perMs
+	}
+	return ms
+}
+
+// need works out what the server would have to do for the prompt.
+func (s *server) need(prompt []routing.Part, home, second *server) need {
 	kept, all := s.cache.kept(prompt)
 	if len(prompt) < 2 {
-		return all - kept
+		return need{first: float64(all - kept)}
 	}
 	own := prompt[len(prompt)-1].Tokens
 	shared := all - own
 	if kept >= shared {
-		return all - kept
+		return need{first: float64(all - kept)}
 	}
 	lack := float64(shared - kept)
+	n := need{first: float64(own)}
 	switch {
-	case home:
-		lack *= unknownShare
-	case second:
+	case s == home:
+		n.again = lack * unknownShare
+		return n
+	case s.engine.FetchPerToken > 0 && home != nil && lack >= leastFetch:
+		n.fetched = lack
+		n.perMs = float64(time.Millisecond) / float64(s.engine.FetchPerToken)
+		n.fetchAt = home.Addr
+		if s.DataCentre != home.DataCentre {
+			n.perMs /= otherCentreFetchX
+		}
+		return n
+	case s == second:
 		lack *= secondShare
 	}
-	return own + int(lack)
+	n.again = lack
+	return n
 }
 
 // homes returns the two servers that keep a shared prompt: rendezvous hashing,
--- a/internal/core/routing/ask.go
+++ b/internal/core/routing/ask.go
@@ -30,6 +30,15 @@
 	return max(total, a.TokensIn)
 }
 
+// Order is what the fleet itself says to a backend server with a request.
+type Order struct {
+	Left     time.Duration // what is left of the request's time
+	ServerID string        // the start of the server that is to answer
+	Customer string        // empty: none
+	After    string        // the last event that the caller has; empty: a first run
+	FetchAt  string        // a server that keeps parts of the prompt, IP:port; empty: none
+}
+
 // ServerState says whether a backend server takes new requests.
 type ServerState int
 
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -70,6 +70,9 @@
 type Engine struct {
 	Slots       int   // requests that run at once
 	CacheTokens int64 // memory for prompts and running requests
+	// FetchPerToken is how long a server takes to fetch a token's memory from
+	// another one; 0: it can't.
+	FetchPerToken time.Duration
 }
 
 // Service is a group of backend servers that serve the same requests.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -27,9 +27,8 @@
 // implements it.
 type Headers interface {
 	Ask(h http.Header) routing.Ask
-	// ToServer sets what the fleet itself says to a server; left is what is
-	// left of the time, after the last event that the caller has.
-	ToServer(h http.Header, left time.Duration, server, customer, after string)
+	// ToServer sets what the fleet itself says to a server.
+	ToServer(h http.Header, o routing.Order)
 	// Answer reads a server's answer: notRun that the request has not run and
 	// never will, other that another server has the address, attempt the
 	// caller's id of the attempt that it belongs to.
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -134,7 +134,7 @@
 	defer x.stopWatch()
 	if q.routine {
 		q.log(slog.LevelInfo, events.EdgeSent, "server", server.ID, "waitMs", p.Choice.Wait.Milliseconds(),
-			"ownMs", p.Choice.Own.Milliseconds(), "missing", p.Choice.Missing, "candidates", p.Choice.Candidates)
+			"ownMs", p.Choice.Own.Milliseconds(), "missing", p.Choice.Missing, "fetchAt", p.Choice.FetchAt, "candidates", p.Choice.Candidates)
 	}
 	answer, err := q.h.Pool.Do(ctx, q.call(p))
 	if err != nil {
@@ -157,7 +157,13 @@
 	if q.header == nil {
 		q.header = upstream.EndToEnd(q.r.Header)
 	}
-	q.h.Headers.ToServer(q.header, time.Until(q.deadline), p.Choice.Server.ID, q.customer, q.last)
+	q.h.Headers.ToServer(q.header, routing.Order{
+		Left:     time.Until(q.deadline),
+		ServerID: p.Choice.Server.ID,
+		Customer: q.customer,
+		After:    q.last,
+		FetchAt:  p.Choice.FetchAt,
+	})
 	return upstream.Call{
 		ServerID: p.Choice.Server.ID,
 		Addr:     p.Choice.Server.Addr,
