pick, fair: learn how much longer first tokens take; customers below their share first

Now the expectation's error is learnt for each service, shares count whole prompts, and a customer with under 0.7 of its share may wait 500 ms where others wait 300 (over it: 120).

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -19,6 +19,9 @@
 	fresh = 50 * time.Millisecond
 	// margin is how far above the level a customer may be before it waits.
 	margin = 1.1
+	// owedBelow is the part of its share below which a customer goes before
+	// others; the rule of fair shares is broken at half.
+	owedBelow = 0.7
 	// leastRate is the rate below which a customer is forgotten, tokens/s.
 	leastRate = 1.0
 )
@@ -107,11 +110,31 @@
 	return all
 }
 
-// Over reports whether the customer has more than its max-min share of what
-// all customers were served lately.
-func (m *Meter) Over(customer string, now time.Time) bool {
+// Standing is how a customer stands against its max-min share.
+type Standing int
+
+// The standings.
+const (
+	Even Standing = iota
+	Over          // it has more than its share
+	Owed          // it asks for its share and has much less
+)
+
+// String returns the standing's name.
+func (s Standing) String() string { return [...]string{"even", "over", "owed"}[s] }
+
+// Standing compares what the customer was served lately with its max-min share
+// of what all customers were served.
+func (m *Meter) Standing(customer string, now time.Time) Standing {
 	m.update(now)
-	return m.sums[customer].Served > m.level*margin
+	sum := m.sums[customer]
+	switch {
+	case sum.Served > m.level*margin:
+		return Over
+	case sum.Served < min(sum.Asked, m.level)*owedBelow:
+		return Owed
+	}
+	return Even
 }
 
 // Level returns the max-min level, in tokens a second.
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -20,6 +20,12 @@
 const (
 	// learn is the weight of one observation of a speed.
 	learn = 0.1
+	// learnCommon is the same for what all servers of a service have in common:
+	// a router sees some 50 first tokens a second.
+	learnCommon = 0.02
+	// leastErr and mostErr bound what is learnt of it.
+	leastErr = 0.8
+	mostErr  = 3.0
 	// slowest bounds how slow a server counts.
 	slowest = 12.0
 	// reactMs is what passes before an engine's first token beside reading:
@@ -84,6 +90,11 @@
 	p.unwait(j, now)
 	took := float64(now.Sub(j.began)) / float64(time.Millisecond)
 	ratio := (took + 1) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
+	if j.s.engine != nil {
+		learnt := p.rate(j.service)
+		learnt.err += learnCommon * (min(ratio, slowest)*learnt.err - learnt.err)
+		learnt.err = min(max(learnt.err, leastErr), mostErr)
+	}
 	s := j.s
 	s.slow += learn * (min(ratio, slowest)*s.slow - s.slow)
 	s.slow = min(max(s.slow, 1), slowest)
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -124,6 +124,7 @@
 	tokensPerMs float64
 	workMs      float64
 	slow        float64 // the median slowness of its servers
+	err         float64 // how much longer first tokens take than expected
 }
 
 // peerLoad is the last word of another router.
@@ -209,7 +210,7 @@
 func (p *Picker) rate(service string) *speed {
 	r := p.rates[service]
 	if r == nil {
-		r = &speed{tokensPerMs: tokensPerMs, workMs: plainWorkMs, slow: 1}
+		r = &speed{tokensPerMs: tokensPerMs, workMs: plainWorkMs, slow: 1, err: 1}
 		p.rates[service] = r
 	}
 	return r
@@ -260,7 +261,8 @@
 	if s.engine == nil {
 		return p.expectPlain(s)
 	}
-	rate := p.rate(s.Service).tokensPerMs / s.slowness(p.rate(s.Service).slow)
+	learnt := p.rate(s.Service)
+	rate := learnt.tokensPerMs / s.slowness(learnt.slow) / learnt.err
 	need := s.need(req.Prompt, home, second)
 	work := need.cost(rate)
 	ms := s.backlog(now, rate) / rate
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/routing"
 )
@@ -12,6 +13,8 @@
 	// still sent, and overLimit that of a customer above its share.
 	waitLimit = 300 * time.Millisecond
 	overLimit = 120 * time.Millisecond
+	// owedLimit is that of a customer that has much less than its share.
+	owedLimit = 500 * time.Millisecond
 	// plainPart is the part of the time that a plain service's answer is due in
 	// that a request may wait for a slot.
 	plainPart = 1.0
@@ -62,11 +65,7 @@
 
 // tokens is what the request costs by the count in which shares are owed.
 func (n *Need) tokens() float64 {
-	read := n.Ask.PromptTokens()
-	if parts := n.Ask.Prompt; len(parts) > 1 {
-		read = parts[len(parts)-1].Tokens
-	}
-	return float64(read) + outWeight*float64(n.Ask.TokensOut)
+	return float64(n.Ask.PromptTokens()) + outWeight*float64(n.Ask.TokensOut)
 }
 
 // Place gives the request a server or refuses it.
@@ -113,17 +112,27 @@
 	if n.Again {
 		return WhyNone
 	}
-	limit := waitLimit
 	if s.table.Service(n.Service).Engine == nil {
-		limit = time.Duration(float64(n.Route.Target) * plainPart)
-	}
-	if c.Wait > limit {
-		return WhyBusy
+		if c.Wait > time.Duration(float64(n.Route.Target)*plainPart) {
+			return WhyBusy
+		}
+		return WhyNone
 	}
-	if c.Wait > overLimit && s.table.Service(n.Service).Engine != nil && s.meter.Over(n.Customer, now) {
+	standing := s.meter.Standing(n.Customer, now)
+	switch {
+	case c.Wait <= limits[standing]:
+		return WhyNone
+	case standing == fair.Over:
 		return WhyOver
 	}
-	return WhyNone
+	return WhyBusy
+}
+
+// limits are the longest waits by how the customer stands.
+var limits = map[fair.Standing]time.Duration{
+	fair.Even: waitLimit,
+	fair.Over: overLimit,
+	fair.Owed: owedLimit,
 }
 
 // back is when the wait will have fallen so far that the request may be sent.
