--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -123,6 +123,22 @@
 // String returns the standing's name.
 func (s Standing) String() string { return [...]string{"even", "over", "owed"}[s] }
 
+// Sum returns the customer's rates at all routers and the level.
+func (m *Meter) Sum(customer string, now time.Time) (Rates, float64) {
+	m.update(now)
+	return m.sums[customer], m.level
+}
+
+// Ratio is what the customer was served against the max-min level; 0 if there
+// is no level.
+func (m *Meter) Ratio(customer string, now time.Time) float64 {
+	m.update(now)
+	if math.IsInf(m.level, 1) || m.level <= 0 {
+		return 0
+	}
+	return m.sums[customer].Served / m.level
+}
+
 // Standing compares what the customer was served lately with its max-min share
 // of what all customers were served.
 func (m *Meter) Standing(customer string, now time.Time) Standing {
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -111,7 +112,8 @@
 		return f
 	}
 	q.log(slog.LevelInfo, events.EdgeRefused, "why", p.Why.String(), "server", p.Choice.Server.ID,
-		"waitMs", p.Choice.Wait.Milliseconds(), "ownMs", p.Choice.Own.Milliseconds(), "candidates", p.Choice.Candidates)
+		"waitMs", p.Choice.Wait.Milliseconds(), "ownMs", p.Choice.Own.Milliseconds(), "candidates", p.Choice.Candidates,
+		"asked", int64(p.Rates.Asked), "served", int64(p.Rates.Served), "level", int64(min(p.Level, math.MaxInt32)))
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no capacity: " + p.Why.String(), Back: p.Back}
 }
 
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -11,8 +11,8 @@
 const (
 	// waitLimit is the longest wait before a request's own work at which it is
 	// still sent, and overLimit that of a customer above its share.
-	waitLimit = 300 * time.Millisecond
-	overLimit = 120 * time.Millisecond
+	waitLimit = 200 * time.Millisecond
+	overLimit = 40 * time.Millisecond
 	// owedLimit is that of a customer that has much less than its share.
 	owedLimit = 500 * time.Millisecond
 	// plainPart is the part of the time that a plain service's answer is due in
@@ -61,6 +61,8 @@
 	Conns  int // connections that this router may open to the server
 	Why    Why
 	Back   time.Duration // when a refused caller may come back
+	Rates  fair.Rates    // of the customer, at all routers; refusals only
+	Level  float64       // the max-min share, tokens a second; refusals only
 }
 
 // tokens is what the request costs by the count in which shares are owed.
@@ -88,7 +90,8 @@
 		return Placed{Why: WhyNoOne, Back: retryMost}
 	}
 	if why := s.admit(n, c, now); why != WhyNone {
-		return Placed{Why: why, Choice: c, Back: s.back(c, why)}
+		rates, level := s.meter.Sum(n.Customer, now)
+		return Placed{Why: why, Choice: c, Back: s.back(c, why), Rates: rates, Level: level}
 	}
 	if n.Again && !bucket.Take() {
 		return Placed{Why: WhySpent, Choice: c, Back: retryLeast}
@@ -120,7 +123,7 @@
 	}
 	standing := s.meter.Standing(n.Customer, now)
 	switch {
-	case c.Wait <= limits[standing]:
+	case c.Wait <= s.limit(n.Customer, standing, now):
 		return WhyNone
 	case standing == fair.Over:
 		return WhyOver
@@ -128,11 +131,17 @@
 	return WhyBusy
 }
 
-// limits are the longest waits by how the customer stands.
-var limits = map[fair.Standing]time.Duration{
-	fair.Even: waitLimit,
-	fair.Over: overLimit,
-	fair.Owed: owedLimit,
+// limit is the longest wait by how the customer stands. A customer at twice its
+// share or more gets only what nothing waits for.
+func (s *State) limit(customer string, standing fair.Standing, now time.Time) time.Duration {
+	switch standing {
+	case fair.Owed:
+		return owedLimit
+	case fair.Over:
+		return time.Duration(float64(overLimit) * max(0, 2-s.meter.Ratio(customer, now)))
+	case fair.Even:
+	}
+	return waitLimit
 }
 
 // back is when the wait will have fallen so far that the request may be sent.
