--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -15,6 +15,10 @@
 	overLimit = 40 * time.Millisecond
 	// owedLimit is that of a customer that has much less than its share.
 	owedLimit = 500 * time.Millisecond
+	// farOver is how many times its share a customer has that gets nothing while
+	// this router has refused another within the time contended.
+	farOver   = 1.4
+	contended = time.Second
 	// plainPart is the part of the time that a plain service's answer is due in
 	// that a request may wait for a slot.
 	plainPart = 1.0
@@ -122,26 +126,33 @@
 		return WhyNone
 	}
 	standing := s.meter.Standing(n.Customer, now)
-	switch {
-	case c.Wait <= s.limit(n.Customer, standing, now):
-		return WhyNone
-	case standing == fair.Over:
-		return WhyOver
+	switch standing {
+	case fair.Over:
+		return s.admitOver(n.Customer, c, now)
+	case fair.Owed:
+		if c.Wait <= owedLimit {
+			return WhyNone
+		}
+	case fair.Even:
+		if c.Wait <= waitLimit {
+			return WhyNone
+		}
 	}
+	s.refusedAt = now
 	return WhyBusy
 }
 
-// limit is the longest wait by how the customer stands. A customer at twice its
-// share or more gets only what nothing waits for.
-func (s *State) limit(customer string, standing fair.Standing, now time.Time) time.Duration {
-	switch standing {
-	case fair.Owed:
-		return owedLimit
-	case fair.Over:
-		return time.Duration(float64(overLimit) * max(0, 2-s.meter.Ratio(customer, now)))
-	case fair.Even:
+// admitOver decides for a customer above its share: the further it is above,
+// the less it may wait, and far above it gets nothing while others are refused.
+func (s *State) admitOver(customer string, c pick.Choice, now time.Time) Why {
+	ratio := s.meter.Ratio(customer, now)
+	if ratio > farOver && now.Sub(s.refusedAt) < contended {
+		return WhyOver
+	}
+	if c.Wait > time.Duration(float64(overLimit)*max(0, 2-ratio)) {
+		return WhyOver
 	}
-	return waitLimit
+	return WhyNone
 }
 
 // back is when the wait will have fallen so far that the request may be sent.
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -37,6 +37,7 @@
 	roster    *roster.Roster
 	listed    bool // the servers have been read once
 	meter     *fair.Meter
+	refusedAt time.Time // when a customer not above its share was refused last
 	budgets   map[string]*budget.Bucket
 	ratio     float64
 	slack     float64
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,7 @@
 	// freshIdle is the longest idle time of a connection that carries a request
 	// that must not run twice: the longer it was idle, the likelier the server
 	// is closing it.
-	freshIdle = 900 * time.Millisecond
+	freshIdle = 4 * time.Second
 	// expiryMargin is taken off the idle time that a server tells.
 	expiryMargin = 300 * time.Millisecond
 	readBuffer   = 4 << 10
