--- a/cmd/windscale-edge/main.go
+++ b/cmd/windscale-edge/main.go
@@ -98,20 +98,20 @@
 		defer close(written)
 		_ = pipe.Run(ctx, log) // ends with ctx
 	}()
-	code := runNode(path, s, level, log)
+	code := runNode(path, s, level, log, pipe)
 	cancel()
 	<-written
 	return code
 }
 
 // runNode runs the router's actors.
-func runNode(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger) int {
+func runNode(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger, pipe *logpipe.Pipe) int {
 	events.ProcessStarted.Log(context.Background(), log, slog.LevelInfo, "version", version.String(), "dataCentre", s.DataCentre)
 	hup := make(chan os.Signal, 1)
 	term := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	n, err := node.New(path, s, level, log)
+	n, err := node.New(path, s, level, log, pipe.Dropped)
 	if err != nil {
 		events.ProcessFailed.Log(context.Background(), log, slog.LevelError, "err", err)
 		return cli.ExitFailed
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/platform"
@@ -38,6 +39,7 @@
 	State *state.State
 	Store Store
 	Log   *slog.Logger
+	Meter *meter.Meter
 }
 
 // source is one of the two tables.
@@ -121,6 +123,7 @@
 				continue
 			}
 			s.down()
+			f.Meter.StoreFailed(s.name, kind(err).String())
 			if !lost {
 				lost = true
 				events.StoreLost.Log(ctx, f.Log, slog.LevelWarn, "what", s.name, "err", err, "after", after)
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -59,10 +59,12 @@
 			return v
 		}
 		x.end(pick.Failed, "answer broken off")
+		q.h.Meter.Failed(q.service, "broken off")
 		q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "stage", "body", "err", err)
 		return again
 	}
 	q.h.State.First(x.job)
+	q.h.Meter.First(q.service, time.Since(q.begin))
 	x.header(a, int64(len(body)), err == nil)
 	if _, werr := q.w.Write(body); werr != nil {
 		a.Close()
@@ -145,6 +147,9 @@
 		}
 		if count == 0 {
 			q.h.State.First(x.job)
+			if !q.started {
+				q.h.Meter.First(q.service, time.Since(q.begin))
+			}
 		}
 		count++
 		x.timer.Reset(gap(q.route))
@@ -210,6 +215,7 @@
 		return v
 	}
 	x.end(pick.Failed, "answer broken off")
+	q.h.Meter.Failed(q.service, "broken off")
 	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "stage", "body", "last", q.last,
 		"late", x.late.isSet(), "err", err)
 	if q.started && q.last == "" {
@@ -225,14 +231,14 @@
 func (x *exchange) callerGone(err error) verdict {
 	x.end(pick.Abandoned, "")
 	x.q.log(slog.LevelInfo, events.EdgeLeft, "server", x.server.ID, "err", err)
-	x.q.h.Metrics.left()
+	x.q.h.Meter.Failed(x.q.service, "caller left")
 	return gone
 }
 
 // answeredLine notes the end of a request.
 func (x *exchange) answeredLine(status, size int) {
 	q := x.q
-	q.h.Metrics.answered(q.route, status, time.Since(q.begin))
+	q.h.Meter.Answered(q.service, status, time.Since(q.begin))
 	if q.routine || status >= http.StatusInternalServerError || len(q.tried) > 1 {
 		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "status", status, "size", size, "tries", len(q.tried))
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
 	"github.com/windscale/windscale/internal/upstream"
@@ -45,7 +46,7 @@
 	Log     *slog.Logger
 	OneIn   int   // routine lines are written of one request in so many
 	MaxHeld int64 // bytes of requests' bodies that are held at once
-	Metrics *Metrics
+	Meter   *meter.Meter
 }
 
 // Handler serves callers. It is safe for concurrent use.
@@ -129,6 +130,13 @@
 // Error implements error.
 func (r *Refusal) Error() string { return r.Reason }
 
+// reason is the metrics' label: the reason without its details.
+func (r *Refusal) reason() string {
+	short, _, _ := strings.Cut(r.Reason, ";")
+	short, _, _ = strings.Cut(short, ": ")
+	return short
+}
+
 // comeBack is when to ask again at another router, for refusals that say
 // nothing of the load.
 const comeBack = 50 * time.Millisecond
@@ -271,7 +279,7 @@
 			q.log(slog.LevelInfo, events.EdgeLeft, "err", err)
 		}
 	}
-	q.h.Metrics.refused(f)
+	q.h.Meter.Refused(q.customer, f.reason())
 	event := events.EdgeRefused
 	if f.Offered {
 		event = events.EdgeGivenUp
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -75,7 +75,7 @@
 	}
 	if q.started {
 		q.log(slog.LevelInfo, events.EdgeCut, "reason", f.Reason, "last", q.last, "tries", len(q.tried))
-		q.h.Metrics.cut()
+		q.h.Meter.Refused(q.customer, "answer cut")
 		panic(http.ErrAbortHandler) // the caller sees that the answer is not whole
 	}
 	q.refuse(f)
@@ -138,6 +138,7 @@
 		q.log(slog.LevelInfo, events.EdgeSent, "server", server.ID, "waitMs", p.Choice.Wait.Milliseconds(),
 			"ownMs", p.Choice.Own.Milliseconds(), "missing", p.Choice.Missing, "fetchAt", p.Choice.FetchAt, "candidates", p.Choice.Candidates)
 	}
+	q.h.Meter.Sent(q.service, len(q.tried) > 1, p.Choice.FetchAt != "")
 	answer, err := q.h.Pool.Do(ctx, q.call(p))
 	if err != nil {
 		return x.unanswered(err)
@@ -232,6 +233,7 @@
 		outcome = pick.Full
 	}
 	x.end(outcome, err.Error())
+	q.h.Meter.Failed(q.service, err.Stage.String())
 	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "stage", err.Stage.String(),
 		"sent", err.Sent, "kept", err.Kept, "late", x.late.isSet(), "err", err.Err)
 	return again
@@ -244,7 +246,7 @@
 	if left(q.r.Context()) {
 		x.end(pick.Abandoned, "")
 		q.log(slog.LevelInfo, events.EdgeLeft, "server", x.server.ID, "started", q.started, "last", q.last)
-		q.h.Metrics.left()
+		q.h.Meter.Failed(q.service, "caller left")
 		return gone
 	}
 	if !time.Now().Before(q.deadline) {
@@ -263,10 +265,11 @@
 func (h *Handler) told(s routing.Server, v pick.Verdict, why, attempt string) {
 	switch v {
 	case pick.Suspected:
-		h.Metrics.suspected()
+		h.Meter.Believed(s.Service, "suspected")
 		events.ServerSuspected.Log(context.Background(), h.Log, slog.LevelWarn,
 			"server", s.ID, "service", s.Service, "dataCentre", s.DataCentre, "why", why, "request", attempt)
 	case pick.Cleared:
+		h.Meter.Believed(s.Service, "cleared")
 		events.ServerCleared.Log(context.Background(), h.Log, slog.LevelInfo, "server", s.ID, "service", s.Service, "request", attempt)
 	case pick.Unchanged:
 	}
@@ -304,6 +307,7 @@
 		outcome = pick.Leaving
 	}
 	x.end(outcome, "another server has its address")
+	q.h.Meter.Failed(q.service, "not run")
 	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "notRun", true)
 	return again
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/front"
+	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/peers"
 	"github.com/windscale/windscale/internal/edge/settings"
 	"github.com/windscale/windscale/internal/edge/state"
@@ -46,22 +48,25 @@
 	path     string // of the settings file
 	settings *settings.Settings
 	level    *slog.LevelVar
+	dropped  func() int64 // log lines
 	log      *slog.Logger
 
 	state    *state.State
 	store    *platform.Store
+	meter    *meter.Meter
 	pool     *upstream.Pool
 	handler  *front.Handler
 	peers    *peers.Peers
 	callers  *http.Server
 	draining atomic.Bool
 
-	callersL, readyL, controlL net.Listener
+	callersL, readyL, controlL, metricsL net.Listener
 }
 
 // New opens a router's listeners. What it serves begins with Actors.
-func New(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger) (*Node, error) {
-	n := &Node{path: path, settings: s, level: level, log: log}
+func New(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger, dropped func() int64) (*Node, error) {
+	n := &Node{path: path, settings: s, level: level, log: log, dropped: dropped}
+	n.meter = meter.New()
 	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, time.Now)
 	n.store = platform.NewStore(s.Store)
 	n.pool = upstream.NewPool()
@@ -70,6 +75,7 @@
 		Pool:    n.pool,
 		Headers: platform.Headers{},
 		Log:     log,
+		Meter:   n.meter,
 		OneIn:   s.LogOneInThis,
 		MaxHeld: int64(float64(s.MemoryMB<<20) * heldPart),
 	})
@@ -95,7 +101,11 @@
 		{&n.callersL, n.settings.Callers},
 		{&n.readyL, n.settings.Ready},
 		{&n.controlL, n.settings.Control},
+		{&n.metricsL, n.settings.Metrics},
 	} {
+		if l.addr == "" {
+			continue
+		}
 		opened, err := net.Listen("tcp4", l.addr)
 		if err != nil {
 			return err
@@ -119,7 +129,7 @@
 // Actors adds what the router does to the group. The group ends when the
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
-	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log}
+	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log, Meter: n.meter}
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
 	n.loop(g, n.peers.Send)
@@ -131,9 +141,35 @@
 	n.loop(g, func(ctx context.Context) error { return n.stop(ctx, term) })
 	n.serve(g, n.readyServer(), n.readyL)
 	n.serve(g, &http.Server{Handler: n.peers.Handler(), ReadHeaderTimeout: headerTimeout}, n.controlL)
+	if n.metricsL != nil {
+		n.serve(g, n.metricsServer(), n.metricsL)
+	}
 	go n.accept()
 }
 
+// metricsServer shows the metrics, as text and as expvar.
+func (n *Node) metricsServer() *http.Server {
+	n.meter.Gauge("running", "Requests in progress.", func() float64 { return float64(n.handler.Running()) })
+	n.meter.Gauge("configuration_version", "Version of the configuration in force; 0: none.", func() float64 { return float64(n.state.Version()) })
+	n.meter.Gauge("ready", "1 if this router takes connections.", func() float64 {
+		if n.ready() {
+			return 1
+		}
+		return 0
+	})
+	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
+	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
+	n.meter.Gauge("view_age_seconds", "Age of the last word of the store.", func() float64 {
+		_, age := n.state.Table()
+		return min(age, time.Hour).Seconds()
+	})
+	n.meter.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(n.dropped()) })
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", n.meter.Handler())
+	mux.Handle("/debug/vars", expvar.Handler())
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
 // accept serves callers. It is no actor: its listener closes before the rest
 // ends.
 func (n *Node) accept() {
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -2,15 +2,14 @@
 
 // The events of windscale-edge: the requests.
 var (
-	EdgeRefused   = Event{340, "request refused"}
-	EdgeSent      = Event{341, "request sent"}
-	EdgeFailed    = Event{342, "attempt at server failed"}
-	EdgeAnswered  = Event{343, "request answered"}
-	EdgeGivenUp   = Event{344, "request ended without a server's answer"}
-	EdgeCut       = Event{345, "answer cut"}
-	EdgeLeft      = Event{346, "caller left"}
-	EdgeResumed   = Event{347, "stream goes on at another server"}
-	EdgeMalformed = Event{348, "request malformed"}
+	EdgeRefused  = Event{340, "request refused"}
+	EdgeSent     = Event{341, "request sent"}
+	EdgeFailed   = Event{342, "attempt at server failed"}
+	EdgeAnswered = Event{343, "request answered"}
+	EdgeGivenUp  = Event{344, "request ended without a server's answer"}
+	EdgeCut      = Event{345, "answer cut"}
+	EdgeLeft     = Event{346, "caller left"}
+	EdgeResumed  = Event{347, "stream goes on at another server"}
 )
 
 // The events of what windscale-edge believes.
