--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -91,6 +91,12 @@
 	m.get(customer, now).served += tokens * perSecond
 }
 
+// Undo takes back what Served counted for a request that no server began.
+func (m *Meter) Undo(customer string, tokens float64, now time.Time) {
+	r := m.get(customer, now)
+	r.served = max(0, r.served-tokens*perSecond)
+}
+
 // Peer takes another router's word.
 func (m *Meter) Peer(peer string, rates map[string]Rates, now time.Time) {
 	m.peers[peer] = word{at: now, rates: rates}
--- /dev/null
+++ b/internal/core/fair/fair_test.go
@@ -0,0 +1,69 @@
+package fair
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestLevelIsTheMaxMinShare(t *testing.T) {
+	// 300 served; 50 asked is met, the other two share 250.
+	got := level(map[string]Rates{
+		"small": {Asked: 50, Served: 50},
+		"big":   {Asked: 400, Served: 200},
+		"huge":  {Asked: 900, Served: 50},
+	})
+	assert.Equal(t, got, 125.0)
+}
+
+func TestThereIsNoLevelWhileAllAreServed(t *testing.T) {
+	got := level(map[string]Rates{"a": {Asked: 50, Served: 50}, "b": {Asked: 10, Served: 10}})
+	assert.Assert(t, got >= 50 || math.IsInf(got, 1))
+}
+
+func TestStandings(t *testing.T) {
+	m := New()
+	for i := range 100 {
+		now := at(i * 20)
+		m.Asked("flood", 1000, now)
+		m.Served("flood", 700, now)
+		m.Asked("steady", 400, now)
+		m.Served("steady", 100, now)
+		m.Asked("tiny", 10, now)
+		m.Served("tiny", 10, now)
+	}
+	assert.Equal(t, m.Standing("flood", at(2100)), Over)
+	assert.Equal(t, m.Standing("steady", at(2100)), Owed)
+	assert.Equal(t, m.Standing("tiny", at(2100)), Even)
+}
+
+// A customer whose requests went to servers that had gone silent counted as
+// served, and was passed over for it (a mix of tpa-hq, FAIR).
+func TestWhatNoServerBeganIsNotServed(t *testing.T) {
+	m := New()
+	for i := range 50 {
+		now := at(i * 20)
+		m.Asked("a", 100, now)
+		m.Served("a", 100, now)
+		m.Asked("b", 100, now)
+		m.Served("b", 100, now)
+		m.Undo("b", 100, now)
+	}
+	assert.Equal(t, m.Standing("b", at(1100)), Owed)
+	assert.Equal(t, m.Standing("a", at(1100)), Over)
+}
+
+func TestAnotherRoutersRatesCountForAWhile(t *testing.T) {
+	m := New()
+	m.Peer("p", map[string]Rates{"a": {Asked: 100, Served: 90}}, start)
+	got, _ := m.Sum("a", at(10))
+	assert.Equal(t, got.Served, 90.0)
+	got, _ = m.Sum("a", at(5000))
+	assert.Equal(t, got.Served, 0.0)
+}
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -49,6 +49,9 @@
 // ServerID returns the server's ID.
 func (j *Job) ServerID() string { return j.s.ID }
 
+// Started reports whether a first event or an end has been noted.
+func (j *Job) Started() bool { return j.started }
+
 // Begin notes that the request is sent to the chosen server. It returns nil if
 // the server is not known any more.
 func (p *Picker) Begin(req Request, c Choice, now time.Time) *Job {
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -131,7 +131,7 @@
 	q.tried = append(q.tried, server.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x := &exchange{q: q, job: p.Job, server: server, cancel: cancel}
+	x := &exchange{q: q, placed: p, job: p.Job, server: server, cancel: cancel}
 	x.watch(q.patience(p.Choice))
 	defer x.stopWatch()
 	if q.routine {
@@ -194,6 +194,7 @@
 // exchange is one try of a request at one server.
 type exchange struct {
 	q      *request
+	placed state.Placed
 	job    *pick.Job
 	server routing.Server
 	cancel context.CancelFunc
@@ -258,7 +259,7 @@
 
 // end tells the state what became of the job, and logs a change of belief.
 func (x *exchange) end(o pick.Outcome, why string) {
-	x.q.h.told(x.server, x.q.h.State.End(x.job, o), why, x.q.ask.Attempt)
+	x.q.h.told(x.server, x.q.h.State.End(&x.placed, o), why, x.q.ask.Attempt)
 }
 
 // told logs what changed in the belief about a server.
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -62,11 +62,12 @@
 type Placed struct {
 	Job    *pick.Job
 	Choice pick.Choice
-	Conns  int // connections that this router may open to the server
-	Why    Why
-	Back   time.Duration // when a refused caller may come back
-	Rates  fair.Rates    // of the customer, at all routers; refusals only
-	Level  float64       // the max-min share, tokens a second; refusals only
+	counted
+	Conns int // connections that this router may open to the server
+	Why   Why
+	Back  time.Duration // when a refused caller may come back
+	Rates fair.Rates    // of the customer, at all routers; refusals only
+	Level float64       // the max-min share, tokens a second; refusals only
 }
 
 // tokens is what the request costs by the count in which shares are owed.
@@ -74,6 +75,12 @@
 	return float64(n.Ask.PromptTokens()) + outWeight*float64(n.Ask.TokensOut)
 }
 
+// counted is what a placed request was counted as.
+type counted struct {
+	customer string
+	tokens   float64
+}
+
 // Place gives the request a server or refuses it.
 func (s *State) Place(n Need) Placed {
 	s.mu.Lock()
@@ -100,13 +107,12 @@
 	if n.Again && !bucket.Take() {
 		return Placed{Why: WhySpent, Choice: c, Back: retryLeast}
 	}
-	if !n.Again {
-		s.meter.Served(n.Customer, tokens, now)
-	}
+	s.meter.Served(n.Customer, tokens, now)
 	return Placed{
-		Job:    s.picker.Begin(req, c, now),
-		Choice: c,
-		Conns:  max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
+		Job:     s.picker.Begin(req, c, now),
+		counted: counted{n.Customer, tokens},
+		Choice:  c,
+		Conns:   max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
 	}
 }
 
@@ -171,11 +177,16 @@
 	s.picker.First(j, s.now())
 }
 
-// End notes what became of a request at its server.
-func (s *State) End(j *pick.Job, o pick.Outcome) pick.Verdict {
+// End notes what became of a request at its server. What no server began is
+// not counted as served.
+func (s *State) End(p *Placed, o pick.Outcome) pick.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.picker.End(j, o, s.now())
+	now := s.now()
+	if !p.Job.Started() {
+		s.meter.Undo(p.customer, p.tokens, now)
+	}
+	return s.picker.End(p.Job, o, now)
 }
 
 // Late notes that a server has not answered in the time in which it should.
