--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -28,9 +28,27 @@
 	doubtful map[string]time.Time // since when each is missing
 	downAt   time.Time            // zero: the store answers
 	backAt   time.Time
-	Version  uint64 // of the store, that the list is as of
+	stamp    Stamp
 }
 
+// Stamp orders the lists that routers have: by the store's version of the last
+// change, and then by what was forgotten since without the store's word.
+type Stamp struct {
+	Version uint64
+	Edits   uint32
+}
+
+// After reports whether the list of s is newer than that of o.
+func (s Stamp) After(o Stamp) bool {
+	return s.Version > o.Version || s.Version == o.Version && s.Edits > o.Edits
+}
+
+// Stamp returns the list's.
+func (r *Roster) Stamp() Stamp { return r.stamp }
+
+// SetStamp notes that the list is as of the stamp.
+func (r *Roster) SetStamp(s Stamp) { r.stamp = s }
+
 // New returns an empty list.
 func New() *Roster {
 	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]time.Time{}}
@@ -128,6 +146,9 @@
 		r.forget(id)
 		changed = true
 	}
+	if changed {
+		r.stamp.Edits++
+	}
 	return changed
 }
 
--- /dev/null
+++ b/internal/core/spread/spread.go
@@ -0,0 +1,217 @@
+// Package spread decides which routers tell which others of their load, so that
+// everyone knows the fleet's total at a bounded cost. In a small fleet each
+// tells each. In a larger one the routers of a data centre tell two reporters,
+// the ones with the lowest addresses; reporters tell the sum to the reporters of
+// the other data centres, and the total to the routers of their own. Nobody is
+// elected: all rank the routers that they hear of alike, and while their views
+// differ some words come twice or from two senders, which does no harm.
+//
+// The package has no input or output; time comes in as an argument.
+package spread
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// meshMost is the largest fleet in which each router tells each: above it
+	// the datagrams, which grow with the square, cost more than a reporter's
+	// delay. 58 routers in a mesh sent 1 GB between data centres in 48 s.
+	meshMost = 12
+	// reportersEach is how many reporters a data centre has: one may be lost
+	// without a word missing.
+	reportersEach = 2
+	// LiveFor is how long a router counts as live after the last word of it,
+	// its own or a reporter's.
+	LiveFor = 2 * time.Second
+	// knockEvery is how often a silent router is told: it may be back.
+	knockEvery = 2 * time.Second
+	// forgetAfter is when a silent router is forgotten, unless it is a seed.
+	forgetAfter = 90 * time.Second
+)
+
+// Member is a router.
+type Member struct {
+	Addr       string // its control address, IP:port: its name in the fleet
+	DataCentre string // empty: not known yet
+}
+
+// entry is what is known of another router.
+type entry struct {
+	Member
+	heard time.Time // last word of it
+	told  time.Time // last knock
+	seed  bool
+	live  bool
+}
+
+// Spread is one router's view of the fleet. It is not safe for concurrent use.
+type Spread struct {
+	self  Member
+	known map[string]*entry
+}
+
+// New returns the view of a router that knows no other.
+func New(self Member) *Spread { return &Spread{self: self, known: map[string]*entry{}} }
+
+// Add makes a router known without a word of it.
+func (s *Spread) Add(m Member, seed bool, now time.Time) {
+	if m.Addr == s.self.Addr {
+		return
+	}
+	e := s.known[m.Addr]
+	if e == nil {
+		e = &entry{Member: m, heard: now.Add(-LiveFor)}
+		s.known[m.Addr] = e
+	}
+	if m.DataCentre != "" {
+		e.DataCentre = m.DataCentre
+	}
+	e.seed = e.seed || seed
+}
+
+// Heard notes a word of a router, its own or one by which a reporter vouches
+// for it, age ago. It reports whether the router was silent before.
+func (s *Spread) Heard(m Member, age time.Duration, now time.Time) bool {
+	if m.Addr == s.self.Addr {
+		return false
+	}
+	s.Add(m, false, now)
+	e := s.known[m.Addr]
+	if at := now.Add(-age); at.After(e.heard) {
+		e.heard = at
+	}
+	if e.live || now.Sub(e.heard) >= LiveFor {
+		return false
+	}
+	e.live = true
+	return true
+}
+
+// Tick drops routers that have been silent for long, and returns those that
+// have fallen silent.
+func (s *Spread) Tick(now time.Time) (lost []string) {
+	for addr, e := range s.known {
+		silent := now.Sub(e.heard)
+		if e.live && silent >= LiveFor {
+			e.live = false
+			lost = append(lost, addr)
+		}
+		if silent > forgetAfter && !e.seed {
+			delete(s.known, addr)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+// Live returns the other routers of which a word came lately, in the order of
+// their addresses.
+func (s *Spread) Live() []Member {
+	var list []Member
+	for _, e := range s.known {
+		if e.live {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
+	return list
+}
+
+// Age returns how long ago the last word of a router came.
+func (s *Spread) Age(addr string, now time.Time) time.Duration {
+	if e := s.known[addr]; e != nil {
+		return now.Sub(e.heard)
+	}
+	return forgetAfter
+}
+
+// Count returns how many routers there are, this one and those that have been
+// silent for a short time included.
+func (s *Spread) Count() int { return len(s.known) + 1 }
+
+// Mesh reports whether each router tells each.
+func (s *Spread) Mesh() bool { return len(s.Live())+1 <= meshMost }
+
+// Reporters returns the reporters of a data centre.
+func (s *Spread) Reporters(dataCentre string) []string {
+	var list []string
+	if s.self.DataCentre == dataCentre {
+		list = append(list, s.self.Addr)
+	}
+	for _, m := range s.Live() {
+		if m.DataCentre == dataCentre {
+			list = append(list, m.Addr)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), reportersEach)]
+}
+
+// Reporter reports whether this router is a reporter.
+func (s *Spread) Reporter() bool {
+	return slices.Contains(s.Reporters(s.self.DataCentre), s.self.Addr)
+}
+
+// Targets are the routers to tell something.
+type Targets struct {
+	Own   []string // this router's own load
+	Sum   []string // the sum of this data centre
+	Total []string // the sum of the fleet
+}
+
+// Targets returns whom to tell at the moment. Routers that are silent are
+// knocked at now and then with this router's own load.
+func (s *Spread) Targets(now time.Time) Targets {
+	var t Targets
+	live := s.Live()
+	switch {
+	case s.Mesh():
+		for _, m := range live {
+			t.Own = append(t.Own, m.Addr)
+		}
+	case s.Reporter():
+		t = s.reporterTargets(live)
+	default:
+		t.Own = s.Reporters(s.self.DataCentre)
+	}
+	t.Own = append(t.Own, s.knocks(now)...)
+	return t
+}
+
+// reporterTargets returns whom a reporter tells.
+func (s *Spread) reporterTargets(live []Member) Targets {
+	var t Targets
+	mine := s.Reporters(s.self.DataCentre)
+	others := map[string][]string{}
+	for _, m := range live {
+		switch {
+		case m.DataCentre != s.self.DataCentre:
+			if others[m.DataCentre] == nil {
+				others[m.DataCentre] = s.Reporters(m.DataCentre)
+				t.Sum = append(t.Sum, others[m.DataCentre]...)
+			}
+		case slices.Contains(mine, m.Addr):
+			t.Own = append(t.Own, m.Addr) // the other reporter sums up too
+		default:
+			t.Total = append(t.Total, m.Addr)
+		}
+	}
+	return t
+}
+
+// knocks returns silent routers whose turn it is.
+func (s *Spread) knocks(now time.Time) []string {
+	var list []string
+	for addr, e := range s.known {
+		if e.live || now.Sub(e.told) < knockEvery {
+			continue
+		}
+		e.told = now
+		list = append(list, addr)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/internal/core/spread/spread_test.go
@@ -0,0 +1,90 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet returns the views of n routers in 3 data centres that all hear each
+// other.
+func fleet(n int) []*Spread {
+	var members []Member
+	for i := range n {
+		members = append(members, Member{Addr: fmt.Sprintf("10.%d.0.%03d:1", i%3, i), DataCentre: fmt.Sprintf("dc%d", i%3)})
+	}
+	var views []*Spread
+	for _, m := range members {
+		s := New(m)
+		for _, other := range members {
+			s.Heard(other, 0, start)
+		}
+		views = append(views, s)
+	}
+	return views
+}
+
+func TestSmallFleetIsAMesh(t *testing.T) {
+	for _, s := range fleet(6) {
+		assert.Equal(t, len(s.Targets(start).Own), 5)
+	}
+}
+
+// What a router sends does not grow with the fleet, but for the reporters'
+// words to their own data centre.
+func TestFanOutIsBounded(t *testing.T) {
+	for _, n := range []int{58, 410} {
+		reporters := 0
+		for _, s := range fleet(n) {
+			got := s.Targets(start)
+			if !s.Reporter() {
+				assert.Equal(t, len(got.Own), reportersEach)
+				assert.Equal(t, len(got.Sum)+len(got.Total), 0)
+				continue
+			}
+			reporters++
+			assert.Equal(t, len(got.Own), reportersEach-1)
+			assert.Equal(t, len(got.Sum), 2*reportersEach)
+			assert.Assert(t, len(got.Total) <= n/3)
+		}
+		assert.Equal(t, reporters, 3*reportersEach)
+	}
+}
+
+// A reporter that dies is replaced by the next as soon as it is silent.
+func TestReporterIsReplaced(t *testing.T) {
+	s := New(Member{Addr: "10.0.0.9:1", DataCentre: "a"})
+	for i := range 20 {
+		s.Heard(Member{Addr: fmt.Sprintf("10.0.0.%02d:1", 10+i), DataCentre: "a"}, 0, start)
+	}
+	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.10:1", "10.0.0.11:1"})
+	later := start.Add(LiveFor)
+	for i := 1; i < 20; i++ {
+		s.Heard(Member{Addr: fmt.Sprintf("10.0.0.%02d:1", 10+i), DataCentre: "a"}, 0, later)
+	}
+	assert.DeepEqual(t, s.Tick(later), []string{"10.0.0.10:1"})
+	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.11:1", "10.0.0.12:1"})
+}
+
+func TestSilentRouterIsKnockedAt(t *testing.T) {
+	s := New(Member{Addr: "a:1"})
+	s.Add(Member{Addr: "b:1"}, true, start)
+	assert.DeepEqual(t, s.Targets(start).Own, []string{"b:1"})
+	assert.Equal(t, len(s.Targets(start.Add(time.Second)).Own), 0)
+	assert.DeepEqual(t, s.Targets(start.Add(knockEvery)).Own, []string{"b:1"})
+	s.Tick(start.Add(10 * forgetAfter))
+	assert.Equal(t, s.Count(), 2, "a seed is not forgotten")
+}
+
+// A reporter vouches for a router only as long as it has heard it itself.
+func TestOldVouchingDoesNotRevive(t *testing.T) {
+	s := New(Member{Addr: "a:1"})
+	assert.Assert(t, !s.Heard(Member{Addr: "b:1"}, LiveFor, start))
+	assert.Equal(t, len(s.Live()), 0)
+	assert.Assert(t, s.Heard(Member{Addr: "b:1"}, LiveFor/2, start))
+	assert.Equal(t, len(s.Live()), 1)
+}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
@@ -17,10 +18,16 @@
 )
 
 const (
-	// wait is how long a call waits for a change. A call whose connection has
-	// died is noticed that much later, and configurations are to be in force
-	// within 2 s; calls are priced.
-	wait = 2 * time.Second
+	// waitMesh is how long a call waits for a change where every router follows
+	// the store. A call whose connection has died is noticed that much later,
+	// and configurations are to be in force within 2 s; calls are priced.
+	waitMesh = 2 * time.Second
+	// waitReader is the same where a few follow it for the rest, who go by the
+	// age of the readers' view.
+	waitReader = 1200 * time.Millisecond
+	// idlePoll is how often a router that does not follow the store looks
+	// whether it has to.
+	idlePoll = 100 * time.Millisecond
 	// backoffLeast and backoffMost bound the pause after a failed call.
 	backoffLeast = 60 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
@@ -40,8 +47,20 @@
 	Store Store
 	Log   *slog.Logger
 	Meter *meter.Meter
+	// Role says whether this router has to follow the store itself.
+	Role func() Role
 }
 
+// Role is how a router follows the store.
+type Role int
+
+// The roles.
+const (
+	Everyone Role = iota // every router follows it
+	Reader               // this one does, for others too
+	Told                 // this one is told by a reader
+)
+
 // source is one of the two tables.
 type source struct {
 	name   string
@@ -89,7 +108,7 @@
 // takeServers takes the list or what has changed of it.
 func (f *Follower) takeServers(c platform.Change, whole bool) bool {
 	if whole {
-		if !f.State.ServersReplaced(c.Servers, c.Ver, false) {
+		if !f.State.ServersReplaced(c.Servers, roster.Stamp{Version: c.Ver}, false) {
 			return false
 		}
 	} else {
@@ -112,7 +131,17 @@
 	lost := false
 	pause := backoffLeast
 	for ctx.Err() == nil {
-		c, err := f.next(ctx, s, known, after)
+		role := f.Role()
+		if role == Told {
+			if lost {
+				lost = false
+				s.back()
+			}
+			known = false
+			sleep(ctx, idlePoll)
+			continue
+		}
+		c, err := f.next(ctx, s, role, known, after)
 		if ctx.Err() != nil {
 			break
 		}
@@ -152,11 +181,14 @@
 }
 
 // next makes the next call.
-func (f *Follower) next(ctx context.Context, s source, known bool, after uint64) (platform.Change, error) {
-	if known {
-		return s.follow(ctx, after, wait)
+func (f *Follower) next(ctx context.Context, s source, role Role, known bool, after uint64) (platform.Change, error) {
+	switch {
+	case !known:
+		return s.read(ctx)
+	case role == Reader:
+		return s.follow(ctx, after, waitReader)
 	}
-	return s.read(ctx)
+	return s.follow(ctx, after, waitMesh)
 }
 
 // kind is the kind of the platform's error, 0 for another.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	n.peers = peers.New(n.state, n.log, n.settings.Control, conn, platform.DecodeConfig)
+	n.peers = peers.New(n.state, n.log, n.settings.Control, n.settings.DataCentre, conn, platform.DecodeConfig)
 	n.peers.Add(true, n.settings.Seeds...)
 	return nil
 }
@@ -129,7 +129,7 @@
 // Actors adds what the router does to the group. The group ends when the
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
-	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log, Meter: n.meter}
+	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Role: n.peers.Role}
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
 	n.loop(g, n.peers.Send)
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -17,9 +17,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/windscale/windscale/internal/core/fair"
-	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/spread"
+	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
 )
@@ -28,12 +29,12 @@
 	// reportEvery is how often a router tells its peers its load. Bytes between
 	// data centres are priced.
 	reportEvery = 150 * time.Millisecond
-	// liveFor is how long a peer counts as live after its last word.
-	liveFor = 2 * time.Second
-	// knockEvery is how often a silent peer is told: it may be back.
-	knockEvery = 2 * time.Second
-	// forgetAfter is when a silent peer is forgotten, unless it is a seed.
-	forgetAfter = 90 * time.Second
+	// knownEvery is in how many words one tells which routers this one hears.
+	knownEvery = 3
+	// toldOld is the age of the last word of the store at which a router that is
+	// told by others follows the store itself: a reader's word is at most
+	// follow's wait and two ticks old.
+	toldOld = 2200 * time.Millisecond
 	// pullAfter is how long a newer configuration may be on its way from the
 	// store before it is fetched from the peer that has it.
 	pullAfter = 250 * time.Millisecond
@@ -52,54 +53,47 @@
 	pathServers = "/fleet/servers"
 )
 
-// word is a datagram.
-type word struct {
-	Control string              `cbor:"1,keyasint"` // the sender's control address
-	Version int64               `cbor:"2,keyasint"` // of its configuration
-	AgeMs   int64               `cbor:"3,keyasint"` // of its last word of the store
-	Loads   map[string][3]int64 `cbor:"4,keyasint"` // server: waiting, memory, running
-	Rates   map[string][2]int64 `cbor:"5,keyasint"` // customer: asked, served, tokens/s
-	Known   []string            `cbor:"6,keyasint"` // control addresses of live routers
-}
-
-// peer is another router.
+// peer is what another router said of its view.
 type peer struct {
-	control string // IP:port
-	udp     netip.AddrPort
-	heard   time.Time
-	told    time.Time
-	version int64
-	newer   time.Time // since when its configuration is newer; zero: it is not
+	version int64        // of its configuration
+	stamp   roster.Stamp // of its list of servers
 	age     time.Duration
-	seed    bool
-	live    bool
+	newer   time.Time // since when its configuration is newer; zero: it is not
 }
 
 // Peers is a router's knowledge of the others.
 type Peers struct {
-	State   *state.State
-	Log     *slog.Logger
-	Control string // this router's control address
-	UDPPort uint16 // the same at all routers
+	State      *state.State
+	Log        *slog.Logger
+	Control    string // this router's control address
+	DataCentre string
 
 	Decode func([]byte) (*routing.Config, error) // a configuration as the operator wrote it
 
-	mu   sync.Mutex
-	all  map[string]*peer // by control address
+	port uint16 // of datagrams, the same at all routers
 	conn *net.UDPConn
 	http *http.Client
+
+	mu     sync.Mutex
+	spread *spread.Spread
+	views  map[string]*peer
+	words  map[string]heardWord // by sender: loads of this data centre's routers, sums of others
+	ticks  int
 }
 
 // New returns the peers of a router. conn is its datagram socket.
-func New(s *state.State, log *slog.Logger, control string, conn *net.UDPConn, decode func([]byte) (*routing.Config, error)) *Peers {
+func New(s *state.State, log *slog.Logger, control, dataCentre string, conn *net.UDPConn, decode func([]byte) (*routing.Config, error)) *Peers {
 	return &Peers{
-		State:   s,
-		Log:     log,
-		Control: control,
-		UDPPort: conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
-		Decode:  decode,
-		all:     map[string]*peer{},
-		conn:    conn,
+		State:      s,
+		Log:        log,
+		Control:    control,
+		DataCentre: dataCentre,
+		Decode:     decode,
+		port:       conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:       conn,
+		spread:     spread.New(spread.Member{Addr: control, DataCentre: dataCentre}),
+		views:      map[string]*peer{},
+		words:      map[string]heardWord{},
 		http: &http.Client{
 			Timeout:   pullTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: pullTimeout / 2}).DialContext},
@@ -112,40 +106,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range controls {
-		p.add(c, seed)
+		p.spread.Add(spread.Member{Addr: c}, seed, time.Now())
 	}
 }
 
-// add makes one router known; the lock is held.
-func (p *Peers) add(control string, seed bool) *peer {
-	if control == p.Control {
-		return nil
-	}
-	q := p.all[control]
-	if q == nil {
-		addr, err := netip.ParseAddrPort(control)
-		if err != nil {
-			events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", control, "err", err)
-			return nil
-		}
-		q = &peer{control: control, udp: netip.AddrPortFrom(addr.Addr(), p.UDPPort), heard: time.Now(), age: time.Hour}
-		p.all[control] = q
-	}
-	q.seed = q.seed || seed
-	return q
+// Live returns how many other routers were heard of lately.
+func (p *Peers) Live() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.spread.Live())
 }
 
-// Live returns how many other routers were heard lately.
-func (p *Peers) Live() int {
+// Role says how this router follows the store. One that is told by others does
+// so itself when their word is old.
+func (p *Peers) Role() follow.Role {
+	_, age := p.State.Table()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, q := range p.all {
-		if q.live {
-			n++
-		}
+	switch {
+	case p.spread.Mesh():
+		return follow.Everyone
+	case p.spread.Reporter() || age > toldOld:
+		return follow.Reader
 	}
-	return n
+	return follow.Told
 }
 
 // Send tells the peers of this router until ctx ends.
@@ -157,78 +141,93 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			p.tell()
+			p.tell(time.Now())
 		}
 	}
 }
 
-// tell sends one datagram to each live peer, and now and then to silent ones.
-func (p *Peers) tell() {
-	now := time.Now()
-	to, known := p.due(now)
-	if len(to) == 0 {
-		return
-	}
-	text, err := cbor.Marshal(p.word(known))
-	if err != nil {
-		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelError, "err", err)
+// tell sends this router's words.
+func (p *Peers) tell(now time.Time) {
+	p.mu.Lock()
+	lost := p.spread.Tick(now)
+	for _, addr := range lost {
+		delete(p.views, addr)
+	}
+	to := p.spread.Targets(now)
+	known := p.known(now)
+	sum := p.sum(now)
+	count := p.spread.Count()
+	p.mu.Unlock()
+	for _, addr := range lost {
+		events.PeerLost.Log(context.Background(), p.Log, slog.LevelWarn, "peer", addr)
+	}
+	p.State.SetRouters(count)
+	own := p.State.Report()
+	p.send(to.Own, p.word(kindOwn, own, known))
+	if len(to.Sum)+len(to.Total) == 0 {
 		return
 	}
-	for _, addr := range to {
-		// A datagram that can't be sent is one that is lost: the next follows.
-		_, _ = p.conn.WriteToUDPAddrPort(text, addr)
-	}
+	add(sum.centre, own)
+	p.send(to.Sum, p.word(kindSum, sum.centre, known))
+	add(sum.others, sum.centre)
+	p.send(to.Total, p.word(kindTotal, sum.others, known))
 }
 
-// due returns whom to tell, and whom this router hears.
-func (p *Peers) due(now time.Time) (to []netip.AddrPort, known []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	routers := 1
-	for control, q := range p.all {
-		silent := now.Sub(q.heard)
-		if q.live && silent > liveFor {
-			q.live = false
-			events.PeerLost.Log(context.Background(), p.Log, slog.LevelWarn, "peer", control, "silentMs", silent.Milliseconds())
-		}
-		if silent > forgetAfter && !q.seed {
-			delete(p.all, control)
-			continue
-		}
-		if silent < forgetAfter {
-			routers++
-		}
-		if q.live {
-			known = append(known, control)
-		}
-		if q.live || now.Sub(q.told) > knockEvery {
-			q.told = now
-			to = append(to, q.udp)
+// sums are what a reporter has heard.
+type sums struct {
+	centre state.Report // of the other routers of this data centre
+	others state.Report // of the other data centres
+}
+
+// sum adds up the words heard lately; the lock is held.
+func (p *Peers) sum(now time.Time) sums {
+	s := sums{centre: newReport(), others: newReport()}
+	for key, w := range p.words {
+		switch {
+		case now.Sub(w.at) >= spread.LiveFor:
+			delete(p.words, key)
+		case w.kind == kindOwn:
+			add(s.centre, w.report)
+		default:
+			add(s.others, w.report)
 		}
 	}
-	p.State.SetRouters(routers)
-	return to, known
+	return s
 }
 
-// word is what this router says.
-func (p *Peers) word(known []string) word {
-	report := p.State.Report()
-	_, age := p.State.Table()
-	w := word{
-		Control: p.Control,
-		Version: p.State.Version(),
-		AgeMs:   min(age, time.Hour).Milliseconds(),
-		Loads:   make(map[string][3]int64, len(report.Loads)),
-		Rates:   make(map[string][2]int64, len(report.Rates)),
-		Known:   known,
+// known are the routers that this one hears, told every few ticks; the lock is
+// held.
+func (p *Peers) known(now time.Time) []knownRouter {
+	p.ticks++
+	if p.ticks%knownEvery != 0 {
+		return nil
 	}
-	for id, l := range report.Loads {
-		w.Loads[id] = [3]int64{l.Waiting, l.Memory, int64(l.Running)}
+	var list []knownRouter
+	for _, m := range p.spread.Live() {
+		list = append(list, knownRouter{Addr: m.Addr, DataCentre: m.DataCentre, AgeMs: p.spread.Age(m.Addr, now).Milliseconds()})
 	}
-	for name, r := range report.Rates {
-		w.Rates[name] = [2]int64{int64(r.Asked), int64(r.Served)}
+	return list
+}
+
+// send sends one word to each address.
+func (p *Peers) send(to []string, w word) {
+	if len(to) == 0 {
+		return
+	}
+	text, err := cbor.Marshal(w)
+	if err != nil {
+		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelError, "err", err)
+		return
+	}
+	for _, control := range to {
+		addr, err := netip.ParseAddrPort(control)
+		if err != nil {
+			events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", control, "err", err)
+			continue
+		}
+		// A datagram that can't be sent is one that is lost: the next follows.
+		_, _ = p.conn.WriteToUDPAddrPort(text, netip.AddrPortFrom(addr.Addr(), p.port))
 	}
-	return w
 }
 
 // Receive takes the peers' datagrams until the socket is closed.
@@ -248,47 +247,52 @@
 			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
 			continue
 		}
-		p.take(w)
+		p.take(w, time.Now())
 	}
 }
 
 // take takes a peer's word.
-func (p *Peers) take(w word) {
-	now := time.Now()
-	if !p.heard(w, now) {
+func (p *Peers) take(w word, now time.Time) {
+	if w.Control == p.Control || w.Control == "" {
 		return
 	}
-	r := state.Report{
-		Loads: make(map[string]pick.Load, len(w.Loads)),
-		Rates: make(map[string]fair.Rates, len(w.Rates)),
-	}
-	for id, l := range w.Loads {
-		r.Loads[id] = pick.Load{Waiting: l[0], Memory: l[1], Running: int(l[2])}
+	version := p.State.Version()
+	p.mu.Lock()
+	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre}, 0, now)
+	for _, k := range w.Known {
+		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre}, time.Duration(k.AgeMs)*time.Millisecond, now)
+	}
+	p.view(w, version, now)
+	use := p.use(w)
+	report := w.report()
+	if use == useOther {
+		p.words[w.key()] = heardWord{at: now, kind: w.Kind, report: report}
+	}
+	p.mu.Unlock()
+	if found {
+		events.PeerFound.Log(context.Background(), p.Log, slog.LevelInfo, "peer", w.Control, "version", w.Version)
 	}
-	for name, v := range w.Rates {
-		r.Rates[name] = fair.Rates{Asked: float64(v[0]), Served: float64(v[1])}
+	switch use {
+	case useOther:
+		p.State.PeerReport(w.key(), report)
+	case useTotal:
+		p.State.TotalReport(w.key(), report)
+	case useNone:
 	}
-	p.State.PeerReport(w.Control, r)
-	if w.Version != 0 && w.Version == p.State.Version() {
+	if w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
 		p.State.Confirm(time.Duration(w.AgeMs) * time.Millisecond)
 	}
 }
 
-// heard notes a peer's word, and reports whether it is a peer's.
-func (p *Peers) heard(w word, now time.Time) bool {
-	version := p.State.Version()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q := p.add(w.Control, false)
+// view notes what the peer says of its view; the lock is held.
+func (p *Peers) view(w word, version int64, now time.Time) {
+	q := p.views[w.Control]
 	if q == nil {
-		return false
+		q = &peer{}
+		p.views[w.Control] = q
 	}
-	if !q.live {
-		q.live = true
-		events.PeerFound.Log(context.Background(), p.Log, slog.LevelInfo, "peer", w.Control, "version", w.Version)
-	}
-	q.heard = now
 	q.version = w.Version
+	q.stamp = w.stamp()
 	q.age = time.Duration(w.AgeMs) * time.Millisecond
 	switch {
 	case w.Version <= version:
@@ -296,10 +300,36 @@
 	case q.newer.IsZero():
 		q.newer = now
 	}
-	for _, c := range w.Known {
-		p.add(c, false)
+}
+
+// How a word counts.
+type usage int
+
+const (
+	useNone  usage = iota
+	useOther       // load of other routers
+	useTotal       // load of all routers, this one included
+)
+
+// use says how a word counts, so that no load counts twice; the lock is held.
+func (p *Peers) use(w word) usage {
+	mesh := p.spread.Mesh()
+	reporter := p.spread.Reporter()
+	switch w.Kind {
+	case kindOwn:
+		if mesh || reporter && w.DataCentre == p.DataCentre {
+			return useOther
+		}
+	case kindSum:
+		if !mesh && reporter && w.DataCentre != p.DataCentre {
+			return useOther
+		}
+	case kindTotal:
+		if !mesh && !reporter {
+			return useTotal
+		}
 	}
-	return true
+	return useNone
 }
 
 // Pull fetches the view of peers that are ahead, until ctx ends.
@@ -317,22 +347,27 @@
 		if from := p.ahead(now); from != "" {
 			p.pullConfig(ctx, from)
 		}
-		_, age := p.State.Table()
-		if (age > viewOld || !p.State.Ready()) && now.Sub(servers) > serversEvery {
-			if from := p.freshest(age); from != "" {
-				servers = now
-				p.pullServers(ctx, from)
-			}
+		if now.Sub(servers) < p.serversPause() {
+			continue
+		}
+		if from := p.newerServers(); from != "" {
+			servers = now
+			p.pullServers(ctx, from)
 		}
 	}
 }
 
-// ahead returns a peer whose configuration has been newer for a while.
+// ahead returns a peer whose configuration is newer: at once where this router
+// is told by others, after a while where it follows the store itself.
 func (p *Peers) ahead(now time.Time) string {
+	role := p.Role()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for control, q := range p.all {
-		if q.live && !q.newer.IsZero() && now.Sub(q.newer) > pullAfter {
+	for control, q := range p.views {
+		if q.newer.IsZero() {
+			continue
+		}
+		if role == follow.Told || now.Sub(q.newer) > pullAfter {
 			q.newer = now // not again at once
 			return control
 		}
@@ -340,15 +375,32 @@
 	return ""
 }
 
-// freshest returns the peer with the newest word of the store, if it is newer
-// than age.
-func (p *Peers) freshest(age time.Duration) string {
+// serversPause is the least time between two fetches of the servers.
+func (p *Peers) serversPause() time.Duration {
+	if p.Role() == follow.Told {
+		return reportEvery
+	}
+	return serversEvery
+}
+
+// newerServers returns a live peer whose list of servers is newer and whose word
+// of the store is fresh. A router that follows the store asks only when its own
+// view is old: its feed tells the same.
+func (p *Peers) newerServers() string {
+	_, age := p.State.Table()
+	stamp := p.State.Stamp()
+	if p.Role() != follow.Told && age < viewOld && p.State.Ready() {
+		return ""
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := ""
-	for control, q := range p.all {
-		if q.live && q.age < age {
-			best, age = control, q.age
+	freshest := min(age, viewOld)
+	for _, m := range p.spread.Live() {
+		q := p.views[m.Addr]
+		if q != nil && q.stamp.After(stamp) && q.age <= freshest {
+			best = m.Addr
+			freshest = q.age
 		}
 	}
 	return best
@@ -373,7 +425,7 @@
 
 // view is a peer's list of servers.
 type view struct {
-	Version uint64
+	Stamp   roster.Stamp
 	Servers []routing.Server
 }
 
@@ -390,7 +442,7 @@
 		return
 	}
 	if len(v.Servers) > 0 {
-		p.State.ServersReplaced(v.Servers, v.Version, true)
+		p.State.ServersReplaced(v.Servers, v.Stamp, true)
 	}
 }
 
@@ -430,8 +482,8 @@
 		_, _ = w.Write(raw)
 	})
 	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		servers, version := p.State.Servers()
-		text, err := json.Marshal(view{Version: version, Servers: servers})
+		servers, stamp := p.State.Servers()
+		text, err := json.Marshal(view{Stamp: stamp, Servers: servers})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- /dev/null
+++ b/internal/edge/peers/word.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/fair"
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/edge/state"
+)
+
+// kind is whose load a word tells.
+type kind int
+
+const (
+	kindOwn   kind = iota // the sender's
+	kindSum               // of the sender's data centre
+	kindTotal             // of the fleet
+)
+
+// word is a datagram.
+type word struct {
+	Control    string              `cbor:"1,keyasint"` // the sender's control address
+	DataCentre string              `cbor:"2,keyasint"`
+	Kind       kind                `cbor:"3,keyasint,omitempty"`
+	Version    int64               `cbor:"4,keyasint"` // of its configuration
+	List       uint64              `cbor:"5,keyasint"` // the store's version of its list of servers
+	Edits      uint32              `cbor:"6,keyasint,omitempty"`
+	AgeMs      int64               `cbor:"7,keyasint"`           // of its last word of the store
+	Loads      map[string][3]int64 `cbor:"8,keyasint,omitempty"` // server: waiting, memory, running
+	Rates      map[string][2]int64 `cbor:"9,keyasint,omitempty"` // customer: asked, served, tokens/s
+	Known      []knownRouter       `cbor:"10,keyasint,omitempty"`
+}
+
+// knownRouter is a live router that the sender vouches for.
+type knownRouter struct {
+	_          struct{} `cbor:",toarray"`
+	Addr       string
+	DataCentre string
+	AgeMs      int64 // of the last word of it
+}
+
+// heardWord is what a word said of loads.
+type heardWord struct {
+	at     time.Time
+	kind   kind
+	report state.Report
+}
+
+// key is under whose name a word's load counts: the sum of a data centre and
+// the total are the same from each reporter.
+func (w word) key() string {
+	switch w.Kind {
+	case kindSum:
+		return "sum of " + w.DataCentre
+	case kindTotal:
+		return "total"
+	case kindOwn:
+	}
+	return w.Control
+}
+
+// stamp is that of the sender's list of servers.
+func (w word) stamp() roster.Stamp { return roster.Stamp{Version: w.List, Edits: w.Edits} }
+
+// report returns the loads and rates that a word tells.
+func (w word) report() state.Report {
+	r := newReport()
+	for id, l := range w.Loads {
+		r.Loads[id] = pick.Load{Waiting: l[0], Memory: l[1], Running: int(l[2])}
+	}
+	for name, v := range w.Rates {
+		r.Rates[name] = fair.Rates{Asked: float64(v[0]), Served: float64(v[1])}
+	}
+	return r
+}
+
+// word makes a word of this router.
+func (p *Peers) word(k kind, r state.Report, known []knownRouter) word {
+	_, age := p.State.Table()
+	stamp := p.State.Stamp()
+	w := word{
+		Control:    p.Control,
+		DataCentre: p.DataCentre,
+		Kind:       k,
+		Version:    p.State.Version(),
+		List:       stamp.Version,
+		Edits:      stamp.Edits,
+		AgeMs:      min(age, time.Hour).Milliseconds(),
+		Loads:      make(map[string][3]int64, len(r.Loads)),
+		Rates:      make(map[string][2]int64, len(r.Rates)),
+		Known:      known,
+	}
+	for id, l := range r.Loads {
+		w.Loads[id] = [3]int64{l.Waiting, l.Memory, int64(l.Running)}
+	}
+	for name, v := range r.Rates {
+		w.Rates[name] = [2]int64{int64(v.Asked), int64(v.Served)}
+	}
+	return w
+}
+
+func newReport() state.Report {
+	return state.Report{Loads: map[string]pick.Load{}, Rates: map[string]fair.Rates{}}
+}
+
+// add adds from to the sums in to.
+func add(to, from state.Report) {
+	for id, l := range from.Loads {
+		sum := to.Loads[id]
+		sum.Waiting += l.Waiting
+		sum.Memory += l.Memory
+		sum.Running += l.Running
+		to.Loads[id] = sum
+	}
+	for name, r := range from.Rates {
+		sum := to.Rates[name]
+		sum.Asked += r.Asked
+		sum.Served += r.Served
+		to.Rates[name] = sum
+	}
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -125,13 +125,13 @@
 // ServersReplaced takes the whole list of servers, as of a version of the
 // store. An older list than that in force is left out. sure says that it comes
 // from a router which follows the store, so that what is missing has left.
-func (s *State) ServersReplaced(list []routing.Server, version uint64, sure bool) bool {
+func (s *State) ServersReplaced(list []routing.Server, stamp roster.Stamp, sure bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version < s.roster.Version {
+	if s.roster.Stamp().After(stamp) {
 		return false
 	}
-	s.roster.Version = version
+	s.roster.SetStamp(stamp)
 	s.roster.Replace(list, sure, s.now())
 	s.listed = true
 	s.picker.SetServers(s.roster.List())
@@ -142,21 +142,26 @@
 func (s *State) ServersChanged(changed []routing.Server, gone []string, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version > s.roster.Version {
-		s.roster.Version = version
-	}
 	if len(changed)+len(gone) == 0 {
 		return
 	}
+	s.roster.SetStamp(roster.Stamp{Version: version})
 	s.roster.Apply(changed, gone, s.now())
 	s.picker.SetServers(s.roster.List())
 }
 
-// Servers returns the list and the version that it is as of.
-func (s *State) Servers() ([]routing.Server, uint64) {
+// Servers returns the list and its stamp.
+func (s *State) Servers() ([]routing.Server, roster.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.List(), s.roster.Stamp()
+}
+
+// Stamp returns the stamp of the list of servers.
+func (s *State) Stamp() roster.Stamp {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.List(), s.roster.Version
+	return s.roster.Stamp()
 }
 
 // StoreDown and StoreBack note whether the store's list can be followed.
@@ -236,7 +241,34 @@
 	return Report{Loads: s.picker.Loads(), Rates: s.meter.Own(s.now())}
 }
 
-// PeerReport takes another router's.
+// TotalReport takes the sum over all routers, this one included.
+func (s *State) TotalReport(from string, r Report) {
+	s.mu.Lock()
+	own := s.picker.Loads()
+	rates := s.meter.Own(s.now())
+	s.mu.Unlock()
+	for id, l := range own {
+		total, ok := r.Loads[id]
+		if !ok {
+			continue
+		}
+		r.Loads[id] = pick.Load{
+			Waiting: max(0, total.Waiting-l.Waiting),
+			Memory:  max(0, total.Memory-l.Memory),
+			Running: max(0, total.Running-l.Running),
+		}
+	}
+	for name, mine := range rates {
+		total, ok := r.Rates[name]
+		if !ok {
+			continue
+		}
+		r.Rates[name] = fair.Rates{Asked: max(0, total.Asked-mine.Asked), Served: max(0, total.Served-mine.Served)}
+	}
+	s.PeerReport(from, r)
+}
+
+// PeerReport takes another router's, or the sum of several others'.
 func (s *State) PeerReport(peer string, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
