--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -28,9 +28,9 @@
 const (
 	// reportEvery is how often a router tells its peers its load. Bytes between
 	// data centres are priced.
-	reportEvery = 150 * time.Millisecond
+	reportEvery = 50 * time.Millisecond
 	// knownEvery is in how many words one tells which routers this one hears.
-	knownEvery = 3
+	knownEvery = 9
 	// toldOld is the age of the last word of the store at which a router that is
 	// told by others follows the store itself: a reader's word is at most
 	// follow's wait and two ticks old.
