--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// fault is one fault of a schedule.
+type fault struct {
+	Kind string
+	At   time.Duration // from the begin of the faults
+	For  time.Duration
+	Who  int // which router or server, modulo their number
+	How  int
+}
+
+// String tells a fault in a report.
+func (f fault) String() string {
+	return fmt.Sprintf("%s at %s for %s (who %d, how %d)", f.Kind, f.At.Round(time.Millisecond), f.For.Round(time.Millisecond), f.Who, f.How)
+}
+
+// kinds are the faults that a schedule is drawn from.
+var kinds = map[string]func(*fleet, fault){
+	"kill":    (*fleet).kill,
+	"killall": (*fleet).killAll,
+	"stop":    (*fleet).stopRouter,
+	"pause":   (*fleet).pause,
+	"store":   (*fleet).storeTrouble,
+	"slow":    (*fleet).storeSlow,
+	"forget":  (*fleet).storeForgets,
+	"stale":   (*fleet).storeStale,
+	"grey":    (*fleet).grey,
+	"link":    (*fleet).link,
+	"crash":   (*fleet).crash,
+	"drain":   (*fleet).drain,
+	"config":  (*fleet).change,
+	"reload":  (*fleet).reload,
+}
+
+// calm reports whether no fault of the list may break an answer off: stops,
+// reloads, configurations, servers that leave and the store must not.
+func calm(list []fault) bool {
+	for _, x := range list {
+		switch x.Kind {
+		case "stop", "reload", "config", "drain", "store", "slow", "forget", "stale":
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// kindNames returns the names in order.
+func kindNames() []string {
+	var names []string
+	for name := range kinds {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// schedule draws n faults over a span, in series and overlapping.
+func schedule(seed uint64, names []string, n int, span time.Duration) []fault {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var list []fault
+	for range n {
+		list = append(list, fault{
+			Kind: names[rng.IntN(len(names))],
+			At:   time.Duration(rng.Int64N(int64(span))),
+			For:  200*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second))),
+			Who:  rng.IntN(64),
+			How:  rng.IntN(64),
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].At < list[j].At })
+	return list
+}
+
+// play plays a schedule and returns when every fault has ended.
+func (f *fleet) play(list []fault) {
+	begin := time.Now()
+	var wg sync.WaitGroup
+	var one sync.Mutex // faults of processes come one after the other
+	for _, x := range list {
+		time.Sleep(time.Until(begin.Add(x.At)))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			switch x.Kind {
+			case "kill", "killall", "stop", "pause":
+				one.Lock()
+				defer one.Unlock()
+			}
+			kinds[x.Kind](f, x)
+		}()
+	}
+	wg.Wait()
+}
+
+func (f *fleet) router(x fault) *router { return f.routers[x.Who%len(f.routers)] }
+
+// kill kills a router and starts it again.
+func (f *fleet) kill(x fault) {
+	r := f.router(x)
+	f.signal(r, syscall.SIGKILL)
+	f.restart(r, x.For)
+}
+
+func (f *fleet) restart(r *router, after time.Duration) {
+	if !f.gone(r, stopLimit) {
+		f.verdicts.report(noUnaskedExit, "%s did not end", r.name)
+		return
+	}
+	time.Sleep(after)
+	if err := f.start(r); err != nil {
+		f.verdicts.report(noUnaskedExit, "%s does not start: %v", r.name, err)
+	}
+}
+
+// killAll kills every router at once.
+func (f *fleet) killAll(x fault) {
+	for _, r := range f.routers {
+		f.signal(r, syscall.SIGKILL)
+	}
+	for _, r := range f.routers {
+		f.restart(r, 0)
+	}
+	time.Sleep(x.For)
+}
+
+// stopRouter ends a router by SIGTERM and starts it again.
+func (f *fleet) stopRouter(x fault) {
+	r := f.router(x)
+	f.signal(r, syscall.SIGTERM)
+	f.restart(r, x.For/4)
+}
+
+// pause freezes a router.
+func (f *fleet) pause(x fault) {
+	r := f.router(x)
+	f.signal(r, syscall.SIGSTOP)
+	time.Sleep(x.For)
+	f.signal(r, syscall.SIGCONT)
+}
+
+// storeTrouble makes the store fail, for all routers or for one.
+func (f *fleet) storeTrouble(x fault) {
+	trouble := platformtest.Trouble(x.How%4) + platformtest.Busy
+	defer f.trouble()()
+	f.store.Fail(func(*http.Request) platformtest.Trouble { return trouble })
+	time.Sleep(x.For)
+	f.store.Fail(nil)
+}
+
+// trouble notes that the store fails from now on until the returned function
+// is called.
+func (f *fleet) trouble() func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := len(f.troubles)
+	f.troubles = append(f.troubles, span{from: time.Now(), to: time.Now().Add(time.Hour)})
+	f.troubled = time.Now().Add(time.Hour)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.troubles[i].to = time.Now()
+		f.troubled = time.Now()
+	}
+}
+
+func (f *fleet) storeSlow(x fault) {
+	defer f.trouble()()
+	f.store.Slow(time.Duration(50+x.How*4) * time.Millisecond)
+	time.Sleep(x.For)
+	f.store.Slow(0)
+}
+
+func (f *fleet) storeForgets(fault) {
+	defer f.trouble()()
+	f.store.Forget()
+}
+
+// storeStale makes the routers read anew and tells them what was before.
+func (f *fleet) storeStale(x fault) {
+	defer f.trouble()()
+	f.store.Stale(true)
+	f.store.Forget()
+	f.configure()
+	time.Sleep(x.For)
+	f.store.Stale(false)
+}
+
+// grey makes a server fail part of its requests.
+func (f *fleet) grey(x fault) {
+	s := f.pickServer(x)
+	if s == nil {
+		return
+	}
+	how := platformtest.Fault(x.How%int(platformtest.Unframed)) + 1
+	s.Fail(func(attempt string) platformtest.Fault {
+		if len(attempt) > 0 && attempt[len(attempt)-1]%2 == 0 {
+			return how
+		}
+		return platformtest.NoFault
+	})
+	time.Sleep(x.For)
+	s.Fail(nil)
+}
+
+// link harms the connections of a server.
+func (f *fleet) link(x fault) {
+	s := f.pickServer(x)
+	if s == nil {
+		return
+	}
+	s.proxy.set(mode(x.How%int(oneWay)) + 1)
+	time.Sleep(x.For)
+	s.proxy.set(pass)
+}
+
+// pickServer returns a server whose service has others.
+func (f *fleet) pickServer(x fault) *server {
+	service := "llm"
+	if x.How%2 == 0 {
+		service = "app"
+	}
+	list := f.live(service)
+	if len(list) < 2 {
+		return nil
+	}
+	return list[x.Who%len(list)]
+}
+
+// crash ends a server without a word; another comes, and its entry lapses.
+func (f *fleet) crash(x fault) {
+	s := f.pickServer(x)
+	if s == nil {
+		return
+	}
+	s.proxy.close()
+	s.Close()
+	f.replace(s)
+	time.Sleep(x.For)
+	f.store.RemoveServer(s.ID)
+}
+
+// replace starts a server in the place of one that leaves.
+func (f *fleet) replace(s *server) {
+	f.mu.Lock()
+	s.left = time.Now()
+	f.mu.Unlock()
+	if _, err := f.addServer(s.Service); err != nil {
+		f.verdicts.report(noUnaskedExit, "server does not start: %v", err)
+	}
+}
+
+// drain makes a server leave by notice or by removal.
+func (f *fleet) drain(x fault) {
+	s := f.pickServer(x)
+	if s == nil {
+		return
+	}
+	f.replace(s)
+	if x.How%4 < 2 {
+		f.store.PutServer(s.Server, "draining")
+	} else {
+		f.store.RemoveServer(s.ID)
+	}
+}
+
+// change writes a configuration and follows it until it is in force.
+func (f *fleet) change(fault) {
+	f.checkInForce(f.configure())
+}
+
+// reload makes a router read its settings again.
+func (f *fleet) reload(x fault) { f.signal(f.router(x), syscall.SIGHUP) }
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is how a proxy treats connections.
+type mode int
+
+const (
+	pass   mode = iota
+	delay       // bytes arrive late
+	reset       // connections are reset
+	silent      // no byte passes in either direction
+	oneWay      // answers are held back
+)
+
+// proxyDelay is how late bytes arrive in mode delay.
+const proxyDelay = 60 * time.Millisecond
+
+// proxy stands between the routers and one backend server.
+type proxy struct {
+	ln     net.Listener
+	target string
+
+	mu      sync.Mutex
+	mode    mode
+	changed chan struct{}
+	conns   map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+// set changes the mode. Connections are reset at once in mode reset.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if m != reset {
+		return
+	}
+	for c := range p.conns {
+		abort(c)
+	}
+}
+
+// abort closes a connection with a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the close follows in any case
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) close() {
+	_ = p.ln.Close()
+	p.set(reset)
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return // closed
+		}
+		go p.carry(c)
+	}
+}
+
+// carry copies bytes between a router and the server.
+func (p *proxy) carry(c net.Conn) {
+	p.mu.Lock()
+	refuse := p.mode == reset
+	p.conns[c] = true
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.conns, c)
+		p.mu.Unlock()
+	}()
+	if refuse {
+		abort(c)
+		return
+	}
+	s, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		abort(c)
+		return
+	}
+	go p.copy(s, c, false)
+	p.copy(c, s, true)
+}
+
+// copy copies one direction until either side ends, and then ends both.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		p.hold(answers)
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err == io.EOF {
+			_ = to.Close()
+			_ = from.Close()
+			return
+		}
+		if err != nil {
+			abort(to)
+			abort(from)
+			return
+		}
+	}
+}
+
+// hold waits as the mode says.
+func (p *proxy) hold(answers bool) {
+	for {
+		p.mu.Lock()
+		m, changed := p.mode, p.changed
+		p.mu.Unlock()
+		switch {
+		case m == delay:
+			time.Sleep(proxyDelay)
+			return
+		case m == silent, m == oneWay && answers:
+			<-changed
+		default:
+			return
+		}
+	}
+}
