--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	$(GO) vet ./...
 	$(STATICCHECK) ./...
 
-# The runbook's commands run first, against a fleet on loopback.
-test: lint build runbook
+# The runbook's commands and a short soak run first, against fleets on loopback.
+test: lint build runbook soak
 	$(GO) test -race ./...
 
 clean:
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,8 @@
 	drainBound = drainMs*time.Millisecond + 300*time.Millisecond
 	// applyBound counts from when the store is well and the router runs.
 	applyBound = applyMs*time.Millisecond + 500*time.Millisecond
+	// staysLooks is how often a router is asked whether it has gone back.
+	staysLooks = 5
 	// backWithin is how soon service is to be back after the last fault.
 	backWithin = 4 * time.Second
 )
@@ -56,7 +58,7 @@
 	if !f.serves(r, version) {
 		return
 	}
-	for range 5 {
+	for range staysLooks {
 		time.Sleep(30 * time.Millisecond)
 		status := f.ask(r, version)
 		f.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -190,11 +190,16 @@
 
 // storeStale makes the routers read anew and tells them what was before.
 func (f *fleet) storeStale(x fault) {
+	version := f.configure()
+	f.checkInForce(version)
 	defer f.trouble()()
 	f.store.Stale(true)
 	f.store.Forget()
-	f.configure()
-	time.Sleep(x.For)
+	for end := time.Now().Add(x.For); time.Now().Before(end); {
+		for _, r := range f.routers {
+			f.checkStays(r, version)
+		}
+	}
 	f.store.Stale(false)
 }
 
--- a/test/targets.mk
+++ b/test/targets.mk
@@ -25,3 +25,10 @@
 bench: ## the core alone: sharing at 8, 40 and 410 routers, and the grant decision; within two minutes
 	go test -run xxx -bench 'Sharing|Short' -benchtime 1x ./internal/core/share
 	go test -run xxx -bench Grant ./internal/core/share
+
+.PHONY: soak
+SEEDS ?= 1,2
+
+soak: fleet-programs ## windscale-edge as processes under seeded faults; every promise is checked
+	go build -o bin/ ./soak
+	bin/soak --binary bin/windscale-edge --seeds $(SEEDS)
