--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -31,9 +31,6 @@
 	RetryRatio   float64 // of the fleet: retries for each request
 	RetrySlack   float64 // of the fleet: retries beside, in a window
 	Grace        time.Duration
-	DrainWithin  time.Duration
-	ApplyWithin  time.Duration
-	FairWindow   time.Duration
 	LogLevel     slog.Level
 	LogOneInThis int // routine lines are kept of one request in so many
 }
@@ -87,9 +84,6 @@
 		RetryRatio:   r.number("retries", "ratio", 0, 1, 0),
 		RetrySlack:   r.number("retries", "slack", 0, 1e6, 0),
 		Grace:        r.seconds("bounds", "grace_s"),
-		DrainWithin:  r.millis("bounds", "drain_ms"),
-		ApplyWithin:  r.millis("bounds", "apply_ms"),
-		FairWindow:   r.seconds("bounds", "fair_window_s"),
 		LogLevel:     r.level("log", "level"),
 		LogOneInThis: int(r.number("log", "one_in", 1, 1e6, defaultOneIn)),
 	}
@@ -164,10 +158,6 @@
 	return time.Duration(r.number(section, key, 0, maxBound, 0) * float64(time.Second))
 }
 
-func (r *reader) millis(section, key string) time.Duration {
-	return time.Duration(r.number(section, key, 0, maxBound*1000, 0) * float64(time.Millisecond))
-}
-
 func (r *reader) level(section, key string) slog.Level {
 	var l slog.Level
 	v := r.raw(section, key)
--- a/internal/edge/settings/settings_test.go
+++ b/internal/edge/settings/settings_test.go
@@ -33,9 +33,6 @@
 slack = 52
 [bounds]
 grace_s = 8
-drain_ms = 2000
-apply_ms = 2000
-fair_window_s = 4
 `
 
 func load(t *testing.T, text string) (*Settings, error) {
@@ -76,19 +73,19 @@
 	assert.NilError(t, err)
 }
 
-// The template gives every key that has no default, and docs/SETTINGS.md lists
+// The template gives every key that has no default, and docs/SETTINGS-EDGE.md lists
 // all of them.
 func TestTemplateAndPageHaveEveryKey(t *testing.T) {
 	template, err := os.ReadFile("../../../deploy/edge.ini.tmpl")
 	assert.NilError(t, err)
-	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	page, err := os.ReadFile("../../../docs/SETTINGS-EDGE.md")
 	assert.NilError(t, err)
 	source, err := os.ReadFile("settings.go")
 	assert.NilError(t, err)
 	keys := regexp.MustCompile(`r\.\w+\("(\w+)", "(\w+)"`).FindAllStringSubmatch(string(source), -1)
-	assert.Assert(t, len(keys) >= 17)
+	assert.Assert(t, len(keys) >= 14)
 	for _, k := range keys {
-		assert.Check(t, strings.Contains(string(page), "| `"+k[1]+"."+k[2]+"` |"), "%s.%s is not in docs/SETTINGS.md", k[1], k[2])
+		assert.Check(t, strings.Contains(string(page), "| `"+k[1]+"."+k[2]+"` |"), "%s.%s is not in docs/SETTINGS-EDGE.md", k[1], k[2])
 		if k[2] != "one_in" {
 			assert.Check(t, strings.Contains(string(template), "\n"+k[2]+" = "), "%s is not in the template", k[2])
 		}
--- a/internal/logpipe/logpipe_test.go
+++ b/internal/logpipe/logpipe_test.go
@@ -56,4 +56,3 @@
 	assert.Assert(t, strings.Contains(text, "log lines dropped"), text[max(0, len(text)-300):])
 	assert.Assert(t, strings.Count(text, "msg=line") <= queueLines)
 }
-
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -33,9 +33,8 @@
 // server is a backend server behind its proxy.
 type server struct {
 	*platformtest.Server
-	proxy   *proxy
-	left    time.Time // when its entry said that it leaves; zero: it has not
-	counted int       // runs looked at
+	proxy *proxy
+	left  time.Time // when its entry said that it leaves; zero: it has not
 }
 
 // router is one process.
@@ -187,9 +186,6 @@
 slack = %[10]d
 [bounds]
 grace_s = %[11]d
-drain_ms = %[12]d
-apply_ms = %[13]d
-fair_window_s = 4
 `
 
 // retrySlack is that of the fleet's budget.
@@ -200,7 +196,7 @@
 	r.file = filepath.Join(f.dir, r.name+".ini")
 	r.log = filepath.Join(f.dir, r.name+".log")
 	text := fmt.Sprintf(settingsText, r.name, "dc"+r.name[len(r.name)-1:], r.ip, f.ports[0], f.ports[1], f.ports[2], f.ports[3],
-		strings.TrimPrefix(f.storeHTTP.URL, "http://"), memoryMB, retrySlack, graceS, drainMs, applyMs)
+		strings.TrimPrefix(f.storeHTTP.URL, "http://"), memoryMB, retrySlack, graceS)
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		return err
 	}
