--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/meter"
@@ -52,6 +53,8 @@
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	Config
+	refusals *rate.Limiter // of their log lines
+	leftOut  atomic.Int64  // lines of refusals left out since the last one
 	held     atomic.Int64
 	running  atomic.Int64
 	draining atomic.Bool // answers end their connections
@@ -59,7 +62,14 @@
 }
 
 // New returns a handler.
-func New(c Config) *Handler { return &Handler{Config: c} }
+func New(c Config) *Handler {
+	return &Handler{Config: c, refusals: rate.NewLimiter(refusalsPerSecond, refusalsPerSecond)}
+}
+
+// refusalsPerSecond bounds the log lines of refusals, of the 200 lines a second
+// that a process writes: what changes a belief or failed must not be lost to a
+// flood. The metrics count all refusals.
+const refusalsPerSecond = 100
 
 // Drain makes every answer end its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
@@ -125,6 +135,7 @@
 	Back   time.Duration // 0: not told
 	// Offered says that a server was asked.
 	Offered bool
+	inputs  []any // what decided it, for the log
 }
 
 // Error implements error.
@@ -281,10 +292,18 @@
 	}
 	q.h.Meter.Refused(q.customer, f.reason())
 	event := events.EdgeRefused
-	if f.Offered {
+	switch {
+	case f.Offered:
 		event = events.EdgeGivenUp
+	case !q.h.refusals.Allow():
+		q.h.leftOut.Add(1)
+		return
+	}
+	args := []any{"status", f.Status, "reason", f.Reason, "backMs", f.Back.Milliseconds(), "tries", len(q.tried)}
+	if n := q.h.leftOut.Swap(0); n > 0 {
+		args = append(args, "leftOut", n)
 	}
-	q.log(slog.LevelInfo, event, "status", f.Status, "reason", f.Reason, "backMs", f.Back.Milliseconds(), "tries", len(q.tried))
+	q.log(slog.LevelInfo, event, append(args, f.inputs...)...)
 }
 
 // log writes a line about the request.
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -111,10 +111,16 @@
 		f.Reason += "; then: " + p.Why.String()
 		return f
 	}
-	q.log(slog.LevelInfo, events.EdgeRefused, "why", p.Why.String(), "server", p.Choice.Server.ID,
-		"waitMs", p.Choice.Wait.Milliseconds(), "ownMs", p.Choice.Own.Milliseconds(), "candidates", p.Choice.Candidates,
-		"asked", int64(p.Rates.Asked), "served", int64(p.Rates.Served), "level", int64(min(p.Level, math.MaxInt32)))
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no capacity: " + p.Why.String(), Back: p.Back}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable,
+		Reason: "no capacity: " + p.Why.String(),
+		Back:   p.Back,
+		inputs: []any{
+			"server", p.Choice.Server.ID, "waitMs", p.Choice.Wait.Milliseconds(), "ownMs", p.Choice.Own.Milliseconds(),
+			"candidates", p.Choice.Candidates, "asked", int64(p.Rates.Asked), "served", int64(p.Rates.Served),
+			"level", int64(min(p.Level, math.MaxInt32)),
+		},
+	}
 }
 
 // failed is the answer to a request whose tries have all failed.
