--- a/cmd/windscale-burn/main.go
+++ b/cmd/windscale-burn/main.go
@@ -1,5 +1,5 @@
 // Command windscale-burn reports the service-level burn of every customer and
-// group, out of the counters of all routers. See docs/OPERATING.md.
+// group, out of the counters of all routers. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/cmd/windscale-cert/main.go
+++ b/cmd/windscale-cert/main.go
@@ -41,7 +41,7 @@
   windscale-cert router --ca next --id r1 --ip 10.0.0.1 --out next
 
 Routers take new files in force by themselves within some seconds; see
-docs/OPERATING.md.
+docs/OPERATIONS.md.
 
 Exit codes: 0 done, 1 the operation failed, 2 wrong usage.`
 
--- /dev/null
+++ b/internal/edge/front/operations_test.go
@@ -0,0 +1,87 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/ctl"
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// steps returns the lines of a block of docs/OPERATIONS.md.
+func steps(t *testing.T, block string) []string {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	_, rest, ok := strings.Cut(string(page), "```"+block+"\n")
+	assert.Assert(t, ok, "no block %s", block)
+	text, _, _ := strings.Cut(rest, "```")
+	return strings.Split(strings.TrimSpace(text), "\n")
+}
+
+// follow runs the steps of a block for a request, and returns what the last one
+// says. Each step must find something.
+func follow(t *testing.T, r *rig, block, request string) string {
+	t.Helper()
+	dir := t.TempDir()
+	log := filepath.Join(dir, "edge.log")
+	assert.NilError(t, os.WriteFile(log, []byte(r.log.String()), 0o600))
+	said := ""
+	for _, step := range steps(t, block) {
+		step = strings.ReplaceAll(step, "REQUEST-ID", request)
+		var out bytes.Buffer
+		if args, ok := strings.CutPrefix(step, "windscalectl "); ok {
+			fields := strings.Fields(strings.ReplaceAll(args, "edge.log", log))
+			assert.Equal(t, ctl.Run(context.Background(), fields, &out, &out), 0, "%s: %s", step, out.String())
+		} else {
+			cmd := exec.Command("sh", "-c", step)
+			cmd.Dir = dir
+			cmd.Stdout = &out
+			assert.NilError(t, cmd.Run(), "%s\n%s", step, r.log.String())
+		}
+		said = out.String()
+		assert.Assert(t, said != "", step)
+	}
+	return said
+}
+
+func TestOperationsRefusedByAdmission(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	// Another router has filled the server.
+	r.state.PeerReport("another", state.Report{Loads: map[string]pick.Load{plain[0].ID: {Running: 1000}}})
+	a := r.call(context.Background(), "POST", "/u/x", "k", "")
+	assert.Equal(t, a.status, 503)
+	said := follow(t, r, "edge-refused", a.id)
+	assert.Assert(t, strings.Contains(said, "ms of work waiting"), said)
+}
+
+func TestOperationsFailedAtAServer(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	plain[0].Fail(func(string) platformtest.Fault { return platformtest.ResetAfter })
+	a := r.call(context.Background(), "POST", "/u/x", "k", "")
+	assert.Equal(t, a.status, 502)
+	said := follow(t, r, "edge-failed", a.id)
+	assert.Assert(t, strings.Contains(said, "the last attempt was at "+plain[0].ID), said)
+}
+
+func TestOperationsWrongKey(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	a := r.call(context.Background(), "GET", "/r/x", "old-key", "")
+	assert.Equal(t, a.status, 401)
+	said := follow(t, r, "edge-denied", a.id)
+	assert.Assert(t, strings.Contains(said, "under configuration 1: no customer has this key"), said)
+}
--- a/test/cmd/runbook/main.go
+++ b/test/cmd/runbook/main.go
@@ -1,4 +1,4 @@
-// Command runbook runs every command of the runbook, docs/OPERATING.md, in the
+// Command runbook runs every command of the runbook, docs/OPERATIONS.md, in the
 // page's order against a fleet on loopback. It is test scaffolding. It exits
 // with 0 if every command did, 1 if one did not, 2 on wrong usage.
 package main
@@ -27,7 +27,7 @@
 
 type options struct {
 	fleet.Folders
-	Page string `long:"page" default:"docs/OPERATING.md" description:"the runbook"`
+	Page string `long:"page" default:"docs/OPERATIONS.md" description:"the runbook"`
 }
 
 func main() {
--- a/test/targets-operate.mk
+++ b/test/targets-operate.mk
@@ -11,5 +11,5 @@
 report: fleet-programs ## a burn report out of a short run, one customer pushed past its objective; within two minutes
 	bin/report --bin bin --out out
 
-runbook: fleet-programs ## run every command of docs/OPERATING.md against a fleet; within a minute
+runbook: fleet-programs ## run every command of docs/OPERATIONS.md against a fleet; within a minute
 	bin/runbook --bin bin --out out
