--- /dev/null
+++ b/internal/core/pick/expect.go
@@ -0,0 +1,180 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// distance is what a server in another data centre costs.
+func (p *Picker) distance(s *server) float64 {
+	switch {
+	case s.DataCentre == p.dataCentre:
+		return 0
+	case s.engine != nil:
+		return otherCentreMs
+	}
+	return otherCentrePlainMs
+}
+
+// expect works out what the request would find at the server.
+func (p *Picker) expect(s *server, req Request, home, second *server, now time.Time) Choice {
+	if s.engine == nil {
+		return p.expectPlain(s)
+	}
+	learnt := p.rate(s.Service)
+	rate := learnt.tokensPerMs / s.slowness(learnt.slow) / learnt.err
+	need := s.need(req.Prompt, home, second)
+	work := need.cost(rate)
+	ms := s.backlog(now, rate) / rate
+	if over := s.own.Running + s.peers.Running + 1 - s.engine.Slots; over > 0 {
+		ms += float64(over) * slotWaitMs
+	}
+	size := int64(promptTokens(req.Prompt) + req.Out)
+	if float64(s.own.Memory+s.peers.Memory+size) > memoryFull*float64(s.engine.CacheTokens) {
+		ms += memoryWaitMs
+	}
+	return Choice{
+		Server:  s.Server,
+		Wait:    millis(ms),
+		Own:     millis(need.time(rate)),
+		Missing: int(need.first + need.again),
+		FetchAt: need.fetchAt,
+		work:    work,
+	}
+}
+
+// slowness is how much slower than its service the server counts.
+func (s *server) slowness(usual float64) float64 {
+	x := max(s.slow/usual, 1)
+	if s.Warmup > 0 {
+		x = max(x, warmupX)
+	}
+	return x
+}
+
+// expectPlain does so for a plain service: its slots work side by side.
+func (p *Picker) expectPlain(s *server) Choice {
+	work := p.rate(s.Service).workMs * s.slowness(p.rate(s.Service).slow)
+	load := float64(s.own.Running + s.peers.Running)
+	slots := float64(max(s.Slots, 1))
+	// A server with free slots answers at once; that with most of them free is
+	// the least likely to be full when the request comes.
+	ms := work * max(0, load-slots+1) / slots
+	return Choice{
+		Server: s.Server,
+		Wait:   millis(ms),
+		Own:    millis(work),
+		work:   work * (1 + load/slots/4),
+		Full:   load >= slots*(1+plainQueue),
+	}
+}
+
+// backlog is how many tokens of prompts the server has still to read: this
+// router's, less what it has read since the last sign of progress, and the
+// other routers'.
+func (s *server) backlog(now time.Time, rate float64) float64 {
+	total := float64(s.own.Waiting)
+	if len(s.waiting) > 0 {
+		done := rate * float64(now.Sub(s.progress)) / float64(time.Millisecond)
+		total -= min(done, float64(s.waiting[0].missing))
+	}
+	return max(total, 0) + float64(s.peers.Waiting)
+}
+
+// promptTokens is the length of the prompt.
+func promptTokens(prompt []routing.Part) int {
+	n := 0
+	for _, part := range prompt {
+		n += part.Tokens
+	}
+	return n
+}
+
+// need is what a server would have to do for a prompt, in tokens.
+type need struct {
+	first   float64 // read for the first time
+	again   float64 // shared ones read though another server has read them
+	fetched float64 // fetched from another server
+	perMs   float64 // tokens fetched in a millisecond
+	fetchAt string
+}
+
+// time is how long the server works on it, in milliseconds.
+func (n need) time(rate float64) float64 {
+	ms := (n.first + n.again) / rate
+	if n.fetched > 0 {
+		ms += fetchSetupMs + n.fetched/n.perMs
+	}
+	return ms
+}
+
+// cost is the same with what the work costs beside its time.
+func (n need) cost(rate float64) float64 {
+	ms := (n.first + n.again*rereadX) / rate
+	if n.fetched > 0 {
+		ms += fetchSetupMs + fetchX*n.fetched/n.perMs
+	}
+	return ms
+}
+
+// need works out what the server would have to do for the prompt.
+func (s *server) need(prompt []routing.Part, home, second *server) need {
+	kept, all := s.cache.kept(prompt)
+	if len(prompt) < 2 {
+		return need{first: float64(all - kept)}
+	}
+	own := prompt[len(prompt)-1].Tokens
+	shared := all - own
+	if kept >= shared {
+		return need{first: float64(all - kept)}
+	}
+	lack := float64(shared - kept)
+	n := need{first: float64(own)}
+	switch {
+	case s == home:
+		n.again = lack * unknownShare
+		return n
+	case s.engine.FetchPerToken > 0 && home != nil && lack >= leastFetch:
+		n.fetched = lack
+		n.perMs = float64(time.Millisecond) / float64(s.engine.FetchPerToken)
+		n.fetchAt = home.Addr
+		if s.DataCentre != home.DataCentre {
+			n.perMs /= otherCentreFetchX
+		}
+		return n
+	case s == second:
+		lack *= secondShare
+	}
+	n.again = lack
+	return n
+}
+
+// homes returns the two servers that keep a shared prompt: rendezvous hashing,
+// so that all routers agree without talking. Suspected servers are passed over.
+func homes(prompt []routing.Part, list []*server, now time.Time) (home, second *server) {
+	if len(prompt) < 2 {
+		return nil, nil
+	}
+	key := prompt[len(prompt)-2].ID
+	var top, next uint64
+	for _, s := range list {
+		if s.health.rank(now) != rankGood {
+			continue
+		}
+		score := xxhash.Sum64String(key + "/" + s.ID)
+		switch {
+		case home == nil || score > top:
+			second, next = home, top
+			home, top = s, score
+		case second == nil || score > next:
+			second, next = s, score
+		}
+	}
+	return home, second
+}
+
+// millis is a duration of ms milliseconds.
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -319,5 +319,5 @@
 	e.Log(context.Background(), q.h.Log, level, append(base, args...)...)
 }
 
-// errLeft says that the caller has left.
+// left reports whether the request's caller has left.
 func left(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
--- /dev/null
+++ b/internal/edge/peers/pull.go
@@ -0,0 +1,176 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/follow"
+	"github.com/windscale/windscale/internal/events"
+)
+
+// Pull fetches the view of peers that are ahead, until ctx ends.
+func (p *Peers) Pull(ctx context.Context) error {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	var servers time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		now := time.Now()
+		if from := p.ahead(now); from != "" {
+			p.pullConfig(ctx, from)
+		}
+		if now.Sub(servers) < p.serversPause() {
+			continue
+		}
+		if from := p.newerServers(); from != "" {
+			servers = now
+			p.pullServers(ctx, from)
+		}
+	}
+}
+
+// ahead returns a peer whose configuration is newer: at once where this router
+// is told by others, after a while where it follows the store itself.
+func (p *Peers) ahead(now time.Time) string {
+	role := p.Role()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for control, q := range p.views {
+		if q.newer.IsZero() {
+			continue
+		}
+		if role == follow.Told || now.Sub(q.newer) > pullAfter {
+			q.newer = now // not again at once
+			return control
+		}
+	}
+	return ""
+}
+
+// serversPause is the least time between two fetches of the servers.
+func (p *Peers) serversPause() time.Duration {
+	if p.Role() == follow.Told {
+		return reportEvery
+	}
+	return serversEvery
+}
+
+// newerServers returns a live peer whose list of servers is newer and whose word
+// of the store is fresh. A router that follows the store asks only when its own
+// view is old: its feed tells the same.
+func (p *Peers) newerServers() string {
+	_, age := p.State.Table()
+	stamp := p.State.Stamp()
+	if p.Role() != follow.Told && age < viewOld && p.State.Ready() {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := ""
+	freshest := min(age, viewOld)
+	for _, m := range p.spread.Live() {
+		q := p.views[m.Addr]
+		if q != nil && q.stamp.After(stamp) && q.age <= freshest {
+			best = m.Addr
+			freshest = q.age
+		}
+	}
+	return best
+}
+
+// pullConfig fetches a peer's configuration.
+func (p *Peers) pullConfig(ctx context.Context, from string) {
+	raw, err := p.get(ctx, from, pathConfig)
+	if err != nil {
+		events.PeerPullFailed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "what", "configuration", "err", err)
+		return
+	}
+	c, err := p.Decode(raw)
+	if err != nil {
+		events.ConfigRefused.Log(ctx, p.Log, slog.LevelError, "peer", from, "err", err)
+		return
+	}
+	if p.State.TakeConfig(c, raw) {
+		events.ConfigInForce.Log(ctx, p.Log, slog.LevelInfo, "version", c.Version, "from", from)
+	}
+}
+
+// view is a peer's list of servers.
+type view struct {
+	Stamp   roster.Stamp
+	Servers []routing.Server
+}
+
+// pullServers fetches a peer's list of servers.
+func (p *Peers) pullServers(ctx context.Context, from string) {
+	text, err := p.get(ctx, from, pathServers)
+	if err != nil {
+		events.PeerPullFailed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "what", "servers", "err", err)
+		return
+	}
+	var v view
+	if err := json.Unmarshal(text, &v); err != nil {
+		events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "err", err)
+		return
+	}
+	if len(v.Servers) > 0 {
+		p.State.ServersReplaced(v.Servers, v.Stamp, true)
+	}
+}
+
+// StatusError is a peer's refusal.
+type StatusError struct{ Status string }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "peer answered " + e.Status }
+
+// get fetches one thing from a peer.
+func (p *Peers) get(ctx context.Context, from, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: resp.Status}
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxView))
+}
+
+// Handler serves this router's view to its peers.
+func (p *Peers) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
+		raw := p.State.Raw()
+		if raw == nil {
+			http.Error(w, "none yet", http.StatusServiceUnavailable)
+			return
+		}
+		// A peer that has gone asks another router.
+		_, _ = w.Write(raw)
+	})
+	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
+		servers, stamp := p.State.Servers()
+		text, err := json.Marshal(view{Stamp: stamp, Servers: servers})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(text)
+	})
+	return mux
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,11 +12,11 @@
 // exchange at a time.
 type conn struct {
 	net.Conn
-	br       *bufio.Reader
-	used     bool      // it has carried an exchange
-	idleAt   time.Time // when it became idle
-	expires  time.Time // when the server may close it; zero: not told
-	released atomic.Bool
+	br      *bufio.Reader
+	used    bool        // it has carried an exchange
+	idleAt  time.Time   // when it became idle
+	expires time.Time   // when the server may close it; zero: not told
+	spoilt  atomic.Bool // a write has failed: it can carry no other exchange
 }
 
 // quiet reports whether nothing has arrived on an idle connection: neither its
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -116,7 +116,7 @@
 		defer close(e.written)
 		// A failure shows where the answer is read.
 		if _, err := e.conn.Write(call.Body); err != nil {
-			e.conn.released.Store(true)
+			e.conn.spoilt.Store(true)
 		}
 	}()
 	return true, nil
@@ -195,7 +195,7 @@
 	whole := e.clean && !a.resp.Close && (!told || keep > expiryMargin)
 	select {
 	case <-e.written:
-		whole = whole && !e.conn.released.Load()
+		whole = whole && !e.conn.spoilt.Load()
 	default:
 		whole = false // answered before the body was read
 	}
