--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -66,7 +66,7 @@
 	name   string
 	read   func(context.Context) (platform.Change, error)
 	follow func(context.Context, uint64, time.Duration) (platform.Change, error)
-	take   func(c platform.Change, whole bool) bool
+	take   func(c platform.Change, whole bool, age time.Duration) bool
 	down   func()
 	back   func()
 }
@@ -96,8 +96,8 @@
 }
 
 // takeConfig puts a newer configuration in force.
-func (f *Follower) takeConfig(c platform.Change, _ bool) bool {
-	f.State.Confirm(0)
+func (f *Follower) takeConfig(c platform.Change, _ bool, age time.Duration) bool {
+	f.State.Confirm(age)
 	if c.Config != nil && f.State.TakeConfig(c.Config, c.Raw) {
 		events.ConfigInForce.Log(context.Background(), f.Log, slog.LevelInfo, "version", c.Config.Version, "from", "store",
 			"routes", len(c.Config.Routes), "customers", len(c.Config.Customers))
@@ -106,7 +106,7 @@
 }
 
 // takeServers takes the list or what has changed of it.
-func (f *Follower) takeServers(c platform.Change, whole bool) bool {
+func (f *Follower) takeServers(c platform.Change, whole bool, _ time.Duration) bool {
 	if whole {
 		if !f.State.ServersReplaced(c.Servers, roster.Stamp{Version: c.Ver}, false) {
 			return false
@@ -141,6 +141,7 @@
 			sleep(ctx, idlePoll)
 			continue
 		}
+		began := time.Now()
 		c, err := f.next(ctx, s, role, known, after)
 		if ctx.Err() != nil {
 			break
@@ -170,7 +171,7 @@
 		for _, bad := range c.Bad {
 			events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", s.name, "err", bad)
 		}
-		if c.Ver < after || !s.take(c, !known) {
+		if c.Ver < after || !s.take(c, !known, age(c, role, known, time.Since(began))) {
 			sleep(ctx, backoffLeast) // an old view: read again
 			continue
 		}
@@ -182,13 +183,30 @@
 
 // next makes the next call.
 func (f *Follower) next(ctx context.Context, s source, role Role, known bool, after uint64) (platform.Change, error) {
+	if !known {
+		return s.read(ctx)
+	}
+	return s.follow(ctx, after, wait(role))
+}
+
+// wait is how long a call of the role waits for a change.
+func wait(role Role) time.Duration {
+	if role == Reader {
+		return waitReader
+	}
+	return waitMesh
+}
+
+// age is how long ago at most the store said what an answer tells, if the call
+// took so long: an answer may have waited for a starved host or behind a cut.
+func age(c platform.Change, role Role, known bool, took time.Duration) time.Duration {
 	switch {
 	case !known:
-		return s.read(ctx)
-	case role == Reader:
-		return s.follow(ctx, after, waitReader)
+		return took
+	case len(c.Servers)+len(c.Gone) > 0 || c.Config != nil:
+		return 0 // it tells what is new, however late
 	}
-	return s.follow(ctx, after, waitMesh)
+	return max(0, took-wait(role))
 }
 
 // kind is the kind of the platform's error, 0 for another.
--- /dev/null
+++ b/internal/edge/peers/peers_test.go
@@ -0,0 +1,117 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/follow"
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/platform"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// router is the part of a router that talks to others.
+type router struct {
+	state *state.State
+	peers *Peers
+}
+
+// start starts a router on a loopback address of its own, with the given ports.
+func start(t *testing.T, ip string, control, udp int, seeds ...string) *router {
+	t.Helper()
+	addr := net.TCPAddr{IP: net.ParseIP(ip), Port: control}
+	ln, err := net.ListenTCP("tcp4", &addr)
+	assert.NilError(t, err)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: udp})
+	assert.NilError(t, err)
+	s := state.New("dc", 0.2, 80, time.Now)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), ln.Addr().String(), "dc", conn, platform.DecodeConfig)
+	p.Add(true, seeds...)
+	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = server.Serve(ln) }()
+	go func() { _ = p.Send(ctx) }()
+	go func() { _ = p.Receive(ctx) }()
+	go func() { _ = p.Pull(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = conn.Close()
+		_ = server.Close()
+	})
+	return &router{state: s, peers: p}
+}
+
+// ports returns two ports that are free on the first address.
+func ports(t *testing.T) (control, udp int) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.31:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.31")})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	return ln.Addr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.UDPAddr).Port
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+// A router that the store turns away takes the view of one that it serves, and
+// knows what the other sends.
+func TestViewAndLoadReachARouterWithoutTheStore(t *testing.T) {
+	control, udp := ports(t)
+	a := start(t, "127.0.0.31", control, udp)
+	b := start(t, "127.0.0.32", control, udp, a.peers.Control)
+	text := platformtest.Config(5, nil, nil, []string{"app"}, nil)
+	c, err := platform.DecodeConfig(text)
+	assert.NilError(t, err)
+	a.state.TakeConfig(c, text)
+	list := []routing.Server{{ID: "x", Service: "app", Slots: 2, State: routing.ServerReady}}
+	a.state.ServersReplaced(list, roster.Stamp{Version: 9}, false)
+	a.state.Confirm(0)
+	until(t, "the view", func() bool { return b.state.Ready() && b.state.Version() == 5 })
+	assert.Equal(t, b.state.Stamp(), roster.Stamp{Version: 9})
+	until(t, "each other", func() bool { return a.peers.Live() == 1 && b.peers.Live() == 1 })
+	assert.Equal(t, a.peers.Role(), follow.Everyone)
+}
+
+// A datagram that is no word changes nothing.
+func TestMalformedWordIsLeftOut(t *testing.T) {
+	control, udp := ports(t)
+	a := start(t, "127.0.0.33", control, udp)
+	c, err := net.Dial("udp4", (&net.UDPAddr{IP: net.ParseIP("127.0.0.33"), Port: udp}).String())
+	assert.NilError(t, err)
+	for _, text := range []string{"", "\x00", "not cbor", "\xa1\x01\x60"} {
+		_, err = c.Write([]byte(text))
+		assert.NilError(t, err)
+	}
+	a.peers.take(word{}, time.Now())
+	assert.Equal(t, a.peers.Live(), 0)
+}
+
+// Loads are counted once, whatever kind of word tells them.
+func TestNoLoadCountsTwice(t *testing.T) {
+	control, udp := ports(t)
+	a := start(t, "127.0.0.34", control, udp)
+	for _, k := range []kind{kindSum, kindTotal} {
+		assert.Equal(t, a.peers.use(word{Kind: k, DataCentre: "other"}), useNone, "a mesh goes by each router's own word")
+	}
+	assert.Equal(t, a.peers.use(word{Kind: kindOwn, DataCentre: "other"}), useOther)
+}
