--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -348,6 +348,29 @@
 	}
 }
 
+// Also a run that has made nothing yet is cancelled, long before its time is over.
+func TestCallerThatLeavesASilentServerCancelsItsRun(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	plain[0].Fail(func(string) platformtest.Fault { return platformtest.Mute })
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		r.call(ctx, "POST", "/u/x", "k", "")
+	}()
+	for len(plain[0].Runs()) == 0 {
+		time.Sleep(time.Millisecond) // the test's own time limit bounds it
+	}
+	cancel()
+	<-left
+	for !plain[0].Runs()[0].Cancelled {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !strings.Contains(r.log.String(), "the time is over"), "the router cancelled it, not the time")
+}
+
 // A request that has waited for its route's whole time gets its final answer.
 func TestTimeIsOver(t *testing.T) {
 	r := newRig(t)
