spread: the largest hosts of a data centre report

Ranks of live routers are kept until one comes or goes: they were sorted anew several times a word. Ruled out: election (no need: all rank alike).

--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -1,7 +1,7 @@
 // Package spread decides which routers tell which others of their load, so that
 // everyone knows the fleet's total at a bounded cost. In a small fleet each
 // tells each. In a larger one the routers of a data centre tell two reporters,
-// the ones with the lowest addresses; reporters tell the sum to the reporters of
+// the ones with the most processor time; reporters tell the sum to the reporters of
 // the other data centres, and the total to the routers of their own. Nobody is
 // elected: all rank the routers that they hear of alike, and while their views
 // differ some words come twice or from two senders, which does no harm.
@@ -10,6 +10,7 @@
 package spread
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -34,8 +35,19 @@
 
 // Member is a router.
 type Member struct {
-	Addr       string // its control address, IP:port: its name in the fleet
-	DataCentre string // empty: not known yet
+	Addr       string  // its control address, IP:port: its name in the fleet
+	DataCentre string  // empty: not known yet
+	Cores      float64 // processor time that it has, in cores; 0: not known yet
+}
+
+// before orders members by how well they can report: the most processor time
+// first, then the lowest address. A reporter takes in the words of its whole
+// data centre, some 1,000 a second in a fleet of 58, which a small host can't.
+func (m Member) before(o Member) int {
+	if c := cmp.Compare(o.Cores, m.Cores); c != 0 {
+		return c
+	}
+	return strings.Compare(m.Addr, o.Addr)
 }
 
 // entry is what is known of another router.
@@ -51,6 +63,14 @@
 type Spread struct {
 	self  Member
 	known map[string]*entry
+	// ranked is derived from known and is worked out anew when it is nil.
+	ranked *ranking
+}
+
+// ranking is the live routers in order.
+type ranking struct {
+	live      []Member            // the others, by address
+	reporters map[string][]string // of each data centre, this router counted
 }
 
 // New returns the view of a router that knows no other.
@@ -66,8 +86,13 @@
 		e = &entry{Member: m, heard: now.Add(-LiveFor)}
 		s.known[m.Addr] = e
 	}
-	if m.DataCentre != "" {
+	if m.DataCentre != "" && m.DataCentre != e.DataCentre {
 		e.DataCentre = m.DataCentre
+		s.ranked = nil
+	}
+	if m.Cores > 0 && m.Cores != e.Cores {
+		e.Cores = m.Cores
+		s.ranked = nil
 	}
 	e.seed = e.seed || seed
 }
@@ -87,6 +112,7 @@
 		return false
 	}
 	e.live = true
+	s.ranked = nil
 	return true
 }
 
@@ -97,6 +123,7 @@
 		silent := now.Sub(e.heard)
 		if e.live && silent >= LiveFor {
 			e.live = false
+			s.ranked = nil
 			lost = append(lost, addr)
 		}
 		if silent > forgetAfter && !e.seed {
@@ -107,19 +134,33 @@
 	return lost
 }
 
-// Live returns the other routers of which a word came lately, in the order of
-// their addresses.
-func (s *Spread) Live() []Member {
-	var list []Member
+// rank returns the live routers in order.
+func (s *Spread) rank() *ranking {
+	if s.ranked != nil {
+		return s.ranked
+	}
+	r := &ranking{reporters: map[string][]string{}}
 	for _, e := range s.known {
 		if e.live {
-			list = append(list, e.Member)
+			r.live = append(r.live, e.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
-	return list
+	all := append([]Member{s.self}, r.live...)
+	slices.SortFunc(all, Member.before)
+	for _, m := range all {
+		if list := r.reporters[m.DataCentre]; len(list) < reportersEach {
+			r.reporters[m.DataCentre] = append(list, m.Addr)
+		}
+	}
+	slices.SortFunc(r.live, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
+	s.ranked = r
+	return r
 }
 
+// Live returns the other routers of which a word came lately, in the order of
+// their addresses. The list is not to be changed.
+func (s *Spread) Live() []Member { return s.rank().live }
+
 // Age returns how long ago the last word of a router came.
 func (s *Spread) Age(addr string, now time.Time) time.Duration {
 	if e := s.known[addr]; e != nil {
@@ -135,20 +176,9 @@
 // Mesh reports whether each router tells each.
 func (s *Spread) Mesh() bool { return len(s.Live())+1 <= meshMost }
 
-// Reporters returns the reporters of a data centre.
-func (s *Spread) Reporters(dataCentre string) []string {
-	var list []string
-	if s.self.DataCentre == dataCentre {
-		list = append(list, s.self.Addr)
-	}
-	for _, m := range s.Live() {
-		if m.DataCentre == dataCentre {
-			list = append(list, m.Addr)
-		}
-	}
-	slices.Sort(list)
-	return list[:min(len(list), reportersEach)]
-}
+// Reporters returns the reporters of a data centre. The list is not to be
+// changed.
+func (s *Spread) Reporters(dataCentre string) []string { return s.rank().reporters[dataCentre] }
 
 // Reporter reports whether this router is a reporter.
 func (s *Spread) Reporter() bool {
@@ -175,7 +205,7 @@
 	case s.Reporter():
 		t = s.reporterTargets(live)
 	default:
-		t.Own = s.Reporters(s.self.DataCentre)
+		t.Own = slices.Clone(s.Reporters(s.self.DataCentre))
 	}
 	t.Own = append(t.Own, s.knocks(now)...)
 	return t
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -70,6 +70,23 @@
 	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.11:1", "10.0.0.12:1"})
 }
 
+// Hosts with the most processor time report, whatever their addresses; what a
+// router hears later of a host's size counts.
+func TestLargeHostsReport(t *testing.T) {
+	s := New(Member{Addr: "10.0.0.01:1", DataCentre: "a", Cores: 0.2})
+	for i := range 20 {
+		s.Heard(Member{Addr: fmt.Sprintf("10.0.0.%02d:1", 10+i), DataCentre: "a", Cores: 0.2}, 0, start)
+	}
+	assert.Assert(t, s.Reporter())
+	s.Heard(Member{Addr: "10.0.0.25:1", DataCentre: "a", Cores: 0.8}, 0, start)
+	s.Heard(Member{Addr: "10.0.0.20:1", DataCentre: "a", Cores: 0.8}, 0, start)
+	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.20:1", "10.0.0.25:1"})
+	assert.Assert(t, !s.Reporter())
+	s.Heard(Member{Addr: "10.0.0.20:1", DataCentre: "a"}, 0, start)
+	// A word without a size changes nothing.
+	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.20:1", "10.0.0.25:1"})
+}
+
 func TestSilentRouterIsKnockedAt(t *testing.T) {
 	s := New(Member{Addr: "a:1"})
 	s.Add(Member{Addr: "b:1"}, true, start)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/front"
 	"github.com/windscale/windscale/internal/edge/meter"
@@ -121,7 +122,11 @@
 	if err != nil {
 		return err
 	}
-	n.peers = peers.New(n.state, n.log, n.settings.Control, n.settings.DataCentre, conn, platform.DecodeConfig)
+	n.peers = peers.New(n.state, n.log, spread.Member{
+		Addr:       n.settings.Control,
+		DataCentre: n.settings.DataCentre,
+		Cores:      n.settings.Cores,
+	}, conn, platform.DecodeConfig)
 	n.peers.Add(true, n.settings.Seeds...)
 	return nil
 }
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -70,6 +70,7 @@
 	Log        *slog.Logger
 	Control    string // this router's control address
 	DataCentre string
+	Cores      float64 // processor time of this host, in cores
 
 	Decode func([]byte) (*routing.Config, error) // a configuration as the operator wrote it
 
@@ -85,16 +86,17 @@
 }
 
 // New returns the peers of a router. conn is its datagram socket.
-func New(s *state.State, log *slog.Logger, control, dataCentre string, conn *net.UDPConn, decode func([]byte) (*routing.Config, error)) *Peers {
+func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error)) *Peers {
 	return &Peers{
 		State:      s,
 		Log:        log,
-		Control:    control,
-		DataCentre: dataCentre,
+		Control:    self.Addr,
+		DataCentre: self.DataCentre,
+		Cores:      self.Cores,
 		Decode:     decode,
 		port:       conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 		conn:       conn,
-		spread:     spread.New(spread.Member{Addr: control, DataCentre: dataCentre}),
+		spread:     spread.New(self),
 		views:      map[string]*peer{},
 		words:      map[string]heardWord{},
 		http: &http.Client{
@@ -215,7 +217,7 @@
 	}
 	var list []knownRouter
 	for _, m := range p.spread.Live() {
-		list = append(list, knownRouter{Addr: m.Addr, DataCentre: m.DataCentre, AgeMs: p.spread.Age(m.Addr, now).Milliseconds()})
+		list = append(list, knownRouter{Addr: m.Addr, DataCentre: m.DataCentre, Cores: m.Cores, AgeMs: p.spread.Age(m.Addr, now).Milliseconds()})
 	}
 	return list
 }
@@ -269,9 +271,9 @@
 	}
 	version := p.State.Version()
 	p.mu.Lock()
-	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre}, 0, now)
+	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre, Cores: w.Cores}, 0, now)
 	for _, k := range w.Known {
-		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre}, time.Duration(k.AgeMs)*time.Millisecond, now)
+		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre, Cores: k.Cores}, time.Duration(k.AgeMs)*time.Millisecond, now)
 	}
 	p.view(w, version, now)
 	use := p.use(w)
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/platform"
@@ -35,7 +36,7 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: udp})
 	assert.NilError(t, err)
 	s := state.New("dc", 0.2, 80, time.Now)
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), ln.Addr().String(), "dc", conn, platform.DecodeConfig)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig)
 	p.Add(true, seeds...)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/edge/peers/word.go
+++ b/internal/edge/peers/word.go
@@ -30,6 +30,7 @@
 	Loads      map[string][3]int64 `cbor:"8,keyasint,omitempty"` // server: waiting, memory, running
 	Rates      map[string][2]int64 `cbor:"9,keyasint,omitempty"` // customer: asked, served, tokens/s
 	Known      []knownRouter       `cbor:"10,keyasint,omitempty"`
+	Cores      float64             `cbor:"11,keyasint,omitempty"` // processor time of the sender's host
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -38,6 +39,7 @@
 	Addr       string
 	DataCentre string
 	AgeMs      int64 // of the last word of it
+	Cores      float64
 }
 
 // heardWord is what a word said of loads.
@@ -82,6 +84,7 @@
 	w := word{
 		Control:    p.Control,
 		DataCentre: p.DataCentre,
+		Cores:      p.Cores,
 		Kind:       k,
 		Version:    p.State.Version(),
 		List:       stamp.Version,
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -27,6 +27,7 @@
 	Store string   // the platform's store
 	Seeds []string // control addresses of some routers, possibly stale
 
+	Cores        float64 // processor time of the host, in cores
 	MemoryMB     int     // the process is killed above it
 	RetryRatio   float64 // of the fleet: retries for each request
 	RetrySlack   float64 // of the fleet: retries beside, in a window
@@ -80,6 +81,7 @@
 		Metrics:      r.addr("listen", "metrics", false),
 		Store:        r.addr("platform", "store", true),
 		Seeds:        r.addrs("fleet", "seeds"),
+		Cores:        r.number("limits", "cores", 0.001, 1024, defaultCores),
 		MemoryMB:     int(r.number("limits", "memory_mb", 16, 1<<20, 0)),
 		RetryRatio:   r.number("retries", "ratio", 0, 1, 0),
 		RetrySlack:   r.number("retries", "slack", 0, 1e6, 0),
@@ -93,6 +95,9 @@
 	return s, nil
 }
 
+// defaultCores is a whole core: a file that says nothing of it is one for trials.
+const defaultCores = 1
+
 // defaultOneIn is the part of the requests whose routine lines are written.
 const defaultOneIn = 64
 
