fair: contention is known from all routers' rates

Cause: 'nothing far above its share while others are refused' went by refusals at this router alone. A flood enters by one router, those that it displaces by others. Test: TestContentionIsKnownFromOtherRouters.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -22,6 +22,10 @@
 	// owedBelow is the part of its share below which a customer goes before
 	// others; the rule of fair shares is broken at half.
 	owedBelow = 0.7
+	// contendedAt is the part of all service that customers must lack of their
+	// shares for others to give way: less is one request that was refused while
+	// its customer asked for little else.
+	contendedAt = 0.01
 	// leastRate is the rate below which a customer is forgotten, tokens/s.
 	leastRate = 1.0
 )
@@ -59,7 +63,9 @@
 	peers map[string]word
 	sums  map[string]Rates
 	level float64
-	at    time.Time
+	// contended is whether customers lack much of their shares.
+	contended bool
+	at        time.Time
 }
 
 // New returns an empty meter.
@@ -159,6 +165,26 @@
 	return Even
 }
 
+// Contended reports whether customers lack so much of their shares, at all
+// routers together, that those above theirs have to give way.
+func (m *Meter) Contended(now time.Time) bool {
+	m.update(now)
+	return m.contended
+}
+
+// contended sums up what customers far below their shares lack.
+func contended(sums map[string]Rates, level float64) bool {
+	lack := 0.0
+	all := 0.0
+	for _, r := range sums {
+		all += r.Served
+		if share := min(r.Asked, level); r.Served < share*owedBelow {
+			lack += share - r.Served
+		}
+	}
+	return lack > all*contendedAt
+}
+
 // Level returns the max-min level, in tokens a second.
 func (m *Meter) Level(now time.Time) float64 {
 	m.update(now)
@@ -185,6 +211,7 @@
 		}
 	}
 	m.level = level(m.sums)
+	m.contended = contended(m.sums, m.level)
 }
 
 // level returns the rate L with sum(min(asked, L)) = sum(served): what each
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -67,3 +67,19 @@
 	got, _ = m.Sum("a", at(5000))
 	assert.Equal(t, got.Served, 0.0)
 }
+
+// A router that has refused nobody itself learns from the others' words that a
+// customer lacks much of its share (tpa-hq-grown, FAIR: each of 58 routers sees
+// a small part of a customer).
+func TestContentionIsKnownFromOtherRouters(t *testing.T) {
+	m := New()
+	m.Asked("flood", 9000, at(0))
+	m.Served("flood", 9000, at(0))
+	assert.Assert(t, !m.Contended(at(10)))
+	m.Peer("p", map[string]Rates{"owed": {Asked: 2000, Served: 300}}, at(100))
+	assert.Assert(t, m.Contended(at(200)))
+	m.Peer("p", map[string]Rates{"owed": {Asked: 2000, Served: 1900}}, at(300))
+	assert.Assert(t, !m.Contended(at(400)))
+	m.Peer("p", map[string]Rates{"owed": {Asked: 2000, Served: 1900}, "tiny": {Asked: 10, Served: 0}}, at(500))
+	assert.Assert(t, !m.Contended(at(600)), "one small refusal is no contention")
+}
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -16,7 +16,8 @@
 	// owedLimit is that of a customer that has much less than its share.
 	owedLimit = 500 * time.Millisecond
 	// farOver is how many times its share a customer has that gets nothing while
-	// this router has refused another within the time contended.
+	// this router has refused another within the time contended, or customers
+	// lack of their shares anywhere in the fleet.
 	farOver   = 1.4
 	contended = time.Second
 	// plainPart is the part of the time that a plain service's answer is due in
@@ -152,7 +153,7 @@
 // the less it may wait, and far above it gets nothing while others are refused.
 func (s *State) admitOver(customer string, c pick.Choice, now time.Time) Why {
 	ratio := s.meter.Ratio(customer, now)
-	if ratio > farOver && now.Sub(s.refusedAt) < contended {
+	if ratio > farOver && (now.Sub(s.refusedAt) < contended || s.meter.Contended(now)) {
 		return WhyOver
 	}
 	if c.Wait > time.Duration(float64(overLimit)*max(0, 2-ratio)) {
