pick: peers' loads are added up at the choice

A reporter takes in 1,000 words a second and chooses some 20 times; each word added up all routers' loads at all servers.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -114,6 +114,7 @@
 	services   map[string][]*server
 	specs      map[string]*routing.Service
 	peers      map[string]peerLoad
+	stale      bool              // a peer's load has come since the sums were made
 	rates      map[string]*speed // by service
 }
 
@@ -217,6 +218,9 @@
 // Choose returns the server with the least expected time. ok is false if there
 // is none that may be asked.
 func (p *Picker) Choose(req Request, now time.Time) (best Choice, ok bool) {
+	if p.stale {
+		p.sumPeers(now)
+	}
 	list := p.services[req.Service]
 	home, second := homes(req.Prompt, list, now)
 	least := math.Inf(1)
@@ -243,14 +247,16 @@
 	return best, ok
 }
 
-// PeerLoad takes another router's word of its load.
+// PeerLoad takes another router's word of its load. It is added up when the next
+// server is chosen: a reporter takes in 1,000 words a second and chooses 20 times.
 func (p *Picker) PeerLoad(peer string, loads map[string]Load, now time.Time) {
 	p.peers[peer] = peerLoad{at: now, loads: loads}
-	p.sumPeers(now)
+	p.stale = true
 }
 
 // sumPeers adds up what the other routers said, leaving out old words.
 func (p *Picker) sumPeers(now time.Time) {
+	p.stale = false
 	for _, s := range p.servers {
 		s.peers = Load{}
 	}
