peers: a configuration that has come from elsewhere is not fetched again

Cause: a router notes that a peer's configuration is newer, and only that peer's next word takes the note back. In a large fleet most peers tell a router once, at the start: it then fetched their configuration every 20 ms for good. Test: TestConfigurationThatHasComeIsNotFetchedAgain, seen to fail before.

--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -116,3 +116,21 @@
 	}
 	assert.Equal(t, a.peers.use(word{Kind: kindOwn, DataCentre: "other"}), useOther)
 }
+
+// A peer that told once of a newer configuration and tells no more is not asked
+// for it again and again once it has come from elsewhere (tpa-hq-grown trouble-3:
+// one configuration a host each 20 ms, 0.6 GB between data centres).
+func TestConfigurationThatHasComeIsNotFetchedAgain(t *testing.T) {
+	control, udp := ports(t)
+	a := start(t, "127.0.0.35", control, udp)
+	now := time.Now()
+	a.peers.mu.Lock()
+	a.peers.view(word{Control: "127.0.0.36:1", Version: 5}, 4, now)
+	a.peers.mu.Unlock()
+	later := now.Add(2 * pullAfter)
+	assert.Assert(t, a.state.TakeConfig(&routing.Config{Version: 5}, nil))
+	assert.Equal(t, a.peers.ahead(later), "")
+	a.peers.mu.Lock()
+	defer a.peers.mu.Unlock()
+	assert.Assert(t, a.peers.views["127.0.0.36:1"].newer.IsZero())
+}
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -43,9 +43,13 @@
 // is told by others, after a while where it follows the store itself.
 func (p *Peers) ahead(now time.Time) string {
 	role := p.Role()
+	version := p.State.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for control, q := range p.views {
+		if q.version <= version {
+			q.newer = time.Time{} // it has come from elsewhere; the peer may never tell again
+		}
 		if q.newer.IsZero() {
 			continue
 		}
@@ -123,8 +127,8 @@
 		events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "err", err)
 		return
 	}
-	if len(v.Servers) > 0 {
-		p.State.ServersReplaced(v.Servers, v.Stamp, true)
+	if len(v.Servers) > 0 && p.State.ServersReplaced(v.Servers, v.Stamp, true) {
+		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
 	}
 }
 
