hop: the headers of one connection stand once; small things without callers are gone

backend and upstream listed them and parsed Connection each; a prompt's size stood in routing and pick; the body's limits were asked of the state twice. No behaviour changes; the packages' tests pass.

--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -2,16 +2,11 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strings"
-)
 
-// hopByHop are the headers of one connection (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+	"github.com/windscale/windscale/internal/hop"
+)
 
 // notForServers are the headers of a caller that a server must not see or
 // believe. The method overrides would make a call another one than the settings
@@ -43,16 +38,8 @@
 // endToEnd copies h without hop-by-hop headers, those that Connection names,
 // and windscale's own.
 func endToEnd(h http.Header) http.Header {
-	clean := h.Clone()
-	if clean == nil {
-		clean = http.Header{}
-	}
-	for _, value := range h.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			clean.Del(textproto.TrimString(name))
-		}
-	}
-	remove(clean, hopByHop)
+	clean := hop.EndToEnd(h)
+	remove(clean, hop.Headers)
 	for name := range clean {
 		if strings.HasPrefix(plainName(name), ownPrefix) {
 			delete(clean, name)
--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -185,12 +185,6 @@
 	return lack > all*contendedAt
 }
 
-// Level returns the max-min level, in tokens a second.
-func (m *Meter) Level(now time.Time) float64 {
-	m.update(now)
-	return m.level
-}
-
 // update adds up all routers' rates and finds the level.
 func (m *Meter) update(now time.Time) {
 	if now.Sub(m.at) < fresh && !m.at.IsZero() {
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -32,7 +32,7 @@
 	if over := s.own.Running + s.peers.Running + 1 - s.engine.Slots; over > 0 {
 		ms += float64(over) * slotWaitMs
 	}
-	size := int64(promptTokens(req.Prompt) + req.Out)
+	size := int64(routing.Tokens(req.Prompt) + req.Out)
 	if float64(s.own.Memory+s.peers.Memory+size) > memoryFull*float64(s.engine.CacheTokens) {
 		ms += memoryWaitMs
 	}
@@ -84,15 +84,6 @@
 	return max(total, 0) + float64(s.peers.Waiting)
 }
 
-// promptTokens is the length of the prompt.
-func promptTokens(prompt []routing.Part) int {
-	n := 0
-	for _, part := range prompt {
-		n += part.Tokens
-	}
-	return n
-}
-
 // need is what a server would have to do for a prompt, in tokens.
 type need struct {
 	first   float64 // read for the first time
--- a/internal/core/pick/health.go
+++ b/internal/core/pick/health.go
@@ -7,7 +7,6 @@
 	rankGood  = 0
 	rankTrial = 1 // suspected until now: one request at a time
 	rankBad   = 2 // suspected
-	rankNever = 3
 )
 
 const (
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/windscale/windscale/internal/core/routing"
 )
 
 // Outcome is what became of a request at a server.
@@ -46,9 +48,6 @@
 	ended   bool
 }
 
-// ServerID returns the server's ID.
-func (j *Job) ServerID() string { return j.s.ID }
-
 // Started reports whether a first event or an end has been noted.
 func (j *Job) Started() bool { return j.started }
 
@@ -68,7 +67,7 @@
 	}
 	if s.engine != nil {
 		j.missing = int64(c.Missing)
-		j.memory = int64(promptTokens(req.Prompt) + req.Out)
+		j.memory = int64(routing.Tokens(req.Prompt) + req.Out)
 		s.cache.add(req.Prompt)
 	}
 	if len(s.waiting) == 0 {
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -230,7 +230,7 @@
 			continue
 		}
 		r := s.health.rank(now)
-		if r == rankNever || r > rank {
+		if r > rank {
 			continue
 		}
 		c := p.expect(s, req, home, second, now)
--- a/internal/core/routing/ask.go
+++ b/internal/core/routing/ask.go
@@ -21,15 +21,18 @@
 	LastEvent string
 }
 
-// PromptTokens returns the size of the prompt, by its parts if it has any.
-func (a *Ask) PromptTokens() int {
+// Tokens returns the size of a prompt by its parts.
+func Tokens(prompt []Part) int {
 	total := 0
-	for _, p := range a.Prompt {
+	for _, p := range prompt {
 		total += p.Tokens
 	}
-	return max(total, a.TokensIn)
+	return total
 }
 
+// PromptTokens returns the size of the prompt, by its parts if it has any.
+func (a *Ask) PromptTokens() int { return max(Tokens(a.Prompt), a.TokensIn) }
+
 // Order is what the fleet itself says to a backend server with a request.
 type Order struct {
 	Left     time.Duration // what is left of the request's time
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -111,6 +111,7 @@
 	customer string
 	service  string
 	version  int64 // of the configuration that decided
+	limits   routing.Limits
 	begin    time.Time
 	deadline time.Time
 	body     []byte
@@ -192,8 +193,8 @@
 	if customer != nil {
 		q.customer = customer.Name
 	}
-	limits := table.Config.Limits
-	if limits.MaxBodyBytes > 0 && q.r.ContentLength > limits.MaxBodyBytes {
+	q.limits = table.Config.Limits
+	if limits := q.limits; limits.MaxBodyBytes > 0 && q.r.ContentLength > limits.MaxBodyBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
 	}
 	q.deadline = q.begin.Add(timeLeft(q.route, q.ask))
@@ -280,8 +281,7 @@
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return nil
 	}
-	table, _ := q.h.State.Table()
-	limits := table.Config.Limits
+	limits := q.limits
 	idle := bodyIdle
 	if limits.IdleTimeout > 0 {
 		idle = limits.IdleTimeout
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,12 +5,12 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/windscale/windscale/internal/hop"
 )
 
 const (
@@ -233,28 +233,8 @@
 	return 0, false
 }
 
-// hopByHop are the headers of one connection (RFC 9110, 7.6.1), and those that
-// each side sets anew.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", "Host", "Expect",
-}
-
-// EndToEnd copies the headers that concern more than one connection.
+// EndToEnd copies the headers that concern more than one connection, without
+// those that each side sets anew.
 func EndToEnd(h http.Header) http.Header {
-	clean := make(http.Header, len(h)+4)
-	var named []string
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			named = append(named, http.CanonicalHeaderKey(textproto.TrimString(name)))
-		}
-	}
-	for name, values := range h {
-		if slices.Contains(hopByHop, name) || slices.Contains(named, name) {
-			continue
-		}
-		clean[name] = values
-	}
-	return clean
+	return hop.EndToEnd(h, "Content-Length", "Host", "Expect")
 }
