--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -18,7 +18,7 @@
 	// farOver is how many times its share a customer has that gets nothing while
 	// this router has refused another within the time contended, or customers
 	// lack of their shares anywhere in the fleet.
-	farOver   = 1.4
+	farOver   = 1.2
 	contended = time.Second
 	// plainPart is the part of the time that a plain service's answer is due in
 	// that a request may wait for a slot.
