--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,6 +33,7 @@
 	"stop":    (*fleet).stopRouter,
 	"pause":   (*fleet).pause,
 	"store":   (*fleet).storeTrouble,
+	"lapse":   (*fleet).storeLapse,
 	"slow":    (*fleet).storeSlow,
 	"forget":  (*fleet).storeForgets,
 	"stale":   (*fleet).storeStale,
@@ -49,7 +50,7 @@
 func calm(list []fault) bool {
 	for _, x := range list {
 		switch x.Kind {
-		case "stop", "reload", "config", "drain", "store", "slow", "forget", "stale":
+		case "stop", "reload", "config", "drain", "store", "lapse", "slow", "forget", "stale":
 		default:
 			return false
 		}
@@ -160,6 +161,29 @@
 	f.store.Fail(nil)
 }
 
+// storeLapse makes the store fail while all servers' entries lapse. They are
+// there again when it is back: its feed tells both changes in one answer.
+func (f *fleet) storeLapse(x fault) {
+	defer f.trouble()()
+	f.store.Fail(func(*http.Request) platformtest.Trouble { return platformtest.Busy })
+	f.entries(func(s *server) { f.store.RemoveServer(s.ID) })
+	time.Sleep(x.For)
+	f.entries(func(s *server) { f.store.PutServer(s.Server, "ready") })
+	f.store.Fail(nil)
+}
+
+// entries changes the entry of each server that has not left. The lock keeps a
+// server from leaving meanwhile.
+func (f *fleet) entries(change func(*server)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.left.IsZero() {
+			change(s)
+		}
+	}
+}
+
 // trouble notes that the store fails from now on until the returned function
 // is called.
 func (f *fleet) trouble() func() {
