roster: doubt ends at the word of a router that followed the store all the while

Ruled out: late news at the reader that was not cut off (4 ms after the store's). Change: words say for how long the sender has followed the store without a gap; one that began before the doubter lost the store ends the doubt. An answer that comes 0.3 s after its wait counts as a gap. Test: TestDoubtEndsAtTheWordOfOneThatFollowedAllTheWhile. Also: from a wait of 150 ms for the processor on a host refuses everyone: what passed there reached its server a second later.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -28,6 +28,8 @@
 	doubtful map[string]time.Time // since when each is missing
 	downAt   time.Time            // zero: the store answers
 	backAt   time.Time
+	blindAt  time.Time // when the store was lost last
+	since    time.Time // the store is followed without a gap since then; zero: it is not
 	stamp    Stamp
 }
 
@@ -56,13 +58,44 @@
 
 // StoreDown notes that the store does not answer.
 func (r *Roster) StoreDown(now time.Time) {
+	r.since = time.Time{}
 	if r.downAt.IsZero() {
 		r.downAt = now
+		r.blindAt = now
 	}
 }
 
+// NotFollowed notes that the list comes from other routers.
+func (r *Roster) NotFollowed() { r.since = time.Time{} }
+
+// Followed returns for how long the store has been followed without a gap.
+func (r *Roster) Followed(now time.Time) time.Duration {
+	if r.since.IsZero() {
+		return 0
+	}
+	return now.Sub(r.since)
+}
+
+// Settle ends the doubt about missing entries at the word of a router that has
+// followed the store without a gap for so long: if that began before this one
+// lost the store, the store was there, and only this router was cut off. It
+// reports whether there was any doubt.
+func (r *Roster) Settle(followed time.Duration, now time.Time) bool {
+	if len(r.doubtful) == 0 || followed <= now.Sub(r.blindAt) {
+		return false
+	}
+	for id := range r.doubtful {
+		r.forget(id)
+	}
+	r.stamp.Edits++
+	return true
+}
+
 // StoreBack notes that the store answers.
 func (r *Roster) StoreBack(now time.Time) {
+	if r.since.IsZero() {
+		r.since = now
+	}
 	if r.downAt.IsZero() {
 		return
 	}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -79,3 +79,28 @@
 	r.Replace([]routing.Server{{ID: "b"}}, true, at(3000))
 	assert.Equal(t, ids(r), "b")
 }
+
+// A router that was cut off alone doubts no entry that one which has followed the
+// store all the while has seen removed (quetzal-despensa-grown, DRAIN: two of three
+// readers were cut off, and brought back servers that had left). A router that
+// has begun to follow it since does not know.
+func TestDoubtEndsAtTheWordOfOneThatFollowedAllTheWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	r := New()
+	r.Replace([]routing.Server{{ID: "a"}, {ID: "gone"}}, false, now)
+	r.StoreBack(now)
+	assert.Equal(t, r.Followed(after(time.Second)), time.Second)
+	r.StoreDown(after(time.Second))
+	assert.Equal(t, r.Followed(after(2*time.Second)), time.Duration(0))
+	r.StoreBack(after(5 * time.Second))
+	r.Replace([]routing.Server{{ID: "a"}}, false, after(5*time.Second))
+	assert.Equal(t, len(r.List()), 2)
+	assert.Assert(t, !r.Settle(4*time.Second, after(5*time.Second)), "as blind as this one")
+	assert.Equal(t, len(r.List()), 2)
+	assert.Assert(t, r.Settle(20*time.Second, after(5*time.Second)))
+	assert.Equal(t, len(r.List()), 1)
+	assert.Equal(t, r.Stamp().Edits, uint32(1))
+	r.NotFollowed()
+	assert.Equal(t, r.Followed(after(9*time.Second)), time.Duration(0))
+}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -25,6 +25,9 @@
 	// waitReader is the same where a few follow it for the rest, who go by the
 	// age of the readers' view.
 	waitReader = 1200 * time.Millisecond
+	// lateAnswer is how long after its wait an answer counts as one that an outage
+	// held up: the store answers in 4 ms.
+	lateAnswer = 300 * time.Millisecond
 	// idlePoll is how often a router that does not follow the store looks
 	// whether it has to.
 	idlePoll = 100 * time.Millisecond
@@ -69,6 +72,7 @@
 	take   func(c platform.Change, whole bool, age time.Duration) bool
 	down   func()
 	back   func()
+	idle   func() // the source is not followed
 }
 
 // Config follows the configuration until ctx ends.
@@ -80,6 +84,7 @@
 		take:   f.takeConfig,
 		down:   func() {},
 		back:   func() {},
+		idle:   func() {},
 	})
 }
 
@@ -92,6 +97,7 @@
 		take:   f.takeServers,
 		down:   f.State.StoreDown,
 		back:   f.State.StoreBack,
+		idle:   f.State.StoreNotFollowed,
 	})
 }
 
@@ -138,6 +144,7 @@
 				s.back()
 			}
 			known = false
+			s.idle()
 			sleep(ctx, idlePoll)
 			continue
 		}
@@ -166,6 +173,9 @@
 			lost = false
 			events.StoreRegained.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "ver", c.Ver)
 		}
+		if known && time.Since(began) > wait(role)+lateAnswer {
+			s.idle() // the store may have been away meanwhile
+		}
 		s.back()
 		pause = backoffLeast
 		for _, bad := range c.Bad {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -222,7 +222,8 @@
 	default:
 		return nil
 	}
-	if float64(running) <= overRoom*float64(q.h.MaxRunning) && !q.h.progress.crowds(q.customer) {
+	room := float64(running) <= overRoom*float64(q.h.MaxRunning) && q.h.ProcessorWait() < pressure.Drowned
+	if room && !q.h.progress.crowds(q.customer) {
 		return nil
 	}
 	return &Refusal{
--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/edge/pressure"
 )
 
 // The customer that fills a full host gives way, others don't (tpa-hq-grown
 // scale-1, FAIR: a customer behind the same host as a flood got nothing).
 func TestTheCrowdGivesWayFirst(t *testing.T) {
-	h := New(Config{MaxRunning: 20, ProcessorWait: func() time.Duration { return 0 }})
+	wait := time.Duration(0)
+	h := New(Config{MaxRunning: 20, ProcessorWait: func() time.Duration { return wait }})
 	ask := func(customer string) bool {
 		q := &request{h: h, customer: customer}
 		h.running.Add(1)
@@ -29,7 +32,13 @@
 		assert.Assert(t, ask("small"))
 	}
 	assert.Assert(t, !ask("small"), "the bound holds for all")
+	h.running.Store(10)
+	wait = pressure.Starved
+	assert.Assert(t, !ask("flood"))
+	assert.Assert(t, ask("small"))
+	wait = pressure.Drowned
+	assert.Assert(t, !ask("small"), "nobody is served in time")
 	h.progress.end("flood")
 	h.progress.end("small")
-	assert.Equal(t, h.progress.all, 23)
+	assert.Equal(t, h.progress.all, 24)
 }
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -295,6 +295,9 @@
 		p.State.TotalReport(w.key(), report)
 	case useNone:
 	}
+	if p.State.Settle(time.Duration(w.FollowedMs) * time.Millisecond) {
+		events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", w.Control, "followedMs", w.FollowedMs, "what", "doubtful ones forgotten")
+	}
 	if w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
 		p.State.Confirm(time.Duration(w.AgeMs) * time.Millisecond)
 	}
--- a/internal/edge/peers/word.go
+++ b/internal/edge/peers/word.go
@@ -31,6 +31,7 @@
 	Rates      map[string][2]int64 `cbor:"9,keyasint,omitempty"` // customer: asked, served, tokens/s
 	Known      []knownRouter       `cbor:"10,keyasint,omitempty"`
 	Cores      float64             `cbor:"11,keyasint,omitempty"` // processor time of the sender's host
+	FollowedMs int64               `cbor:"12,keyasint,omitempty"` // for how long it has followed the store
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -85,6 +86,7 @@
 		Control:    p.Control,
 		DataCentre: p.DataCentre,
 		Cores:      p.Cores,
+		FollowedMs: p.State.Followed().Milliseconds(),
 		Kind:       k,
 		Version:    p.State.Version(),
 		List:       stamp.Version,
--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -17,6 +17,9 @@
 	// half of the shortest objective on the users' sheets (100 ms), and a
 	// refusal is to come within a quarter of the long ones (600 ms).
 	Starved = 60 * time.Millisecond
+	// Drowned is the wait from which a host refuses everyone: a request waits
+	// some five times on its way to a server.
+	Drowned = 150 * time.Millisecond
 )
 
 // Probe measures the wait. It is safe for concurrent use; a nil one reports no
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -178,6 +178,32 @@
 	s.roster.StoreBack(s.now())
 }
 
+// StoreNotFollowed notes that the list comes from other routers.
+func (s *State) StoreNotFollowed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.NotFollowed()
+}
+
+// Followed returns for how long the store's list has been followed without a gap.
+func (s *State) Followed() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Followed(s.now())
+}
+
+// Settle takes a router's word that it has followed the store for so long, and
+// reports whether doubtful servers were forgotten for it.
+func (s *State) Settle(followed time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.roster.Settle(followed, s.now()) {
+		return false
+	}
+	s.picker.SetServers(s.roster.List())
+	return true
+}
+
 // Tick forgets what is too old.
 func (s *State) Tick() {
 	s.mu.Lock()
