peers: ages of the store's last word don't go round

Routers took over each other's ages, each rounded down and late by its way: an age that goes round grows at half the time's pace. Change: an age is taken over only from a router that follows the store itself or from one's own reporter, and only if it is 50 ms younger. Test: TestAgesDoNotGoRound, seen to fail before. Also: a customer with nothing in progress does not crowd a host.

--- a/internal/edge/front/progress.go
+++ b/internal/edge/front/progress.go
@@ -38,5 +38,6 @@
 func (p *progress) crowds(customer string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(p.by[customer]) >= crowdPart*float64(p.all)
+	mine := p.by[customer]
+	return mine > 0 && float64(mine) >= crowdPart*float64(p.all)
 }
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -49,6 +49,10 @@
 	viewOld = 3 * time.Second
 	// pullTimeout bounds a fetch.
 	pullTimeout = 700 * time.Millisecond
+	// sameWord is how much younger an age has to be than the one known to be that
+	// of a newer word of the store: more than a datagram's delay and the
+	// millisecond that ages are rounded to, less than the pause between two words.
+	sameWord    = 50 * time.Millisecond
 	maxDatagram = 60 << 10
 	maxView     = 8 << 20
 
@@ -277,6 +281,7 @@
 	}
 	p.view(w, version, now)
 	use := p.use(w)
+	vouches := p.vouches(w)
 	report := w.report()
 	if use == useOther {
 		if len(report.Rates) == 0 {
@@ -298,11 +303,30 @@
 	if p.State.Settle(time.Duration(w.FollowedMs) * time.Millisecond) {
 		events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", w.Control, "followedMs", w.FollowedMs, "what", "doubtful ones forgotten")
 	}
-	if w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
-		p.State.Confirm(time.Duration(w.AgeMs) * time.Millisecond)
+	if vouches && w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
+		p.confirm(time.Duration(w.AgeMs) * time.Millisecond)
 	}
 }
 
+// confirm takes a word of the store of some age. One that is hardly younger than
+// what is known is the same one, told on.
+func (p *Peers) confirm(age time.Duration) {
+	if _, known := p.State.Table(); known-age > sameWord {
+		p.State.Confirm(age)
+	}
+}
+
+// vouches reports whether the word's age of the store may be taken over: that of
+// a router which follows the store itself, or of a reporter by one that it tells.
+// Were it that of any router, ages would go round, and each way makes them
+// younger by its delay. The lock is held.
+func (p *Peers) vouches(w word) bool {
+	if w.FollowedMs > 0 {
+		return true
+	}
+	return w.Kind == kindTotal && !p.spread.Reporter()
+}
+
 // view notes what the peer says of its view; the lock is held.
 func (p *Peers) view(w word, version int64, now time.Time) {
 	q := p.views[w.Control]
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -134,3 +134,36 @@
 	defer a.peers.mu.Unlock()
 	assert.Assert(t, a.peers.views["127.0.0.36:1"].newer.IsZero())
 }
+
+// Ages of the store's last word don't grow younger by going round
+// (quetzal-despensa-grown hunt-8345-7, CONFIG: all readers were turned away, and the
+// fleet took 4.2 s for an age of 2.2 s), and only those are taken over that a
+// follower or one's own reporter tells.
+func TestAgesDoNotGoRound(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	s := state.New("dc", 0.2, 80, func() time.Time { return clock })
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.37")})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.37:1", DataCentre: "dc"}, conn, platform.DecodeConfig)
+	assert.Assert(t, s.TakeConfig(&routing.Config{Version: 5}, nil))
+	s.Confirm(0)
+	age := func() time.Duration {
+		_, age := s.Table()
+		return age
+	}
+	told := word{Control: "127.0.0.38:1", DataCentre: "dc", Version: 5, FollowedMs: 9000}
+	for range 100 {
+		clock = clock.Add(20 * time.Millisecond)
+		told.AgeMs = age().Milliseconds() - 2
+		p.take(told, clock)
+	}
+	assert.Equal(t, age(), 2*time.Second)
+	told.AgeMs = 100
+	told.FollowedMs = 0
+	p.take(told, clock)
+	assert.Equal(t, age(), 2*time.Second, "it does not follow the store")
+	told.FollowedMs = 9000
+	p.take(told, clock)
+	assert.Equal(t, age(), 100*time.Millisecond)
+}
