front, upstream: a server is asked for again just before the request is written

Choice and sending are apart by a connection's opening and by every wait for the processor; only the choice asked whether the server takes requests. Ruled out: an old list at the other hosts (only this host broke the bound; it took lists 0.03 to 1.0 s apart).

The exchange asks once more when it has its connection; a server that has left is not sent to and not blamed, the request goes to another one. The new test fails without the change (the draining server ran the request).

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -105,6 +105,7 @@
 	slow      float64 // how much slower than expected it answers; 1: as expected
 	health    health
 	connLimit int
+	takes     bool // listed as one that takes new requests
 }
 
 // Picker is the state of the choice at one router.
@@ -185,13 +186,18 @@
 			p.servers[entry.ID] = s
 		}
 		s.Server = entry
+		s.takes = entry.Takes()
 		p.describe(s)
-		if entry.State == routing.ServerReady {
+		if s.takes {
 			p.services[entry.Service] = append(p.services[entry.Service], s)
 		}
 	}
 	for id, s := range p.servers {
-		if !named[id] && s.own.Running == 0 {
+		if named[id] {
+			continue
+		}
+		s.takes = false
+		if s.own.Running == 0 {
 			delete(p.servers, id)
 		}
 	}
@@ -319,6 +325,12 @@
 	return 0
 }
 
+// Takes reports whether the server is listed as one that takes new requests.
+func (p *Picker) Takes(id string) bool {
+	s, ok := p.servers[id]
+	return ok && s.takes
+}
+
 // Known reports whether the server is still known.
 func (p *Picker) Known(id string) bool {
 	_, ok := p.servers[id]
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -424,6 +424,48 @@
 	assert.Equal(t, len(runs(plain)), 0)
 }
 
+// afterChoice does something between the choice of a server and the sending.
+type afterChoice struct {
+	front.Headers
+	do func(server string)
+}
+
+func (a afterChoice) ToServer(h http.Header, o routing.Order) {
+	a.do(o.ServerID)
+	a.Headers.ToServer(h, o)
+}
+
+// A server that leaves between the choice and the sending gets nothing
+// (quetzal-despensa-grown trouble-1 seed 494817125095: a starved host sent a
+// request 0.9 s after it took it, DRAIN).
+func TestServerThatLeftAfterTheChoiceGetsNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(2)
+	list, _ := r.state.Servers()
+	left := ""
+	r.handler.Headers = afterChoice{platform.Headers{}, func(id string) {
+		if left != "" {
+			return
+		}
+		left = id
+		for i := range list {
+			if list[i].ID == id {
+				list[i].State = routing.ServerDraining
+			}
+		}
+		r.state.ServersReplaced(list, roster.Stamp{Version: 2}, true)
+	}}
+	a := r.call(context.Background(), "POST", "/u/x", "k", "body")
+	assert.Equal(t, a.status, 200, "one that does not leave serves it: it has not been sent")
+	for _, s := range plain {
+		if s.ID == left {
+			assert.Equal(t, len(s.Runs()), 0)
+		}
+	}
+	assert.Assert(t, !strings.Contains(r.log.String(), "suspected"), "a server that leaves is not to blame")
+}
+
 func TestStoppingRouterRefusesWithAPromise(t *testing.T) {
 	r := newRig(t)
 	r.configure()
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -189,6 +189,7 @@
 		Header:   q.header,
 		Body:     q.body,
 		Own:      q.own,
+		Takes:    func() bool { return q.h.State.Takes(p.Choice.Server.ID) },
 	}
 }
 
@@ -260,8 +261,11 @@
 		return v
 	}
 	outcome := pick.Failed
-	if errors.Is(err, upstream.ErrFull) {
+	switch {
+	case errors.Is(err, upstream.ErrFull):
 		outcome = pick.Full
+	case errors.Is(err, upstream.ErrLeft):
+		outcome = pick.Abandoned
 	}
 	x.end(outcome, err.Error())
 	q.h.Meter.Failed(q.service, err.Stage.String())
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -311,3 +311,11 @@
 	defer s.mu.Unlock()
 	return s.picker.Known(id)
 }
+
+// Takes reports whether the server is still listed as one that takes new
+// requests: time passes between the choice and the sending.
+func (s *State) Takes(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Takes(id)
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -48,6 +48,7 @@
 	ErrForeign   Fault = "answer of another request"
 	ErrUpgrade   Fault = "server switched to another protocol unasked"
 	ErrCancelled Fault = "the exchange was cancelled"
+	ErrLeft      Fault = "the server takes no new requests any more"
 	ErrFull      Fault = "the server's connections are all in use"
 	ErrTooLarge  Fault = "the event is too large"
 )
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -36,6 +36,9 @@
 	// Own reports whether an answer belongs to this request, by its status and
 	// headers.
 	Own func(status int, h http.Header) bool
+	// Takes reports, just before the request is written, whether the server
+	// still takes new ones: a connection may have taken long to open.
+	Takes func() bool
 }
 
 // Answer is a server's answer. It must be closed.
@@ -75,6 +78,10 @@
 		e.end(false, 0)
 		return nil, &Error{Stage: StageDial, Err: ErrCancelled}
 	}
+	if !call.Takes() {
+		e.end(false, 0)
+		return nil, &Error{Stage: StageDial, Err: ErrLeft}
+	}
 	kept := c.used
 	sent, err := e.send(call)
 	if err != nil {
