peers: a fetch goes to a peer that is there, and a word's wait counts as age

Newer configurations were fetched from whichever peer came first. - Configuration and list were fetched one after the other: a peer that does not answer with one held up the other for 700 ms. - A word that waits in a starved host's socket was as young as when it was sent.

Ruled out: sender's time stamps in words (bytes between data centres are dear, and the wait for the processor is measured already).

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -138,7 +138,7 @@
 		Addr:       n.settings.Control,
 		DataCentre: n.settings.DataCentre,
 		Cores:      n.settings.Cores,
-	}, conn, platform.DecodeConfig)
+	}, conn, platform.DecodeConfig, n.probe.Wait)
 	n.peers.Add(true, n.settings.Seeds...)
 	n.crowd = &crowd{Listener: n.callersL, most: int64(n.settings.MemoryMB * connsPerMB)}
 	return nil
@@ -152,7 +152,8 @@
 	n.loop(g, f.Servers)
 	n.loop(g, n.peers.Send)
 	n.loop(g, n.peers.Receive)
-	n.loop(g, n.peers.Pull)
+	n.loop(g, n.peers.PullConfig)
+	n.loop(g, n.peers.PullServers)
 	n.loop(g, n.tick)
 	n.loop(g, n.probe.Run)
 	n.loop(g, n.register)
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -64,8 +64,9 @@
 type peer struct {
 	version int64        // of its configuration
 	stamp   roster.Stamp // of its list of servers
-	age     time.Duration
-	newer   time.Time // since when its configuration is newer; zero: it is not
+	heard   time.Time    // when it said so
+	asOf    time.Time    // when the store's word was, on which its view rests
+	newer   time.Time    // since when its configuration is newer; zero: it is not
 }
 
 // Peers is a router's knowledge of the others.
@@ -77,6 +78,8 @@
 	Cores      float64 // processor time of this host, in cores
 
 	Decode func([]byte) (*routing.Config, error) // a configuration as the operator wrote it
+	// Wait is for how long what could run on this host waits for its processor.
+	Wait func() time.Duration
 
 	port uint16 // of datagrams, the same at all routers
 	conn *net.UDPConn
@@ -90,7 +93,7 @@
 }
 
 // New returns the peers of a router. conn is its datagram socket.
-func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error)) *Peers {
+func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration) *Peers {
 	return &Peers{
 		State:      s,
 		Log:        log,
@@ -98,6 +101,7 @@
 		DataCentre: self.DataCentre,
 		Cores:      self.Cores,
 		Decode:     decode,
+		Wait:       wait,
 		port:       conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 		conn:       conn,
 		spread:     spread.New(self),
@@ -304,7 +308,7 @@
 		events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", w.Control, "followedMs", w.FollowedMs, "what", "doubtful ones forgotten")
 	}
 	if vouches && w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
-		p.confirm(time.Duration(w.AgeMs) * time.Millisecond)
+		p.confirm(p.age(w))
 	}
 }
 
@@ -336,15 +340,19 @@
 	}
 	q.version = w.Version
 	q.stamp = w.stamp()
-	q.age = time.Duration(w.AgeMs) * time.Millisecond
-	switch {
-	case w.Version <= version:
-		q.newer = time.Time{}
-	case q.newer.IsZero():
+	q.heard = now
+	q.asOf = now.Add(-p.age(w))
+	if w.Version > version && q.newer.IsZero() {
 		q.newer = now
 	}
 }
 
+// age is how old the store's word is on which the view of w rests. The datagram
+// may have waited here until this host had time for it.
+func (p *Peers) age(w word) time.Duration {
+	return time.Duration(w.AgeMs)*time.Millisecond + p.Wait()
+}
+
 // How a word counts.
 type usage int
 
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -36,14 +36,15 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: udp})
 	assert.NilError(t, err)
 	s := state.New("dc", 0.2, 80, time.Now)
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig, noWait)
 	p.Add(true, seeds...)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = server.Serve(ln) }()
 	go func() { _ = p.Send(ctx) }()
 	go func() { _ = p.Receive(ctx) }()
-	go func() { _ = p.Pull(ctx) }()
+	go func() { _ = p.PullConfig(ctx) }()
+	go func() { _ = p.PullServers(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		_ = conn.Close()
@@ -52,6 +53,9 @@
 	return &router{state: s, peers: p}
 }
 
+// noWait is the wait for the processor of a host that has time.
+func noWait() time.Duration { return 0 }
+
 // ports returns two ports that are free on the first address.
 func ports(t *testing.T) (control, udp int) {
 	t.Helper()
@@ -145,7 +149,7 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.37")})
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.37:1", DataCentre: "dc"}, conn, platform.DecodeConfig)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.37:1", DataCentre: "dc"}, conn, platform.DecodeConfig, noWait)
 	assert.Assert(t, s.TakeConfig(&routing.Config{Version: 5}, nil))
 	s.Confirm(0)
 	age := func() time.Duration {
@@ -167,3 +171,76 @@
 	p.take(told, clock)
 	assert.Equal(t, age(), 100*time.Millisecond)
 }
+
+// lone returns the peers of a router that talks to nobody, by the given clock.
+func lone(t *testing.T, now func() time.Time, wait func() time.Duration) *Peers {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.39")})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	s := state.New("dc", 0.2, 80, now)
+	return New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.39:1", DataCentre: "dc"}, conn, platform.DecodeConfig, wait)
+}
+
+// A view is fetched from a peer that is there, not from one that fell silent
+// with the youngest word of the store.
+func TestSilentPeerIsNotAskedFirst(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	p := lone(t, func() time.Time { return clock }, noWait)
+	gone := word{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 1}
+	there := word{Control: "127.0.0.41:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 200}
+	p.take(gone, clock)
+	p.take(there, clock)
+	assert.Equal(t, p.newerServers(clock), gone.Control)
+	clock = clock.Add(time.Second)
+	p.take(there, clock)
+	assert.Equal(t, p.newerServers(clock), there.Control)
+	for range 20 { // the order of a map is another each time
+		assert.Equal(t, p.ahead(clock.Add(2*pullAfter)), there.Control)
+		p.views[gone.Control].newer = time.Unix(1000, 0)
+		p.views[there.Control].newer = time.Unix(1000, 0)
+	}
+}
+
+// On a host that is behind its work a word has waited before it is read
+// (quetzal-despensa-grown trouble-1, DRAIN, at a host that a flood had starved).
+func TestTheWaitForTheProcessorAges(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	p := lone(t, func() time.Time { return clock }, func() time.Duration { return 300 * time.Millisecond })
+	assert.Assert(t, p.State.TakeConfig(&routing.Config{Version: 5}, nil))
+	p.take(word{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, FollowedMs: 9000, AgeMs: 100}, clock)
+	_, age := p.State.Table()
+	assert.Equal(t, age, 400*time.Millisecond)
+}
+
+// A peer that does not answer with its configuration does not hold up the list
+// of servers.
+func TestFetchesDoNotWaitForEachOther(t *testing.T) {
+	control, udp := ports(t)
+	a := start(t, "127.0.0.42", control, udp)
+	a.peers.http.Timeout = time.Hour
+	asked := make(chan struct{}, 1)
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathConfig, func(_ http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		<-r.Context().Done()
+	})
+	mux.HandleFunc(pathServers, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"Stamp":{"Version":9},"Servers":[{"ID":"x","Service":"app"}]}`)
+	})
+	ln, err := net.Listen("tcp4", "127.0.0.43:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	w := word{Control: ln.Addr().String(), DataCentre: "dc", Version: 5}
+	for len(asked) == 0 {
+		a.peers.take(w, time.Now())
+		time.Sleep(time.Millisecond) // the test's own time limit bounds it
+	}
+	w.List = 9
+	until(t, "the servers", func() bool {
+		a.peers.take(w, time.Now())
+		return a.state.Stamp().Version == 9
+	})
+}
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -14,51 +14,70 @@
 	"github.com/windscale/windscale/internal/events"
 )
 
-// Pull fetches the view of peers that are ahead, until ctx ends.
-func (p *Peers) Pull(ctx context.Context) error {
+// PullConfig fetches the configuration of peers that are ahead, until ctx ends.
+// The servers are fetched apart from it: a peer that does not answer must not
+// hold up both.
+func (p *Peers) PullConfig(ctx context.Context) error {
+	return every(ctx, func(now time.Time) {
+		if from := p.ahead(now); from != "" {
+			p.pullConfig(ctx, from)
+		}
+	})
+}
+
+// PullServers fetches the servers of peers that are ahead, until ctx ends.
+func (p *Peers) PullServers(ctx context.Context) error {
+	var last time.Time
+	return every(ctx, func(now time.Time) {
+		if now.Sub(last) < p.serversPause() {
+			return
+		}
+		if from := p.newerServers(now); from != "" {
+			last = now
+			p.pullServers(ctx, from)
+		}
+	})
+}
+
+// every calls f each reportEvery until ctx ends.
+func every(ctx context.Context, f func(now time.Time)) error {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
-	var servers time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-		}
-		now := time.Now()
-		if from := p.ahead(now); from != "" {
-			p.pullConfig(ctx, from)
-		}
-		if now.Sub(servers) < p.serversPause() {
-			continue
-		}
-		if from := p.newerServers(); from != "" {
-			servers = now
-			p.pullServers(ctx, from)
+			f(time.Now())
 		}
 	}
 }
 
-// ahead returns a peer whose configuration is newer: at once where this router
-// is told by others, after a while where it follows the store itself.
+// ahead returns a peer whose configuration is newer, of several the one heard
+// last: at once where this router is told by others, after a while where it
+// follows the store itself.
 func (p *Peers) ahead(now time.Time) string {
 	role := p.Role()
 	version := p.State.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	best := ""
 	for control, q := range p.views {
 		if q.version <= version {
 			q.newer = time.Time{} // it has come from elsewhere; the peer may never tell again
+			continue
 		}
-		if q.newer.IsZero() {
+		if role != follow.Told && now.Sub(q.newer) <= pullAfter {
 			continue
 		}
-		if role == follow.Told || now.Sub(q.newer) > pullAfter {
-			q.newer = now // not again at once
-			return control
+		if best == "" || q.heard.After(p.views[best].heard) {
+			best = control
 		}
 	}
-	return ""
+	if best != "" {
+		p.views[best].newer = now // not again at once
+	}
+	return best
 }
 
 // serversPause is the least time between two fetches of the servers.
@@ -72,7 +91,7 @@
 // newerServers returns a live peer whose list of servers is newer and whose word
 // of the store is fresh. A router that follows the store asks only when its own
 // view is old: its feed tells the same.
-func (p *Peers) newerServers() string {
+func (p *Peers) newerServers(now time.Time) string {
 	_, age := p.State.Table()
 	stamp := p.State.Stamp()
 	if p.Role() != follow.Told && age < viewOld && p.State.Ready() {
@@ -84,9 +103,12 @@
 	freshest := min(age, viewOld)
 	for _, m := range p.spread.Live() {
 		q := p.views[m.Addr]
-		if q != nil && q.stamp.After(stamp) && q.age <= freshest {
+		if q == nil || !q.stamp.After(stamp) {
+			continue
+		}
+		if old := now.Sub(q.asOf); old <= freshest {
 			best = m.Addr
-			freshest = q.age
+			freshest = old
 		}
 	}
 	return best
