--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -71,11 +71,9 @@
 
 // Peers is a router's knowledge of the others.
 type Peers struct {
-	State      *state.State
-	Log        *slog.Logger
-	Control    string // this router's control address
-	DataCentre string
-	Cores      float64 // processor time of this host, in cores
+	State *state.State
+	Log   *slog.Logger
+	Self  spread.Member // this router
 
 	Decode func([]byte) (*routing.Config, error) // a configuration as the operator wrote it
 	// Wait is for how long what could run on this host waits for its processor.
@@ -95,18 +93,16 @@
 // New returns the peers of a router. conn is its datagram socket.
 func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration) *Peers {
 	return &Peers{
-		State:      s,
-		Log:        log,
-		Control:    self.Addr,
-		DataCentre: self.DataCentre,
-		Cores:      self.Cores,
-		Decode:     decode,
-		Wait:       wait,
-		port:       conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
-		conn:       conn,
-		spread:     spread.New(self),
-		views:      map[string]*peer{},
-		words:      map[string]heardWord{},
+		State:  s,
+		Log:    log,
+		Self:   self,
+		Decode: decode,
+		Wait:   wait,
+		port:   conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:   conn,
+		spread: spread.New(self),
+		views:  map[string]*peer{},
+		words:  map[string]heardWord{},
 		http: &http.Client{
 			Timeout:   pullTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: pullTimeout / 2}).DialContext},
@@ -274,7 +270,7 @@
 
 // take takes a peer's word.
 func (p *Peers) take(w word, now time.Time) {
-	if w.Control == p.Control || w.Control == "" {
+	if w.Control == p.Self.Addr || w.Control == "" {
 		return
 	}
 	version := p.State.Version()
@@ -368,11 +364,11 @@
 	reporter := p.spread.Reporter()
 	switch w.Kind {
 	case kindOwn:
-		if mesh || reporter && w.DataCentre == p.DataCentre {
+		if mesh || reporter && w.DataCentre == p.Self.DataCentre {
 			return useOther
 		}
 	case kindSum:
-		if !mesh && reporter && w.DataCentre != p.DataCentre {
+		if !mesh && reporter && w.DataCentre != p.Self.DataCentre {
 			return useOther
 		}
 	case kindTotal:
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -83,7 +83,7 @@
 func TestViewAndLoadReachARouterWithoutTheStore(t *testing.T) {
 	control, udp := ports(t)
 	a := start(t, "127.0.0.31", control, udp)
-	b := start(t, "127.0.0.32", control, udp, a.peers.Control)
+	b := start(t, "127.0.0.32", control, udp, a.peers.Self.Addr)
 	text := platformtest.Config(5, nil, nil, []string{"app"}, nil)
 	c, err := platform.DecodeConfig(text)
 	assert.NilError(t, err)
--- a/internal/edge/peers/word.go
+++ b/internal/edge/peers/word.go
@@ -83,9 +83,9 @@
 	_, age := p.State.Table()
 	stamp := p.State.Stamp()
 	w := word{
-		Control:    p.Control,
-		DataCentre: p.DataCentre,
-		Cores:      p.Cores,
+		Control:    p.Self.Addr,
+		DataCentre: p.Self.DataCentre,
+		Cores:      p.Self.Cores,
 		FollowedMs: p.State.Followed().Milliseconds(),
 		Kind:       k,
 		Version:    p.State.Version(),
