front: a request leaves a silent server only with a repeat in hand, and not after a sign

Now the call leaves out a timer that was set anew, takes the repeat before it leaves, and only a request that has reached a server takes one. Ruled out: the change of configuration beside it (the request's route and key stayed), the server (its run was cut from outside).

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -26,11 +26,11 @@
 	writeSlack = time.Second
 )
 
-// lateMark is set once by the watch.
-type lateMark struct{ v atomic.Bool }
+// mark is set once by the watch.
+type mark struct{ v atomic.Bool }
 
-func (m *lateMark) set()        { m.v.Store(true) }
-func (m *lateMark) isSet() bool { return m.v.Load() }
+func (m *mark) set()        { m.v.Store(true) }
+func (m *mark) isSet() bool { return m.v.Load() }
 
 // readUpTo reads at most limit bytes of the body and reports whether that was
 // all of it.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -121,6 +121,7 @@
 	tried   []string
 	sent    int  // servers that the request may have reached
 	mayRun  bool // a server may have run it
+	paid    bool // the next repeat is taken from the retry budget already
 	started bool // the answer's header has gone to the caller
 	last    string
 }
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -55,6 +55,7 @@
 	var f *Refusal
 	for {
 		placed := q.place()
+		q.paid = false
 		if placed.Why != state.WhyNone {
 			f = q.unplaced(placed)
 			break
@@ -95,6 +96,7 @@
 		Ask:      &q.ask,
 		Tried:    q.tried,
 		Again:    len(q.tried) > 0,
+		Repeat:   q.sent > 0 && !q.paid,
 	}
 }
 
@@ -212,7 +214,8 @@
 	cancel context.CancelFunc
 	timer  *time.Timer
 	due    atomic.Int64 // when the timer is due, ns after the request's begin
-	late   lateMark
+	late   mark         // its server was silent for too long
+	paid   mark         // a repeat was taken from the retry budget
 }
 
 // watch suspects the server when it is silent for longer than d. A request that
@@ -220,31 +223,41 @@
 func (x *exchange) watch(d time.Duration) {
 	q := x.q
 	leave := q.route.Repeatable() && q.sent+1 < q.route.MaxAttempts
-	x.timer = time.AfterFunc(defaultTimeout, func() {
-		if x.stalled() {
-			x.await(d) // the answer may be here and not read yet
-			return
-		}
-		x.late.set()
-		q.h.told(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
-		if leave && q.h.State.MayRetry(q.service) {
-			x.cancel()
-		}
-	})
+	x.timer = time.AfterFunc(defaultTimeout, func() { x.silent(d, leave) })
 	x.await(d)
 }
 
+// silent is called when the server has given no sign for d. A request leaves it
+// only with a repeat in hand: were the repeat asked for later, another might
+// have taken the last one, and an answer had been cut for nothing.
+func (x *exchange) silent(d time.Duration, leave bool) {
+	q := x.q
+	late := x.overdue()
+	if late < 0 {
+		return // a sign came while this call waited to run; the timer is set anew
+	}
+	if late >= pressure.Starved || q.h.starved() {
+		x.await(d) // this host stood still: the answer may be here and not read yet
+		return
+	}
+	x.late.set()
+	q.h.told(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
+	if leave && q.h.State.TakeRetry(q.service) {
+		x.paid.set()
+		x.cancel()
+	}
+}
+
 // await begins anew to wait for a sign of the server, for at most d.
 func (x *exchange) await(d time.Duration) {
 	x.due.Store(time.Since(x.q.begin).Nanoseconds() + d.Nanoseconds())
 	x.timer.Reset(d)
 }
 
-// stalled reports whether this host was frozen or starved while it waited: its
-// timers are late then, and silence says nothing of the server.
-func (x *exchange) stalled() bool {
-	late := time.Since(x.q.begin) - time.Duration(x.due.Load())
-	return late >= pressure.Starved || x.q.h.starved()
+// overdue is how long ago the server's next sign was due; negative: it is not
+// due yet. A timer that fires late says that this host was frozen or starved.
+func (x *exchange) overdue() time.Duration {
+	return time.Since(x.q.begin) - time.Duration(x.due.Load())
 }
 
 // stopWatch ends the watch.
@@ -293,6 +306,7 @@
 
 // end tells the state what became of the job, and logs a change of belief.
 func (x *exchange) end(o pick.Outcome, why string) {
+	x.q.paid = x.paid.isSet()
 	x.q.h.told(x.server, x.q.h.State.End(&x.placed, o), why, x.q.ask.Attempt)
 }
 
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -38,7 +38,8 @@
 	Customer string
 	Ask      *routing.Ask
 	Tried    []string
-	Again    bool // it was sent before; admission is not asked again
+	Again    bool // it was placed before; admission is not asked again
+	Repeat   bool // it has reached a server: once more takes from the retry budget
 }
 
 // Why says why no server was given.
@@ -143,7 +144,7 @@
 		rates, level := s.meter.Sum(n.Customer, now)
 		return Placed{Why: why, Choice: c, Back: s.back(c, why), Rates: rates, Level: level}
 	}
-	if n.Again && !bucket.Take() {
+	if n.Repeat && !bucket.Take() {
 		return Placed{Why: WhySpent, Choice: c, Back: retryLeast}
 	}
 	s.meter.Served(n.Customer, tokens, now)
@@ -235,9 +236,10 @@
 	return s.picker.Late(j, s.now())
 }
 
-// MayRetry reports whether the service's retry budget has something left.
-func (s *State) MayRetry(service string) bool {
+// TakeRetry takes one repeat from the service's retry budget, and reports whether
+// there was one.
+func (s *State) TakeRetry(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.bucket(service).Tokens() >= 1
+	return s.bucket(service).Take()
 }
