pick: a choice looks at the prompt's homes and two engines at random

Loads are some 50 ms old, in which the fleet places 60 requests; each took the least loaded of 90 engines, so they flocked to the same few while others idled, and their parts were fetched or read again there. Ruled out: parts wrongly thought kept (a trial that forgets them after 5 or 2.5 s changes nothing).

Now the choice weighs the two homes and two engines drawn at random, all of them only when none of these is good. The test fails without the draw: all 64 routers take the same server.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -59,6 +60,14 @@
 	plainQueue = 3.0
 	// warmupX is how much slower a server counts that has just started.
 	warmupX = 1.5
+	// othersDrawn is how many engines a choice looks at beside a prompt's homes.
+	// Loads of other routers are some 50 ms old: if each router took the least
+	// loaded of all, all would take the same one, and its queue would be the
+	// longest before anyone heard of it. A few at random spread the requests
+	// (M. Mitzenmacher, How Useful Is Old Information?, 2000) and leave most at
+	// their homes. All, 8 and 3 of them: worth 0.57, 0.71 and 0.77 on quiet-1 of
+	// quetzal-despensa-grown (docs/MEASUREMENTS.md).
+	othersDrawn = 2
 	// peerStale is how long a router's word of its load counts.
 	peerStale = 1500 * time.Millisecond
 )
@@ -89,6 +98,7 @@
 	Full    bool          // every server is at its bound
 	// work is the request's own work with its price, in milliseconds.
 	work float64
+	rank int // how good the server is, by its health
 	// Candidates is how many servers could have been chosen.
 	Candidates int
 }
@@ -111,6 +121,7 @@
 // Picker is the state of the choice at one router.
 type Picker struct {
 	dataCentre string
+	rng        *rand.Rand
 	servers    map[string]*server
 	services   map[string][]*server
 	specs      map[string]*routing.Service
@@ -133,10 +144,11 @@
 	loads map[string]Load
 }
 
-// New returns a picker of a router in the data centre.
-func New(dataCentre string) *Picker {
+// New returns a picker of a router in the data centre. It draws from rng.
+func New(dataCentre string, rng *rand.Rand) *Picker {
 	return &Picker{
 		dataCentre: dataCentre,
+		rng:        rng,
 		servers:    map[string]*server{},
 		services:   map[string][]*server{},
 		specs:      map[string]*routing.Service{},
@@ -221,35 +233,69 @@
 	return r
 }
 
-// Choose returns the server with the least expected time. ok is false if there
-// is none that may be asked.
+// Choose returns the server with the least expected time: of a plain service any,
+// of engines one of the prompt's homes or of a few drawn at random, any if none of
+// these is good. ok is false if there is none that may be asked.
 func (p *Picker) Choose(req Request, now time.Time) (best Choice, ok bool) {
 	if p.stale {
 		p.sumPeers(now)
 	}
 	list := p.services[req.Service]
 	home, second := homes(req.Prompt, list, now)
+	if few := p.draw(list, home, second); len(few) > 0 {
+		best, ok = p.least(few, req, home, second, now)
+		if ok && best.rank == rankGood {
+			return best, true
+		}
+	}
+	return p.least(list, req, home, second, now)
+}
+
+// draw returns the homes and a few others, none if the list is too short for it
+// or of a plain service.
+func (p *Picker) draw(list []*server, home, second *server) []*server {
+	if len(list) <= othersDrawn || list[0].engine == nil {
+		return nil
+	}
+	few := make([]*server, 0, othersDrawn+2)
+	for _, s := range []*server{home, second} {
+		if s != nil {
+			few = append(few, s)
+		}
+	}
+	for range othersDrawn {
+		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
+			few = append(few, s)
+		}
+	}
+	return few
+}
+
+// least returns the server of the list with the least expected time among those
+// of the best rank.
+func (p *Picker) least(list []*server, req Request, home, second *server, now time.Time) (best Choice, ok bool) {
 	least := math.Inf(1)
-	rank := math.MaxInt
+	best.rank = math.MaxInt
+	candidates := 0
 	for _, s := range list {
 		if slices.Contains(req.Tried, s.ID) {
 			continue
 		}
 		r := s.health.rank(now)
-		if r > rank {
+		if r > best.rank {
 			continue
 		}
+		candidates++
 		c := p.expect(s, req, home, second, now)
-		best.Candidates++
 		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s)
-		if r < rank || cost < least {
+		if r < best.rank || cost < least {
 			least = cost
-			rank = r
-			c.Candidates = best.Candidates
 			best = c
+			best.rank = r
 			ok = true
 		}
 	}
+	best.Candidates = candidates
 	return best, ok
 }
 
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,8 +16,11 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // picker knows n engines in three data centres, and two plain servers.
-func picker(n int) *Picker {
-	p := New("dc0")
+func picker(n int) *Picker { return pickerOf(n, 1) }
+
+// pickerOf is a picker with draws of its own.
+func pickerOf(n int, seed uint64) *Picker {
+	p := New("dc0", rand.New(rand.NewPCG(seed, 2)))
 	p.SetServices([]routing.Service{
 		{Name: "llm", MaxConnections: 360, Engine: &routing.Engine{Slots: 64, CacheTokens: 232000, FetchPerToken: 2383}},
 		{Name: "app", MaxConnections: 96},
@@ -161,3 +165,36 @@
 		})
 	}
 }
+
+// Routers that have the same old word of the loads don't all take the server
+// that was the least loaded (quetzal-despensa-grown quiet-1: half of the engines
+// had 640 ms of work waiting by all routers' words while others had none).
+func TestRoutersDoNotFlockToOneServer(t *testing.T) {
+	const routers = 64
+	loads := map[string]Load{}
+	for i := range 90 {
+		loads[fmt.Sprintf("i-%03d", i)] = Load{Waiting: 2000}
+	}
+	loads["i-042"] = Load{}
+	taken := map[string]int{}
+	for r := range routers {
+		p := pickerOf(90, uint64(r))
+		p.PeerLoad("others", loads, at(0))
+		taken[choose(t, p, Request{Service: "llm", Prompt: prompt(r, 1)[2:]}, 10).Server.ID]++
+	}
+	assert.Assert(t, taken["i-042"] < routers/4, "%v", taken)
+	assert.Assert(t, len(taken) > routers/3, "%v", taken)
+}
+
+// One of the servers that are drawn is suspected: any other good one is better.
+func TestSuspectedHomesAreLeft(t *testing.T) {
+	p := picker(18)
+	req := Request{Service: "llm", Prompt: prompt(3, 1)}
+	bad := map[string]bool{}
+	for range 15 {
+		c := choose(t, p, req, 0)
+		assert.Assert(t, !bad[c.Server.ID])
+		bad[c.Server.ID] = true
+		p.End(p.Begin(req, c, at(0)), Failed, at(1))
+	}
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -48,7 +48,7 @@
 func New(dataCentre string, ratio, slack float64, now func() time.Time) *State {
 	return &State{
 		now:     now,
-		picker:  pick.New(dataCentre),
+		picker:  pick.New(dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		roster:  roster.New(),
 		meter:   fair.New(),
 		budgets: map[string]*budget.Bucket{},
