--- a/soak/faults.go
+++ b/soak/faults.go
@@ -42,6 +42,7 @@
 	"crash":   (*fleet).crash,
 	"drain":   (*fleet).drain,
 	"config":  (*fleet).change,
+	"grow":    (*fleet).grow,
 	"reload":  (*fleet).reload,
 }
 
@@ -50,7 +51,7 @@
 func calm(list []fault) bool {
 	for _, x := range list {
 		switch x.Kind {
-		case "stop", "reload", "config", "drain", "store", "lapse", "slow", "forget", "stale":
+		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "stale":
 		default:
 			return false
 		}
@@ -310,5 +311,25 @@
 	f.checkInForce(f.configure())
 }
 
+// extraRoutes is how many routes a configuration grows by: the largest growth on
+// the users' sheets.
+const extraRoutes = 1400
+
+// grow writes a configuration with many more routes, follows it until it is in
+// force, and takes them away again.
+func (f *fleet) grow(x fault) {
+	f.setExtra(extraRoutes)
+	f.checkInForce(f.configure())
+	time.Sleep(x.For)
+	f.setExtra(0)
+	f.checkInForce(f.configure())
+}
+
+func (f *fleet) setExtra(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.extra = n
+}
+
 // reload makes a router read its settings again.
 func (f *fleet) reload(x fault) { f.signal(f.router(x), syscall.SIGHUP) }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -66,6 +66,7 @@
 	routers []*router
 	servers []*server
 	version int
+	extra   int // routes beside those that are asked for
 	born    int // servers ever started
 	// troubles are the store's, and troubled is when the last one ended.
 	troubles []span
@@ -160,6 +161,9 @@
 	for v := max(1, f.version-1); v <= f.version; v++ {
 		routes = append(routes, route(fmt.Sprintf("/v%d/", v), "safe", "app", 2, false))
 	}
+	for i := range f.extra {
+		routes = append(routes, route(fmt.Sprintf("/extra/%d/", i), "safe", "app", 2, false))
+	}
 	f.store.PutConfig(platformtest.Config(f.version, routes, []string{"llm"}, []string{"app"}, keys))
 	return f.version
 }
