--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -214,16 +214,17 @@
 // comes back at another router. The customers that crowd this host go first.
 func (q *request) behind() *Refusal {
 	running := q.h.running.Load()
+	wait := q.h.ProcessorWait()
 	reason := ""
 	switch {
 	case running > q.h.MaxRunning:
 		reason = "too many requests are in progress here"
-	case q.h.starved():
+	case wait >= pressure.Starved:
 		reason = "this router is behind its work"
 	default:
 		return nil
 	}
-	room := float64(running) <= overRoom*float64(q.h.MaxRunning) && q.h.ProcessorWait() < pressure.Drowned
+	room := float64(running) <= overRoom*float64(q.h.MaxRunning) && wait < pressure.Drowned
 	if room && !q.h.progress.crowds(q.customer) {
 		return nil
 	}
@@ -231,7 +232,7 @@
 		Status: http.StatusServiceUnavailable,
 		Reason: reason,
 		Back:   comeBack,
-		inputs: []any{"running", running, "processorWaitMs", q.h.ProcessorWait().Milliseconds()},
+		inputs: []any{"running", running, "processorWaitMs", wait.Milliseconds()},
 	}
 }
 
