front, node: the configuration's limits of header, header time and idle time hold

Only the body's limit was the configuration's; the rest were the listener's own (64 KB, 5 s, 60 s). A header beyond it is 431; a connection without a whole first header, or between two requests, is closed after its time.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -195,6 +195,9 @@
 		q.customer = customer.Name
 	}
 	q.limits = table.Config.Limits
+	if limits := q.limits; limits.MaxHeaderBytes > 0 && headerBytes(q.r) > limits.MaxHeaderBytes {
+		return &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "header too large"}
+	}
 	if limits := q.limits; limits.MaxBodyBytes > 0 && q.r.ContentLength > limits.MaxBodyBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
 	}
@@ -210,6 +213,20 @@
 	return nil
 }
 
+// lineOverhead is what a header line has beside its name and value.
+const lineOverhead = len(": \r\n")
+
+// headerBytes is the size of a request's header as its caller sent it.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineOverhead + len("Host") + len(r.Host) + lineOverhead
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + lineOverhead
+		}
+	}
+	return size
+}
+
 // behind refuses a request that this host has no time or room for. Its caller
 // comes back at another router. The customers that crowd this host go first.
 func (q *request) behind() *Refusal {
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -412,6 +412,19 @@
 	assert.Assert(t, !strings.Contains(r.log.String(), "suspected"), r.log.String())
 }
 
+// The configuration's limit of a header holds.
+func TestHeaderTooLarge(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	query := strings.Repeat("x", 16<<10)
+	a := r.call(context.Background(), "GET", "/r/x?"+query, "k", "")
+	assert.Equal(t, a.status, 431)
+	assert.Equal(t, len(runs(plain)), 0)
+	a = r.call(context.Background(), "GET", "/r/x?"+query[:15<<10], "k", "")
+	assert.Equal(t, a.status, 200)
+}
+
 // The requests in progress are bounded: their memory is.
 func TestTooManyInProgressAreRefused(t *testing.T) {
 	r := newRig(t)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -38,9 +38,9 @@
 	// one takes some 50 KB with its body, buffers and stacks, and the collector
 	// as much again. 112 MB were used up by some 900 (tpa-hq-grown scale-1).
 	runsPerMB = 4
-	// headerTimeout and idleTimeout bound callers; the configuration's own
-	// limits are 3 s and 15 s on the users' sheets, and callers use idle
-	// connections up to four fifths of the latter.
+	// headerTimeout and idleTimeout bound callers until a configuration is known,
+	// and from above: its own limits, 3 s and 15 s on the users' sheets, are kept
+	// by silence and, for the header's size, by the handler.
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 64 << 10
@@ -97,6 +97,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         newSilence(n.state.Limits).changed,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	if err := n.listen(); err != nil {
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -66,6 +66,17 @@
 	return s.table, s.now().Sub(s.confirmed)
 }
 
+// Limits returns what the configuration in force allows callers; before the
+// first is known, nothing is said.
+func (s *State) Limits() routing.Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return routing.Limits{}
+	}
+	return s.table.Config.Limits
+}
+
 // Stale reports whether what is unknown may be newer than the view.
 func Stale(age time.Duration) bool { return age > viewStale }
 
