--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -149,13 +150,13 @@
 	if len(prompt) < 2 {
 		return nil, nil
 	}
-	key := prompt[len(prompt)-2].ID
+	key := xxhash.Sum64String(prompt[len(prompt)-2].ID)
 	var top, next uint64
 	for _, s := range list {
 		if s.health.rank(now) != rankGood {
 			continue
 		}
-		score := xxhash.Sum64String(key + "/" + s.ID)
+		score := mix(key, s.hash)
 		switch {
 		case home == nil || score > top:
 			second, next = home, top
@@ -167,5 +168,13 @@
 	return home, second
 }
 
+// mix hashes two hashes into one.
+func mix(a, b uint64) uint64 {
+	var text [16]byte
+	binary.LittleEndian.PutUint64(text[:8], a)
+	binary.LittleEndian.PutUint64(text[8:], b)
+	return xxhash.Sum64(text[:])
+}
+
 // millis is a duration of ms milliseconds.
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -106,6 +108,7 @@
 // server is what the picker knows of one start of a backend server.
 type server struct {
 	routing.Server
+	hash      uint64 // of its ID
 	engine    *routing.Engine
 	own       Load
 	peers     Load
@@ -194,7 +197,7 @@
 		named[entry.ID] = true
 		s := p.servers[entry.ID]
 		if s == nil {
-			s = &server{slow: 1}
+			s = &server{slow: 1, hash: xxhash.Sum64String(entry.ID)}
 			p.servers[entry.ID] = s
 		}
 		s.Server = entry
