--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -244,3 +244,10 @@
 		return a.state.Stamp().Version == 9
 	})
 }
+
+// What is told in some ticks only reaches the other data centres too, which are
+// told in some ticks only.
+func TestOtherDataCentresHearAllKinds(t *testing.T) {
+	assert.Equal(t, sumEvery%ratesEvery, 0)
+	assert.Equal(t, knownEvery%sumEvery, 0)
+}
