fair: shares are of the capacity that the configuration tells when less is served

The level was worked out from what was served alone: failures and outages lower it, more customers stand above it and are refused, and less is served. What is owed is a share of the capacity in the configuration, which was decoded and not used. The level is now the higher of the two. Tried and reverted: nobody refused while servers have time on average.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -63,6 +63,9 @@
 	peers map[string]word
 	sums  map[string]Rates
 	level float64
+	// capacity is what the backend servers make together, tokens a second, as the
+	// configuration says; 0: it does not.
+	capacity float64
 	// contended is whether customers lack much of their shares.
 	contended bool
 	at        time.Time
@@ -204,26 +207,40 @@
 			m.sums[name] = sum
 		}
 	}
-	m.level = level(m.sums)
+	m.level = max(level(m.sums, served(m.sums)), level(m.sums, m.capacity))
 	m.contended = contended(m.sums, m.level)
 }
 
-// level returns the rate L with sum(min(asked, L)) = sum(served): what each
-// customer could have had at most if all had been given even shares.
-func level(sums map[string]Rates) float64 {
+// SetCapacity says what the backend servers make together, tokens a second;
+// 0: it is not known.
+func (m *Meter) SetCapacity(tokensPerSec float64) {
+	m.capacity = tokensPerSec
+	m.at = time.Time{}
+}
+
+// served is what all customers were served.
+func served(sums map[string]Rates) float64 {
+	all := 0.0
+	for _, r := range sums {
+		all += r.Served
+	}
+	return all
+}
+
+// level returns the rate L with sum(min(asked, L)) = all: what each customer can
+// have at most if all of it is given in even shares.
+func level(sums map[string]Rates, all float64) float64 {
 	asked := make([]float64, 0, len(sums))
-	left := 0.0
 	for _, r := range sums {
 		asked = append(asked, r.Asked)
-		left += r.Served
 	}
 	slices.Sort(asked)
 	for i, a := range asked {
-		share := left / float64(len(asked)-i)
+		share := all / float64(len(asked)-i)
 		if a >= share {
 			return share
 		}
-		left -= a
+		all -= a
 	}
 	return math.Inf(1)
 }
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -18,12 +18,12 @@
 		"small": {Asked: 50, Served: 50},
 		"big":   {Asked: 400, Served: 200},
 		"huge":  {Asked: 900, Served: 50},
-	})
+	}, 300)
 	assert.Equal(t, got, 125.0)
 }
 
 func TestThereIsNoLevelWhileAllAreServed(t *testing.T) {
-	got := level(map[string]Rates{"a": {Asked: 50, Served: 50}, "b": {Asked: 10, Served: 10}})
+	got := level(map[string]Rates{"a": {Asked: 50, Served: 50}, "b": {Asked: 10, Served: 10}}, 60)
 	assert.Assert(t, got >= 50 || math.IsInf(got, 1))
 }
 
@@ -83,3 +83,21 @@
 	m.Peer("p", map[string]Rates{"owed": {Asked: 2000, Served: 1900}, "tiny": {Asked: 10, Served: 0}}, at(500))
 	assert.Assert(t, !m.Contended(at(600)), "one small refusal is no contention")
 }
+
+// What the servers make together is shared out also while less is served: the
+// failure of a few requests must not lower everyone's share, and with it what is
+// served (tpa-hq-grown hunt-6530-7: half of the capacity idle for six seconds
+// while customers above such a share were refused).
+func TestShareIsOfTheCapacityWhenLessIsServed(t *testing.T) {
+	m := New()
+	m.SetCapacity(1000)
+	m.Asked("big", 4000, at(0))
+	m.Served("big", 600, at(0))
+	m.Asked("small", 400, at(0))
+	m.Served("small", 100, at(0))
+	_, share := m.Sum("big", at(1))
+	assert.Assert(t, share > 750, "what small leaves of 1,000: %v", share)
+	assert.Assert(t, m.Standing("big", at(1)) != Over)
+	m.SetCapacity(0)
+	assert.Equal(t, m.Standing("big", at(1)), Over)
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -121,6 +121,7 @@
 	s.table = table
 	s.raw = raw
 	s.picker.SetServices(c.Services)
+	s.meter.SetCapacity(c.Limits.TokensPerSec)
 	return true
 }
 
