peers: each reporter tells the total every 40 ms

A data centre has two reporters, and each told each router every 20 ms: 100 words a second, most of a small host's processor time in quiet times. Now they tell every second tick each.

--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -38,6 +38,9 @@
 	// tpa-hq-grown quiet-1. In a small fleet, where each tells each, 40 or 80 ms gain
 	// nothing (docs/MEASUREMENTS.md).
 	sumEvery = 4
+	// totalEvery is in how many ticks a reporter tells the routers of its data
+	// centre: there are two of them, so that a router hears one every 20 ms.
+	totalEvery = 2
 	// knownEvery is in how many words one tells which routers this one hears.
 	knownEvery = 20
 	// toldOld is the age of the last word of the store at which a router that is
@@ -176,6 +179,9 @@
 	if p.ticks%sumEvery != 0 {
 		to.Sum = nil
 	}
+	if p.ticks%totalEvery != 0 {
+		to.Total = nil
+	}
 	p.mu.Unlock()
 	for _, addr := range lost {
 		events.PeerLost.Log(context.Background(), p.Log, slog.LevelWarn, "peer", addr)
