--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -77,6 +77,7 @@
 	s.own.Waiting += j.missing
 	s.own.Memory += j.memory
 	s.own.Running++
+	p.busy[s.ID] = s
 	if s.health.strikes > 0 {
 		s.health.trying = true
 	}
@@ -136,6 +137,9 @@
 	s := j.s
 	s.own.Running--
 	s.own.Memory -= j.memory
+	if s.own.Running == 0 {
+		delete(p.busy, s.ID)
+	}
 	return p.judge(s, o, now)
 }
 
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -4,7 +4,8 @@
 // read. It has no input or output; time comes in as an argument.
 //
 // Invariants: a job is in its server's waiting list from Begin until its first
-// event or its end; the sums of a server are those of its jobs.
+// event or its end; the sums of a server are those of its jobs; a server is among
+// the busy ones while it has any.
 package pick
 
 import (
@@ -126,6 +127,7 @@
 	dataCentre string
 	rng        *rand.Rand
 	servers    map[string]*server
+	busy       map[string]*server // those with requests of this router
 	services   map[string][]*server
 	specs      map[string]*routing.Service
 	peers      map[string]peerLoad
@@ -153,6 +155,7 @@
 		dataCentre: dataCentre,
 		rng:        rng,
 		servers:    map[string]*server{},
+		busy:       map[string]*server{},
 		services:   map[string][]*server{},
 		specs:      map[string]*routing.Service{},
 		peers:      map[string]peerLoad{},
@@ -356,11 +359,9 @@
 
 // Loads returns this router's load at each server where it has any.
 func (p *Picker) Loads() map[string]Load {
-	loads := make(map[string]Load, len(p.servers))
-	for id, s := range p.servers {
-		if s.own != (Load{}) {
-			loads[id] = s.own
-		}
+	loads := make(map[string]Load, len(p.busy))
+	for id, s := range p.busy {
+		loads[id] = s.own
 	}
 	return loads
 }
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -198,3 +198,20 @@
 		p.End(p.Begin(req, c, at(0)), Failed, at(1))
 	}
 }
+
+// What is told of is what this router has at servers now.
+func TestLoadsAreThoseInUse(t *testing.T) {
+	p := picker(18)
+	req := Request{Service: "llm", Prompt: prompt(1, 1), Out: 10}
+	c := choose(t, p, req, 0)
+	a, b := p.Begin(req, c, at(0)), p.Begin(req, c, at(0))
+	assert.DeepEqual(t, p.Loads(), map[string]Load{c.Server.ID: {Waiting: a.missing + b.missing, Memory: a.memory + b.memory, Running: 2}})
+	p.First(a, at(10))
+	p.End(a, Worked, at(20))
+	assert.DeepEqual(t, p.Loads(), map[string]Load{c.Server.ID: {Waiting: b.missing, Memory: b.memory, Running: 1}})
+	p.SetServers(nil) // the one that is left goes on
+	assert.Equal(t, len(p.Loads()), 1)
+	p.End(b, Worked, at(30))
+	p.End(b, Worked, at(40))
+	assert.Equal(t, len(p.Loads()), 0)
+}
