spread, peers: above 96 routers words are told at a pace that falls with the fleet

Each doubling above 96 routers now halves the pace: every 40 ms at 100 routers, 80 at 300, 160 at 410; nothing changes below. One ticker in place of three wakes a router to tell and to fetch. A benchmark of words at 90, 600 and 3,000 servers stays.

--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -30,6 +30,10 @@
 	// missing. Two in each of 5 data centres cost 0.032 of worth on
 	// quetzal-despensa-grown.
 	readersMost = 3
+	// fullPaceMost is the largest fleet whose routers tell at each tick. Above it
+	// what a reporter sends and all take in would grow with the fleet: each doubling
+	// halves the pace.
+	fullPaceMost = 96
 	// LiveFor is how long a router counts as live after the last word of it,
 	// its own or a reporter's.
 	LiveFor = 2 * time.Second
@@ -196,6 +200,16 @@
 // silent for a short time included.
 func (s *Spread) Count() int { return len(s.known) + 1 }
 
+// Pace is in how many ticks routers tell each other, a power of two: 1 in a
+// fleet of today's sizes, 8 at 410 routers.
+func (s *Spread) Pace() int {
+	pace := 1
+	for s.Count() > fullPaceMost*pace {
+		pace *= 2
+	}
+	return pace
+}
+
 // Mesh reports whether each router tells each.
 func (s *Spread) Mesh() bool { return len(s.Live())+1 <= meshMost }
 
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -121,3 +121,11 @@
 	assert.Assert(t, s.Heard(Member{Addr: "b:1"}, LiveFor/2, start))
 	assert.Equal(t, len(s.Live()), 1)
 }
+
+// The pace is that of today's sizes up to the largest of them with its spares,
+// and halves with each doubling above.
+func TestPaceFallsWithTheFleet(t *testing.T) {
+	for n, pace := range map[int]int{6: 1, 64: 1, 96: 1, 97: 2, 192: 2, 300: 4, 410: 8} {
+		assert.Equal(t, fleet(n)[0].Pace(), pace, "%d", n)
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -151,10 +151,8 @@
 	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Role: n.peers.Role}
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
-	n.loop(g, n.peers.Send)
+	n.loop(g, n.peers.Run)
 	n.loop(g, n.peers.Receive)
-	n.loop(g, n.peers.PullConfig)
-	n.loop(g, n.peers.PullServers)
 	n.loop(g, n.tick)
 	n.loop(g, n.probe.Run)
 	n.loop(g, n.register)
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -97,6 +97,10 @@
 	views  map[string]*peer
 	words  map[string]heardWord // by sender: loads of this data centre's routers, sums of others
 	ticks  int
+
+	// What is being fetched. The servers are fetched apart from the configuration:
+	// a peer that does not answer must not hold up both.
+	configs, servers fetch
 }
 
 // New returns the peers of a router. conn is its datagram socket.
@@ -150,8 +154,9 @@
 	return follow.Told
 }
 
-// Send tells the peers of this router until ctx ends.
-func (p *Peers) Send(ctx context.Context) error {
+// Run tells the peers of this router and fetches what they have newer, until ctx
+// ends. One ticker does for both: a small host pays for each time it wakes.
+func (p *Peers) Run(ctx context.Context) error {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
 	for {
@@ -159,14 +164,22 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			p.tell(time.Now())
+			now := time.Now()
+			p.tell(now)
+			p.pullNewer(ctx, now)
+			p.pullList(ctx, now)
 		}
 	}
 }
 
-// tell sends this router's words.
+// tell sends this router's words, if it is time for them.
 func (p *Peers) tell(now time.Time) {
 	p.mu.Lock()
+	p.ticks++
+	if p.ticks%p.spread.Pace() != 0 {
+		p.mu.Unlock()
+		return
+	}
 	lost := p.spread.Tick(now)
 	for _, addr := range lost {
 		delete(p.views, addr)
@@ -230,7 +243,6 @@
 // known are the routers that this one hears, told every few ticks; the lock is
 // held.
 func (p *Peers) known(now time.Time) []knownRouter {
-	p.ticks++
 	if p.ticks%knownEvery != 0 {
 		return nil
 	}
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -41,10 +41,8 @@
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = server.Serve(ln) }()
-	go func() { _ = p.Send(ctx) }()
+	go func() { _ = p.Run(ctx) }()
 	go func() { _ = p.Receive(ctx) }()
-	go func() { _ = p.PullConfig(ctx) }()
-	go func() { _ = p.PullServers(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		_ = conn.Close()
@@ -173,7 +171,7 @@
 }
 
 // lone returns the peers of a router that talks to nobody, by the given clock.
-func lone(t *testing.T, now func() time.Time, wait func() time.Duration) *Peers {
+func lone(t testing.TB, now func() time.Time, wait func() time.Duration) *Peers {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.39")})
 	assert.NilError(t, err)
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/roster"
@@ -14,42 +15,41 @@
 	"github.com/windscale/windscale/internal/events"
 )
 
-// PullConfig fetches the configuration of peers that are ahead, until ctx ends.
-// The servers are fetched apart from it: a peer that does not answer must not
-// hold up both.
-func (p *Peers) PullConfig(ctx context.Context) error {
-	return every(ctx, func(now time.Time) {
-		if from := p.ahead(now); from != "" {
-			p.pullConfig(ctx, from)
-		}
-	})
+// fetch is one kind of fetches, of which one at most is in progress.
+type fetch struct {
+	busy atomic.Bool
+	last time.Time // when the last one began
 }
 
-// PullServers fetches the servers of peers that are ahead, until ctx ends.
-func (p *Peers) PullServers(ctx context.Context) error {
-	var last time.Time
-	return every(ctx, func(now time.Time) {
-		if now.Sub(last) < p.serversPause() {
-			return
-		}
-		if from := p.newerServers(now); from != "" {
-			last = now
-			p.pullServers(ctx, from)
-		}
-	})
+// begin runs f unless an earlier one is in progress.
+func (g *fetch) begin(now time.Time, f func()) {
+	if !g.busy.CompareAndSwap(false, true) {
+		return
+	}
+	g.last = now
+	go func() {
+		defer g.busy.Store(false)
+		f()
+	}()
 }
 
-// every calls f each reportEvery until ctx ends.
-func every(ctx context.Context, f func(now time.Time)) error {
-	tick := time.NewTicker(reportEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			f(time.Now())
-		}
+// pullNewer begins to fetch the configuration of a peer that is ahead.
+func (p *Peers) pullNewer(ctx context.Context, now time.Time) {
+	if p.configs.busy.Load() {
+		return
+	}
+	if from := p.ahead(now); from != "" {
+		p.configs.begin(now, func() { p.pullConfig(ctx, from) })
+	}
+}
+
+// pullList begins to fetch the list of servers of a peer that is ahead.
+func (p *Peers) pullList(ctx context.Context, now time.Time) {
+	if p.servers.busy.Load() || now.Sub(p.servers.last) < p.serversPause() {
+		return
+	}
+	if from := p.newerServers(now); from != "" {
+		p.servers.begin(now, func() { p.pullServers(ctx, from) })
 	}
 }
 
--- /dev/null
+++ b/internal/edge/peers/scale_test.go
@@ -0,0 +1,56 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// BenchmarkWord is what a router pays for one word of the fleet's total, and for
+// one of its own, at several sizes.
+func BenchmarkWord(b *testing.B) {
+	for _, servers := range []int{90, 600, 3000} {
+		p := lone(b, time.Now, noWait)
+		var list []routing.Server
+		for i := range servers {
+			list = append(list, routing.Server{ID: fmt.Sprintf("i-%010x", i), Service: "llm", Slots: 32, State: routing.ServerReady})
+		}
+		p.State.TakeConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 32, CacheTokens: 300000}}}}, nil)
+		p.State.ServersReplaced(list, roster.Stamp{Version: 1}, true)
+		w := word{Control: "10.0.0.1:1", DataCentre: "dc", Kind: kindTotal, Version: 1, List: 1, Loads: map[string][3]int64{}, Rates: map[string][2]int64{}}
+		for i := range min(servers, 200) {
+			w.Loads[list[i].ID] = [3]int64{5000, 9000, 3}
+		}
+		for i := range 30 {
+			w.Rates[fmt.Sprintf("cust%03d", i)] = [2]int64{10000, 9000}
+		}
+		text, err := cbor.Marshal(w)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("taken/servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(text)), "bytes")
+			for b.Loop() {
+				var w word
+				if err := cbor.Unmarshal(text, &w); err != nil {
+					b.Fatal(err)
+				}
+				p.take(w, time.Now())
+			}
+		})
+		b.Run(fmt.Sprintf("told/servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := cbor.Marshal(p.word(kindOwn, p.State.Report(), nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
