soak: routers end with the soak, also when it is interrupted

An interrupted soak left three routers running (seen: ended by their pids). Now the kernel ends them with their parent, as in test/fleet.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -209,6 +209,7 @@
 		return err
 	}
 	cmd := exec.Command(f.binary, "--settings", r.file)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the soak is interrupted
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
