--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -9,6 +9,7 @@
 // statusCommand shows the routers and whether the settings are in force.
 type statusCommand struct {
 	deferred
+	Edge []string `long:"edge" value-name:"IP:PORT" description:"metrics address of a windscale-edge on the users' platform: show those in place of the fleet's routers; may be given several times"`
 }
 
 // fleet is the output in JSON.
@@ -19,6 +20,9 @@
 }
 
 func (c *statusCommand) run(ctx context.Context, a *app) error {
+	if len(c.Edge) > 0 {
+		return c.edges(ctx, a)
+	}
 	if _, err := a.admin(); err != nil {
 		return err
 	}
