--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -143,11 +143,8 @@
 // follower or one's own reporter tells.
 func TestAgesDoNotGoRound(t *testing.T) {
 	clock := time.Unix(1000, 0)
-	s := state.New("dc", 0.2, 80, func() time.Time { return clock })
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.37")})
-	assert.NilError(t, err)
-	defer func() { _ = conn.Close() }()
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.37:1", DataCentre: "dc"}, conn, platform.DecodeConfig, noWait)
+	p := lone(t, func() time.Time { return clock }, noWait)
+	s := p.State
 	assert.Assert(t, s.TakeConfig(&routing.Config{Version: 5}, nil))
 	s.Confirm(0)
 	age := func() time.Duration {
