pick: what an engine is, is learnt as a line through its first tokens

Cause: the speed of reading began at 32 tokens a ms and could be learnt up to 40; the new customer's engines read 112 and add 50 ms to each first token. Change: least squares of ms against tokens read before, old ones fading. Ruled out: lateness at engines as the loss.

--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -26,21 +26,31 @@
 		return p.expectPlain(s)
 	}
 	learnt := p.rate(s.Service)
-	rate := learnt.tokensPerMs / s.slowness(learnt.slow) / learnt.err
+	rate, base := learnt.first.fit()
+	slowness := s.slowness(learnt.slow)
+	rate /= slowness
 	need := s.need(req.Prompt, home, second)
 	work := need.cost(rate)
-	ms := s.backlog(now, rate) / rate
+	ahead := s.backlog(now, rate)
+	ms := ahead / rate
+	ahead = (ahead + need.first + need.again) * slowness
+	if need.fetched > 0 {
+		ahead = -1
+	}
 	if over := s.own.Running + s.peers.Running + 1 - s.engine.Slots; over > 0 {
 		ms += float64(over) * slotWaitMs
+		ahead = -1
 	}
 	size := int64(routing.Tokens(req.Prompt) + req.Out)
 	if float64(s.own.Memory+s.peers.Memory+size) > memoryFull*float64(s.engine.CacheTokens) {
 		ms += memoryWaitMs
+		ahead = -1
 	}
 	return Choice{
 		Server:  s.Server,
 		Wait:    millis(ms),
-		Own:     millis(need.time(rate)),
+		Own:     millis(base + need.time(rate)),
+		ahead:   ahead,
 		Missing: int(need.first + need.again),
 		FetchAt: need.fetchAt,
 		work:    work,
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -22,16 +22,10 @@
 const (
 	// learn is the weight of one observation of a speed.
 	learn = 0.1
-	// learnCommon is the same for what all servers of a service have in common:
-	// a router sees some 50 first tokens a second.
-	learnCommon = 0.02
-	// leastErr and mostErr bound what is learnt of it.
-	leastErr = 0.8
-	mostErr  = 3.0
 	// slowest bounds how slow a server counts.
 	slowest = 12.0
-	// reactMs is what passes before an engine's first token beside reading:
-	// one step and the way there and back.
+	// reactMs is added to both sides of a comparison of times, the way there and
+	// back: a few milliseconds more say nothing of a server.
 	reactMs = 10.0
 )
 
@@ -44,6 +38,7 @@
 	memory  int64
 	began   time.Time
 	expect  time.Duration
+	ahead   float64 // tokens to be read before its first token; negative: not told by its time
 	started bool
 	ended   bool
 }
@@ -64,6 +59,7 @@
 		prompt:  req,
 		began:   now,
 		expect:  c.Wait + c.Own,
+		ahead:   c.ahead,
 	}
 	if s.engine != nil {
 		j.missing = int64(c.Missing)
@@ -92,11 +88,9 @@
 	}
 	p.unwait(j, now)
 	took := float64(now.Sub(j.began)) / float64(time.Millisecond)
-	ratio := (took + 1) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
-	if j.s.engine != nil {
-		learnt := p.rate(j.service)
-		learnt.err += learnCommon * (min(ratio, slowest)*learnt.err - learnt.err)
-		learnt.err = min(max(learnt.err, leastErr), mostErr)
+	ratio := (took + reactMs) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
+	if j.s.engine != nil && j.ahead >= 0 {
+		p.rate(j.service).first.see(j.ahead, took)
 	}
 	s := j.s
 	s.slow += learn * (min(ratio, slowest)*s.slow - s.slow)
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -20,10 +20,6 @@
 )
 
 const (
-	// tokensPerMs is how fast an engine reads prompts, until it is learnt:
-	// 38.7 and 42.6 tokens a millisecond on the users' sheets, less the steps
-	// between the chunks of a prompt (5.5 ms for 1,024 tokens).
-	tokensPerMs = 32.0
 	// unknownShare is the part of a shared prompt that counts as missing at its
 	// home server while this router has not sent it there.
 	unknownShare = 0.1
@@ -101,7 +97,10 @@
 	Full    bool          // every server is at its bound
 	// work is the request's own work with its price, in milliseconds.
 	work float64
-	rank int // how good the server is, by its health
+	// ahead is how many tokens are to be read before its first token; negative: the
+	// time is made up of more than reading, and says nothing of its speed.
+	ahead float64
+	rank  int // how good the server is, by its health
 	// Candidates is how many servers could have been chosen.
 	Candidates int
 }
@@ -137,10 +136,9 @@
 
 // speed is what was learnt of a service's speed.
 type speed struct {
-	tokensPerMs float64
-	workMs      float64
-	slow        float64 // the median slowness of its servers
-	err         float64 // how much longer first tokens take than expected
+	first  line // of an engine
+	workMs float64
+	slow   float64 // the median slowness of its servers
 }
 
 // peerLoad is the last word of another router.
@@ -233,7 +231,7 @@
 func (p *Picker) rate(service string) *speed {
 	r := p.rates[service]
 	if r == nil {
-		r = &speed{tokensPerMs: tokensPerMs, workMs: plainWorkMs, slow: 1, err: 1}
+		r = &speed{first: newLine(), workMs: plainWorkMs, slow: 1}
 		p.rates[service] = r
 	}
 	return r
