--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -104,3 +104,18 @@
 	r.NotFollowed()
 	assert.Equal(t, r.Followed(after(9*time.Second)), time.Duration(0))
 }
+
+// A server that was known to be leaving before an outage of the store stays so while
+// its entry is missing and in doubt: it gets no request, however long the outage.
+func TestALeavingServerStaysSoThroughAnOutage(t *testing.T) {
+	r := New()
+	now := time.Unix(1000, 0)
+	r.StoreBack(now)
+	r.Apply([]routing.Server{{ID: "a", State: routing.ServerDraining}}, nil, now)
+	r.StoreDown(now.Add(time.Second))
+	r.StoreBack(now.Add(4 * time.Second))
+	r.Replace(nil, false, now.Add(4*time.Second))
+	for _, s := range r.List() {
+		assert.Assert(t, !s.Takes(), "%s", s.ID)
+	}
+}
--- /dev/null
+++ b/internal/dial/dial_test.go
@@ -0,0 +1,33 @@
+package dial
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A connection that goes silent is noticed by the system: after what was sent is not
+// acknowledged, or when a probe of a quiet connection is not.
+func TestConnectionsNoticeSilence(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	c, err := Dialer(time.Second).Dial("tcp4", ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	get := func(level, option int) (value int) {
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			value, err = syscall.GetsockoptInt(int(fd), level, option)
+		}))
+		assert.NilError(t, err)
+		return value
+	}
+	assert.Equal(t, get(syscall.IPPROTO_TCP, tcpUserTimeout), int(unackedTimeout.Milliseconds()))
+	assert.Equal(t, get(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE), 1)
+	assert.Equal(t, get(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE), 1)
+}
--- /dev/null
+++ b/internal/edge/front/caller_test.go
@@ -0,0 +1,122 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/windscale/windscale/internal/edge/front"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// warm makes n requests at once, after which connections to servers are kept.
+func (r *rig) warm(n int, paths ...string) {
+	r.t.Helper()
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			req, err := http.NewRequest("POST", r.server.URL+paths[i%len(paths)], strings.NewReader("body"))
+			assert.Check(r.t, err)
+			req.Host = platformtest.Host
+			platformtest.Ask(req.Header, fmt.Sprintf("warm-%d", i), "k", 2*time.Second, "")
+			resp, err := http.DefaultClient.Do(req)
+			assert.Check(r.t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Check(r.t, err)
+			assert.Check(r.t, resp.Body.Close())
+		})
+	}
+	all.Wait()
+}
+
+// The pattern: a host that was behind finds requests in its sockets whose callers gave
+// up waiting to be read. It reads a request and the close behind it together; none of
+// them reaches a server.
+func TestARequestWhoseCallerGaveUpUnreadReachesNoServer(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	engines, plain := r.servers(1)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	const callers = 60
+	r.warm(callers, "/r/x", "/u/x", "/s/x")
+	before := len(runs(engines)) + len(runs(plain))
+	for i := range callers {
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		assert.NilError(t, err)
+		path := []string{"/r/x", "/u/x", "/s/x"}[i%3]
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer k\r\n%s: left-%d\r\nContent-Length: 4\r\n\r\nbody",
+			path, platformtest.Host, platformtest.AttemptHeader, i)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+	}
+	ended := make(chan net.Conn, callers)
+	server := &http.Server{
+		Handler: r.handler, ConnContext: front.WithConn, ReadHeaderTimeout: time.Second,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateClosed {
+				ended <- c
+			}
+		},
+	}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := len(ended); n < callers {
+			return poll.Continue("%d ended", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	assert.Equal(t, len(runs(engines))+len(runs(plain))-before, 0)
+}
+
+// A promise that a request has not run is never made of one that a server ran, however
+// its answer was lost.
+func TestWhatAServerRanIsNoPromise(t *testing.T) {
+	for _, fault := range []platformtest.Fault{
+		platformtest.ResetAfter, platformtest.CutAnswer, platformtest.Garbage, platformtest.ServerFail, platformtest.ExtraFirst, platformtest.Unframed,
+	} {
+		for _, path := range []string{"/u/x", "/o/x", "/r/x", "/s/x"} {
+			r := newRig(t)
+			r.configure()
+			engines, plain := r.servers(2)
+			for _, s := range append(engines, plain...) {
+				s.Fail(func(string) platformtest.Fault { return fault })
+			}
+			a := r.call(t.Context(), "POST", path, "k", "body")
+			ran := len(runs(engines))+len(runs(plain)) > 0
+			assert.Assert(t, ran)
+			switch a.status {
+			case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+				t.Errorf("fault %d on %s: status %d though a server ran it", fault, path, a.status)
+			}
+		}
+	}
+}
+
+// The pattern: the connections that a host keeps to a server go silent for good, all at
+// once, while new ones work. The first request that meets it is late; the next ones take
+// new connections, not the other silent ones.
+func TestAfterASilenceKeptConnectionsAreNotUsed(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	plain[0].Gap = 50 * time.Millisecond
+	r.warm(4, "/r/x")
+	opened := plain[0].Opened()
+	assert.Assert(t, opened > 1, "several connections are kept")
+	plain[0].Fail(func(string) platformtest.Fault { return platformtest.Mute })
+	r.call(t.Context(), "GET", "/r/x", "k", "")
+	assert.Assert(t, strings.Contains(r.log.String(), "silent"))
+	plain[0].Fail(nil)
+	assert.Equal(t, r.call(t.Context(), "GET", "/r/x", "k", "").status, 200)
+	assert.Equal(t, plain[0].Opened(), opened+1, "the other kept connections were closed")
+}
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -52,6 +52,10 @@
 func (q *request) run() {
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
+	if q.hasLeft() {
+		q.leave()
+		panic(http.ErrAbortHandler) // nobody reads an answer
+	}
 	var f *Refusal
 	for {
 		placed := q.place()
@@ -144,7 +148,7 @@
 	q.tried = append(q.tried, server.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x := &exchange{q: q, placed: p, job: p.Job, server: server, cancel: cancel}
+	x := &exchange{q: q, placed: p, job: p.Job, server: server, cancel: cancel, began: time.Now()}
 	x.watch(q.patience(p.Choice))
 	defer x.stopWatch()
 	if q.routine {
@@ -212,6 +216,7 @@
 	job    *pick.Job
 	server routing.Server
 	cancel context.CancelFunc
+	began  time.Time
 	timer  *time.Timer
 	due    atomic.Int64 // when the timer is due, ns after the request's begin
 	late   mark         // its server was silent for too long
@@ -241,6 +246,7 @@
 		return
 	}
 	x.late.set()
+	q.h.Pool.Doubt(x.server.ID, x.began)
 	q.h.told(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
 	if leave && q.h.State.TakeRetry(q.service) {
 		x.paid.set()
--- a/internal/edge/node/crowd.go
+++ b/internal/edge/node/crowd.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // connsPerMB is how many connections of callers a router keeps for each MB of
@@ -51,6 +52,15 @@
 	once  sync.Once
 }
 
+// SyscallConn returns the connection below.
+func (c *counted) SyscallConn() (syscall.RawConn, error) {
+	below, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSOCK
+	}
+	return below.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *counted) Close() error {
 	c.once.Do(func() { c.crowd.open.Add(-1) })
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -98,6 +98,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         newSilence(n.state.Limits).changed,
+		ConnContext:       front.WithConn,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	if err := n.listen(); err != nil {
@@ -163,7 +164,7 @@
 	if n.metricsL != nil {
 		n.serve(g, n.metricsServer(), n.metricsL)
 	}
-	go n.accept()
+	n.accept(g)
 }
 
 // metricsServer shows the metrics, as text and as expvar.
@@ -192,12 +193,27 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
-// accept serves callers. It is no actor: its listener closes before the rest
-// ends.
-func (n *Node) accept() {
-	if err := n.callers.Serve(n.crowd); err != nil && !n.draining.Load() {
+// accept serves callers. Its listener closes before the rest ends, which is no
+// failure; that it ends otherwise is one: a router that says that it is ready and
+// takes no connection is worse than one that starts again.
+func (n *Node) accept(g *run.Group) {
+	failed := make(chan error, 1)
+	go func() {
+		err := n.callers.Serve(n.crowd)
+		if n.draining.Load() {
+			return
+		}
 		events.ProcessFailed.Log(context.Background(), n.log, slog.LevelError, "err", err)
-	}
+		failed <- err
+	}()
+	n.loop(g, func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		}
+	})
 }
 
 // loop adds a function that runs until its context ends.
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/spread"
+	"github.com/windscale/windscale/internal/dial"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
@@ -120,7 +121,7 @@
 		news:   newNews(),
 		http: &http.Client{
 			Timeout:   pullTimeout,
-			Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: pullTimeout / 2}).DialContext},
+			Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial.Dialer(pullTimeout / 2).DialContext},
 		},
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,8 +4,9 @@
 	"bufio"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/windscale/windscale/internal/peek"
 )
 
 // conn is a connection to one start of a backend server. It carries one
@@ -22,22 +23,5 @@
 // quiet reports whether nothing has arrived on an idle connection: neither its
 // end nor bytes that belong to no request.
 func (c *conn) quiet() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	var n int
-	var peekErr error
-	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	if err != nil {
-		return false
-	}
-	return n <= 0 && peekErr == syscall.EAGAIN
+	return c.br.Buffered() == 0 && peek.At(c.Conn.(*net.TCPConn)) == peek.Nothing
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,20 +9,14 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/windscale/windscale/internal/dial"
 )
 
 const (
 	// dialTimeout: data centres are about a millisecond apart.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as dead.
-	unackedTimeout = 800 * time.Millisecond
-	// keepAliveIdle and keepAliveInterval find servers that went silent.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
 	// idleLimit is how long a connection is kept without use when the server
 	// says nothing of it.
 	idleLimit = 20 * time.Second
@@ -37,7 +31,7 @@
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	mu     sync.Mutex
 	by     map[string]*serverConns // by the server's ID
 	dials  int64                   // connections opened, for the metrics
@@ -51,34 +45,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		by: map[string]*serverConns{},
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveIdle,
-				Interval: keepAliveInterval,
-				Count:    keepAliveCount,
-			},
-			Control: setUnackedTimeout,
-		},
-	}
-}
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpUserTimeout = 18
-
-// setUnackedTimeout bounds how long a dead peer is waited for.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return &Pool{by: map[string]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
 }
 
 // get returns a connection to the server: an idle one that may still be used,
@@ -171,6 +138,28 @@
 	}
 }
 
+// Doubt closes the idle connections to the server that have not been used since a
+// moment at which it fell silent on another: connections may go silent for good, all
+// that one host has at once, while new ones work. A request on each would be lost.
+func (p *Pool) Doubt(id string, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.by[id]
+	if s == nil {
+		return
+	}
+	kept := s.idle[:0]
+	for _, c := range s.idle {
+		if c.idleAt.After(since) {
+			kept = append(kept, c)
+			continue
+		}
+		s.open--
+		_ = c.Close()
+	}
+	s.idle = kept
+}
+
 // Dials returns how many connections were opened.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
