--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -11,7 +11,7 @@
 
 const (
 	// memory is the time over which rates are averaged: half of the window in
-	// which shares are owed (4 s on the users' sheets).
+	// which shares are owed (4 s where the platform tells one).
 	memory = 2 * time.Second
 	// stale is how long a router's word counts.
 	stale = 1500 * time.Millisecond
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -44,7 +44,7 @@
 }
 
 // A customer whose requests went to servers that had gone silent counted as
-// served, and was passed over for it (a mix of tpa-hq, FAIR).
+// served, and was passed over for it.
 func TestWhatNoServerBeganIsNotServed(t *testing.T) {
 	m := New()
 	for i := range 50 {
@@ -69,8 +69,8 @@
 }
 
 // A router that has refused nobody itself learns from the others' words that a
-// customer lacks much of its share (tpa-hq-grown, FAIR: each of 58 routers sees
-// a small part of a customer).
+// customer lacks much of its share (each of 58 routers sees a small part
+// of a customer).
 func TestContentionIsKnownFromOtherRouters(t *testing.T) {
 	m := New()
 	m.Asked("flood", 9000, at(0))
@@ -86,8 +86,8 @@
 
 // What the servers make together is shared out also while less is served: the
 // failure of a few requests must not lower everyone's share, and with it what is
-// served (tpa-hq-grown hunt-6530-7: half of the capacity idle for six seconds
-// while customers above such a share were refused).
+// served (once half of the capacity was idle for six seconds while customers above
+// such a share were refused).
 func TestShareIsOfTheCapacityWhenLessIsServed(t *testing.T) {
 	m := New()
 	m.SetCapacity(1000)
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -167,8 +167,8 @@
 }
 
 // Routers that have the same old word of the loads don't all take the server
-// that was the least loaded (quetzal-despensa-grown quiet-1: homes that were passed
-// over had 638 ms of work waiting by the median, the chosen servers 20 ms).
+// that was the least loaded (90 engines, 64 routers: homes that were passed over
+// had 638 ms of work waiting by the median, the chosen servers 20 ms).
 func TestRoutersDoNotFlockToOneServer(t *testing.T) {
 	const routers = 64
 	loads := map[string]Load{}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -46,8 +46,8 @@
 	assert.Equal(t, ids(r), "ab")
 }
 
-// trouble-1 of tpa-hq: a server left a second after a router had found the
-// store again, and got a request 2,059 ms after its entry had gone.
+// A server that left a second after a router had found the store again got a
+// request 2,059 ms after its entry had gone; the bound is 2 s.
 func TestServerThatLeavesSoonAfterAnOutageIsForgottenWithinTheBound(t *testing.T) {
 	r := full()
 	r.StoreDown(at(100))
@@ -81,8 +81,8 @@
 }
 
 // A router that was cut off alone doubts no entry that one which has followed the
-// store all the while has seen removed (quetzal-despensa-grown, DRAIN: two of three
-// readers were cut off, and brought back servers that had left). A router that
+// store all the while has seen removed (two of three readers were
+// cut off, and brought back servers that had left). A router that
 // has begun to follow it since does not know.
 func TestDoubtEndsAtTheWordOfOneThatFollowedAllTheWhile(t *testing.T) {
 	now := time.Unix(100, 0)
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -27,8 +27,8 @@
 	reportersEach = 2
 	// readersMost is how many routers of a large fleet follow the store for the
 	// rest: calls are priced, and one or two readers may be lost without a word
-	// missing. Two in each of 5 data centres cost 0.032 of worth on
-	// quetzal-despensa-grown.
+	// missing. Two in each of 5 data centres made calls worth 3.2% of
+	// what 64 routers earned in a quiet minute, three in all 1.4%.
 	readersMost = 3
 	// fullPaceMost is the largest fleet whose routers tell at each tick. Above it
 	// what a reporter sends and all take in would grow with the fleet: each doubling
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -389,8 +389,8 @@
 }
 
 // A host that is starved refuses before it reads a body, and suspects no server
-// for answers that it has not read (tpa-hq-grown: a flood by one customer made a
-// small host pass requests on seconds late, GONE, DRAIN, CONFIG).
+// for answers that it has not read (a flood by one customer made a host of
+// 0.19 cores pass requests on seconds late).
 func TestStarvedRouterRefusesAndBlamesNobody(t *testing.T) {
 	r := newRig(t)
 	r.configure()
--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -9,8 +9,8 @@
 	"github.com/windscale/windscale/internal/edge/pressure"
 )
 
-// The customer that fills a full host gives way, others don't (tpa-hq-grown
-// scale-1, FAIR: a customer behind the same host as a flood got nothing).
+// The customer that fills a full host gives way, others don't (a customer
+// behind the same host as a flood got nothing).
 func TestTheCrowdGivesWayFirst(t *testing.T) {
 	wait := time.Duration(0)
 	h := New(Config{MaxRunning: 20, ProcessorWait: func() time.Duration { return wait }})
--- a/internal/edge/front/sending_test.go
+++ b/internal/edge/front/sending_test.go
@@ -31,9 +31,8 @@
 	a.Headers.ToServer(h, o)
 }
 
-// A server that leaves between the choice and the sending gets nothing
-// (quetzal-despensa-grown trouble-1 seed 494817125095: a starved host sent a
-// request 0.9 s after it took it, DRAIN).
+// A server that leaves between the choice and the sending gets nothing (a starved
+// host sent a request 0.9 s after it took it).
 func TestServerThatLeftAfterTheChoiceGetsNothing(t *testing.T) {
 	r := newRig(t)
 	r.configure()
--- a/internal/edge/front/stall_test.go
+++ b/internal/edge/front/stall_test.go
@@ -44,8 +44,8 @@
 func (x *exchange) dueAgo(d time.Duration) { x.due.Store(int64(time.Since(x.q.begin) - d)) }
 
 // A timer that fires late says that this host stood still, not that the server
-// was silent (tpa-hq-grown: whole answers were cut by a host that had not read
-// them for a second, LOST; every server was suspected).
+// was silent (whole answers were cut by a host that had not read them for a
+// second, and every server was suspected).
 func TestLateTimerBlamesTheHost(t *testing.T) {
 	wait := time.Duration(0)
 	_, begin := watched(t, func() time.Duration { return wait }, func() {})
@@ -60,8 +60,8 @@
 	assert.Assert(t, !x.late.isSet())
 }
 
-// A sign that came while the timer's call waited for the processor counts
-// (tpa-hq-grown scale-2, LOST: a stream was cut 80 ms after it had begun).
+// A sign that came while the timer's call waited for the processor counts (a
+// stream was cut 80 ms after it had begun).
 func TestSignThatCameInTimeCounts(t *testing.T) {
 	left := 0
 	_, begin := watched(t, func() time.Duration { return 0 }, func() { left++ })
--- a/internal/edge/node/crowd_test.go
+++ b/internal/edge/node/crowd_test.go
@@ -9,8 +9,8 @@
 )
 
 // A connection beyond the bound is closed without a byte, and there is room
-// again once another was closed (tpa-hq-grown: a flood took all descriptors and
-// the memory of a small host).
+// again once another was closed (a flood took all descriptors and the memory of a
+// host of 112 MB).
 func TestCrowdIsBounded(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -36,10 +36,10 @@
 	heldPart = 0.25
 	// runsPerMB is how many requests may be in progress for each MB of memory:
 	// one takes some 50 KB with its body, buffers and stacks, and the collector
-	// as much again. 112 MB were used up by some 900 (tpa-hq-grown scale-1).
+	// as much again. 112 MB were used up by some 900.
 	runsPerMB = 4
 	// headerTimeout and idleTimeout bound callers until a configuration is known,
-	// and from above: its own limits, 3 s and 15 s on the users' sheets, are kept
+	// and from above: its own limits, 3 s and 15 s where they were seen, are kept
 	// by silence and, for the header's size, by the handler.
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -26,9 +26,9 @@
 
 const (
 	// reportEvery is how often a router tells its peers its load. Every 150, 50
-	// and 20 ms: mean worth 0.660, 0.682 and 0.686 on eight days of the small
-	// sites, 0.446, 0.529 and 0.593 on tpa-hq-grown quiet-1 (docs/MEASUREMENTS.md).
-	// Bytes between data centres are priced.
+	// and 20 ms: mean worth of eight days of 6 and 8 routers 0.660, 0.682 and
+	// 0.686, of a quiet one of 58 routers 0.446, 0.529 and 0.593
+	// (docs/MEASUREMENTS.md). Bytes between data centres are priced.
 	reportEvery = 20 * time.Millisecond
 	// ratesEvery is in how many words one tells the customers' rates, which
 	// change more slowly than loads and are most of a word.
@@ -36,7 +36,7 @@
 	// sumEvery is in how many ticks a reporter tells other data centres, bytes to
 	// which are priced. It divides knownEvery and is a multiple of ratesEvery, so that
 	// they hear those too. Every 20, 40 and 80 ms: worth 0.764, 0.775 and 0.779 on
-	// tpa-hq-grown quiet-1. In a small fleet, where each tells each, 40 or 80 ms gain
+	// a quiet day of 58 routers. In a small fleet, where each tells each, 40 or 80 ms gain
 	// nothing (docs/MEASUREMENTS.md).
 	sumEvery = 4
 	// totalEvery is in how many ticks a reporter tells the routers of its data
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -120,8 +120,8 @@
 }
 
 // A peer that told once of a newer configuration and tells no more is not asked
-// for it again and again once it has come from elsewhere (tpa-hq-grown trouble-3:
-// one configuration a host each 20 ms, 0.6 GB between data centres).
+// for it again and again once it has come from elsewhere (one configuration a
+// host each 20 ms, 0.6 GB between data centres).
 func TestConfigurationThatHasComeIsNotFetchedAgain(t *testing.T) {
 	control, udp := ports(t)
 	a := start(t, "127.0.0.35", control, udp)
@@ -138,8 +138,7 @@
 }
 
 // Ages of the store's last word don't grow younger by going round
-// (quetzal-despensa-grown hunt-8345-7, CONFIG: all readers were turned away, and the
-// fleet took 4.2 s for an age of 2.2 s), and only those are taken over that a
+// (all readers were turned away, and the fleet took 4.2 s for an age of 2.2 s), and only those are taken over that a
 // follower or one's own reporter tells.
 func TestAgesDoNotGoRound(t *testing.T) {
 	clock := time.Unix(1000, 0)
@@ -197,8 +196,8 @@
 	}
 }
 
-// On a host that is behind its work a word has waited before it is read
-// (quetzal-despensa-grown trouble-1, DRAIN, at a host that a flood had starved).
+// On a host that is behind its work a word has waited before it is read: at a host
+// that a flood had starved, for seconds.
 func TestTheWaitForTheProcessorAges(t *testing.T) {
 	clock := time.Unix(1000, 0)
 	p := lone(t, func() time.Time { return clock }, func() time.Duration { return 300 * time.Millisecond })
--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -14,8 +14,8 @@
 	// probeEvery is how often the wait is measured.
 	probeEvery = 20 * time.Millisecond
 	// Starved is the wait from which a host refuses new requests at once: it is
-	// half of the shortest objective on the users' sheets (100 ms), and a
-	// refusal is to come within a quarter of the long ones (600 ms).
+	// half of the shortest target in use (100 ms), and leaves a refused caller time to
+	// be answered elsewhere.
 	Starved = 60 * time.Millisecond
 	// Drowned is the wait from which a host refuses everyone: a request waits
 	// some five times on its way to a server.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -311,8 +311,8 @@
 	f.checkInForce(f.configure())
 }
 
-// extraRoutes is how many routes a configuration grows by: the largest growth on
-// the users' sheets.
+// extraRoutes is how many routes a configuration grows by: the largest growth
+// that was asked for.
 const extraRoutes = 1400
 
 // grow writes a configuration with many more routes, follows it until it is in
