tests: a slower engine is learnt again, who has less waits longer; comments: whose figures they are

Two comments gave figures to a rule that was measured in part. No program code is changed but for comments.

--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -127,7 +127,8 @@
 // off to fetch them: their price by the price of reading them again; never if that is
 // the cheaper one however many there are. Fetches from 400 tokens on any engine, and
 // from 150: mean worth of 8 days each 0.734 and 0.742 on engines that read 39 tokens a
-// millisecond (from 100 by this rule), 0.728 and 0.727 at 112 (from 350).
+// millisecond, by this rule (from 100 there) 0.741; 0.728 and 0.727 at 112, by this rule
+// (from 350) 0.732.
 func leastFetch(e *routing.Engine, rate float64) float64 {
 	perToken := float64(e.FetchPerToken) / float64(time.Millisecond)
 	gain := rereadX/rate - fetchX*perToken
--- a/internal/core/pick/speed_test.go
+++ b/internal/core/pick/speed_test.go
@@ -42,8 +42,10 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	l := newLine()
 	firsts(rng, 500, 112, 50, l.see)
-	firsts(rng, 250, 56, 60, l.see)
 	rate, _ := l.fit()
+	assert.Assert(t, rate > 100, "%g", rate)
+	firsts(rng, 250, 56, 60, l.see)
+	rate, _ = l.fit()
 	assert.Assert(t, rate < 70, "%g", rate)
 }
 
--- a/internal/edge/state/admission_test.go
+++ b/internal/edge/state/admission_test.go
@@ -76,6 +76,17 @@
 	assert.Equal(t, loaded(now, 0, aboveCapacity).Place(ask("b")).Why, WhyNone, "nobody is refused by an idle fleet")
 }
 
+// Who has much less than its share waits in a queue that turns others away: here a
+// quarter of what it asks, while the level is above all of it.
+func TestWhoHasLessThanItsShareWaitsLonger(t *testing.T) {
+	now := func() time.Time { return time.Unix(1000, 0) }
+	rates := map[string]fair.Rates{"a": {Asked: 80e3, Served: 20e3}, "b": {Asked: 900e3, Served: 225e3}, "c": {Asked: 900e3, Served: 175e3}}
+	const waiting = 12_000 // 200 ms
+	assert.Equal(t, loaded(now, waiting, rates).Place(ask("c")).Why, WhyBusy)
+	assert.Equal(t, loaded(now, waiting, rates).Place(ask("a")).Why, WhyNone)
+	assert.Equal(t, loaded(now, 3*waiting, rates).Place(ask("a")).Why, WhyBusy, "600 ms are too long for it too")
+}
+
 // A caller that is refused can still be answered in time when it comes back as told:
 // half of its target is left for its second try. Callers that are refused together
 // do not come back together.
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -230,7 +230,8 @@
 // place of one that would be in time. When callers were told to come back after up to
 // 400 ms, most answers that were late by their callers' clocks came in time by their
 // routers' (786 of 858 on a day); mean worth of 15 days of high load and trouble
-// 0.664, by this rule 0.676.
+// 0.664, with this bound and those above their share told 40 ms 0.676. Told 40 ms, the
+// bound or a moment between: 0.718, 0.715, 0.720, no difference.
 func (s *State) back(n Need, c pick.Choice, why Why) time.Duration {
 	inTime := min(max((n.Route.Target-c.Own)/2, retryLeast), retryMost)
 	if why == WhyOver {
