--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -13,15 +13,15 @@
 	// memory is the time over which rates are averaged: half of the window in
 	// which shares are owed (4 s where the platform tells one).
 	memory = 2 * time.Second
-	// stale is how long a router's word counts.
+	// stale is how long a router's report counts.
 	stale = 1500 * time.Millisecond
 	// fresh is how long a computed level is used.
 	fresh = 50 * time.Millisecond
 	// margin is how far above the level a customer may be before it waits.
 	margin = 1.1
-	// owedBelow is the part of its share below which a customer goes before
+	// belowPart is the part of its share below which a customer goes before
 	// others; the rule of fair shares is broken at half.
-	owedBelow = 0.7
+	belowPart = 0.7
 	// contendedAt is the part of all service that customers must lack of their
 	// shares for others to give way: less is one request that was refused while
 	// its customer asked for little else.
@@ -51,8 +51,8 @@
 	r.at = now
 }
 
-// word is what another router said.
-type word struct {
+// report is what another router said.
+type report struct {
 	at    time.Time
 	rates map[string]Rates
 }
@@ -60,7 +60,7 @@
 // Meter counts at one router. It is not safe for concurrent use.
 type Meter struct {
 	own   map[string]*rate
-	peers map[string]word
+	peers map[string]report
 	sums  map[string]Rates
 	level float64
 	// capacity is what the backend servers make together, tokens a second, as the
@@ -73,7 +73,7 @@
 
 // New returns an empty meter.
 func New() *Meter {
-	return &Meter{own: map[string]*rate{}, peers: map[string]word{}, sums: map[string]Rates{}}
+	return &Meter{own: map[string]*rate{}, peers: map[string]report{}, sums: map[string]Rates{}}
 }
 
 // get returns the customer's sums, brought to now.
@@ -106,9 +106,9 @@
 	r.served = max(0, r.served-tokens*perSecond)
 }
 
-// Peer takes another router's word.
+// Peer takes another router's report.
 func (m *Meter) Peer(peer string, rates map[string]Rates, now time.Time) {
-	m.peers[peer] = word{at: now, rates: rates}
+	m.peers[peer] = report{at: now, rates: rates}
 }
 
 // Own returns this router's rates.
@@ -130,9 +130,9 @@
 
 // The standings.
 const (
-	Even Standing = iota
-	Over          // it has more than its share
-	Owed          // it asks for its share and has much less
+	Even       Standing = iota
+	Over                // it has more than its share
+	BelowShare          // it asks for its share and has much less
 )
 
 // String returns the standing's name.
@@ -162,8 +162,8 @@
 	switch {
 	case sum.Served > m.level*margin:
 		return Over
-	case sum.Served < min(sum.Asked, m.level)*owedBelow:
-		return Owed
+	case sum.Served < min(sum.Asked, m.level)*belowPart:
+		return BelowShare
 	}
 	return Even
 }
@@ -181,7 +181,7 @@
 	all := 0.0
 	for _, r := range sums {
 		all += r.Served
-		if share := min(r.Asked, level); r.Served < share*owedBelow {
+		if share := min(r.Asked, level); r.Served < share*belowPart {
 			lack += share - r.Served
 		}
 	}
--- a/internal/core/fair/fair_test.go
+++ b/internal/core/fair/fair_test.go
@@ -39,7 +39,7 @@
 		m.Served("tiny", 10, now)
 	}
 	assert.Equal(t, m.Standing("flood", at(2100)), Over)
-	assert.Equal(t, m.Standing("steady", at(2100)), Owed)
+	assert.Equal(t, m.Standing("steady", at(2100)), BelowShare)
 	assert.Equal(t, m.Standing("tiny", at(2100)), Even)
 }
 
@@ -55,7 +55,7 @@
 		m.Served("b", 100, now)
 		m.Undo("b", 100, now)
 	}
-	assert.Equal(t, m.Standing("b", at(1100)), Owed)
+	assert.Equal(t, m.Standing("b", at(1100)), BelowShare)
 	assert.Equal(t, m.Standing("a", at(1100)), Over)
 }
 
@@ -68,7 +68,7 @@
 	assert.Equal(t, got.Served, 0.0)
 }
 
-// A router that has refused nobody itself learns from the others' words that a
+// A router that has refused nobody itself learns from the others' reports that a
 // customer lacks much of its share (each of 58 routers sees a small part
 // of a customer).
 func TestContentionIsKnownFromOtherRouters(t *testing.T) {
--- a/internal/core/pick/cache.go
+++ b/internal/core/pick/cache.go
@@ -16,13 +16,13 @@
 	// lifeOver is the time over which the rate is averaged at which engines are
 	// filled.
 	lifeOver = 3 * time.Second
-	// tellAgain is in which part of that life the routers are told once more that a
+	// advertiseAgain is in which part of that life the routers are told once more that a
 	// server keeps a part, so that they know that it is still in use.
-	tellAgain = 4
+	advertiseAgain = 4
 	// holdersMost is how many servers that keep a part are remembered for fetches.
 	holdersMost = 3
-	// newsMost bounds what is waiting to be told: some 20 KB.
-	newsMost = 4096
+	// pendingMost bounds what is waiting to be told: some 20 KB.
+	pendingMost = 4096
 )
 
 // Sent says which parts of prompts were sent to which servers, by the servers'
@@ -110,9 +110,9 @@
 	}
 }
 
-// tellSent notes what other routers do not know yet of the shared parts that are
+// advertise notes what other routers do not know yet of the shared parts that are
 // sent to the server; it is called before noteSent.
-func (p *Picker) tellSent(s *server, prompt []routing.Part, keys []uint32, learnt *speed, now time.Time) {
+func (p *Picker) advertise(s *server, prompt []routing.Part, keys []uint32, learnt *speed, now time.Time) {
 	if len(prompt) < 2 {
 		return
 	}
@@ -121,34 +121,34 @@
 		return
 	}
 	for _, key := range keys[:len(prompt)-1] {
-		if now.Sub(s.told[key]) < learnt.life/tellAgain || p.newsCount >= newsMost {
+		if now.Sub(s.advertised[key]) < learnt.life/advertiseAgain || p.pendingCount >= pendingMost {
 			continue
 		}
-		s.told[key] = now
-		p.news[s.ID] = append(p.news[s.ID], key)
-		p.newsCount++
+		s.advertised[key] = now
+		p.pending[s.ID] = append(p.pending[s.ID], key)
+		p.pendingCount++
 	}
 }
 
-// News returns what the other routers are to be told of parts sent to servers,
+// TakePending returns what the other routers are to be told of parts sent to servers,
 // once.
-func (p *Picker) News() Sent {
-	news := p.news
-	p.news = Sent{}
-	p.newsCount = 0
-	return news
+func (p *Picker) TakePending() Sent {
+	pending := p.pending
+	p.pending = Sent{}
+	p.pendingCount = 0
+	return pending
 }
 
-// Heard takes another router's news.
-func (p *Picker) Heard(news Sent, now time.Time) {
-	for id, keys := range news {
+// Heard takes another router's updates.
+func (p *Picker) Heard(pending Sent, now time.Time) {
+	for id, keys := range pending {
 		s := p.servers[id]
 		if s == nil || s.engine == nil {
 			continue
 		}
 		p.noteSent(s, keys, now)
 		for _, key := range keys {
-			s.told[key] = now
+			s.advertised[key] = now
 		}
 	}
 }
@@ -162,9 +162,9 @@
 				delete(s.cache, key)
 			}
 		}
-		for key, at := range s.told {
+		for key, at := range s.advertised {
 			if now.Sub(at) > life {
-				delete(s.told, key)
+				delete(s.advertised, key)
 			}
 		}
 	}
--- a/internal/core/pick/cache_test.go
+++ b/internal/core/pick/cache_test.go
@@ -37,7 +37,7 @@
 	first := Request{Service: "llm", Prompt: prompt(1, 1)}
 	holder := other(a, first.Prompt)
 	send(a, holder.ID, first, 0)
-	b.Heard(a.News(), at(20))
+	b.Heard(a.TakePending(), at(20))
 	home, _ := homes(first.Prompt, b.services["llm"], start)
 	next := Request{Service: "llm", Prompt: prompt(1, 2)}
 	b.keys = keys(nil, next.Prompt)
@@ -58,12 +58,12 @@
 	const every, over = 100, 60_000
 	for ms := 0; ms < over; ms += every {
 		send(p, "i-003", req, ms)
-		told += len(p.News()["i-003"])
+		told += len(p.TakePending()["i-003"])
 	}
-	assert.Equal(t, told, 2*tellAgain, "both shared parts, at the start and after each quarter of %s", mostLife)
+	assert.Equal(t, told, 2*advertiseAgain, "both shared parts, at the start and after each quarter of %s", mostLife)
 	small := Request{Service: "llm", Prompt: []routing.Part{{ID: "x", Tokens: 100}, {ID: "y", Tokens: 5000}}}
 	send(p, "i-004", small, over)
-	assert.Equal(t, len(p.News()), 0, "what is not worth a fetch is not worth a word")
+	assert.Equal(t, len(p.TakePending()), 0, "what is not worth a fetch is not worth a report")
 }
 
 // What one router heard it does not tell again.
@@ -71,9 +71,9 @@
 	a, b := picker(9), picker(9)
 	req := Request{Service: "llm", Prompt: prompt(1, 1)}
 	send(a, "i-003", req, 0)
-	b.Heard(a.News(), at(20))
+	b.Heard(a.TakePending(), at(20))
 	send(b, "i-003", req, 40)
-	assert.Equal(t, len(b.News()), 0)
+	assert.Equal(t, len(b.TakePending()), 0)
 }
 
 // Engines that are filled fast keep a part for less time. 9 engines of 232,000 tokens
@@ -105,10 +105,10 @@
 // What waits to be told is bounded, also while nobody takes it.
 func TestNewsAreBounded(t *testing.T) {
 	p := picker(9)
-	for i := range 2 * newsMost {
+	for i := range 2 * pendingMost {
 		send(p, "i-003", Request{Service: "llm", Prompt: prompt(i, i)}, 0)
 	}
-	assert.Assert(t, len(p.News()["i-003"]) <= newsMost)
+	assert.Assert(t, len(p.TakePending()["i-003"]) <= pendingMost)
 }
 
 // Whether a fetch is worth its setting up depends on how fast the engine reads. The
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -66,7 +66,7 @@
 		j.memory = int64(routing.Tokens(req.Prompt) + req.Out)
 		p.keys = keys(p.keys[:0], req.Prompt)
 		learnt := p.rate(req.Service)
-		p.tellSent(s, req.Prompt, p.keys, learnt, now)
+		p.advertise(s, req.Prompt, p.keys, learnt, now)
 		p.noteSent(s, p.keys, now)
 		learnt.filled += float64(c.Missing + req.Out)
 	}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -66,7 +66,7 @@
 	othersDrawn = 1
 	// forgetEvery is how often parts that no server keeps any more are dropped.
 	forgetEvery = 2 * time.Second
-	// peerStale is how long a router's word of its load counts.
+	// peerStale is how long a router's report of its load counts.
 	peerStale = 1500 * time.Millisecond
 )
 
@@ -107,36 +107,36 @@
 // server is what the picker knows of one start of a backend server.
 type server struct {
 	routing.Server
-	hash      uint64 // of its ID
-	engine    *routing.Engine
-	own       Load
-	peers     Load
-	waiting   []*Job // in the order in which they were sent
-	progress  time.Time
-	cache     cache
-	told      map[uint32]time.Time // when the routers were told of a part that it keeps
-	slow      float64              // how much slower than expected it answers; 1: as expected
-	health    health
-	connLimit int
-	takes     bool // listed as one that takes new requests
+	hash       uint64 // of its ID
+	engine     *routing.Engine
+	own        Load
+	peers      Load
+	waiting    []*Job // in the order in which they were sent
+	progress   time.Time
+	cache      cache
+	advertised map[uint32]time.Time // when the routers were told of a part that it keeps
+	slow       float64              // how much slower than expected it answers; 1: as expected
+	health     health
+	connLimit  int
+	takes      bool // listed as one that takes new requests
 }
 
 // Picker is the state of the choice at one router.
 type Picker struct {
-	dataCentre string
-	rng        *rand.Rand
-	servers    map[string]*server
-	busy       map[string]*server // those with requests of this router
-	services   map[string][]*server
-	specs      map[string]*routing.Service
-	peers      map[string]peerLoad
-	stale      bool               // a peer's load has come since the sums were made
-	rates      map[string]*speed  // by service
-	holders    map[uint32]holders // by part
-	news       Sent               // what the other routers are to be told
-	newsCount  int
-	forgot     time.Time // when old parts were dropped last
-	keys       []uint32  // of the prompt that is being placed
+	dataCentre   string
+	rng          *rand.Rand
+	servers      map[string]*server
+	busy         map[string]*server // those with requests of this router
+	services     map[string][]*server
+	specs        map[string]*routing.Service
+	peers        map[string]peerLoad
+	stale        bool               // a peer's load has come since the sums were made
+	rates        map[string]*speed  // by service
+	holders      map[uint32]holders // by part
+	pending      Sent               // what the other routers are to be told
+	pendingCount int
+	forgot       time.Time // when old parts were dropped last
+	keys         []uint32  // of the prompt that is being placed
 }
 
 // speed is what was learnt of a service's speed.
@@ -154,7 +154,7 @@
 	ownRunning, allRunning float64
 }
 
-// peerLoad is the last word of another router.
+// peerLoad is the last report of another router.
 type peerLoad struct {
 	at    time.Time
 	loads map[string]Load
@@ -172,7 +172,7 @@
 		peers:      map[string]peerLoad{},
 		rates:      map[string]*speed{},
 		holders:    map[uint32]holders{},
-		news:       Sent{},
+		pending:    Sent{},
 	}
 }
 
@@ -201,7 +201,7 @@
 	s.engine = spec.Engine
 	if s.cache == nil {
 		s.cache = cache{}
-		s.told = map[uint32]time.Time{}
+		s.advertised = map[uint32]time.Time{}
 	}
 }
 
@@ -320,25 +320,25 @@
 	return best, ok
 }
 
-// PeerLoad takes another router's word of its load. It is added up when the next
-// server is chosen: a reporter takes in 1,000 words a second and chooses 20 times.
+// PeerLoad takes another router's report of its load. It is added up when the next
+// server is chosen: a reporter takes in 1,000 reports a second and chooses 20 times.
 func (p *Picker) PeerLoad(peer string, loads map[string]Load, now time.Time) {
 	p.peers[peer] = peerLoad{at: now, loads: loads}
 	p.stale = true
 }
 
-// sumPeers adds up what the other routers said, leaving out old words.
+// sumPeers adds up what the other routers said, leaving out old reports.
 func (p *Picker) sumPeers(now time.Time) {
 	p.stale = false
 	for _, s := range p.servers {
 		s.peers = Load{}
 	}
-	for peer, word := range p.peers {
-		if now.Sub(word.at) > peerStale {
+	for peer, report := range p.peers {
+		if now.Sub(report.at) > peerStale {
 			delete(p.peers, peer)
 			continue
 		}
-		for id, l := range word.loads {
+		for id, l := range report.loads {
 			s := p.servers[id]
 			if s == nil {
 				continue
@@ -350,7 +350,7 @@
 	}
 }
 
-// Tick forgets old words of other routers.
+// Tick forgets old reports of other routers.
 func (p *Picker) Tick(now time.Time) {
 	p.sumPeers(now)
 	for name, list := range p.services {
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// What waits at the home, at this router's word or another's, sends a request
+// What waits at the home, at this router's report or another's, sends a request
 // elsewhere, where it fetches the shared parts instead of reading them again.
 func TestBusyHomeIsLeftAndFetchedFrom(t *testing.T) {
 	p := picker(18)
@@ -70,7 +70,7 @@
 	assert.Equal(t, c.FetchAt, home.Server.Addr)
 	assert.Equal(t, c.Missing, 2900)
 	p.Tick(at(5000))
-	assert.Equal(t, choose(t, p, req, 5000).Server.ID, home.Server.ID, "an old word is forgotten")
+	assert.Equal(t, choose(t, p, req, 5000).Server.ID, home.Server.ID, "an old report is forgotten")
 }
 
 // A server that fails is passed over, then tried by one request at a time.
@@ -166,7 +166,7 @@
 	}
 }
 
-// Routers that have the same old word of the loads don't all take the server
+// Routers that have the same old report of the loads don't all take the server
 // that was the least loaded (90 engines, 64 routers: homes that were passed over
 // had 638 ms of work waiting by the median, the chosen servers 20 ms).
 func TestRoutersDoNotFlockToOneServer(t *testing.T) {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -34,7 +34,7 @@
 }
 
 // Stamp orders the lists that routers have: by the store's version of the last
-// change, and then by what was forgotten since without the store's word.
+// change, and then by what was forgotten since without the store's answer.
 type Stamp struct {
 	Version uint64
 	Edits   uint32
@@ -76,7 +76,7 @@
 	return now.Sub(r.since)
 }
 
-// Settle ends the doubt about missing entries at the word of a router that has
+// Settle ends the doubt about missing entries at the report of a router that has
 // followed the store without a gap for so long: if that began before this one
 // lost the store, the store was there, and only this router was cut off. It
 // reports whether there was any doubt.
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -4,7 +4,7 @@
 // the ones with the most processor time; reporters tell the sum to the reporters of
 // the other data centres, and the total to the routers of their own. Nobody is
 // elected: all rank the routers that they hear of alike, and while their views
-// differ some words come twice or from two senders, which does no harm.
+// differ some reports come twice or from two senders, which does no harm.
 //
 // The package has no input or output; time comes in as an argument.
 package spread
@@ -23,10 +23,10 @@
 	// delay. 58 routers in a mesh sent 1 GB between data centres in 48 s.
 	meshMost = 12
 	// reportersEach is how many reporters a data centre has: one may be lost
-	// without a word missing.
+	// without a report missing.
 	reportersEach = 2
 	// readersMost is how many routers of a large fleet follow the store for the
-	// rest: calls are priced, and one or two readers may be lost without a word
+	// rest: calls are priced, and one or two readers may be lost without a report
 	// missing. Two in each of 5 data centres made calls worth 3.2% of
 	// what 64 routers earned in a quiet minute, three in all 1.4%.
 	readersMost = 3
@@ -34,11 +34,11 @@
 	// what a reporter sends and all take in would grow with the fleet: each doubling
 	// halves the pace.
 	fullPaceMost = 96
-	// LiveFor is how long a router counts as live after the last word of it,
+	// LiveFor is how long a router counts as live after the last report of it,
 	// its own or a reporter's.
 	LiveFor = 2 * time.Second
-	// knockEvery is how often a silent router is told: it may be back.
-	knockEvery = 2 * time.Second
+	// probeEvery is how often a silent router is told: it may be back.
+	probeEvery = 2 * time.Second
 	// forgetAfter is when a silent router is forgotten, unless it is a seed.
 	forgetAfter = 90 * time.Second
 )
@@ -51,7 +51,7 @@
 }
 
 // before orders members by how well they can report: the most processor time
-// first, then the lowest address. A reporter takes in the words of its whole
+// first, then the lowest address. A reporter takes in the reports of its whole
 // data centre, some 1,000 a second in a fleet of 58, which a small host can't.
 func (m Member) before(o Member) int {
 	if c := cmp.Compare(o.Cores, m.Cores); c != 0 {
@@ -63,10 +63,10 @@
 // entry is what is known of another router.
 type entry struct {
 	Member
-	heard time.Time // last word of it
-	told  time.Time // last knock
-	seed  bool
-	live  bool
+	heard  time.Time // last report of it
+	probed time.Time // last probe
+	seed   bool
+	live   bool
 }
 
 // Spread is one router's view of the fleet. It is not safe for concurrent use.
@@ -87,7 +87,7 @@
 // New returns the view of a router that knows no other.
 func New(self Member) *Spread { return &Spread{self: self, known: map[string]*entry{}} }
 
-// Add makes a router known without a word of it.
+// Add makes a router known without a report of it.
 func (s *Spread) Add(m Member, seed bool, now time.Time) {
 	if m.Addr == s.self.Addr {
 		return
@@ -108,7 +108,7 @@
 	e.seed = e.seed || seed
 }
 
-// Heard notes a word of a router, its own or one by which a reporter vouches
+// Heard notes a report of a router, its own or one by which a reporter vouches
 // for it, age ago. It reports whether the router was silent before.
 func (s *Spread) Heard(m Member, age time.Duration, now time.Time) bool {
 	if m.Addr == s.self.Addr {
@@ -184,11 +184,11 @@
 	return list
 }
 
-// Live returns the other routers of which a word came lately, in the order of
+// Live returns the other routers of which a report came lately, in the order of
 // their addresses. The list is not to be changed.
 func (s *Spread) Live() []Member { return s.rank().live }
 
-// Age returns how long ago the last word of a router came.
+// Age returns how long ago the last report of a router came.
 func (s *Spread) Age(addr string, now time.Time) time.Duration {
 	if e := s.known[addr]; e != nil {
 		return now.Sub(e.heard)
@@ -233,7 +233,7 @@
 }
 
 // Targets returns whom to tell at the moment. Routers that are silent are
-// knocked at now and then with this router's own load.
+// probed now and then with this router's own load.
 func (s *Spread) Targets(now time.Time) Targets {
 	var t Targets
 	live := s.Live()
@@ -247,7 +247,7 @@
 	default:
 		t.Own = slices.Clone(s.Reporters(s.self.DataCentre))
 	}
-	t.Own = append(t.Own, s.knocks(now)...)
+	t.Own = append(t.Own, s.probes(now)...)
 	return t
 }
 
@@ -272,14 +272,14 @@
 	return t
 }
 
-// knocks returns silent routers whose turn it is.
-func (s *Spread) knocks(now time.Time) []string {
+// probes returns silent routers whose turn it is.
+func (s *Spread) probes(now time.Time) []string {
 	var list []string
 	for addr, e := range s.known {
-		if e.live || now.Sub(e.told) < knockEvery {
+		if e.live || now.Sub(e.probed) < probeEvery {
 			continue
 		}
-		e.told = now
+		e.probed = now
 		list = append(list, addr)
 	}
 	slices.Sort(list)
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -35,7 +35,7 @@
 }
 
 // What a router sends does not grow with the fleet, but for the reporters'
-// words to their own data centre.
+// reports to their own data centre.
 func TestFanOutIsBounded(t *testing.T) {
 	for _, n := range []int{58, 410} {
 		reporters := 0
@@ -99,7 +99,7 @@
 	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.20:1", "10.0.0.25:1"})
 	assert.Assert(t, !s.Reporter())
 	s.Heard(Member{Addr: "10.0.0.20:1", DataCentre: "a"}, 0, start)
-	// A word without a size changes nothing.
+	// A report without a size changes nothing.
 	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.20:1", "10.0.0.25:1"})
 }
 
@@ -108,7 +108,7 @@
 	s.Add(Member{Addr: "b:1"}, true, start)
 	assert.DeepEqual(t, s.Targets(start).Own, []string{"b:1"})
 	assert.Equal(t, len(s.Targets(start.Add(time.Second)).Own), 0)
-	assert.DeepEqual(t, s.Targets(start.Add(knockEvery)).Own, []string{"b:1"})
+	assert.DeepEqual(t, s.Targets(start.Add(probeEvery)).Own, []string{"b:1"})
 	s.Tick(start.Add(10 * forgetAfter))
 	assert.Equal(t, s.Count(), 2, "a seed is not forgotten")
 }
--- a/internal/edge/follow/age_test.go
+++ b/internal/edge/follow/age_test.go
@@ -11,7 +11,7 @@
 )
 
 // An answer without a change that comes late is as old as it is late: taken as
-// fresh, a router that a cut or a starved processor held up would refuse routes
+// fresh, a router that a cut or an overloaded processor held up would refuse routes
 // that it has not heard of.
 func TestLateAnswerIsOld(t *testing.T) {
 	var none platform.Change
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -61,7 +61,7 @@
 const (
 	Everyone Role = iota // every router follows it
 	Reader               // this one does, for others too
-	Told                 // this one is told by a reader
+	Informed             // this one is told by a reader
 )
 
 // source is one of the two tables.
@@ -138,7 +138,7 @@
 	pause := backoffLeast
 	for ctx.Err() == nil {
 		role := f.Role()
-		if role == Told {
+		if role == Informed {
 			if lost {
 				lost = false
 				s.back()
@@ -208,7 +208,7 @@
 }
 
 // age is how long ago at most the store said what an answer tells, if the call
-// took so long: an answer may have waited for a starved host or behind a cut.
+// took so long: an answer may have waited for an overloaded host or behind a cut.
 func age(c platform.Change, role Role, known bool, took time.Duration) time.Duration {
 	switch {
 	case !known:
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -50,11 +50,11 @@
 	MaxHeld int64 // bytes of requests' bodies that are held at once
 	// MaxRunning is how many requests are in progress at once.
 	MaxRunning int64
-	// Crowded reports whether connections of callers are so many that those of
+	// NearConnLimit reports whether connections of callers are so many that those of
 	// refused requests are to end.
-	Crowded func() bool
+	NearConnLimit func() bool
 	// ProcessorWait is for how long what could run on this host waits for its
-	// processor; from pressure.Starved on it takes no requests.
+	// processor; from pressure.Overloaded on it takes no requests.
 	ProcessorWait func() time.Duration
 	Meter         *meter.Meter
 }
@@ -85,8 +85,8 @@
 // flood. The metrics count all refusals.
 const refusalsPerSecond = 100
 
-// starved reports whether this host is too far behind to take requests.
-func (h *Handler) starved() bool { return h.ProcessorWait() >= pressure.Starved }
+// overloaded reports whether this host is too far behind to take requests.
+func (h *Handler) overloaded() bool { return h.ProcessorWait() >= pressure.Overloaded }
 
 // Drain makes every answer end its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
@@ -228,7 +228,7 @@
 }
 
 // behind refuses a request that this host has no time or room for. Its caller
-// comes back at another router. The customers that crowd this host go first.
+// comes back at another router. The customers that dominate this host go first.
 func (q *request) behind() *Refusal {
 	running := q.h.running.Load()
 	wait := q.h.ProcessorWait()
@@ -236,13 +236,13 @@
 	switch {
 	case running > q.h.MaxRunning:
 		reason = "too many requests are in progress here"
-	case wait >= pressure.Starved:
+	case wait >= pressure.Overloaded:
 		reason = "this router is behind its work"
 	default:
 		return nil
 	}
-	room := float64(running) <= overRoom*float64(q.h.MaxRunning) && wait < pressure.Drowned
-	if room && !q.h.progress.crowds(q.customer) {
+	room := float64(running) <= overRoom*float64(q.h.MaxRunning) && wait < pressure.Saturated
+	if room && !q.h.progress.dominates(q.customer) {
 		return nil
 	}
 	return &Refusal{
@@ -351,7 +351,7 @@
 	if f.Back > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(f.Back.Seconds(), 'f', 3, 64))
 	}
-	if q.h.Crowded() {
+	if q.h.NearConnLimit() {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -70,7 +70,7 @@
 		Meter:   meter.New(),
 
 		ProcessorWait: func() time.Duration { return time.Duration(r.wait.Load()) },
-		Crowded:       func() bool { return false },
+		NearConnLimit: func() bool { return false },
 		MaxRunning:    100,
 	})
 	r.server = httptest.NewUnstartedServer(r.handler)
@@ -230,7 +230,7 @@
 	assert.Equal(t, len(runs(engines)), 1)
 }
 
-// Unsafe requests run once whatever a server does; only a server's word that it
+// Unsafe requests run once whatever a server does; only a server's answer that it
 // has not run one lets it go to another.
 func TestUnsafeRequestsRunAtMostOnce(t *testing.T) {
 	for fault, want := range map[platformtest.Fault]int{
@@ -388,7 +388,7 @@
 	assert.Assert(t, strings.Contains(r.log.String(), `"reason":"the time is over"`))
 }
 
-// A host that is starved refuses before it reads a body, and suspects no server
+// A host that is overloaded refuses before it reads a body, and suspects no server
 // for answers that it has not read (a flood by one customer made a host of
 // 0.19 cores pass requests on seconds late).
 func TestStarvedRouterRefusesAndBlamesNobody(t *testing.T) {
--- a/internal/edge/front/progress.go
+++ b/internal/edge/front/progress.go
@@ -2,9 +2,9 @@
 
 import "sync"
 
-// crowdPart is the part of the requests in progress from which a customer is
-// the one that crowds a host: it is refused first when there is no room.
-const crowdPart = 0.25
+// dominantPart is the part of the requests in progress from which a customer is
+// the one that dominates a host: it is refused first when there is no room.
+const dominantPart = 0.25
 
 // overRoom is how far others may pass the bound of requests in progress.
 const overRoom = 1.25
@@ -33,11 +33,11 @@
 	}
 }
 
-// crowds reports whether the customer has so many of the requests in progress
+// dominates reports whether the customer has so many of the requests in progress
 // that it is the one to give way.
-func (p *progress) crowds(customer string) bool {
+func (p *progress) dominates(customer string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	mine := p.by[customer]
-	return mine > 0 && float64(mine) >= crowdPart*float64(p.all)
+	return mine > 0 && float64(mine) >= dominantPart*float64(p.all)
 }
--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -33,10 +33,10 @@
 	}
 	assert.Assert(t, !ask("small"), "the bound holds for all")
 	h.running.Store(10)
-	wait = pressure.Starved
+	wait = pressure.Overloaded
 	assert.Assert(t, !ask("flood"))
 	assert.Assert(t, ask("small"))
-	wait = pressure.Drowned
+	wait = pressure.Saturated
 	assert.Assert(t, !ask("small"), "nobody is served in time")
 	h.progress.end("flood")
 	h.progress.end("small")
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -241,13 +241,13 @@
 	if late < 0 {
 		return // a sign came while this call waited to run; the timer is set anew
 	}
-	if late >= pressure.Starved || q.h.starved() {
+	if late >= pressure.Overloaded || q.h.overloaded() {
 		x.await(d) // this host stood still: the answer may be here and not read yet
 		return
 	}
 	x.late.set()
 	q.h.Pool.Doubt(x.server.ID, x.began)
-	q.h.told(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
+	q.h.believed(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
 	if leave && q.h.State.TakeRetry(q.service) {
 		x.paid.set()
 		x.cancel()
@@ -261,7 +261,7 @@
 }
 
 // overdue is how long ago the server's next sign was due; negative: it is not
-// due yet. A timer that fires late says that this host was frozen or starved.
+// due yet. A timer that fires late says that this host was frozen or overloaded.
 func (x *exchange) overdue() time.Duration {
 	return time.Since(x.q.begin) - time.Duration(x.due.Load())
 }
@@ -313,11 +313,11 @@
 // end tells the state what became of the job, and logs a change of belief.
 func (x *exchange) end(o pick.Outcome, why string) {
 	x.q.paid = x.paid.isSet()
-	x.q.h.told(x.server, x.q.h.State.End(&x.placed, o), why, x.q.ask.Attempt)
+	x.q.h.believed(x.server, x.q.h.State.End(&x.placed, o), why, x.q.ask.Attempt)
 }
 
 // told logs what changed in the belief about a server.
-func (h *Handler) told(s routing.Server, v pick.Verdict, why, attempt string) {
+func (h *Handler) believed(s routing.Server, v pick.Verdict, why, attempt string) {
 	switch v {
 	case pick.Suspected:
 		h.Meter.Believed(s.Service, "suspected")
@@ -348,7 +348,7 @@
 	return x.plain(a)
 }
 
-// refused takes a server's word that it has not run the request.
+// refused takes a server's answer that it has not run the request.
 func (x *exchange) refused(a *upstream.Answer, other bool) verdict {
 	q := x.q
 	q.sent++
--- a/internal/edge/front/sending_test.go
+++ b/internal/edge/front/sending_test.go
@@ -31,7 +31,7 @@
 	a.Headers.ToServer(h, o)
 }
 
-// A server that leaves between the choice and the sending gets nothing (a starved
+// A server that leaves between the choice and the sending gets nothing (an overloaded
 // host sent a request 0.9 s after it took it).
 func TestServerThatLeftAfterTheChoiceGetsNothing(t *testing.T) {
 	r := newRig(t)
--- a/internal/edge/node/crowd.go
+++ b/internal/edge/node/limiter.go
@@ -12,32 +12,32 @@
 // take an eighth at most.
 const connsPerMB = 8
 
-// crowd is a listener that keeps a bounded number of connections. One beyond
+// connLimiter is a listener that keeps a bounded number of connections. One beyond
 // the bound is closed at once, by which its caller learns that nothing was read
 // and asks another router.
-type crowd struct {
+type connLimiter struct {
 	net.Listener
 	most   int64
 	open   atomic.Int64
 	closed atomic.Int64 // connections closed for being too many
 }
 
-// crowded reports whether half of the bound is reached.
-func (l *crowd) crowded() bool { return l.open.Load() > l.most/2 }
+// near reports whether half of the bound is reached.
+func (l *connLimiter) near() bool { return l.open.Load() > l.most/2 }
 
 // full reports whether new connections are closed at once: the balancer is to
 // send them elsewhere.
-func (l *crowd) full() bool { return l.open.Load() >= l.most }
+func (l *connLimiter) full() bool { return l.open.Load() >= l.most }
 
 // Accept returns the next connection within the bound.
-func (l *crowd) Accept() (net.Conn, error) {
+func (l *connLimiter) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
 		if l.open.Add(1) <= l.most {
-			return &counted{Conn: c, crowd: l}, nil
+			return &counted{Conn: c, connLimiter: l}, nil
 		}
 		l.open.Add(-1)
 		l.closed.Add(1)
@@ -48,8 +48,8 @@
 // counted is a connection that counts until it is closed.
 type counted struct {
 	net.Conn
-	crowd *crowd
-	once  sync.Once
+	connLimiter *connLimiter
+	once        sync.Once
 }
 
 // SyscallConn returns the connection below.
@@ -63,6 +63,6 @@
 
 // Close closes the connection.
 func (c *counted) Close() error {
-	c.once.Do(func() { c.crowd.open.Add(-1) })
+	c.once.Do(func() { c.connLimiter.open.Add(-1) })
 	return c.Conn.Close()
 }
--- a/internal/edge/node/crowd_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -14,7 +14,7 @@
 func TestCrowdIsBounded(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &crowd{Listener: ln, most: 1}
+	l := &connLimiter{Listener: ln, most: 1}
 	defer func() { _ = l.Close() }()
 	accepted := make(chan net.Conn)
 	go func() {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -64,7 +64,7 @@
 	handler  *front.Handler
 	peers    *peers.Peers
 	probe    *pressure.Probe
-	crowd    *crowd
+	limiter  *connLimiter
 	callers  *http.Server
 	draining atomic.Bool
 
@@ -89,7 +89,7 @@
 		MaxHeld: int64(float64(s.MemoryMB<<20) * heldPart),
 
 		ProcessorWait: n.probe.Wait,
-		Crowded:       func() bool { return n.crowd.crowded() },
+		NearConnLimit: func() bool { return n.limiter.near() },
 		MaxRunning:    int64(s.MemoryMB * runsPerMB),
 	})
 	n.callers = &http.Server{
@@ -142,7 +142,7 @@
 		Cores:      n.settings.Cores,
 	}, conn, platform.DecodeConfig, n.probe.Wait)
 	n.peers.Add(true, n.settings.Seeds...)
-	n.crowd = &crowd{Listener: n.callersL, most: int64(n.settings.MemoryMB * connsPerMB)}
+	n.limiter = &connLimiter{Listener: n.callersL, most: int64(n.settings.MemoryMB * connsPerMB)}
 	return nil
 }
 
@@ -179,13 +179,13 @@
 	})
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
-	n.meter.Gauge("view_age_seconds", "Age of the last word of the store.", func() float64 {
+	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
 		_, age := n.state.Table()
 		return min(age, time.Hour).Seconds()
 	})
 	n.meter.Gauge("processor_wait_seconds", "For how long what could run waits for the processor.", func() float64 { return n.probe.Wait().Seconds() })
-	n.meter.Gauge("callers_connections", "Connections of callers.", func() float64 { return float64(n.crowd.open.Load()) })
-	n.meter.Gauge("callers_turned_away", "Connections of callers closed since the start for being too many.", func() float64 { return float64(n.crowd.closed.Load()) })
+	n.meter.Gauge("callers_connections", "Connections of callers.", func() float64 { return float64(n.limiter.open.Load()) })
+	n.meter.Gauge("callers_turned_away", "Connections of callers closed since the start for being too many.", func() float64 { return float64(n.limiter.closed.Load()) })
 	n.meter.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(n.dropped()) })
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", n.meter.Handler())
@@ -199,7 +199,7 @@
 func (n *Node) accept(g *run.Group) {
 	failed := make(chan error, 1)
 	go func() {
-		err := n.callers.Serve(n.crowd)
+		err := n.callers.Serve(n.limiter)
 		if n.draining.Load() {
 			return
 		}
@@ -241,7 +241,7 @@
 }
 
 // ready reports whether requests can be served and new connections are taken.
-func (n *Node) ready() bool { return n.state.Ready() && !n.draining.Load() && !n.crowd.full() }
+func (n *Node) ready() bool { return n.state.Ready() && !n.draining.Load() && !n.limiter.full() }
 
 // tick keeps the state fresh.
 func (n *Node) tick(ctx context.Context) error {
--- a/internal/edge/peers/word.go
+++ b/internal/edge/peers/heartbeat.go
@@ -9,7 +9,7 @@
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
-// kind is whose load a word tells.
+// kind is whose load a report tells.
 type kind int
 
 const (
@@ -18,15 +18,15 @@
 	kindTotal             // of the fleet
 )
 
-// word is a datagram.
-type word struct {
+// heartbeat is a datagram.
+type heartbeat struct {
 	Control    string              `cbor:"1,keyasint"` // the sender's control address
 	DataCentre string              `cbor:"2,keyasint"`
 	Kind       kind                `cbor:"3,keyasint,omitempty"`
 	Version    int64               `cbor:"4,keyasint"` // of its configuration
 	List       uint64              `cbor:"5,keyasint"` // the store's version of its list of servers
 	Edits      uint32              `cbor:"6,keyasint,omitempty"`
-	AgeMs      int64               `cbor:"7,keyasint"`           // of its last word of the store
+	AgeMs      int64               `cbor:"7,keyasint"`           // of its last answer of the store
 	Loads      map[string][3]int64 `cbor:"8,keyasint,omitempty"` // server: waiting, memory, running
 	Rates      map[string][2]int64 `cbor:"9,keyasint,omitempty"` // customer: asked, served, tokens/s
 	Known      []knownRouter       `cbor:"10,keyasint,omitempty"`
@@ -40,20 +40,20 @@
 	_          struct{} `cbor:",toarray"`
 	Addr       string
 	DataCentre string
-	AgeMs      int64 // of the last word of it
+	AgeMs      int64 // of the last report of it
 	Cores      float64
 }
 
-// heardWord is what a word said of loads.
-type heardWord struct {
+// heardReport is what a report said of loads.
+type heardReport struct {
 	at     time.Time
 	kind   kind
 	report state.Report
 }
 
-// key is under whose name a word's load counts: the sum of a data centre and
+// key is under whose name a report's load counts: the sum of a data centre and
 // the total are the same from each reporter.
-func (w word) key() string {
+func (w heartbeat) key() string {
 	switch w.Kind {
 	case kindSum:
 		return "sum of " + w.DataCentre
@@ -65,10 +65,10 @@
 }
 
 // stamp is that of the sender's list of servers.
-func (w word) stamp() roster.Stamp { return roster.Stamp{Version: w.List, Edits: w.Edits} }
+func (w heartbeat) stamp() roster.Stamp { return roster.Stamp{Version: w.List, Edits: w.Edits} }
 
-// report returns the loads and rates that a word tells.
-func (w word) report() state.Report {
+// report returns the loads and rates that a report tells.
+func (w heartbeat) report() state.Report {
 	r := newReport()
 	for id, l := range w.Loads {
 		r.Loads[id] = pick.Load{Waiting: l[0], Memory: l[1], Running: int(l[2])}
@@ -79,11 +79,11 @@
 	return r
 }
 
-// word makes a word of this router.
-func (p *Peers) word(k kind, r state.Report, known []knownRouter) word {
+// heartbeat makes a heartbeat of this router.
+func (p *Peers) heartbeat(k kind, r state.Report, known []knownRouter) heartbeat {
 	_, age := p.State.Table()
 	stamp := p.State.Stamp()
-	w := word{
+	w := heartbeat{
 		Control:    p.Self.Addr,
 		DataCentre: p.Self.DataCentre,
 		Cores:      p.Self.Cores,
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -30,8 +30,8 @@
 	// 0.686, of a quiet one of 58 routers 0.446, 0.529 and 0.593
 	// (docs/MEASUREMENTS.md). Bytes between data centres are priced.
 	reportEvery = 20 * time.Millisecond
-	// ratesEvery is in how many words one tells the customers' rates, which
-	// change more slowly than loads and are most of a word.
+	// ratesEvery is in how many reports one tells the customers' rates, which
+	// change more slowly than loads and are most of a report.
 	ratesEvery = 4
 	// sumEvery is in how many ticks a reporter tells other data centres, bytes to
 	// which are priced. It divides knownEvery and is a multiple of ratesEvery, so that
@@ -42,27 +42,27 @@
 	// totalEvery is in how many ticks a reporter tells the routers of its data
 	// centre: there are two of them, so that a router hears one every 20 ms.
 	totalEvery = 2
-	// knownEvery is in how many words one tells which routers this one hears.
+	// knownEvery is in how many reports one tells which routers this one hears.
 	knownEvery = 20
-	// toldOld is the age of the last word of the store at which a router that is
-	// told by others follows the store itself: a reader's word is at most
+	// reportOld is the age of the last answer of the store at which a router that is
+	// told by others follows the store itself: a reader's report is at most
 	// follow's wait and two ticks old.
-	toldOld = 2200 * time.Millisecond
+	reportOld = 2200 * time.Millisecond
 	// pullAfter is how long a newer configuration may be on its way from the
 	// store before it is fetched from the peer that has it.
 	pullAfter = 250 * time.Millisecond
 	// serversEvery is how often the servers are fetched from a peer while the
 	// store can't be reached.
 	serversEvery = time.Second
-	// viewOld is the age of the last word of the store above which a peer's
+	// viewOld is the age of the last answer of the store above which a peer's
 	// view is asked for.
 	viewOld = 3 * time.Second
 	// pullTimeout bounds a fetch.
 	pullTimeout = 700 * time.Millisecond
-	// sameWord is how much younger an age has to be than the one known to be that
-	// of a newer word of the store: more than a datagram's delay and the
-	// millisecond that ages are rounded to, less than the pause between two words.
-	sameWord    = 50 * time.Millisecond
+	// sameReport is how much younger an age has to be than the one known to be that
+	// of a newer answer of the store: more than a datagram's delay and the
+	// millisecond that ages are rounded to, less than the pause between two reports.
+	sameReport  = 50 * time.Millisecond
 	maxDatagram = 60 << 10
 	maxView     = 8 << 20
 
@@ -75,7 +75,7 @@
 	version int64        // of its configuration
 	stamp   roster.Stamp // of its list of servers
 	heard   time.Time    // when it said so
-	asOf    time.Time    // when the store's word was, on which its view rests
+	asOf    time.Time    // when the store's answer was, on which its view rests
 	newer   time.Time    // since when its configuration is newer; zero: it is not
 }
 
@@ -93,12 +93,12 @@
 	conn *net.UDPConn
 	http *http.Client
 
-	mu     sync.Mutex
-	spread *spread.Spread
-	views  map[string]*peer
-	words  map[string]heardWord // by sender: loads of this data centre's routers, sums of others
-	ticks  int
-	news   news // what a reporter has yet to tell on
+	mu      sync.Mutex
+	spread  *spread.Spread
+	views   map[string]*peer
+	reports map[string]heardReport // by sender: loads of this data centre's routers, sums of others
+	ticks   int
+	pending pending // what a reporter has yet to tell on
 
 	// What is being fetched. The servers are fetched apart from the configuration:
 	// a peer that does not answer must not hold up both.
@@ -108,17 +108,17 @@
 // New returns the peers of a router. conn is its datagram socket.
 func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration) *Peers {
 	return &Peers{
-		State:  s,
-		Log:    log,
-		Self:   self,
-		Decode: decode,
-		Wait:   wait,
-		port:   conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
-		conn:   conn,
-		spread: spread.New(self),
-		views:  map[string]*peer{},
-		words:  map[string]heardWord{},
-		news:   newNews(),
+		State:   s,
+		Log:     log,
+		Self:    self,
+		Decode:  decode,
+		Wait:    wait,
+		port:    conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:    conn,
+		spread:  spread.New(self),
+		views:   map[string]*peer{},
+		reports: map[string]heardReport{},
+		pending: newPending(),
 		http: &http.Client{
 			Timeout:   pullTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial.Dialer(pullTimeout / 2).DialContext},
@@ -143,7 +143,7 @@
 }
 
 // Role says how this router follows the store. One that is told by others does
-// so itself when their word is old.
+// so itself when their report is old.
 func (p *Peers) Role() follow.Role {
 	_, age := p.State.Table()
 	p.mu.Lock()
@@ -151,10 +151,10 @@
 	switch {
 	case p.spread.Mesh():
 		return follow.Everyone
-	case p.spread.Reader() || age > toldOld:
+	case p.spread.Reader() || age > reportOld:
 		return follow.Reader
 	}
-	return follow.Told
+	return follow.Informed
 }
 
 // Run tells the peers of this router and fetches what they have newer, until ctx
@@ -168,15 +168,15 @@
 			return ctx.Err()
 		case <-tick.C:
 			now := time.Now()
-			p.tell(now)
+			p.publish(now)
 			p.pullNewer(ctx, now)
 			p.pullList(ctx, now)
 		}
 	}
 }
 
-// tell sends this router's words, if it is time for them.
-func (p *Peers) tell(now time.Time) {
+// tell sends this router's reports, if it is time for them.
+func (p *Peers) publish(now time.Time) {
 	p.mu.Lock()
 	p.ticks++
 	if p.ticks%p.spread.Pace() != 0 {
@@ -207,20 +207,20 @@
 	if !rates {
 		own.Rates = nil
 	}
-	p.send(to.Own, p.word(kindOwn, own, known))
+	p.send(to.Own, p.heartbeat(kindOwn, own, known))
 	if len(to.Sum)+len(to.Total) == 0 {
-		p.keepNews(kindOwn, own.Sent)
+		p.keepPending(kindOwn, own.Sent)
 		return
 	}
-	sum.centre.Sent, sum.others.Sent = p.takeNews(own.Sent, len(to.Sum) > 0, len(to.Total) > 0)
+	sum.centre.Sent, sum.others.Sent = p.takePending(own.Sent, len(to.Sum) > 0, len(to.Total) > 0)
 	add(sum.centre, own)
 	if !rates {
 		sum.centre.Rates = nil
 		sum.others.Rates = nil
 	}
-	p.send(to.Sum, p.word(kindSum, sum.centre, known))
+	p.send(to.Sum, p.heartbeat(kindSum, sum.centre, known))
 	add(sum.others, sum.centre)
-	p.send(to.Total, p.word(kindTotal, sum.others, known))
+	p.send(to.Total, p.heartbeat(kindTotal, sum.others, known))
 }
 
 // sums are what a reporter has heard.
@@ -229,13 +229,13 @@
 	others state.Report // of the other data centres
 }
 
-// sum adds up the words heard lately; the lock is held.
+// sum adds up the reports heard lately; the lock is held.
 func (p *Peers) sum(now time.Time) sums {
 	s := sums{centre: newReport(), others: newReport()}
-	for key, w := range p.words {
+	for key, w := range p.reports {
 		switch {
 		case now.Sub(w.at) >= spread.LiveFor:
-			delete(p.words, key)
+			delete(p.reports, key)
 		case w.kind == kindOwn:
 			add(s.centre, w.report)
 		default:
@@ -258,8 +258,8 @@
 	return list
 }
 
-// send sends one word to each address.
-func (p *Peers) send(to []string, w word) {
+// send sends one report to each address.
+func (p *Peers) send(to []string, w heartbeat) {
 	if len(to) == 0 {
 		return
 	}
@@ -291,7 +291,7 @@
 			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
 			continue
 		}
-		var w word
+		var w heartbeat
 		if err := cbor.Unmarshal(buf[:n], &w); err != nil {
 			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
 			continue
@@ -300,8 +300,8 @@
 	}
 }
 
-// take takes a peer's word.
-func (p *Peers) take(w word, now time.Time) {
+// take takes a peer's report.
+func (p *Peers) take(w heartbeat, now time.Time) {
 	if w.Control == p.Self.Addr || w.Control == "" {
 		return
 	}
@@ -317,9 +317,9 @@
 	report := w.report()
 	if use == useOther {
 		if len(report.Rates) == 0 {
-			report.Rates = p.words[w.key()].report.Rates // told every few words
+			report.Rates = p.reports[w.key()].report.Rates // told every few reports
 		}
-		p.words[w.key()] = heardWord{at: now, kind: w.Kind, report: report}
+		p.reports[w.key()] = heardReport{at: now, kind: w.Kind, report: report}
 	}
 	p.mu.Unlock()
 	if found {
@@ -328,7 +328,7 @@
 	if len(w.Sent) > 0 {
 		p.State.HeardSent(w.Sent)
 		if w.Kind == kindSum || w.DataCentre == p.Self.DataCentre {
-			p.keepNews(w.Kind, w.Sent)
+			p.keepPending(w.Kind, w.Sent)
 		}
 	}
 	switch use {
@@ -346,19 +346,19 @@
 	}
 }
 
-// confirm takes a word of the store of some age. One that is hardly younger than
+// confirm takes an answer of the store of some age. One that is hardly younger than
 // what is known is the same one, told on.
 func (p *Peers) confirm(age time.Duration) {
-	if _, known := p.State.Table(); known-age > sameWord {
+	if _, known := p.State.Table(); known-age > sameReport {
 		p.State.Confirm(age)
 	}
 }
 
-// vouches reports whether the word's age of the store may be taken over: that of
+// vouches reports whether the report's age of the store may be taken over: that of
 // a router which follows the store itself, or of a reporter by one that it tells.
 // Were it that of any router, ages would go round, and each way makes them
 // younger by its delay. The lock is held.
-func (p *Peers) vouches(w word) bool {
+func (p *Peers) vouches(w heartbeat) bool {
 	if w.FollowedMs > 0 {
 		return true
 	}
@@ -366,7 +366,7 @@
 }
 
 // view notes what the peer says of its view; the lock is held.
-func (p *Peers) view(w word, version int64, now time.Time) {
+func (p *Peers) view(w heartbeat, version int64, now time.Time) {
 	q := p.views[w.Control]
 	if q == nil {
 		q = &peer{}
@@ -381,13 +381,13 @@
 	}
 }
 
-// age is how old the store's word is on which the view of w rests. The datagram
+// age is how old the store's answer is on which the view of w rests. The datagram
 // may have waited here until this host had time for it.
-func (p *Peers) age(w word) time.Duration {
+func (p *Peers) age(w heartbeat) time.Duration {
 	return time.Duration(w.AgeMs)*time.Millisecond + p.Wait()
 }
 
-// How a word counts.
+// How a report counts.
 type usage int
 
 const (
@@ -396,8 +396,8 @@
 	useTotal       // load of all routers, this one included
 )
 
-// use says how a word counts, so that no load counts twice; the lock is held.
-func (p *Peers) use(w word) usage {
+// use says how a report counts, so that no load counts twice; the lock is held.
+func (p *Peers) use(w heartbeat) usage {
 	mesh := p.spread.Mesh()
 	reporter := p.spread.Reporter()
 	switch w.Kind {
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -95,8 +95,8 @@
 	assert.Equal(t, a.peers.Role(), follow.Everyone)
 }
 
-// A datagram that is no word changes nothing.
-func TestMalformedWordIsLeftOut(t *testing.T) {
+// A datagram that is no report changes nothing.
+func TestMalformedHeartbeatIsLeftOut(t *testing.T) {
 	control, udp := ports(t)
 	a := start(t, "127.0.0.33", control, udp)
 	c, err := net.Dial("udp4", (&net.UDPAddr{IP: net.ParseIP("127.0.0.33"), Port: udp}).String())
@@ -105,18 +105,18 @@
 		_, err = c.Write([]byte(text))
 		assert.NilError(t, err)
 	}
-	a.peers.take(word{}, time.Now())
+	a.peers.take(heartbeat{}, time.Now())
 	assert.Equal(t, a.peers.Live(), 0)
 }
 
-// Loads are counted once, whatever kind of word tells them.
+// Loads are counted once, whatever kind of report tells them.
 func TestNoLoadCountsTwice(t *testing.T) {
 	control, udp := ports(t)
 	a := start(t, "127.0.0.34", control, udp)
 	for _, k := range []kind{kindSum, kindTotal} {
-		assert.Equal(t, a.peers.use(word{Kind: k, DataCentre: "other"}), useNone, "a mesh goes by each router's own word")
+		assert.Equal(t, a.peers.use(heartbeat{Kind: k, DataCentre: "other"}), useNone, "a mesh goes by each router's own heartbeat")
 	}
-	assert.Equal(t, a.peers.use(word{Kind: kindOwn, DataCentre: "other"}), useOther)
+	assert.Equal(t, a.peers.use(heartbeat{Kind: kindOwn, DataCentre: "other"}), useOther)
 }
 
 // A peer that told once of a newer configuration and tells no more is not asked
@@ -127,7 +127,7 @@
 	a := start(t, "127.0.0.35", control, udp)
 	now := time.Now()
 	a.peers.mu.Lock()
-	a.peers.view(word{Control: "127.0.0.36:1", Version: 5}, 4, now)
+	a.peers.view(heartbeat{Control: "127.0.0.36:1", Version: 5}, 4, now)
 	a.peers.mu.Unlock()
 	later := now.Add(2 * pullAfter)
 	assert.Assert(t, a.state.TakeConfig(&routing.Config{Version: 5}, nil))
@@ -137,7 +137,7 @@
 	assert.Assert(t, a.peers.views["127.0.0.36:1"].newer.IsZero())
 }
 
-// Ages of the store's last word don't grow younger by going round
+// Ages of the store's last answer don't grow younger by going round
 // (all readers were turned away, and the fleet took 4.2 s for an age of 2.2 s), and only those are taken over that a
 // follower or one's own reporter tells.
 func TestAgesDoNotGoRound(t *testing.T) {
@@ -150,7 +150,7 @@
 		_, age := s.Table()
 		return age
 	}
-	told := word{Control: "127.0.0.38:1", DataCentre: "dc", Version: 5, FollowedMs: 9000}
+	told := heartbeat{Control: "127.0.0.38:1", DataCentre: "dc", Version: 5, FollowedMs: 9000}
 	for range 100 {
 		clock = clock.Add(20 * time.Millisecond)
 		told.AgeMs = age().Milliseconds() - 2
@@ -177,12 +177,12 @@
 }
 
 // A view is fetched from a peer that is there, not from one that fell silent
-// with the youngest word of the store.
+// with the youngest report of the store.
 func TestSilentPeerIsNotAskedFirst(t *testing.T) {
 	clock := time.Unix(1000, 0)
 	p := lone(t, func() time.Time { return clock }, noWait)
-	gone := word{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 1}
-	there := word{Control: "127.0.0.41:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 200}
+	gone := heartbeat{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 1}
+	there := heartbeat{Control: "127.0.0.41:1", DataCentre: "dc", Version: 5, List: 9, AgeMs: 200}
 	p.take(gone, clock)
 	p.take(there, clock)
 	assert.Equal(t, p.newerServers(clock), gone.Control)
@@ -196,13 +196,13 @@
 	}
 }
 
-// On a host that is behind its work a word has waited before it is read: at a host
-// that a flood had starved, for seconds.
+// On a host that is behind its work a report has waited before it is read: at a host
+// that a flood had overloaded, for seconds.
 func TestTheWaitForTheProcessorAges(t *testing.T) {
 	clock := time.Unix(1000, 0)
 	p := lone(t, func() time.Time { return clock }, func() time.Duration { return 300 * time.Millisecond })
 	assert.Assert(t, p.State.TakeConfig(&routing.Config{Version: 5}, nil))
-	p.take(word{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, FollowedMs: 9000, AgeMs: 100}, clock)
+	p.take(heartbeat{Control: "127.0.0.40:1", DataCentre: "dc", Version: 5, FollowedMs: 9000, AgeMs: 100}, clock)
 	_, age := p.State.Table()
 	assert.Equal(t, age, 400*time.Millisecond)
 }
@@ -227,7 +227,7 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { _ = server.Close() })
-	w := word{Control: ln.Addr().String(), DataCentre: "dc", Version: 5}
+	w := heartbeat{Control: ln.Addr().String(), DataCentre: "dc", Version: 5}
 	for len(asked) == 0 {
 		a.peers.take(w, time.Now())
 		time.Sleep(time.Millisecond) // the test's own time limit bounds it
--- a/internal/edge/peers/news.go
+++ b/internal/edge/peers/pending.go
@@ -3,21 +3,21 @@
 import "github.com/windscale/windscale/internal/core/pick"
 
 // sentMost bounds the parts of one server that a reporter tells on at once. What is
-// not told is read again once, or fetched from a home in vain; a word of 60 servers
+// not told is read again once, or fetched from a home in vain; a report of 60 servers
 // with so many parts is as long as a datagram may be.
 const sentMost = 200
 
-// news are the parts of prompts that were sent to servers, as a reporter has yet
+// pending are the parts of prompts that were sent to servers, as a reporter has yet
 // to tell them on.
-type news struct {
+type pending struct {
 	outward pick.Sent // to the other data centres: what was sent from this one
 	inward  pick.Sent // to the routers of this data centre: what was sent from any
 }
 
-func newNews() news { return news{outward: pick.Sent{}, inward: pick.Sent{}} }
+func newPending() pending { return pending{outward: pick.Sent{}, inward: pick.Sent{}} }
 
-// keep keeps what a word of the kind told.
-func (n *news) keep(k kind, sent pick.Sent) {
+// keep keeps what a report of the kind told.
+func (n *pending) keep(k kind, sent pick.Sent) {
 	if k == kindOwn {
 		addSent(n.outward, sent)
 	}
@@ -33,29 +33,29 @@
 	}
 }
 
-// keepNews keeps what a word of the kind told, if this router tells it on.
-func (p *Peers) keepNews(k kind, sent pick.Sent) {
+// keepPending keeps what a report of the kind told, if this router tells it on.
+func (p *Peers) keepPending(k kind, sent pick.Sent) {
 	if len(sent) == 0 || k == kindTotal {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.spread.Mesh() && p.spread.Reporter() {
-		p.news.keep(k, sent)
+		p.pending.keep(k, sent)
 	}
 }
 
-// takeNews adds this router's own news to those kept and empties those that are
+// takePending adds this router's own pending to those kept and empties those that are
 // told now.
-func (p *Peers) takeNews(own pick.Sent, out, in bool) (outward, inward pick.Sent) {
+func (p *Peers) takePending(own pick.Sent, out, in bool) (outward, inward pick.Sent) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.news.keep(kindOwn, own)
+	p.pending.keep(kindOwn, own)
 	if out {
-		outward, p.news.outward = p.news.outward, pick.Sent{}
+		outward, p.pending.outward = p.pending.outward, pick.Sent{}
 	}
 	if in {
-		inward, p.news.inward = p.news.inward, pick.Sent{}
+		inward, p.pending.inward = p.pending.inward, pick.Sent{}
 	}
 	return outward, inward
 }
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -67,7 +67,7 @@
 			q.newer = time.Time{} // it has come from elsewhere; the peer may never tell again
 			continue
 		}
-		if role != follow.Told && now.Sub(q.newer) <= pullAfter {
+		if role != follow.Informed && now.Sub(q.newer) <= pullAfter {
 			continue
 		}
 		if best == "" || q.heard.After(p.views[best].heard) {
@@ -82,19 +82,19 @@
 
 // serversPause is the least time between two fetches of the servers.
 func (p *Peers) serversPause() time.Duration {
-	if p.Role() == follow.Told {
+	if p.Role() == follow.Informed {
 		return reportEvery
 	}
 	return serversEvery
 }
 
-// newerServers returns a live peer whose list of servers is newer and whose word
+// newerServers returns a live peer whose list of servers is newer and whose report
 // of the store is fresh. A router that follows the store asks only when its own
 // view is old: its feed tells the same.
 func (p *Peers) newerServers(now time.Time) string {
 	_, age := p.State.Table()
 	stamp := p.State.Stamp()
-	if p.Role() != follow.Told && age < viewOld && p.State.Ready() {
+	if p.Role() != follow.Informed && age < viewOld && p.State.Ready() {
 		return ""
 	}
 	p.mu.Lock()
--- a/internal/edge/peers/scale_test.go
+++ b/internal/edge/peers/scale_test.go
@@ -11,9 +11,9 @@
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
-// BenchmarkWord is what a router pays for one word of the fleet's total, and for
+// BenchmarkHeartbeat is what a router pays for one report of the fleet's total, and for
 // one of its own, at several sizes.
-func BenchmarkWord(b *testing.B) {
+func BenchmarkHeartbeat(b *testing.B) {
 	for _, servers := range []int{90, 600, 3000} {
 		p := lone(b, time.Now, noWait)
 		var list []routing.Server
@@ -22,7 +22,7 @@
 		}
 		p.State.TakeConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 32, CacheTokens: 300000}}}}, nil)
 		p.State.ServersReplaced(list, roster.Stamp{Version: 1}, true)
-		w := word{Control: "10.0.0.1:1", DataCentre: "dc", Kind: kindTotal, Version: 1, List: 1, Loads: map[string][3]int64{}, Rates: map[string][2]int64{}}
+		w := heartbeat{Control: "10.0.0.1:1", DataCentre: "dc", Kind: kindTotal, Version: 1, List: 1, Loads: map[string][3]int64{}, Rates: map[string][2]int64{}}
 		for i := range min(servers, 200) {
 			w.Loads[list[i].ID] = [3]int64{5000, 9000, 3}
 		}
@@ -37,7 +37,7 @@
 			b.ReportAllocs()
 			b.ReportMetric(float64(len(text)), "bytes")
 			for b.Loop() {
-				var w word
+				var w heartbeat
 				if err := cbor.Unmarshal(text, &w); err != nil {
 					b.Fatal(err)
 				}
@@ -47,7 +47,7 @@
 		b.Run(fmt.Sprintf("told/servers=%d", servers), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := cbor.Marshal(p.word(kindOwn, p.State.Report(), nil)); err != nil {
+				if _, err := cbor.Marshal(p.heartbeat(kindOwn, p.State.Report(), nil)); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -1,6 +1,6 @@
 // Package pressure measures how far this process is behind its work: the time
 // for which something that could run waits for the processor. A host that a
-// flood has starved can't see it in its own requests, which wait before they
+// flood has overloaded can't see it in its own requests, which wait before they
 // are read.
 package pressure
 
@@ -13,13 +13,13 @@
 const (
 	// probeEvery is how often the wait is measured.
 	probeEvery = 20 * time.Millisecond
-	// Starved is the wait from which a host refuses new requests at once: it is
+	// Overloaded is the wait from which a host refuses new requests at once: it is
 	// half of the shortest target in use (100 ms), and leaves a refused caller time to
 	// be answered elsewhere.
-	Starved = 60 * time.Millisecond
-	// Drowned is the wait from which a host refuses everyone: a request waits
+	Overloaded = 60 * time.Millisecond
+	// Saturated is the wait from which a host refuses everyone: a request waits
 	// some five times on its way to a server.
-	Drowned = 150 * time.Millisecond
+	Saturated = 150 * time.Millisecond
 )
 
 // Probe measures the wait. It is safe for concurrent use; a nil one reports no
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -12,16 +12,16 @@
 	// waitLimit is the longest wait before a request's own work at which it is
 	// still sent while customers ask for more than the servers make, and overLimit
 	// that of a customer above its share. A queue of some prompts keeps an engine
-	// busy between two words of other routers; a longer one only makes all who wait
+	// busy between two reports of other routers; a longer one only makes all who wait
 	// in it late, and was filled by those above their shares first. Measured on
 	// engines of 39, 43 and 112 tokens a millisecond, mean worth of 10, 10 and 20
 	// days: limits of 200/40 ms 0.696, 0.743, 0.673; 100/15 ms 0.729, 0.755, 0.712;
 	// 60/10 ms 0.723, 0.742, 0.720 (docs/design/admission.md).
 	waitLimit = 100 * time.Millisecond
 	overLimit = 15 * time.Millisecond
-	// owedLimit is that of a customer that has much less than its share, and of all
+	// belowLimit is that of a customer that has much less than its share, and of all
 	// while the servers make what is asked.
-	owedLimit = 500 * time.Millisecond
+	belowLimit = 500 * time.Millisecond
 	// farOver is how many times its share a customer has that gets nothing while
 	// this router has refused another within the time contended, or customers
 	// lack of their shares anywhere in the fleet.
@@ -31,7 +31,7 @@
 	// that a request may wait for a slot.
 	plainPart = 1.0
 	// retryLeast and retryMost bound what a caller is told to wait: the way there and
-	// back and the time in which news of other routers come, and what is short to
+	// back and the time in which pending of other routers come, and what is short to
 	// whoever waits for an answer.
 	retryLeast = 40 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -184,8 +184,8 @@
 	switch standing {
 	case fair.Over:
 		return s.admitOver(n.Customer, c, now)
-	case fair.Owed:
-		if c.Wait <= owedLimit {
+	case fair.BelowShare:
+		if c.Wait <= belowLimit {
 			return WhyNone
 		}
 	case fair.Even:
@@ -206,7 +206,7 @@
 	if s.meter.Ratio(n.Customer, now) > 0 {
 		return waitLimit
 	}
-	return max(waitLimit, min(owedLimit, n.Route.Target-c.Own))
+	return max(waitLimit, min(belowLimit, n.Route.Target-c.Own))
 }
 
 // admitOver decides for a customer above its share: the further it is above,
@@ -230,7 +230,7 @@
 // place of one that would be in time. When callers were told to come back after up to
 // 400 ms, most answers that were late by their callers' clocks came in time by their
 // routers' (786 of 858 on a day); mean worth of 15 days of high load and trouble
-// 0.664, with this bound and those above their share told 40 ms 0.676. Told 40 ms, the
+// 0.664, with this bound and those above their share told 40 ms 0.676. Informed 40 ms, the
 // bound or a moment between: 0.718, 0.715, 0.720, no difference.
 func (s *State) back(n Need, c pick.Choice, why Why) time.Duration {
 	inTime := min(max((n.Route.Target-c.Own)/2, retryLeast), retryMost)
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -20,7 +20,7 @@
 	// expectedRouters is the least number of routers that the retry budget is
 	// shared over: a router that has just started knows no other yet.
 	expectedRouters = 8
-	// viewStale is the age of the last word of the store above which an
+	// viewStale is the age of the last answer of the store above which an
 	// unknown route or key may be one that this router has not heard of.
 	viewStale = 3500 * time.Millisecond
 )
@@ -67,7 +67,7 @@
 }
 
 // Table returns the configuration in force, nil before the first is known, and
-// the age of the last word that it is the newest.
+// the age of the last report that it is the newest.
 func (s *State) Table() (_ *routing.Table, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,7 +212,7 @@
 	return s.roster.Followed(s.now())
 }
 
-// Settle takes a router's word that it has followed the store for so long, and
+// Settle takes a router's report that it has followed the store for so long, and
 // reports whether doubtful servers were forgotten for it.
 func (s *State) Settle(followed time.Duration) bool {
 	s.mu.Lock()
@@ -286,10 +286,10 @@
 func (s *State) Report() Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Report{Loads: s.picker.Loads(), Rates: s.meter.Own(s.now()), Sent: s.picker.News()}
+	return Report{Loads: s.picker.Loads(), Rates: s.meter.Own(s.now()), Sent: s.picker.TakePending()}
 }
 
-// HeardSent takes other routers' word of which parts they sent where.
+// HeardSent takes other routers' report of which parts they sent where.
 func (s *State) HeardSent(sent pick.Sent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/state/state_test.go
+++ b/internal/edge/state/state_test.go
@@ -65,7 +65,7 @@
 	assert.Equal(t, len(got), 1)
 }
 
-// A word about the age of a view never makes it older.
+// A report of the age of a view never makes it older.
 func TestOldConfirmationDoesNotAgeTheView(t *testing.T) {
 	s := New("dc", 0.2, 80, time.Now)
 	s.Confirm(0)
--- a/soak/check.go
+++ b/soak/check.go
@@ -136,7 +136,7 @@
 }
 
 // storeWasTroubled reports whether the store failed around a moment: bounds that
-// count from its word do not hold then.
+// count from its report do not hold then.
 func (f *fleet) storeWasTroubled(at time.Time) bool {
 	for _, span := range f.troubles {
 		if at.After(span.from.Add(-drainBound)) && at.Before(span.to.Add(drainBound+time.Second)) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -269,7 +269,7 @@
 	return list[x.Who%len(list)]
 }
 
-// crash ends a server without a word; another comes, and its entry lapses.
+// crash ends a server without a report; another comes, and its entry lapses.
 func (f *fleet) crash(x fault) {
 	s := f.pickServer(x)
 	if s == nil {
