--- /dev/null
+++ b/internal/core/pick/choose.go
@@ -0,0 +1,74 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Choose returns the server with the least expected time: of a plain service any,
+// of engines one of the prompt's homes or of a few drawn at random, any if none of
+// these is good. ok is false if there is none that may be asked.
+func (p *Picker) Choose(req Request, now time.Time) (best Choice, ok bool) {
+	if p.stale {
+		p.sumPeers(now)
+	}
+	list := p.services[req.Service]
+	p.keys = keys(p.keys[:0], req.Prompt)
+	home, second := p.homes(req.Prompt, list, now)
+	if few := p.draw(list, home, second); len(few) > 0 {
+		best, ok = p.least(few, req, home, second, now)
+		if ok && best.rank == rankGood {
+			return best, true
+		}
+	}
+	return p.least(list, req, home, second, now)
+}
+
+// draw returns the homes and a few others, none if the list is too short for it
+// or of a plain service.
+func (p *Picker) draw(list []*server, home, second *server) []*server {
+	if len(list) <= othersDrawn || list[0].engine == nil {
+		return nil
+	}
+	few := make([]*server, 0, othersDrawn+2)
+	for _, s := range []*server{home, second} {
+		if s != nil {
+			few = append(few, s)
+		}
+	}
+	for range othersDrawn {
+		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
+			few = append(few, s)
+		}
+	}
+	return few
+}
+
+// least returns the server of the list with the least expected time among those
+// of the best rank.
+func (p *Picker) least(list []*server, req Request, home, second *server, now time.Time) (best Choice, ok bool) {
+	least := math.Inf(1)
+	best.rank = math.MaxInt
+	candidates := 0
+	for _, s := range list {
+		if slices.Contains(req.Tried, s.ID) {
+			continue
+		}
+		r := p.rankOf(s, now)
+		if r > best.rank {
+			continue
+		}
+		candidates++
+		c := p.expect(s, req, home, second, now)
+		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s)
+		if r < best.rank || cost < least {
+			least = cost
+			best = c
+			best.rank = r
+			ok = true
+		}
+	}
+	best.Candidates = candidates
+	return best, ok
+}
--- /dev/null
+++ b/internal/core/pick/loads.go
@@ -0,0 +1,93 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServerKey is a server's name among routers: the hash of its ID, half as long. With
+// 600 servers two share a key in one fleet of 24,000, and then each other's load.
+type ServerKey uint32
+
+// KeyOf returns the key of the server of the ID.
+func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
+
+// Load is what one router has at one server, or several have together.
+type Load struct {
+	Waiting  int64 // tokens of prompts that are still to be read
+	Memory   int64 // tokens that its running requests take
+	Running  int   // requests
+	Suspects int   // routers that suspect it by what they saw themselves
+}
+
+// Plus returns the sum of both.
+func (l Load) Plus(o Load) Load {
+	return Load{
+		Waiting:  l.Waiting + o.Waiting,
+		Memory:   l.Memory + o.Memory,
+		Running:  l.Running + o.Running,
+		Suspects: l.Suspects + o.Suspects,
+	}
+}
+
+// Less returns what remains of the load without o, nothing below zero.
+func (l Load) Less(o Load) Load {
+	return Load{
+		Waiting:  max(0, l.Waiting-o.Waiting),
+		Memory:   max(0, l.Memory-o.Memory),
+		Running:  max(0, l.Running-o.Running),
+		Suspects: max(0, l.Suspects-o.Suspects),
+	}
+}
+
+// peerLoad is the last report of another router.
+type peerLoad struct {
+	at    time.Time
+	loads map[ServerKey]Load
+}
+
+// PeerLoad takes another router's report of its load. It is added up when the next
+// server is chosen: a reporter takes in 1,000 reports a second and chooses 20 times.
+func (p *Picker) PeerLoad(peer string, loads map[ServerKey]Load, now time.Time) {
+	p.peers[peer] = peerLoad{at: now, loads: loads}
+	p.stale = true
+}
+
+// sumPeers adds up what the other routers said, leaving out old reports.
+func (p *Picker) sumPeers(now time.Time) {
+	p.stale = false
+	for _, s := range p.servers {
+		s.peers = Load{}
+	}
+	for peer, report := range p.peers {
+		if now.Sub(report.at) > peerStale {
+			delete(p.peers, peer)
+			continue
+		}
+		for key, l := range report.loads {
+			if s := p.keyed[key]; s != nil {
+				s.peers = s.peers.Plus(l)
+			}
+		}
+	}
+	p.judgeReports()
+}
+
+// Loads returns this router's load at each server where it has any, and those that it
+// suspects.
+func (p *Picker) Loads(now time.Time) map[ServerKey]Load {
+	loads := make(map[ServerKey]Load, len(p.busy))
+	for key, s := range p.busy {
+		l := s.own
+		if now.Before(s.health.until) {
+			l.Suspects = 1
+		}
+		if l.Running == 0 && l.Suspects == 0 {
+			delete(p.busy, key)
+			continue
+		}
+		loads[key] = l
+	}
+	return loads
+}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -9,7 +9,6 @@
 package pick
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -70,41 +69,6 @@
 	peerStale = 1500 * time.Millisecond
 )
 
-// ServerKey is a server's name among routers: the hash of its ID, half as long. With
-// 600 servers two share a key in one fleet of 24,000, and then each other's load.
-type ServerKey uint32
-
-// KeyOf returns the key of the server of the ID.
-func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
-
-// Load is what one router has at one server, or several have together.
-type Load struct {
-	Waiting  int64 // tokens of prompts that are still to be read
-	Memory   int64 // tokens that its running requests take
-	Running  int   // requests
-	Suspects int   // routers that suspect it by what they saw themselves
-}
-
-// Plus returns the sum of both.
-func (l Load) Plus(o Load) Load {
-	return Load{
-		Waiting:  l.Waiting + o.Waiting,
-		Memory:   l.Memory + o.Memory,
-		Running:  l.Running + o.Running,
-		Suspects: l.Suspects + o.Suspects,
-	}
-}
-
-// Less returns what remains of the load without o, nothing below zero.
-func (l Load) Less(o Load) Load {
-	return Load{
-		Waiting:  max(0, l.Waiting-o.Waiting),
-		Memory:   max(0, l.Memory-o.Memory),
-		Running:  max(0, l.Running-o.Running),
-		Suspects: max(0, l.Suspects-o.Suspects),
-	}
-}
-
 // Request is what is to be placed.
 type Request struct {
 	Service string
@@ -186,12 +150,6 @@
 	ownRunning, allRunning float64
 }
 
-// peerLoad is the last report of another router.
-type peerLoad struct {
-	at    time.Time
-	loads map[ServerKey]Load
-}
-
 // New returns a picker of a router in the data centre. It draws from rng.
 func New(dataCentre string, rng *rand.Rand) *Picker {
 	return &Picker{
@@ -297,100 +255,6 @@
 	return r
 }
 
-// Choose returns the server with the least expected time: of a plain service any,
-// of engines one of the prompt's homes or of a few drawn at random, any if none of
-// these is good. ok is false if there is none that may be asked.
-func (p *Picker) Choose(req Request, now time.Time) (best Choice, ok bool) {
-	if p.stale {
-		p.sumPeers(now)
-	}
-	list := p.services[req.Service]
-	p.keys = keys(p.keys[:0], req.Prompt)
-	home, second := p.homes(req.Prompt, list, now)
-	if few := p.draw(list, home, second); len(few) > 0 {
-		best, ok = p.least(few, req, home, second, now)
-		if ok && best.rank == rankGood {
-			return best, true
-		}
-	}
-	return p.least(list, req, home, second, now)
-}
-
-// draw returns the homes and a few others, none if the list is too short for it
-// or of a plain service.
-func (p *Picker) draw(list []*server, home, second *server) []*server {
-	if len(list) <= othersDrawn || list[0].engine == nil {
-		return nil
-	}
-	few := make([]*server, 0, othersDrawn+2)
-	for _, s := range []*server{home, second} {
-		if s != nil {
-			few = append(few, s)
-		}
-	}
-	for range othersDrawn {
-		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
-			few = append(few, s)
-		}
-	}
-	return few
-}
-
-// least returns the server of the list with the least expected time among those
-// of the best rank.
-func (p *Picker) least(list []*server, req Request, home, second *server, now time.Time) (best Choice, ok bool) {
-	least := math.Inf(1)
-	best.rank = math.MaxInt
-	candidates := 0
-	for _, s := range list {
-		if slices.Contains(req.Tried, s.ID) {
-			continue
-		}
-		r := p.rankOf(s, now)
-		if r > best.rank {
-			continue
-		}
-		candidates++
-		c := p.expect(s, req, home, second, now)
-		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s)
-		if r < best.rank || cost < least {
-			least = cost
-			best = c
-			best.rank = r
-			ok = true
-		}
-	}
-	best.Candidates = candidates
-	return best, ok
-}
-
-// PeerLoad takes another router's report of its load. It is added up when the next
-// server is chosen: a reporter takes in 1,000 reports a second and chooses 20 times.
-func (p *Picker) PeerLoad(peer string, loads map[ServerKey]Load, now time.Time) {
-	p.peers[peer] = peerLoad{at: now, loads: loads}
-	p.stale = true
-}
-
-// sumPeers adds up what the other routers said, leaving out old reports.
-func (p *Picker) sumPeers(now time.Time) {
-	p.stale = false
-	for _, s := range p.servers {
-		s.peers = Load{}
-	}
-	for peer, report := range p.peers {
-		if now.Sub(report.at) > peerStale {
-			delete(p.peers, peer)
-			continue
-		}
-		for key, l := range report.loads {
-			if s := p.keyed[key]; s != nil {
-				s.peers = s.peers.Plus(l)
-			}
-		}
-	}
-	p.judgeReports()
-}
-
 // Tick forgets old reports of other routers.
 func (p *Picker) Tick(now time.Time) {
 	p.sumPeers(now)
@@ -419,24 +283,6 @@
 	return max(all[len(all)/2], 1)
 }
 
-// Loads returns this router's load at each server where it has any, and those that it
-// suspects.
-func (p *Picker) Loads(now time.Time) map[ServerKey]Load {
-	loads := make(map[ServerKey]Load, len(p.busy))
-	for key, s := range p.busy {
-		l := s.own
-		if now.Before(s.health.until) {
-			l.Suspects = 1
-		}
-		if l.Running == 0 && l.Suspects == 0 {
-			delete(p.busy, key)
-			continue
-		}
-		loads[key] = l
-	}
-	return loads
-}
-
 // ConnLimit is how many connections the server of the ID takes from all
 // routers; 0: not told.
 func (p *Picker) ConnLimit(id string) int {
