front: what is shed is counted by customer and logged; a caller that left ends its request

A look just before the sending may find that the caller has left before the server's side of the context tells: it then ended as a failure of all servers tried.

--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -105,7 +105,7 @@
 // time has. The server is not to blame.
 func (x *exchange) over() verdict {
 	q := x.q
-	if left(q.r.Context()) {
+	if left(q.r.Context()) || q.leftMeanwhile() {
 		x.end(pick.Abandoned, "")
 		q.log(slog.LevelInfo, events.EdgeLeft, "server", x.server.ID, "started", q.started, "last", q.last)
 		q.h.Meter.Failed(q.service, "caller left")
--- a/internal/edge/front/refuse.go
+++ b/internal/edge/front/refuse.go
@@ -51,6 +51,11 @@
 			q.log(slog.LevelInfo, events.EdgeLeft, "err", err)
 		}
 	}
+	q.note(f)
+}
+
+// note counts and logs a refusal.
+func (q *request) note(f *Refusal) {
 	q.h.Meter.Refused(q.customer, f.reason())
 	event := events.EdgeRefused
 	switch {
--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -37,28 +37,22 @@
 	if err != nil {
 		return // nothing was read that could be answered
 	}
-	refusal := h.shed(r)
-	h.Meter.Refused("", refusal.reason())
-	if err := h.writeRefusal(c, r, refusal); err != nil {
-		return // the caller has left
-	}
-	drain(c, in)
-}
-
-// shed finds the refusal of a request that there is no room for, and counts the request.
-func (h *Handler) shed(r *http.Request) *Refusal {
 	q := &request{h: h, r: r, ask: h.Headers.Ask(r.Header), begin: time.Now()}
-	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "too many connections here", Back: comeBack}
 	if q.find() == nil {
 		h.State.TurnedAway(q.need())
 	}
-	return refusal
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "too many connections here", Back: comeBack}
+	q.note(refusal)
+	if err := q.writeRefusal(c, refusal); err != nil {
+		return // the caller has left
+	}
+	drain(c, in)
 }
 
 // writeRefusal writes a refusal that ends its connection.
-func (h *Handler) writeRefusal(c net.Conn, r *http.Request, f *Refusal) error {
+func (q *request) writeRefusal(c net.Conn, f *Refusal) error {
 	header := http.Header{}
-	h.Headers.ToCaller(header, h.Headers.Ask(r.Header).Attempt)
+	q.h.Headers.ToCaller(header, q.ask.Attempt)
 	header.Set("Retry-After", strconv.FormatFloat(f.Back.Seconds(), 'f', 3, 64))
 	header.Set("Content-Length", "0")
 	header.Set("Connection", "close")
