--- a/internal/edge/node/accept_test.go
+++ b/internal/edge/node/accept_test.go
@@ -18,7 +18,7 @@
 	assert.NilError(t, err)
 	n := &Node{
 		callers: &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout},
-		limiter: &connLimiter{Listener: ln, most: 10},
+		limiter: &connLimiter{Listener: ln, most: 10, saturated: func() bool { return false }},
 		log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	var g run.Group
--- a/internal/edge/node/limiter.go
+++ b/internal/edge/node/limiter.go
@@ -27,6 +27,9 @@
 	most     int64
 	shed     func(net.Conn) // refuses the request of a connection, and closes it
 	shedMost int64
+	// saturated reports whether this host is so far behind that each request is refused:
+	// then those of new connections are refused the cheap way.
+	saturated func() bool
 
 	open     atomic.Int64
 	shedding atomic.Int64 // connections whose requests are being refused
@@ -51,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.most {
+		if l.open.Add(1) <= l.most && !l.saturated() {
 			return &counted{Conn: c, limiter: l}, nil
 		}
 		l.open.Add(-1)
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -14,7 +14,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }}
+	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }, saturated: func() bool { return false }}
 	defer func() { _ = l.Close() }()
 	accepted := make(chan net.Conn)
 	go func() {
@@ -45,18 +45,28 @@
 	assert.Equal(t, l.open.Load(), int64(1))
 }
 
-// With room to answer, the request of a connection beyond the bound is refused.
+// With room to answer, the request of a connection beyond the bound is refused, and that
+// of any new one on a host that has no time.
 func TestARequestBeyondTheBoundIsRefused(t *testing.T) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	shed := make(chan net.Conn, 1)
-	l := &connLimiter{Listener: ln, shed: func(c net.Conn) { shed <- c }, shedMost: 1}
-	defer func() { _ = l.Close() }()
-	go func() { _, _ = l.Accept() }() // ends with the listener
-	c, err := net.Dial("tcp4", ln.Addr().String())
-	assert.NilError(t, err)
-	defer func() { _ = c.Close() }()
-	_ = (<-shed).Close()
-	assert.Equal(t, l.refused.Load(), int64(1))
-	assert.Equal(t, l.closed.Load(), int64(0))
+	for name, l := range map[string]*connLimiter{
+		"no room": {saturated: func() bool { return false }},
+		"no time": {most: 10, saturated: func() bool { return true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = ln.Close() }()
+			shed := make(chan net.Conn, 1)
+			l.Listener = ln
+			l.shed = func(c net.Conn) { shed <- c }
+			l.shedMost = 1
+			go func() { _, _ = l.Accept() }() // ends with the listener
+			c, err := net.Dial("tcp4", ln.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_ = (<-shed).Close()
+			assert.Equal(t, l.refused.Load(), int64(1))
+			assert.Equal(t, l.closed.Load(), int64(0))
+		})
+	}
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -148,6 +148,7 @@
 	n.peers.Add(true, n.settings.Seeds...)
 	most := int64(n.settings.MemoryMB * connsPerMB)
 	n.limiter = &connLimiter{Listener: n.callersL, most: most, shed: n.handler.Shed, shedMost: int64(float64(most) * shedPart)}
+	n.limiter.saturated = func() bool { return n.probe.Wait() >= pressure.Saturated }
 	return nil
 }
 
