tests: a caller that left while its request waited; a saturated host's test ends when it fails

Not proved: the reading of a shed body after its answer (on loopback the answer arrives all the same).

--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -1,6 +1,9 @@
 package front
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -67,3 +70,30 @@
 	wait = 0
 	assert.Assert(t, ask("flood"))
 }
+
+// The pattern: a request is read on a flooded host, and waits there for its turn; its
+// caller gives up meanwhile, which the server's side notices when it has its turn too. A
+// request that has waited has its caller looked at once more before it is sent (one was
+// sent 1.1 s after its caller had left); one that has not costs no look.
+func TestACallerThatLeftWhileItsRequestWaitedIsSeen(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp4", ln.Addr().String())
+	assert.NilError(t, err)
+	conn, err := ln.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	r, err := http.NewRequestWithContext(WithConn(context.Background(), conn), http.MethodPost, "/", nil)
+	assert.NilError(t, err)
+	old := &request{r: r, begin: time.Now().Add(-2 * lookAgain)}
+	assert.Assert(t, !old.leftMeanwhile())
+	assert.NilError(t, caller.Close())
+	for !old.leftMeanwhile() {
+		time.Sleep(time.Millisecond) // the test's own time limit bounds it
+	}
+	old.started = true
+	assert.Assert(t, !old.leftMeanwhile(), "its answer is on its way, and tells")
+	young := &request{r: r, begin: time.Now().Add(time.Hour)}
+	assert.Assert(t, !young.leftMeanwhile())
+}
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -60,11 +60,20 @@
 			l.Listener = ln
 			l.shed = func(c net.Conn) { shed <- c }
 			l.shedMost = 1
-			go func() { _, _ = l.Accept() }() // ends with the listener
+			accepted := make(chan struct{})
+			go func() {
+				defer close(accepted)
+				_, _ = l.Accept() // ends with the listener
+			}()
 			c, err := net.Dial("tcp4", ln.Addr().String())
 			assert.NilError(t, err)
 			defer func() { _ = c.Close() }()
-			_ = (<-shed).Close()
+			select {
+			case c := <-shed:
+				_ = c.Close()
+			case <-accepted:
+				t.Fatal("the connection was taken")
+			}
 			assert.Equal(t, l.refused.Load(), int64(1))
 			assert.Equal(t, l.closed.Load(), int64(0))
 		})
