--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -84,7 +84,7 @@
 // store all the while has seen removed (two of three readers were
 // cut off, and brought back servers that had left). A router that
 // has begun to follow it since does not know.
-func TestDoubtEndsAtTheWordOfOneThatFollowedAllTheWhile(t *testing.T) {
+func TestDoubtEndsAtTheReportOfOneThatFollowedAllTheWhile(t *testing.T) {
 	now := time.Unix(100, 0)
 	after := func(d time.Duration) time.Time { return now.Add(d) }
 	r := New()
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -125,7 +125,7 @@
 }
 
 // A router that others tell makes no calls.
-func TestToldRouterLeavesTheStoreAlone(t *testing.T) {
+func TestInformedRouterLeavesTheStoreAlone(t *testing.T) {
 	f := start(t, follow.Informed)
 	f.put(1)
 	time.Sleep(50 * time.Millisecond)
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -392,7 +392,7 @@
 // A host that is overloaded refuses before it reads a body, and suspects no server
 // for answers that it has not read (a flood by one customer made a host of
 // 0.19 cores pass requests on seconds late).
-func TestStarvedRouterRefusesAndBlamesNobody(t *testing.T) {
+func TestOverloadedRouterRefusesAndBlamesNobody(t *testing.T) {
 	r := newRig(t)
 	r.configure()
 	engines, plain := r.servers(1)
--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -14,7 +14,7 @@
 
 // The customer that fills a full host gives way, others don't (a customer
 // behind the same host as a flood got nothing).
-func TestTheCrowdGivesWayFirst(t *testing.T) {
+func TestWhoDominatesAFullHostGivesWayFirst(t *testing.T) {
 	wait := time.Duration(0)
 	h := New(Config{MaxRunning: 20, ProcessorWait: func() time.Duration { return wait }})
 	ask := func(customer string) bool {
--- a/internal/edge/peers/pending_test.go
+++ b/internal/edge/peers/pending_test.go
@@ -31,7 +31,7 @@
 // What a router sent where reaches all routers of a large fleet in three reports: its
 // reporter's, that of the other data centre's reporter, and on to its routers.
 // Grounds of the sizes: above 12 routers there are reporters.
-func TestNewsReachTheOtherDataCentreOnce(t *testing.T) {
+func TestUpdatesReachTheOtherDataCentreOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := reporter(t, now, 9)
 	near := pick.Sent{1: {1, 2}}
