--- a/internal/core/pick/cache_test.go
+++ b/internal/core/pick/cache_test.go
@@ -51,7 +51,7 @@
 
 // A router tells of a part when it is new at a server, and again while it is in use:
 // a part of what each request would take.
-func TestNewsAreToldAgainAQuarterOfALifeLater(t *testing.T) {
+func TestPartsAreReportedAgainAQuarterOfALifeLater(t *testing.T) {
 	p := picker(9)
 	req := Request{Service: "llm", Prompt: prompt(1, 1)}
 	told := 0
@@ -67,7 +67,7 @@
 }
 
 // What one router heard it does not tell again.
-func TestWhatWasHeardIsNotToldAgain(t *testing.T) {
+func TestWhatWasHeardIsNotReportedAgain(t *testing.T) {
 	a, b := picker(9), picker(9)
 	req := Request{Service: "llm", Prompt: prompt(1, 1)}
 	send(a, "i-003", req, 0)
@@ -103,7 +103,7 @@
 }
 
 // What waits to be told is bounded, also while nobody takes it.
-func TestNewsAreBounded(t *testing.T) {
+func TestPendingPartsAreBounded(t *testing.T) {
 	p := picker(9)
 	for i := range 2 * pendingMost {
 		send(p, "i-003", Request{Service: "llm", Prompt: prompt(i, i)}, 0)
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -103,7 +103,7 @@
 	assert.DeepEqual(t, s.Reporters("a"), []string{"10.0.0.20:1", "10.0.0.25:1"})
 }
 
-func TestSilentRouterIsKnockedAt(t *testing.T) {
+func TestSilentRouterIsProbed(t *testing.T) {
 	s := New(Member{Addr: "a:1"})
 	s.Add(Member{Addr: "b:1"}, true, start)
 	assert.DeepEqual(t, s.Targets(start, 0).Own, []string{"b:1"})
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -43,7 +43,7 @@
 // Error implements error.
 func (e *NoViewError) Error() string { return "no view, or an old one" }
 
-// view returns this router's view for one that starts.
+// firstView returns this router's view for one that starts.
 func (p *Peers) firstView(now time.Time) (firstView, error) {
 	_, age := p.State.Table()
 	if !p.State.Ready() || age > viewOld {
