--- a/internal/edge/state/admission_test.go
+++ b/internal/edge/state/admission_test.go
@@ -114,3 +114,22 @@
 	}
 	assert.Assert(t, spread > 50, "%d moments", spread)
 }
+
+// The pattern: a customer's flood comes in by one host of 0.192 cores, where what was
+// placed waits for seconds before it reaches an engine. It counts as served all the
+// while: a customer of whose requests 332,000 tokens a second began was believed to have
+// 600,000, above its share of 480,000, and was refused at all hosts. What no engine has
+// begun is not served.
+func TestWhatHasNotBegunIsNotServed(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	s := loaded(func() time.Time { return clock }, 0, map[string]fair.Rates{
+		"b": {Asked: 900e3, Served: 250e3}, "c": {Asked: 900e3, Served: 180e3},
+	})
+	for range 1000 {
+		clock = clock.Add(time.Millisecond)
+		n := ask("flood")
+		n.Ask.TokensOut = 1000 // short to read and long to answer
+		s.Place(n)
+	}
+	assert.Assert(t, s.meter.Standing("flood", clock) != fair.Over, "nothing of it has begun")
+}
