--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -63,7 +63,7 @@
 		q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "stage", "body", "err", err)
 		return again
 	}
-	q.h.State.First(&x.placed)
+	q.h.State.First(x.job)
 	q.h.Meter.First(q.service, time.Since(q.begin))
 	x.header(a, int64(len(body)), err == nil)
 	if _, werr := q.w.Write(body); werr != nil {
@@ -146,7 +146,7 @@
 			return x.broken(err)
 		}
 		if count == 0 {
-			q.h.State.First(&x.placed)
+			q.h.State.First(x.job)
 			if !q.started {
 				q.h.Meter.First(q.service, time.Since(q.begin))
 			}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -38,8 +38,7 @@
 	roster    *roster.Roster
 	listed    bool // the servers have been read once
 	meter     *fair.Meter
-	unbegun   []*counted // placed requests that no server has begun
-	refusedAt time.Time  // when a customer not above its share was refused last
+	refusedAt time.Time // when a customer not above its share was refused last
 	budgets   map[string]*budget.Bucket
 	ratio     float64
 	slack     float64
@@ -233,7 +232,6 @@
 	if s.roster.Tick(now) {
 		s.picker.SetServers(s.roster.List())
 	}
-	s.undoOverdue(now)
 	s.picker.Tick(now)
 }
 
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -118,7 +118,7 @@
 		}
 		s.result.Expected = append(s.result.Expected, ms(p.Choice.Wait+p.Choice.Own))
 		s.result.Seen = append(s.result.Seen, ms(s.now.Sub(sentAt)))
-		r.First(&p)
+		r.First(p.Job)
 		if s.now.Sub(q.begin) <= q.customer.Target {
 			q.second().InTime += q.tokens()
 		} else {
