--- a/internal/edge/front/refuse.go
+++ b/internal/edge/front/refuse.go
@@ -38,10 +38,7 @@
 // refuse answers with the fleet's own refusal.
 func (q *request) refuse(f *Refusal) {
 	header := q.w.Header()
-	q.h.Headers.ToCaller(header, q.ask.Attempt)
-	if f.Back > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(f.Back.Seconds(), 'f', 3, 64))
-	}
+	q.refusalHeader(header, f)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := f.Reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -54,6 +51,15 @@
 	q.note(f)
 }
 
+// refusalHeader sets what each refusal says to its caller: which attempt it answers, and
+// when to come back.
+func (q *request) refusalHeader(header http.Header, f *Refusal) {
+	q.h.Headers.ToCaller(header, q.ask.Attempt)
+	if f.Back > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.Back.Seconds(), 'f', 3, 64))
+	}
+}
+
 // note counts and logs a refusal.
 func (q *request) note(f *Refusal) {
 	q.h.Meter.Refused(q.customer, f.reason())
--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -52,8 +51,7 @@
 // writeRefusal writes a refusal that ends its connection.
 func (q *request) writeRefusal(c net.Conn, f *Refusal) error {
 	header := http.Header{}
-	q.h.Headers.ToCaller(header, q.ask.Attempt)
-	header.Set("Retry-After", strconv.FormatFloat(f.Back.Seconds(), 'f', 3, 64))
+	q.refusalHeader(header, f)
 	header.Set("Content-Length", "0")
 	header.Set("Connection", "close")
 	out := bufio.NewWriterSize(c, shedBuffer)
