front: a line of an attempt that broke off says under which content, and for how long its server ran it

Copies of one request have IDs of their own, so that lines of several routers could not be put together; now their content is the same.

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -60,7 +60,7 @@
 		}
 		x.end(pick.Failed, "answer broken off")
 		q.h.Meter.Failed(q.service, "broken off")
-		q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "status", a.Status, "stage", "body", "err", err)
+		x.brokenLine("status", a.Status, "stage", "body", "err", err)
 		return again
 	}
 	q.h.State.First(x.job)
@@ -146,6 +146,7 @@
 			return x.broken(err)
 		}
 		if count == 0 {
+			x.begun = time.Now()
 			q.h.State.First(x.job)
 			if !q.started {
 				q.h.Meter.First(q.service, time.Since(q.begin))
@@ -216,8 +217,7 @@
 	}
 	x.end(pick.Failed, "answer broken off")
 	q.h.Meter.Failed(q.service, "broken off")
-	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "stage", "body", "last", q.last,
-		"late", x.late.isSet(), "err", err)
+	x.brokenLine("stage", "body", "last", q.last, "err", err)
 	if q.started && q.last == "" {
 		return cut
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -29,6 +29,7 @@
 	due    atomic.Int64 // when the timer is due, ns after the request's begin
 	late   mark         // its server was silent for too long
 	paid   mark         // a repeat was taken from the retry budget
+	begun  time.Time    // when the first event came; zero: none has
 }
 
 // watch suspects the server when it is silent for longer than d. A request that
@@ -96,11 +97,21 @@
 	}
 	x.end(outcome, err.Error())
 	q.h.Meter.Failed(q.service, err.Stage.String())
-	q.log(slog.LevelInfo, events.EdgeFailed, "server", x.server.ID, "stage", err.Stage.String(),
-		"sent", err.Sent, "kept", err.Kept, "late", x.late.isSet(), "err", err.Err)
+	x.brokenLine("stage", err.Stage.String(), "sent", err.Sent, "kept", err.Kept, "err", err.Err)
 	return again
 }
 
+// brokenLine notes that the exchange broke off: under which content, and for how long its
+// server had been making events. Copies of one request are known by their content.
+func (x *exchange) brokenLine(args ...any) {
+	runMs := int64(0)
+	if !x.begun.IsZero() {
+		runMs = time.Since(x.begun).Milliseconds()
+	}
+	line := []any{"server", x.server.ID, "content", x.q.asks().String(), "runMs", runMs, "late", x.late.isSet()}
+	x.q.log(slog.LevelInfo, events.EdgeFailed, append(line, args...)...)
+}
+
 // over reports whether the request itself is over: its caller has left or its
 // time has. The server is not to blame.
 func (x *exchange) over() verdict {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -112,8 +112,9 @@
 	begin    time.Time
 	deadline time.Time
 	body     []byte
-	header   http.Header // what goes on to servers
-	routine  bool        // its routine lines are written
+	header   http.Header     // what goes on to servers
+	routine  bool            // its routine lines are written
+	content  routing.Content // 0: not worked out yet
 
 	tried   []string
 	sent    int  // servers that the request may have reached
@@ -159,5 +160,14 @@
 	e.Log(context.Background(), q.h.Log, level, append(base, args...)...)
 }
 
+// asks returns the request's content. It is worked out when it is first asked for: most
+// requests never need it, and bodies are long.
+func (q *request) asks() routing.Content {
+	if q.content == 0 {
+		q.content = routing.ContentOf(q.customer, q.r.Method, q.r.Host, target(q.r), q.body)
+	}
+	return q.content
+}
+
 // left reports whether the request's caller has left.
 func left(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
