--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -12,8 +12,11 @@
 	"github.com/windscale/windscale/internal/events"
 )
 
-// Receive takes the peers' datagrams until the socket is closed.
+// Receive takes the peers' datagrams until ctx ends, and closes the socket then: a router
+// that hears no other would wait for a datagram and never end.
 func (p *Peers) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() }) // it is closed once
+	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
