--- a/internal/core/pick/cache.go
+++ b/internal/core/pick/cache.go
@@ -27,7 +27,7 @@
 
 // Sent says which parts of prompts were sent to which servers; a part by the hash of
 // its name.
-type Sent map[ServerKey][]uint32
+type Sent map[routing.ServerKey][]uint32
 
 // partKey is the hash of a part's name. With some thousand parts in use one in a
 // million is taken for another: a fetch in vain.
--- a/internal/core/pick/cache_test.go
+++ b/internal/core/pick/cache_test.go
@@ -58,7 +58,7 @@
 	const every, over = 100, 60_000
 	for ms := 0; ms < over; ms += every {
 		send(p, "i-003", req, ms)
-		told += len(p.TakePending()[KeyOf("i-003")])
+		told += len(p.TakePending()[routing.Identity{ID: "i-003"}.Key()])
 	}
 	assert.Equal(t, told, 2*advertiseAgain, "both shared parts, at the start and after each quarter of %s", mostLife)
 	small := Request{Service: "llm", Prompt: []routing.Part{{ID: "x", Tokens: 100}, {ID: "y", Tokens: 5000}}}
@@ -83,7 +83,7 @@
 	for ms := 0; ms < 20_000; ms += 100 {
 		req := Request{Service: "llm", Prompt: []routing.Part{{ID: "shared", Tokens: 500}, {ID: "o", Tokens: 8000}}, Out: 200}
 		j := p.Begin(req, Choice{Server: p.servers["i-001"].Server, Missing: 8500}, at(ms))
-		p.PeerLoad("other", map[ServerKey]Load{KeyOf("i-001"): {Running: 1}}, at(ms))
+		p.PeerLoad("other", map[routing.ServerKey]Load{routing.Identity{ID: "i-001"}.Key(): {Running: 1}}, at(ms))
 		p.Tick(at(ms))
 		p.End(j, Worked, at(ms))
 	}
@@ -108,7 +108,7 @@
 	for i := range 2 * pendingMost {
 		send(p, "i-003", Request{Service: "llm", Prompt: prompt(i, i)}, 0)
 	}
-	assert.Assert(t, len(p.TakePending()[KeyOf("i-003")]) <= pendingMost)
+	assert.Assert(t, len(p.TakePending()[routing.Identity{ID: "i-003"}.Key()]) <= pendingMost)
 }
 
 // Whether a fetch is worth its setting up depends on how fast the engine reads. The
--- a/internal/core/pick/health_test.go
+++ b/internal/core/pick/health_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/routing"
 )
 
 // A server that was cleared while its last suspicion still lasted, and fails
@@ -26,7 +28,7 @@
 // An engine has fallen silent, two routers have seen it: the others pass it over. One
 // router alone may be cut off, and where all seem lost all are tried.
 func TestWhatTwoRoutersSuspectIsPassedOver(t *testing.T) {
-	used := func(suspects map[ServerKey]Load) map[string]int {
+	used := func(suspects map[routing.ServerKey]Load) map[string]int {
 		p := picker(12)
 		p.PeerLoad("total", suspects, at(0))
 		count := map[string]int{}
@@ -35,12 +37,12 @@
 		}
 		return count
 	}
-	dead := KeyOf("i-003")
-	assert.Assert(t, used(map[ServerKey]Load{dead: {Suspects: 1}})["i-003"] > 0)
-	assert.Equal(t, used(map[ServerKey]Load{dead: {Suspects: 2}})["i-003"], 0)
-	all := map[ServerKey]Load{}
+	dead := routing.Identity{ID: "i-003"}.Key()
+	assert.Assert(t, used(map[routing.ServerKey]Load{dead: {Suspects: 1}})["i-003"] > 0)
+	assert.Equal(t, used(map[routing.ServerKey]Load{dead: {Suspects: 2}})["i-003"], 0)
+	all := map[routing.ServerKey]Load{}
 	for i := range 5 {
-		all[KeyOf(fmt.Sprintf("i-%03d", i))] = Load{Suspects: 60}
+		all[routing.Identity{ID: fmt.Sprintf("i-%03d", i)}.Key()] = Load{Suspects: 60}
 	}
 	assert.Assert(t, used(all)["i-003"] > 0)
 }
@@ -51,6 +53,6 @@
 	c := choose(t, p, Request{Service: "llm", Prompt: prompt(1, 1)}, 0)
 	j := p.Begin(Request{Service: "llm", Prompt: prompt(1, 1)}, c, at(0))
 	p.End(j, Failed, at(10))
-	assert.DeepEqual(t, p.Loads(at(20)), map[ServerKey]Load{KeyOf(c.Server.ID): {Suspects: 1}})
+	assert.DeepEqual(t, p.Loads(at(20)), map[routing.ServerKey]Load{routing.Identity{ID: c.Server.ID}.Key(): {Suspects: 1}})
 	assert.Equal(t, len(p.Loads(at(20).Add(firstSuspicion))), 0)
 }
--- a/internal/core/pick/loads.go
+++ b/internal/core/pick/loads.go
@@ -3,16 +3,9 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/windscale/windscale/internal/core/routing"
 )
 
-// ServerKey is a server's name among routers: the hash of its ID, half as long. With
-// 600 servers two share a key in one fleet of 24,000, and then each other's load.
-type ServerKey uint32
-
-// KeyOf returns the key of the server of the ID.
-func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
-
 // Load is what one router has at one server, or several have together.
 type Load struct {
 	Waiting  int64 // tokens of prompts that are still to be read
@@ -44,12 +37,12 @@
 // peerLoad is the last report of another router.
 type peerLoad struct {
 	at    time.Time
-	loads map[ServerKey]Load
+	loads map[routing.ServerKey]Load
 }
 
 // PeerLoad takes another router's report of its load. It is added up when the next
 // server is chosen: a reporter takes in 1,000 reports a second and chooses 20 times.
-func (p *Picker) PeerLoad(peer string, loads map[ServerKey]Load, now time.Time) {
+func (p *Picker) PeerLoad(peer string, loads map[routing.ServerKey]Load, now time.Time) {
 	p.peers[peer] = peerLoad{at: now, loads: loads}
 	p.stale = true
 }
@@ -76,8 +69,8 @@
 
 // Loads returns this router's load at each server where it has any, and those that it
 // suspects.
-func (p *Picker) Loads(now time.Time) map[ServerKey]Load {
-	loads := make(map[ServerKey]Load, len(p.busy))
+func (p *Picker) Loads(now time.Time) map[routing.ServerKey]Load {
+	loads := make(map[routing.ServerKey]Load, len(p.busy))
 	for key, s := range p.busy {
 		l := s.own
 		if now.Before(s.health.until) {
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -99,7 +99,7 @@
 // server is what the picker knows of one start of a backend server.
 type server struct {
 	routing.Server
-	key        ServerKey
+	key        routing.ServerKey
 	hash       uint64 // of its ID
 	engine     *routing.Engine
 	own        Load
@@ -120,8 +120,8 @@
 	dataCentre   string
 	rng          *rand.Rand
 	servers      map[string]*server
-	keyed        map[ServerKey]*server
-	busy         map[ServerKey]*server // those with requests of this router, and those that it suspects
+	keyed        map[routing.ServerKey]*server
+	busy         map[routing.ServerKey]*server // those with requests of this router, and those that it suspects
 	services     map[string][]*server
 	specs        map[string]*routing.Service
 	peers        map[string]peerLoad
@@ -156,8 +156,8 @@
 		dataCentre: dataCentre,
 		rng:        rng,
 		servers:    map[string]*server{},
-		keyed:      map[ServerKey]*server{},
-		busy:       map[ServerKey]*server{},
+		keyed:      map[routing.ServerKey]*server{},
+		busy:       map[routing.ServerKey]*server{},
 		services:   map[string][]*server{},
 		specs:      map[string]*routing.Service{},
 		peers:      map[string]peerLoad{},
@@ -206,7 +206,7 @@
 		named[entry.ID] = true
 		s := p.servers[entry.ID]
 		if s == nil {
-			s = &server{slow: 1, key: KeyOf(entry.ID), hash: xxhash.Sum64String(entry.ID)}
+			s = &server{slow: 1, key: entry.Identity().Key(), hash: xxhash.Sum64String(entry.ID)}
 			p.servers[entry.ID] = s
 			p.keyed[s.key] = s
 		}
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -64,7 +64,7 @@
 	p := picker(18)
 	req := Request{Service: "llm", Prompt: prompt(1, 1)}
 	home := choose(t, p, req, 0)
-	p.PeerLoad("other", map[ServerKey]Load{KeyOf(home.Server.ID): {Waiting: 30000}}, at(0))
+	p.PeerLoad("other", map[routing.ServerKey]Load{routing.Identity{ID: home.Server.ID}.Key(): {Waiting: 30000}}, at(0))
 	c := choose(t, p, req, 10)
 	assert.Assert(t, c.Server.ID != home.Server.ID)
 	assert.Equal(t, c.FetchAt, home.Server.Addr)
@@ -152,7 +152,7 @@
 		b.Run(fmt.Sprintf("routers=%d/servers=%d", size.routers, size.servers), func(b *testing.B) {
 			p := picker(size.servers)
 			for i := range min(size.routers, 12) {
-				p.PeerLoad(fmt.Sprint("r", i), map[ServerKey]Load{KeyOf("i-001"): {Waiting: 500}}, at(0))
+				p.PeerLoad(fmt.Sprint("r", i), map[routing.ServerKey]Load{routing.Identity{ID: "i-001"}.Key(): {Waiting: 500}}, at(0))
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
@@ -171,11 +171,11 @@
 // had 638 ms of work waiting by the median, the chosen servers 20 ms).
 func TestRoutersDoNotFlockToOneServer(t *testing.T) {
 	const routers = 64
-	loads := map[ServerKey]Load{}
+	loads := map[routing.ServerKey]Load{}
 	for i := range 90 {
-		loads[KeyOf(fmt.Sprintf("i-%03d", i))] = Load{Waiting: 2000}
+		loads[routing.Identity{ID: fmt.Sprintf("i-%03d", i)}.Key()] = Load{Waiting: 2000}
 	}
-	loads[KeyOf("i-042")] = Load{}
+	loads[routing.Identity{ID: "i-042"}.Key()] = Load{}
 	taken := map[string]int{}
 	for r := range routers {
 		p := pickerOf(90, uint64(r))
@@ -205,10 +205,10 @@
 	req := Request{Service: "llm", Prompt: prompt(1, 1), Out: 10}
 	c := choose(t, p, req, 0)
 	a, b := p.Begin(req, c, at(0)), p.Begin(req, c, at(0))
-	assert.DeepEqual(t, p.Loads(at(0)), map[ServerKey]Load{KeyOf(c.Server.ID): {Waiting: a.missing + b.missing, Memory: a.memory + b.memory, Running: 2}})
+	assert.DeepEqual(t, p.Loads(at(0)), map[routing.ServerKey]Load{routing.Identity{ID: c.Server.ID}.Key(): {Waiting: a.missing + b.missing, Memory: a.memory + b.memory, Running: 2}})
 	p.First(a, at(10))
 	p.End(a, Worked, at(20))
-	assert.DeepEqual(t, p.Loads(at(0)), map[ServerKey]Load{KeyOf(c.Server.ID): {Waiting: b.missing, Memory: b.memory, Running: 1}})
+	assert.DeepEqual(t, p.Loads(at(0)), map[routing.ServerKey]Load{routing.Identity{ID: c.Server.ID}.Key(): {Waiting: b.missing, Memory: b.memory, Running: 1}})
 	p.SetServers(nil) // the one that is left goes on
 	assert.Equal(t, len(p.Loads(at(0))), 1)
 	p.End(b, Worked, at(30))
--- /dev/null
+++ b/internal/core/poison/poison_test.go
@@ -0,0 +1,196 @@
+package poison
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+const (
+	guilty = routing.Content(1)
+	beside = routing.Content(2)
+)
+
+var start = time.Unix(1000, 0)
+
+// at is a moment, in milliseconds after the start of a test.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// end is one of a run of 60 ms.
+func end(server, ms int) End {
+	return End{Server: routing.ServerKey(server), Sent: at(ms - 60), At: at(ms)}
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+// A request that ends one server after the other is blocked at the third, for ten minutes
+// after the last, and then again at the next one.
+func TestThirdEndBlocks(t *testing.T) {
+	table := New()
+	assert.Assert(t, table.Empty())
+	assert.Equal(t, table.Ended(guilty, end(1, 0)), Change{Ends: 1})
+	assert.Equal(t, table.Ended(guilty, end(2, 500)), Change{Ends: 2})
+	assert.Equal(t, table.Blocked(guilty, at(500)), time.Duration(0))
+	assert.Equal(t, table.Ended(guilty, end(3, 1000)), Change{Ends: 3, Blocked: true})
+	assert.Equal(t, table.Blocked(guilty, at(1000)), BlockFor)
+	over := at(1000).Add(BlockFor)
+	table.Tick(over)
+	assert.Equal(t, table.Blocked(guilty, over), time.Duration(0))
+	again := End{Server: 4, Sent: over.Add(time.Second), At: over.Add(2 * time.Second)}
+	assert.Equal(t, table.Ended(guilty, again), Change{Ends: 4, Blocked: true})
+	table.Tick(again.At.Add(forgetAfter + time.Second))
+	assert.Assert(t, table.Empty())
+}
+
+// A rack that loses its power ends many servers at once: that counts once, also for a content
+// that runs at all of them. What was sent after an end is another, however soon it ends.
+func TestEndsOfOneMomentCountOnce(t *testing.T) {
+	table := New()
+	for server := range 20 {
+		table.Ended(beside, end(server, server))
+	}
+	assert.Equal(t, table.Blocked(beside, at(50)), time.Duration(0))
+	for i := range EndsToBlock {
+		table.Ended(guilty, End{Server: routing.ServerKey(i), Sent: at(30*i + 1), At: at(30*i + 30)})
+	}
+	assert.Assert(t, table.Blocked(guilty, at(100)) > 0)
+}
+
+// The same server ends once in each of its lives; a router and its peers both see it.
+func TestOneLifeOfAServerEndsOnce(t *testing.T) {
+	table := New()
+	for ms := range 10 {
+		table.Ended(guilty, end(1, 500*ms))
+	}
+	assert.Equal(t, table.Blocked(guilty, at(5000)), time.Duration(0))
+}
+
+// What ran beside a guilty request ends with its server too; one whole answer shows that
+// it is innocent, at this router and at those that it tells.
+func TestAWholeAnswerClears(t *testing.T) {
+	table, other := New(), New()
+	for i := range 2 {
+		table.Ended(beside, end(i, 500*i))
+	}
+	assert.Assert(t, table.Worked(beside, at(700)))
+	assert.Assert(t, !table.Worked(guilty, at(700)), "nothing ended under it")
+	table.Ended(beside, end(3, 1000))
+	assert.Equal(t, table.Blocked(beside, at(1000)), time.Duration(0))
+	for i := range EndsToBlock {
+		other.Ended(beside, end(i, 500*i))
+	}
+	assert.Assert(t, other.Blocked(beside, at(1000)) > 0)
+	other.Heard([]Record{{Content: beside, Ends: []EndAge{{Server: 1}}, Worked: time.Millisecond}}, rng(), at(1100))
+	assert.Equal(t, other.Blocked(beside, at(1100)), time.Duration(0))
+	_, remove := other.ToStore(at(1100))
+	assert.DeepEqual(t, remove, []routing.Content{beside})
+}
+
+// What a table knows is bounded; a blocked content stays.
+func TestTableIsBounded(t *testing.T) {
+	table := New()
+	for i := range EndsToBlock {
+		table.Ended(guilty, end(i, 500*i))
+	}
+	for c := range 3 * most {
+		table.Ended(routing.Content(10+c), end(1, 2000))
+	}
+	assert.Assert(t, len(table.records) <= most)
+	assert.Assert(t, table.Blocked(guilty, at(2000)) > 0)
+	table.Tick(at(2000))
+	assert.Assert(t, len(table.order) <= most)
+}
+
+// A router writes what it blocked at once, one that was told only if it hears long after
+// that nobody has; what is not blocked any more is removed.
+func TestTheStoreIsToldOnce(t *testing.T) {
+	first, other := New(), New()
+	for i := range EndsToBlock {
+		first.Ended(guilty, end(i, 500*i))
+	}
+	write, _ := first.ToStore(at(1000))
+	assert.Equal(t, len(write), 1)
+	blocked := other.Heard(first.TakeFresh(at(1000)), rng(), at(1001))
+	assert.DeepEqual(t, blocked, []routing.Content{guilty})
+	write, _ = other.ToStore(at(1100))
+	assert.Equal(t, len(write), 0)
+	write, _ = other.ToStore(at(1001).Add(2 * storeAfter))
+	assert.Equal(t, len(write), 1)
+	first.Stored(write, nil)
+	other.Heard(first.TakeFresh(at(1200)), rng(), at(1201))
+	write, _ = other.ToStore(at(1001).Add(2 * storeAfter))
+	assert.Equal(t, len(write), 0)
+	first.Tick(at(1000).Add(BlockFor))
+	_, remove := first.ToStore(at(1000).Add(BlockFor))
+	assert.DeepEqual(t, remove, []routing.Content{guilty})
+	first.Stored(nil, remove)
+	_, remove = first.ToStore(at(1000).Add(BlockFor))
+	assert.Equal(t, len(remove), 0)
+}
+
+// What is told again and again is what may matter: what is blocked, and for a while what
+// servers ended under more than once.
+func TestWhatIsRepeated(t *testing.T) {
+	table := New()
+	table.Ended(beside, end(1, 0))
+	table.Ended(guilty, end(1, 0))
+	table.Ended(guilty, end(2, 500))
+	list := table.Repeat(10, at(600))
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Content, guilty)
+	assert.Equal(t, len(table.Repeat(10, at(600).Add(repeatFor))), 0)
+	table.Ended(guilty, end(3, 1000))
+	assert.Equal(t, len(table.Repeat(10, at(600).Add(repeatFor))), 1)
+	assert.Equal(t, len(table.Repeat(0, at(600))), 0)
+}
+
+// Routers that hear the same reports in any order, some twice, block the same contents; and a
+// content is blocked by nobody of whose ends fewer than three are at moments of their own.
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var told []Record
+		moments := map[routing.Content]map[int]bool{}
+		for range rapid.IntRange(0, 12).Draw(t, "ends") {
+			c := routing.Content(rapid.IntRange(1, 3).Draw(t, "content"))
+			moment := rapid.IntRange(0, 4).Draw(t, "moment")
+			if moments[c] == nil {
+				moments[c] = map[int]bool{}
+			}
+			moments[c][moment] = true
+			source := New()
+			source.Ended(c, end(rapid.IntRange(0, 20).Draw(t, "server")*5+moment, 1000*moment))
+			told = append(told, source.TakeFresh(at(5000))...)
+		}
+		tables := [2]*Table{New(), New()}
+		for _, table := range tables {
+			for _, i := range rapid.Permutation(indices(len(told))).Draw(t, "order") {
+				table.Heard(told[i:i+1], rng(), at(5000))
+				if rapid.Bool().Draw(t, "twice") {
+					table.Heard(told[i:i+1], rng(), at(5000))
+				}
+			}
+		}
+		for c, seen := range moments {
+			blocked := tables[0].Blocked(c, at(5000)) > 0
+			if other := tables[1].Blocked(c, at(5000)) > 0; blocked != other {
+				t.Fatalf("content %v: %v and %v", c, blocked, other)
+			}
+			if blocked != (len(seen) >= EndsToBlock) {
+				t.Fatalf("content %v: blocked %v, ends at %d moments", c, blocked, len(seen))
+			}
+		}
+	})
+}
+
+func indices(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/poison/tell.go
@@ -0,0 +1,134 @@
+package poison
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+const (
+	// repeatFor is how long after its last end a content that is not blocked is repeated to
+	// the others: one that heard nothing of the first end learns it in time for the third.
+	repeatFor = 10 * time.Second
+	// repeatFrom is from how many ends on a content is repeated. Of what ended once, most
+	// is innocent: an engine ends with some 40 requests.
+	repeatFrom = 2
+	// storeAfter is how long after a router has heard that a content is blocked it writes
+	// that into the store itself, to twice that, unless it hears that it is there: the router
+	// that knew it first may be gone.
+	storeAfter = 2 * time.Second
+)
+
+// Record is what routers tell each other of a content.
+type Record struct {
+	Content routing.Content
+	Ends    []EndAge
+	Worked  time.Duration // how long ago there was a whole answer; 0: there was none
+	Stored  bool          // the store has it
+}
+
+// EndAge is an end, told by ages.
+type EndAge struct {
+	Server routing.ServerKey
+	Ran    time.Duration // from the sending to the end
+	Age    time.Duration // of the end
+}
+
+// record returns what is told of a content.
+func (r *record) record(c routing.Content, now time.Time) Record {
+	out := Record{Content: c, Stored: r.stored}
+	if !r.worked.IsZero() {
+		out.Worked = max(now.Sub(r.worked), 1)
+	}
+	for _, e := range r.ends {
+		out.Ends = append(out.Ends, EndAge{Server: e.Server, Ran: e.At.Sub(e.Sent), Age: now.Sub(e.At)})
+	}
+	return out
+}
+
+// Heard takes what another router tells, or the store, and returns the contents that are
+// blocked for it. It draws from rng when this router is to write them into the store.
+func (t *Table) Heard(records []Record, rng *rand.Rand, now time.Time) (blocked []routing.Content) {
+	for _, told := range records {
+		if len(told.Ends) == 0 || told.Ends[len(told.Ends)-1].Age > forgetAfter {
+			continue
+		}
+		r := t.get(told.Content)
+		r.merge(told, now)
+		if t.settle(told.Content, r, now) {
+			blocked = append(blocked, told.Content)
+			r.due = now.Add(storeAfter + time.Duration(rng.Int64N(int64(storeAfter))))
+		}
+	}
+	return blocked
+}
+
+// merge takes what was told of a content.
+func (r *record) merge(told Record, now time.Time) {
+	for _, e := range told.Ends {
+		at := now.Add(-e.Age)
+		r.add(End{Server: e.Server, Sent: at.Add(-e.Ran), At: at})
+	}
+	if told.Worked > 0 {
+		if at := now.Add(-told.Worked); at.Sub(r.worked) > newer {
+			r.worked = at
+		}
+	}
+	r.stored = r.stored || told.Stored
+}
+
+// TakeFresh returns what the other routers don't know yet, once.
+func (t *Table) TakeFresh(now time.Time) []Record {
+	var list []Record
+	for c := range t.fresh {
+		list = append(list, t.records[c].record(c, now))
+	}
+	clear(t.fresh)
+	return list
+}
+
+// Repeat returns what is told again and again, that with the latest end first, at most so
+// many: what is blocked, and what may be soon.
+func (t *Table) Repeat(most int, now time.Time) []Record {
+	var list []Record
+	for c, r := range t.records {
+		if len(r.ends) < repeatFrom || !r.blocked(now) && now.Sub(r.last()) > repeatFor {
+			continue
+		}
+		list = append(list, r.record(c, now))
+	}
+	slices.SortFunc(list, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Ends[len(a.Ends)-1].Age, b.Ends[len(b.Ends)-1].Age), cmp.Compare(a.Content, b.Content))
+	})
+	return list[:min(len(list), most)]
+}
+
+// ToStore returns what this router is to write into the store, and what it is to remove
+// there if it does so for the rest of the fleet.
+func (t *Table) ToStore(now time.Time) (write []Record, remove []routing.Content) {
+	for c, r := range t.records {
+		if r.held && !r.stored && !now.Before(r.due) {
+			write = append(write, r.record(c, now))
+		}
+	}
+	for c := range t.lifted {
+		remove = append(remove, c)
+	}
+	return write, remove
+}
+
+// Stored notes that the store has the ones and has forgotten the others.
+func (t *Table) Stored(written []Record, removed []routing.Content) {
+	for _, told := range written {
+		if r := t.records[told.Content]; r != nil {
+			r.stored = true
+			t.fresh[told.Content] = true
+		}
+	}
+	for _, c := range removed {
+		delete(t.lifted, c)
+	}
+}
--- a/internal/core/routing/ask.go
+++ b/internal/core/routing/ask.go
@@ -41,27 +41,3 @@
 	After    string        // the last event that the caller has; empty: a first run
 	FetchAt  string        // a server that keeps parts of the prompt, IP:port; empty: none
 }
-
-// ServerState says whether a backend server takes new requests.
-type ServerState int
-
-// The states of a backend server.
-const (
-	ServerReady ServerState = iota + 1
-	ServerDraining
-)
-
-// Server is one start of a backend server, as the platform lists it. Another
-// start at the same address has another ID.
-type Server struct {
-	ID         string
-	Service    string
-	Addr       string // IP:port
-	DataCentre string
-	Slots      int
-	State      ServerState
-	Warmup     time.Duration // how much longer it is slow after its start
-}
-
-// Takes reports whether the server takes new requests.
-func (s Server) Takes() bool { return s.State == ServerReady }
--- /dev/null
+++ b/internal/core/routing/server.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServerState says whether a backend server takes new requests.
+type ServerState int
+
+// The states of a backend server.
+const (
+	ServerReady ServerState = iota + 1
+	ServerDraining
+)
+
+// Identity is one start of a backend server. One that starts again under its ID holds and
+// knows nothing of before.
+type Identity struct {
+	ID   string
+	Born int64 // its start by its own clock, Unix milliseconds; 0: not told
+}
+
+// bornSpread spreads starts that differ by little over all bits: 2^64 over the golden ratio.
+const bornSpread = 0x9e3779b97f4a7c15
+
+// Key returns the identity's name among routers.
+func (i Identity) Key() ServerKey {
+	sum := xxhash.Sum64String(i.ID) ^ uint64(i.Born)*bornSpread
+	return ServerKey(sum ^ sum>>32)
+}
+
+// ServerKey is a server's name among routers: the hash of its identity, in four bytes.
+// With 600 servers two share a key in one fleet of 24,000, and then each other's load.
+type ServerKey uint32
+
+// Server is one start of a backend server, as the platform lists it.
+type Server struct {
+	ID         string
+	Born       int64 // see Identity
+	Service    string
+	Addr       string // IP:port
+	DataCentre string
+	Slots      int
+	State      ServerState
+	Warmup     time.Duration // how much longer it is slow after its start
+}
+
+// Identity returns the server's.
+func (s Server) Identity() Identity { return Identity{ID: s.ID, Born: s.Born} }
+
+// Takes reports whether the server takes new requests.
+func (s Server) Takes() bool { return s.State == ServerReady }
--- /dev/null
+++ b/internal/edge/follow/ends.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/events"
+	"github.com/windscale/windscale/platform"
+)
+
+const (
+	// endsEvery is how often a router looks whether the store has to be told of a blocked
+	// content, or asked for those that others blocked.
+	endsEvery = 200 * time.Millisecond
+	// askEvery is the least time between two such reads: calls are priced, and a
+	// content that this router does not know blocked costs a server a copy.
+	askEvery = time.Second
+)
+
+// readServers reads the list of servers, and before it for the first time which contents
+// are blocked: a router that takes requests knows what the fleet knew before it started.
+func (f *Follower) readServers(ctx context.Context) (platform.Change, error) {
+	if !f.State.KnowsEnds() {
+		if err := f.readEnds(ctx); err != nil {
+			return platform.Change{}, err
+		}
+	}
+	return f.Store.ReadServers(ctx)
+}
+
+// Ends keeps in the store which contents are blocked, and asks it for those that other
+// routers blocked while this one hears few of them, until ctx ends.
+func (f *Follower) Ends(ctx context.Context) error {
+	t := time.NewTicker(endsEvery)
+	defer t.Stop()
+	lost := false
+	var last time.Time // a failed call or a read
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		if time.Since(last) < askEvery {
+			continue
+		}
+		called, err := f.keepEnds(ctx)
+		if called {
+			last = time.Now()
+		}
+		if err != nil && !lost {
+			events.StoreEnds.Log(ctx, f.Log, slog.LevelWarn, "err", err)
+		}
+		lost = err != nil || lost && !called
+	}
+}
+
+// keepEnds makes the calls that are due, and reports whether there were any.
+func (f *Follower) keepEnds(ctx context.Context) (called bool, _ error) {
+	write, remove := f.State.EndsToStore()
+	if !f.Registers() {
+		f.State.EndsStored(nil, remove) // others do it
+		remove = nil
+	}
+	if len(write)+len(remove) > 0 {
+		written, removed, err := f.Store.WriteBlocked(ctx, write, remove)
+		if err != nil {
+			return true, err
+		}
+		f.State.EndsStored(written, removed)
+		return true, nil
+	}
+	if f.State.EndedSince() && f.MissesMany() {
+		return true, f.readEnds(ctx)
+	}
+	return false, nil
+}
+
+// readEnds reads which contents are blocked.
+func (f *Follower) readEnds(ctx context.Context) error {
+	list, bad, err := f.Store.ReadBlocked(ctx)
+	if err != nil {
+		return err
+	}
+	for _, err := range bad {
+		events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", "blocked contents", "err", err)
+	}
+	var blocked []routing.Content
+	if len(list) > 0 {
+		blocked = f.State.HeardEnds(list)
+	}
+	f.State.EndsRead()
+	for _, c := range blocked {
+		events.ContentBlocked.Log(ctx, f.Log, slog.LevelWarn, "content", c.String(), "from", "store")
+	}
+	return nil
+}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -10,7 +10,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
@@ -45,6 +47,8 @@
 	FollowConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
 	ReadServers(ctx context.Context) (platform.Change, error)
 	FollowServers(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
+	ReadBlocked(ctx context.Context) ([]poison.Record, []error, error)
+	WriteBlocked(ctx context.Context, write []poison.Record, remove []routing.Content) ([]poison.Record, []routing.Content, error)
 }
 
 // Follower follows the store.
@@ -57,6 +61,10 @@
 	Sought func(context.Context)
 	// Role says whether this router has to follow the store itself.
 	Role func() Role
+	// Registers says whether this router writes into the store for others too.
+	Registers func() bool
+	// MissesMany says whether this router hears too few others to know what they know.
+	MissesMany func() bool
 }
 
 // Role is how a router follows the store.
@@ -97,7 +105,7 @@
 func (f *Follower) Servers(ctx context.Context) error {
 	return f.run(ctx, source{
 		name:   "backend servers",
-		read:   f.Store.ReadServers,
+		read:   f.readServers,
 		follow: f.Store.FollowServers,
 		take:   f.takeServers,
 		down:   f.State.StoreDown,
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -59,6 +59,7 @@
 			return v
 		}
 		x.end(pick.Failed, "answer broken off")
+		x.ended(true, err)
 		q.h.Meter.Failed(q.service, "broken off")
 		x.brokenLine("status", a.Status, "stage", "body", "err", err)
 		return again
@@ -216,6 +217,7 @@
 		return v
 	}
 	x.end(pick.Failed, "answer broken off")
+	x.ended(true, err)
 	q.h.Meter.Failed(q.service, "broken off")
 	x.brokenLine("stage", "body", "last", q.last, "err", err)
 	if q.started && q.last == "" {
@@ -238,6 +240,7 @@
 // answeredLine notes the end of a request.
 func (x *exchange) answeredLine(status, size int) {
 	q := x.q
+	x.worked(status)
 	q.h.Meter.Answered(q.service, status, time.Since(q.begin))
 	if q.routine || status >= http.StatusInternalServerError || len(q.tried) > 1 {
 		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "status", status, "size", size, "tries", len(q.tried))
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -96,6 +96,7 @@
 		outcome = pick.Abandoned
 	}
 	x.end(outcome, err.Error())
+	x.ended(err.Sent, err)
 	q.h.Meter.Failed(q.service, err.Stage.String())
 	x.brokenLine("stage", err.Stage.String(), "sent", err.Sent, "kept", err.Kept, "err", err.Err)
 	return again
--- a/internal/edge/front/operations_test.go
+++ b/internal/edge/front/operations_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/ctl"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/platform/platformtest"
@@ -59,7 +60,7 @@
 	r.configure()
 	_, plain := r.servers(1)
 	// Another router has filled the server.
-	r.state.PeerReport("another", state.Report{Loads: map[pick.ServerKey]pick.Load{pick.KeyOf(plain[0].ID): {Running: 1000}}})
+	r.state.PeerReport("another", state.Report{Loads: map[routing.ServerKey]pick.Load{routing.Identity{ID: plain[0].ID}.Key(): {Running: 1000}}})
 	a := r.call(context.Background(), "POST", "/u/x", "k", "")
 	assert.Equal(t, a.status, 503)
 	said := follow(t, r, "edge-refused", a.id)
@@ -77,6 +78,21 @@
 	assert.Assert(t, strings.Contains(said, "the last attempt was at "+plain[0].ID), said)
 }
 
+func TestOperationsRequestThatCrashesServers(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	engines, _ := r.servers(8)
+	for _, s := range engines {
+		s.Fail(func(string) platformtest.Fault { return platformtest.CutAnswer })
+	}
+	a := r.call(context.Background(), "POST", "/s/x", "k", "guilty")
+	for a.status != 503 {
+		a = r.call(context.Background(), "POST", "/s/x", "k", "guilty")
+	}
+	said := follow(t, r, "edge-crashing", a.id)
+	assert.Assert(t, strings.Contains(said, "servers end when they run this request"), said)
+}
+
 func TestOperationsWrongKey(t *testing.T) {
 	r := newRig(t)
 	r.configure()
--- /dev/null
+++ b/internal/edge/front/poison.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"syscall"
+
+	"github.com/windscale/windscale/internal/events"
+)
+
+// blocked refuses a request under whose content servers have ended again and again. Its
+// caller is told when it may be tried again; it earns nothing by coming back sooner.
+func (q *request) blocked() *Refusal {
+	if !q.h.State.AnyEnded() {
+		return nil
+	}
+	left := q.h.State.Blocked(q.asks())
+	if left == 0 {
+		return nil
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable,
+		Reason: "servers end when they run this request",
+		Back:   left,
+		inputs: []any{"content", q.asks().String()},
+	}
+}
+
+// ended notes that the server may have ended under the request, if what broke the exchange
+// off looks like it. An end of the server's process and one of a single connection look the same here;
+// they differ in that the former happens again wherever the request goes.
+func (x *exchange) ended(sent bool, err error) {
+	q := x.q
+	if !sent || x.paid.isSet() || !connectionEnded(err) {
+		return
+	}
+	change := q.h.State.Ended(q.asks(), x.server.Identity(), x.began)
+	q.h.Meter.ServerEnded(q.service)
+	if change.Ends > 1 {
+		q.log(slog.LevelInfo, events.ServerEnded, "server", x.server.ID, "content", q.asks().String(), "ends", change.Ends)
+	}
+	if change.Blocked {
+		q.log(slog.LevelWarn, events.ContentBlocked, "content", q.asks().String(), "ends", change.Ends, "from", "this router")
+	}
+}
+
+// connectionEnded reports whether the server's side ended the connection, or fell silent
+// without a sign. What came and was no answer is another fault.
+func connectionEnded(err error) bool {
+	for _, sign := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, sign) {
+			return true
+		}
+	}
+	return false
+}
+
+// worked notes that a server lived through the request. A failure of the server says
+// nothing: it may not have begun.
+func (x *exchange) worked(status int) {
+	q := x.q
+	if status >= http.StatusInternalServerError || !q.h.State.AnyEnded() {
+		return
+	}
+	if q.h.State.Worked(q.asks()) {
+		q.log(slog.LevelInfo, events.ContentCleared, "server", x.server.ID, "content", q.asks().String())
+	}
+}
--- /dev/null
+++ b/internal/edge/front/poison_test.go
@@ -0,0 +1,80 @@
+package front_test
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// A stream that may be resumed is sent on by its router when its server ends: that, too,
+// ends with the third server. A copy is refused at once, with the time at which it may be tried
+// again, and nothing else of the customer is.
+func TestOwnRepeatsEndWithTheThirdServer(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	engines, _ := r.servers(8)
+	var sent atomic.Int64
+	for _, s := range engines {
+		s.Fail(func(string) platformtest.Fault {
+			if sent.Add(1) <= poison.EndsToBlock {
+				return platformtest.CutAnswer
+			}
+			return platformtest.NoFault
+		})
+	}
+	for range 2 {
+		a := r.call(context.Background(), "POST", "/s/x", "k", "guilty")
+		assert.Assert(t, a.err != nil || a.status == 502, "%d", a.status)
+	}
+	assert.Equal(t, len(runs(engines)), poison.EndsToBlock)
+	a := r.call(context.Background(), "POST", "/s/x", "k", "guilty")
+	assert.Equal(t, a.status, 503)
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 590 && seconds <= 600, "%f", seconds)
+	assert.Assert(t, strings.Contains(a.body, "servers end"), a.body)
+	assert.Equal(t, len(runs(engines)), poison.EndsToBlock)
+	assert.Equal(t, r.call(context.Background(), "POST", "/s/x", "k", "innocent").status, 200)
+	assert.Equal(t, r.call(context.Background(), "POST", "/s/y", "k", "guilty").status, 200)
+}
+
+// Failures that a server answers, bytes that are no answer and silence are none of an end.
+func TestOnlyEndsCount(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.ServerFail, platformtest.Garbage, platformtest.Mute} {
+		r := newRig(t)
+		r.configure()
+		_, plain := r.servers(6)
+		for _, s := range plain {
+			s.Fail(func(string) platformtest.Fault { return fault })
+		}
+		for range 3 {
+			r.call(context.Background(), "POST", "/r/x", "k", "same")
+		}
+		for _, s := range plain {
+			s.Fail(nil)
+		}
+		assert.Equal(t, r.call(context.Background(), "POST", "/r/x", "k", "same").status, 200, "fault %d", fault)
+		assert.Assert(t, !r.state.AnyEnded(), "fault %d", fault)
+	}
+}
+
+// An answer that a server gave whole clears what ended before it.
+func TestAnAnswerClearsTheRequest(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	engines, _ := r.servers(8)
+	for range 2 * poison.EndsToBlock {
+		once(engines, platformtest.CutAnswer)
+		broken := r.call(context.Background(), "POST", "/o/x", "k", "asked again and again")
+		assert.Assert(t, broken.err != nil || broken.status == 502, "%d", broken.status)
+		assert.Equal(t, r.call(context.Background(), "POST", "/o/x", "k", "asked again and again").status, 200)
+	}
+	assert.Assert(t, strings.Contains(r.log.String(), `"event":350`))
+}
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -52,8 +52,8 @@
 		q.leave()
 		panic(http.ErrAbortHandler) // nobody reads an answer
 	}
-	var f *Refusal
-	for {
+	f := q.blocked()
+	for f == nil {
 		placed := q.place()
 		q.paid = false
 		if placed.Why != state.WhyNone {
@@ -108,6 +108,9 @@
 	if q.mayRun && !q.route.Repeatable() {
 		return false
 	}
+	if q.blocked() != nil {
+		return false
+	}
 	return time.Until(q.deadline) > leastLeft
 }
 
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -37,6 +37,7 @@
 	beliefs   *prometheus.CounterVec
 	fetches   prometheus.Counter
 	storeFail *prometheus.CounterVec
+	ended     *prometheus.CounterVec
 }
 
 // New returns the metrics of a process.
@@ -53,8 +54,9 @@
 		beliefs:   counter("beliefs_total", "Changes of belief about servers.", "service", "change"),
 		fetches:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "fetches_total", Help: "Requests whose server was told to fetch parts of the prompt."}),
 		storeFail: counter("store_failures_total", "Calls to the platform's store that failed.", "what", "kind"),
+		ended:     counter("server_ends_total", "Servers that ended, or broke their connection, under a request.", "service"),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.first, m.whole, m.attempts, m.ends, m.beliefs, m.fetches, m.storeFail)
+	m.registry.MustRegister(m.ended, m.answers, m.refusals, m.first, m.whole, m.attempts, m.ends, m.beliefs, m.fetches, m.storeFail)
 	return m
 }
 
@@ -111,5 +113,8 @@
 // Believed counts a change of belief about a server.
 func (m *Meter) Believed(service, change string) { m.beliefs.WithLabelValues(service, change).Inc() }
 
+// ServerEnded counts a request under which its server ended.
+func (m *Meter) ServerEnded(service string) { m.ended.WithLabelValues(service).Inc() }
+
 // StoreFailed counts a failed call to the platform's store.
 func (m *Meter) StoreFailed(what, kind string) { m.storeFail.WithLabelValues(what, kind).Inc() }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -157,7 +157,10 @@
 // Actors adds what the router does to the group. The group ends when the
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
-	f := &follow.Follower{State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Role: n.peers.Role, Sought: n.peers.Sought}
+	f := &follow.Follower{
+		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Sought: n.peers.Sought,
+		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany,
+	}
 	n.loop(g, func(ctx context.Context) error {
 		n.peers.Seek(ctx, n.settings.Seeds, n.settings.FirstStart)
 		<-ctx.Done()
@@ -165,6 +168,7 @@
 	})
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
+	n.loop(g, f.Ends)
 	n.loop(g, n.peers.Run)
 	n.loop(g, n.peers.Receive)
 	n.loop(g, n.tick)
@@ -190,6 +194,7 @@
 		}
 		return 0
 	})
+	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
--- /dev/null
+++ b/internal/edge/peers/ends_test.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/state"
+)
+
+// ends are what a router tells of a content under which n servers ended, one each second.
+func ends(c routing.Content, n int) []contentEnds {
+	w := contentEnds{Content: c}
+	for i := range n {
+		w.Ends = append(w.Ends, serverEnd{Server: routing.ServerKey(i + 1), RanMs: 60, AgeMs: int64(1000 * (n - i))})
+	}
+	return []contentEnds{w}
+}
+
+// In a fleet of hundreds of routers each end is seen by another router, and each reaches
+// all: a reporter tells on, outward what its data centre's routers told, and inward all.
+func TestEndsAreToldOnByReporters(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := reporter(t, now, 9)
+	p.take(heartbeat{Control: "127.0.0.60:1", DataCentre: "dc", Kind: kindOwn, Ends: ends(1, 1)}, now)
+	p.take(heartbeat{Control: "127.0.0.62:1", DataCentre: "dc", Kind: kindOwn, Ends: ends(1, 2)}, now)
+	p.take(heartbeat{Control: "127.0.0.61:1", DataCentre: "far", Kind: kindSum, Ends: ends(2, 1)}, now)
+	out, in := p.takePending(updates{}, true, true)
+	contents := func(list []poison.Record) (all []string) {
+		for _, r := range list {
+			all = append(all, fmt.Sprintf("%v:%d", r.Content, len(r.Ends)))
+		}
+		return all
+	}
+	assert.DeepEqual(t, contents(out.ends), []string{"1:1", "1:2"})
+	assert.DeepEqual(t, contents(in.ends), []string{"1:1", "1:2", "2:1"})
+	p.take(heartbeat{Control: "127.0.0.61:1", DataCentre: "far", Kind: kindSum, Ends: ends(3, poison.EndsToBlock)}, now)
+	assert.Equal(t, p.State.BlockedCount(), 1)
+}
+
+// Grounds of the figures: an engine ends with 40 requests, of which one router runs eight
+// at most; a blocked content is repeated every 400 ms.
+func TestWhatIsToldOfEndsIsShort(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := lone(t, func() time.Time { return now }, noWait)
+	var told []contentEnds
+	for c := range 8 {
+		told = append(told, ends(routing.Content(0xffffffffffffff00+uint64(c)), 1)...)
+	}
+	text, err := cbor.Marshal(told)
+	assert.NilError(t, err)
+	assert.Assert(t, len(text) <= 8*30, "%d bytes", len(text))
+	text, err = cbor.Marshal(ends(0xffffffffffffff00, poison.EndsToBlock))
+	assert.NilError(t, err)
+	assert.Assert(t, len(text) <= 60, "%d bytes", len(text))
+	records := readEnds(told, 7*time.Millisecond)
+	assert.Equal(t, records[0].Ends[0].Age, 1007*time.Millisecond)
+	many := make([]poison.Record, 3*endsMost)
+	assert.Equal(t, len(p.heartbeat(kindOwn, reportOf(many), nil).Ends), endsMost)
+}
+
+// A router that hears fewer than half of those it knows may be cut off.
+func TestARouterThatMissesMany(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := lone(t, func() time.Time { return now }, noWait)
+	assert.Assert(t, p.MissesMany(), "it hears none")
+	for i := range 7 {
+		p.Add(false, fmt.Sprintf("127.0.2.%d:1", i))
+	}
+	for i, missing := range []bool{true, true, true, false, false} {
+		assert.Equal(t, p.MissesMany(), missing, "%d of 7 are heard", i)
+		p.take(heartbeat{Control: fmt.Sprintf("127.0.2.%d:1", i), DataCentre: "dc"}, now)
+	}
+}
+
+// reportOf is a report of ends alone.
+func reportOf(records []poison.Record) state.Report {
+	r := state.NewReport()
+	r.Ends = records
+	return r
+}
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -6,6 +6,7 @@
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
@@ -29,21 +30,22 @@
 // heartbeat is a datagram. Servers go by their keys: 14 bytes for each with its load,
 // 24 by their IDs and to the token.
 type heartbeat struct {
-	Control    string                      `cbor:"1,keyasint"` // the sender's control address
-	DataCentre string                      `cbor:"2,keyasint"`
-	Kind       kind                        `cbor:"3,keyasint,omitempty"`
-	Version    int64                       `cbor:"4,keyasint"` // of its configuration
-	List       uint64                      `cbor:"5,keyasint"` // the store's version of its list of servers
-	Edits      uint32                      `cbor:"6,keyasint,omitempty"`
-	AgeMs      int64                       `cbor:"7,keyasint"`            // of its last answer of the store
-	Loads      map[pick.ServerKey][3]int64 `cbor:"8,keyasint,omitempty"`  // waiting, memory, running; in units
-	Rates      map[string][2]int64         `cbor:"9,keyasint,omitempty"`  // customer: asked, served; in units
-	Known      []knownRouter               `cbor:"10,keyasint,omitempty"` // live routers
-	Cores      float64                     `cbor:"11,keyasint,omitempty"` // processor time of the sender's host
-	FollowedMs int64                       `cbor:"12,keyasint,omitempty"` // for how long it has followed the store
-	Sent       pick.Sent                   `cbor:"13,keyasint,omitempty"` // parts of prompts sent to servers
-	Suspects   map[pick.ServerKey]int      `cbor:"14,keyasint,omitempty"` // routers that suspect a server
-	Firsts     map[string][5]float32       `cbor:"15,keyasint,omitempty"` // service: sums over first tokens
+	Control    string                         `cbor:"1,keyasint"` // the sender's control address
+	DataCentre string                         `cbor:"2,keyasint"`
+	Kind       kind                           `cbor:"3,keyasint,omitempty"`
+	Version    int64                          `cbor:"4,keyasint"` // of its configuration
+	List       uint64                         `cbor:"5,keyasint"` // the store's version of its list of servers
+	Edits      uint32                         `cbor:"6,keyasint,omitempty"`
+	AgeMs      int64                          `cbor:"7,keyasint"`            // of its last answer of the store
+	Loads      map[routing.ServerKey][3]int64 `cbor:"8,keyasint,omitempty"`  // waiting, memory, running; in units
+	Rates      map[string][2]int64            `cbor:"9,keyasint,omitempty"`  // customer: asked, served; in units
+	Known      []knownRouter                  `cbor:"10,keyasint,omitempty"` // live routers
+	Cores      float64                        `cbor:"11,keyasint,omitempty"` // processor time of the sender's host
+	FollowedMs int64                          `cbor:"12,keyasint,omitempty"` // for how long it has followed the store
+	Sent       pick.Sent                      `cbor:"13,keyasint,omitempty"` // parts of prompts sent to servers
+	Suspects   map[routing.ServerKey]int      `cbor:"14,keyasint,omitempty"` // routers that suspect a server
+	Firsts     map[string][5]float32          `cbor:"15,keyasint,omitempty"` // service: sums over first tokens
+	Ends       []contentEnds                  `cbor:"16,keyasint,omitempty"` // contents under which servers ended
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -78,8 +80,8 @@
 // stamp is that of the sender's list of servers.
 func (w heartbeat) stamp() roster.Stamp { return roster.Stamp{Version: w.List, Edits: w.Edits} }
 
-// report returns what a heartbeat tells.
-func (w heartbeat) report() state.Report {
+// report returns what a heartbeat tells that has waited here for so long.
+func (w heartbeat) report(waited time.Duration) state.Report {
 	r := state.NewReport()
 	for key, l := range w.Loads {
 		r.Loads[key] = pick.Load{Waiting: l[0] * waitingUnit, Memory: l[1] * memoryUnit, Running: int(l[2])}
@@ -93,6 +95,7 @@
 		r.Rates[name] = fair.Rates{Asked: float64(v[0] * rateUnit), Served: float64(v[1] * rateUnit)}
 	}
 	r.Sent = w.Sent
+	r.Ends = readEnds(w.Ends, waited)
 	if len(w.Firsts) > 0 {
 		r.Firsts = make(map[string]pick.FirstTokens, len(w.Firsts))
 	}
@@ -121,6 +124,7 @@
 		AgeMs:      min(age, time.Hour).Milliseconds(),
 		Known:      known,
 		Sent:       r.Sent,
+		Ends:       wireEnds(r.Ends),
 	}
 	w.setLoads(r.Loads)
 	w.setRates(r.Rates)
@@ -133,8 +137,8 @@
 	return w
 }
 
-func (w *heartbeat) setLoads(loads map[pick.ServerKey]pick.Load) {
-	w.Loads = make(map[pick.ServerKey][3]int64, len(loads))
+func (w *heartbeat) setLoads(loads map[routing.ServerKey]pick.Load) {
+	w.Loads = make(map[routing.ServerKey][3]int64, len(loads))
 	for key, l := range loads {
 		if l.Waiting != 0 || l.Memory != 0 || l.Running != 0 {
 			w.Loads[key] = [3]int64{units(l.Waiting, waitingUnit), units(l.Memory, memoryUnit), int64(l.Running)}
@@ -143,7 +147,7 @@
 			continue
 		}
 		if w.Suspects == nil {
-			w.Suspects = map[pick.ServerKey]int{}
+			w.Suspects = map[routing.ServerKey]int{}
 		}
 		w.Suspects[key] = l.Suspects
 	}
--- a/internal/edge/peers/pending.go
+++ b/internal/edge/peers/pending.go
@@ -1,7 +1,10 @@
 package peers
 
 import (
+	"slices"
+
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
@@ -10,11 +13,12 @@
 // with so many parts is as long as a datagram may be.
 const sentMost = 200
 
-// updates are what is told once: the parts of prompts that were sent to servers, and
-// the first tokens that were seen.
+// updates are what is told once: the parts of prompts that were sent to servers, the
+// first tokens that were seen, and the contents under which servers ended.
 type updates struct {
 	sent   pick.Sent
 	firsts map[string]pick.FirstTokens
+	ends   []poison.Record
 }
 
 func newUpdates() updates {
@@ -22,10 +26,21 @@
 }
 
 // updatesOf are those of a report.
-func updatesOf(r state.Report) updates { return updates{sent: r.Sent, firsts: r.Firsts} }
+func updatesOf(r state.Report) updates { return updates{sent: r.Sent, firsts: r.Firsts, ends: r.Ends} }
 
 // empty reports whether there is nothing to tell.
-func (u updates) empty() bool { return len(u.sent)+len(u.firsts) == 0 }
+func (u updates) empty() bool { return len(u.sent)+len(u.firsts)+len(u.ends) == 0 }
+
+// addEnds adds contents that are not there yet, as many as a report tells of. A content that
+// stands there is told more of in the next report of its router.
+func (u *updates) addEnds(ends []poison.Record) {
+	for _, r := range ends {
+		known := slices.ContainsFunc(u.ends, func(k poison.Record) bool { return k.Content == r.Content && len(k.Ends) >= len(r.Ends) })
+		if !known && len(u.ends) < endsMost {
+			u.ends = append(u.ends, r)
+		}
+	}
+}
 
 // addSent adds parts, as many as are kept.
 func (u updates) addSent(sent pick.Sent) {
@@ -57,8 +72,10 @@
 func (n *pending) keep(k kind, u updates, first bool) {
 	if k == kindOwn {
 		n.outward.addSent(u.sent)
+		n.outward.addEnds(u.ends)
 	}
 	n.inward.addSent(u.sent)
+	n.inward.addEnds(u.ends)
 	if k == kindOwn && !first {
 		return
 	}
--- a/internal/edge/peers/pending_test.go
+++ b/internal/edge/peers/pending_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/state"
 )
@@ -99,7 +100,7 @@
 	p := lone(t, func() time.Time { return now }, noWait)
 	r := state.NewReport()
 	for i := range 160 {
-		r.Loads[pick.KeyOf(fmt.Sprintf("i-%08x", i*77777))] = pick.Load{Waiting: int64(2000 + 91*i), Memory: int64(60000 + 997*i), Running: 10 + i%50}
+		r.Loads[routing.Identity{ID: fmt.Sprintf("i-%08x", i*77777)}.Key()] = pick.Load{Waiting: int64(2000 + 91*i), Memory: int64(60000 + 997*i), Running: 10 + i%50}
 	}
 	for i := range 60 {
 		r.Rates[fmt.Sprintf("cust%03d", i)] = fair.Rates{Asked: 60000, Served: 59000}
@@ -109,7 +110,7 @@
 	assert.Assert(t, len(text) < 3500, "%d bytes", len(text))
 	var back heartbeat
 	assert.NilError(t, cbor.Unmarshal(text, &back))
-	got := back.report()
+	got := back.report(0)
 	for key, l := range r.Loads {
 		assert.Assert(t, max(got.Loads[key].Waiting-l.Waiting, l.Waiting-got.Loads[key].Waiting) <= waitingUnit/2)
 		assert.Equal(t, got.Loads[key].Running, l.Running)
--- a/internal/edge/peers/publish.go
+++ b/internal/edge/peers/publish.go
@@ -27,7 +27,8 @@
 	}
 	to := p.spread.Targets(now, p.sums)
 	var known vouched
-	if p.ticks%knownEvery == 0 {
+	repeat := p.ticks%knownEvery == 0
+	if repeat {
 		known = p.known(now)
 	}
 	sum := p.sum(now)
@@ -50,6 +51,9 @@
 	if !rates {
 		own.Rates = nil
 	}
+	if repeat {
+		own.Ends = append(own.Ends, p.State.RepeatEnds()...)
+	}
 	p.send(to.Own, p.heartbeat(kindOwn, own, known.own))
 	if len(to.Sum)+len(to.Total) == 0 {
 		p.keepPending(kindOwn, updatesOf(own))
@@ -61,10 +65,10 @@
 		sum.centre.Rates = nil
 		sum.others.Rates = nil
 	}
-	sum.centre.Sent, sum.centre.Firsts = outward.sent, outward.firsts
+	sum.centre.Sent, sum.centre.Firsts, sum.centre.Ends = outward.sent, outward.firsts, outward.ends
 	p.send(to.Sum, p.heartbeat(kindSum, sum.centre, known.centre))
 	sum.others.Add(sum.centre)
-	sum.others.Sent, sum.others.Firsts = inward.sent, inward.firsts
+	sum.others.Sent, sum.others.Firsts, sum.others.Ends = inward.sent, inward.firsts, inward.ends
 	p.send(to.Total, p.heartbeat(kindTotal, sum.others, known.all))
 }
 
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -50,7 +50,7 @@
 	p.view(w, version, now)
 	use := p.use(w)
 	vouches := p.vouches(w)
-	report := w.report()
+	report := w.report(p.Wait())
 	if use == useOther {
 		if len(report.Rates) == 0 {
 			report.Rates = p.reports[w.key()].report.Rates // told every few reports
@@ -85,6 +85,7 @@
 	if len(r.Firsts) > 0 {
 		p.State.HeardFirsts(r.Firsts)
 	}
+	p.takeEnds(w.Control, r.Ends)
 	if w.Kind == kindSum || w.DataCentre == p.Self.DataCentre {
 		p.keepPending(w.Kind, updatesOf(r))
 	}
--- a/internal/edge/peers/scale_test.go
+++ b/internal/edge/peers/scale_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 )
@@ -23,9 +22,9 @@
 		}
 		p.State.TakeConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 32, CacheTokens: 300000}}}}, nil)
 		p.State.ServersReplaced(list, roster.Stamp{Version: 1}, true)
-		w := heartbeat{Control: "10.0.0.1:1", DataCentre: "dc", Kind: kindTotal, Version: 1, List: 1, Loads: map[pick.ServerKey][3]int64{}, Rates: map[string][2]int64{}}
+		w := heartbeat{Control: "10.0.0.1:1", DataCentre: "dc", Kind: kindTotal, Version: 1, List: 1, Loads: map[routing.ServerKey][3]int64{}, Rates: map[string][2]int64{}}
 		for i := range min(servers, 200) {
-			w.Loads[pick.KeyOf(list[i].ID)] = [3]int64{5000, 9000, 3}
+			w.Loads[routing.Identity{ID: list[i].ID}.Key()] = [3]int64{5000, 9000, 3}
 		}
 		for i := range 30 {
 			w.Rates[fmt.Sprintf("cust%03d", i)] = [2]int64{10000, 9000}
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -35,6 +35,8 @@
 	Servers []routing.Server
 	AgeMs   int64         // of the store's last answer on which it rests
 	Routers []knownRouter // live ones, the sender among them
+	Ends    []contentEnds // blocked contents, and those that may be soon
+	AllEnds bool          // the sender knows what the store had of them when it started
 }
 
 // NoViewError says that a peer has no view that is young enough to be given.
@@ -51,6 +53,8 @@
 	}
 	v := firstView{Raw: p.State.Raw(), AgeMs: age.Milliseconds()}
 	v.Servers, v.Stamp = p.State.Servers()
+	v.Ends = wireEnds(p.State.RepeatEnds())
+	v.AllEnds = p.State.KnowsEnds()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v.Routers = append(p.known(now).all, knownRouter{Addr: p.Self.Addr, DataCentre: p.Self.DataCentre, Cores: float32(p.Self.Cores)})
@@ -141,5 +145,9 @@
 	p.State.TakeConfig(c, v.Raw)
 	p.State.ServersReplaced(v.Servers, v.Stamp, true)
 	p.State.Confirm(time.Duration(v.AgeMs)*time.Millisecond + took)
+	p.takeEnds("first view", readEnds(v.Ends, took))
+	if v.AllEnds {
+		p.State.EndsRead()
+	}
 	return nil
 }
--- a/internal/edge/state/admission_test.go
+++ b/internal/edge/state/admission_test.go
@@ -23,11 +23,11 @@
 		Services: []routing.Service{{Name: "llm", MaxConnections: 600, Engine: &routing.Engine{Slots: 128, CacheTokens: 1 << 20}}},
 	}, nil)
 	var list []routing.Server
-	loads := map[pick.ServerKey]pick.Load{}
+	loads := map[routing.ServerKey]pick.Load{}
 	for i := range 9 {
 		id := fmt.Sprintf("i-%d", i)
 		list = append(list, routing.Server{ID: id, Service: "llm", Addr: id, DataCentre: "dc", Slots: 128, State: routing.ServerReady})
-		loads[pick.KeyOf(id)] = pick.Load{Waiting: waiting, Running: 5, Memory: 10_000}
+		loads[routing.Identity{ID: id}.Key()] = pick.Load{Waiting: waiting, Running: 5, Memory: 10_000}
 	}
 	s.ServersReplaced(list, roster.Stamp{Version: 1}, true)
 	s.PeerReport("p", Report{Loads: loads, Rates: rates})
--- /dev/null
+++ b/internal/edge/state/poison.go
@@ -0,0 +1,104 @@
+package state
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// repeatMost bounds the contents that a report repeats: some 1 KB.
+const repeatMost = 16
+
+// AnyEnded reports whether servers have ended under requests lately. Until then no request
+// is blocked and no content has to be worked out.
+func (s *State) AnyEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.poison.Empty()
+}
+
+// Ended notes that the server ended while it ran a request of this router that was sent
+// at the time.
+func (s *State) Ended(c routing.Content, server routing.Identity, sent time.Time) poison.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := s.poison.Ended(c, poison.End{Server: server.Key(), Sent: sent, At: s.now()})
+	s.askStore = true
+	return change
+}
+
+// Worked notes a whole answer to the content, and reports whether that clears it of ends.
+func (s *State) Worked(c routing.Content) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Worked(c, s.now())
+}
+
+// Blocked returns for how long the content is sent to no server; 0: it is sent.
+func (s *State) Blocked(c routing.Content) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Blocked(c, s.now())
+}
+
+// BlockedCount returns how many contents are blocked.
+func (s *State) BlockedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Count(s.now())
+}
+
+// HeardEnds takes what another router or the store tells of contents, and returns those
+// that are blocked for it.
+func (s *State) HeardEnds(records []poison.Record) []routing.Content {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Heard(records, s.rng, s.now())
+}
+
+// RepeatEnds returns what is told again and again.
+func (s *State) RepeatEnds() []poison.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Repeat(repeatMost, s.now())
+}
+
+// EndsToStore returns the contents that this router is to write into the store, and those
+// that it is to remove there.
+func (s *State) EndsToStore() (write []poison.Record, remove []routing.Content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.ToStore(s.now())
+}
+
+// EndsStored notes that the store has the ones and has forgotten the others.
+func (s *State) EndsStored(written []poison.Record, removed []routing.Content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.Stored(written, removed)
+}
+
+// EndsRead notes that the store's list of blocked contents was read, by this router or by
+// the one that gave it its first view.
+func (s *State) EndsRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endsRead = true
+	s.askStore = false
+}
+
+// KnowsEnds reports whether that list was read once.
+func (s *State) KnowsEnds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endsRead
+}
+
+// EndedSince reports whether a server has ended under a request of this router since the list
+// was read: other routers may know of that content what this one does not hear.
+func (s *State) EndedSince() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.askStore
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -12,6 +12,7 @@
 	"github.com/windscale/windscale/internal/core/budget"
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 )
@@ -43,6 +44,9 @@
 	ratio     float64
 	slack     float64
 	routers   int
+	poison    *poison.Table
+	endsRead  bool // the store's list of blocked contents was read once
+	askStore  bool // a server has ended under a request of this router since
 }
 
 // New returns the state of a router that knows nothing yet.
@@ -63,6 +67,7 @@
 		ratio:   ratio,
 		slack:   slack,
 		routers: expectedRouters,
+		poison:  poison.New(),
 	}
 }
 
@@ -233,6 +238,7 @@
 		s.picker.SetServers(s.roster.List())
 	}
 	s.picker.Tick(now)
+	s.poison.Tick(now)
 }
 
 // SetRouters says how many routers share the retry budget.
@@ -276,15 +282,16 @@
 
 // Report is what a router tells its peers.
 type Report struct {
-	Loads  map[pick.ServerKey]pick.Load
+	Loads  map[routing.ServerKey]pick.Load
 	Rates  map[string]fair.Rates
 	Sent   pick.Sent                   // parts of prompts sent since the last report
 	Firsts map[string]pick.FirstTokens // first tokens seen since the last report, by service
+	Ends   []poison.Record             // contents under which servers ended since the last report
 }
 
 // NewReport returns one that tells nothing yet.
 func NewReport() Report {
-	return Report{Loads: map[pick.ServerKey]pick.Load{}, Rates: map[string]fair.Rates{}}
+	return Report{Loads: map[routing.ServerKey]pick.Load{}, Rates: map[string]fair.Rates{}}
 }
 
 // Add adds the loads and rates of o.
@@ -308,6 +315,7 @@
 		Rates:  s.meter.Own(now),
 		Sent:   s.picker.TakePending(),
 		Firsts: s.picker.TakeFirsts(),
+		Ends:   s.poison.TakeFresh(now),
 	}
 }
 
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -10,6 +10,10 @@
 	EdgeCut      = Event{345, "answer cut"}
 	EdgeLeft     = Event{346, "caller left"}
 	EdgeResumed  = Event{347, "stream goes on at another server"}
+
+	ServerEnded    = Event{348, "servers ended under a request more than once"}
+	ContentBlocked = Event{349, "request blocked, servers end under it"}
+	ContentCleared = Event{350, "request cleared, a server answered it"}
 )
 
 // The events of what windscale-edge believes.
@@ -31,6 +35,7 @@
 	StoreRowBad     = Event{722, "row of the platform's store can't be read"}
 	StoreHistory    = Event{723, "history of the platform's store dropped, read anew"}
 	StoreRegister   = Event{724, "router not registered in the platform's store"}
+	StoreEnds       = Event{725, "blocked requests not kept in the platform's store"}
 	ReadyChanged    = Event{107, "readiness changed"}
 	LogDropped      = Event{108, "log lines dropped"}
 )
