pick, upstream: a server that starts again under its ID is another server

Cause: servers were known by their ID alone. One that crashed and came back under it was believed to keep the prompts' parts of the life before, to have its load and its slowness, and stayed suspected; kept connections of both lives stood together.

Change: a server's identity is its ID and its start (routing.Identity), compared in one place, where the list is taken. Only its homes stay, which go by the ID. Where an entry does not tell the start the ID is the server, as before.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -198,13 +198,20 @@
 }
 
 // SetServers takes the list of servers that may get requests. What is known of
-// servers that stay is kept.
+// servers that stay is kept. One that has started again under its ID is another server: its
+// memory is empty, nothing runs there, and what was believed of it, held against it or reported of it was of the
+// life before. Only its homes stay, which go by the ID: they are where other routers look too.
 func (p *Picker) SetServers(list []routing.Server) {
 	named := make(map[string]bool, len(list))
 	clear(p.services)
 	for _, entry := range list {
 		named[entry.ID] = true
 		s := p.servers[entry.ID]
+		if s != nil && s.Identity() != entry.Identity() {
+			s.takes = false
+			p.forgetServer(s) // its requests end by themselves, and are counted no more
+			s = nil
+		}
 		if s == nil {
 			s = &server{slow: 1, key: entry.Identity().Key(), hash: xxhash.Sum64String(entry.ID)}
 			p.servers[entry.ID] = s
@@ -293,13 +300,10 @@
 }
 
 // Takes reports whether the server is listed as one that takes new requests.
-func (p *Picker) Takes(id string) bool {
-	s, ok := p.servers[id]
-	return ok && s.takes
-}
+func (p *Picker) Takes(id routing.Identity) bool { return p.Known(id) && p.servers[id.ID].takes }
 
-// Known reports whether the server is still known.
-func (p *Picker) Known(id string) bool {
-	_, ok := p.servers[id]
-	return ok
+// Known reports whether the server is still known, and has not started again since.
+func (p *Picker) Known(id routing.Identity) bool {
+	s := p.servers[id.ID]
+	return s != nil && s.Identity() == id
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -142,6 +142,20 @@
 	}
 }
 
+// Forget drops a server whose entry has become unusable, without doubt: the entry is there and
+// says so, as of a version of the store. It reports whether the server was listed.
+func (r *Roster) Forget(id string, version uint64) bool {
+	if _, known := r.servers[id]; !known {
+		return false
+	}
+	r.forget(id)
+	r.stamp.Edits++ // other routers fetch the list without it
+	if version > r.stamp.Version {
+		r.stamp = Stamp{Version: version}
+	}
+	return true
+}
+
 // forget drops an entry.
 func (r *Roster) forget(id string) {
 	delete(r.servers, id)
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -119,3 +119,30 @@
 		assert.Assert(t, !s.Takes(), "%s", s.ID)
 	}
 }
+
+// An entry that has become unusable takes its server off the list also while the store
+// can't be asked, and other routers learn of it by the list's stamp.
+func TestUnusableEntryIsGoneWithoutDoubt(t *testing.T) {
+	r := full()
+	r.SetStamp(Stamp{Version: 7})
+	r.StoreDown(at(100))
+	assert.Assert(t, r.Forget("a", 7))
+	assert.Equal(t, ids(r), "b")
+	assert.Assert(t, r.Stamp().After(Stamp{Version: 7}))
+	assert.Assert(t, !r.Forget("a", 7))
+	assert.Assert(t, r.Forget("b", 9))
+	assert.Equal(t, r.Stamp(), Stamp{Version: 9})
+	r.Apply([]routing.Server{{ID: "a", Born: 2}}, nil, at(200))
+	assert.Equal(t, ids(r), "a")
+}
+
+// A server that starts again under its ID replaces the life before, doubtful or not.
+func TestNewLifeReplacesTheOldOne(t *testing.T) {
+	r := full()
+	r.StoreDown(at(100))
+	r.Replace([]routing.Server{{ID: "b"}}, false, at(200))
+	assert.Assert(t, r.Doubtful("a"))
+	r.Apply([]routing.Server{{ID: "a", Born: 2}}, nil, at(300))
+	assert.Assert(t, !r.Doubtful("a"))
+	assert.Equal(t, r.List()[0].Identity(), routing.Identity{ID: "a", Born: 2})
+}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -55,7 +55,7 @@
 		return
 	}
 	x.late.set()
-	q.h.Pool.Doubt(x.server.ID, x.began)
+	q.h.Pool.Doubt(x.server.Identity(), x.began)
 	q.h.believed(x.server, q.h.State.Late(x.job), "silent", q.ask.Attempt)
 	if leave && q.h.State.TakeRetry(q.service) {
 		x.paid.set()
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -184,7 +184,7 @@
 		FetchAt:  p.Choice.FetchAt,
 	})
 	return upstream.Call{
-		ServerID: p.Choice.Server.ID,
+		Server:   p.Choice.Server.Identity(),
 		Addr:     p.Choice.Server.Addr,
 		MaxConns: p.Conns,
 		Once:     !q.route.Repeatable(),
@@ -194,7 +194,7 @@
 		Header:   q.header,
 		Body:     q.body,
 		Own:      q.own,
-		Takes:    func() bool { return q.h.State.Takes(p.Choice.Server.ID) && !q.leftMeanwhile() },
+		Takes:    func() bool { return q.h.State.Takes(p.Choice.Server.Identity()) && !q.leftMeanwhile() },
 	}
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -175,6 +175,16 @@
 	s.picker.SetServers(s.roster.List())
 }
 
+// ServerUnusable notes that, as of a version of the store, the entry of the ID names no
+// server to use.
+func (s *State) ServerUnusable(id string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.Forget(id, version) {
+		s.picker.SetServers(s.roster.List())
+	}
+}
+
 // Servers returns the list and its stamp.
 func (s *State) Servers() ([]routing.Server, roster.Stamp) {
 	s.mu.Lock()
@@ -367,7 +377,7 @@
 }
 
 // Known reports whether the server is listed or has requests of this router.
-func (s *State) Known(id string) bool {
+func (s *State) Known(id routing.Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.picker.Known(id)
@@ -375,7 +385,7 @@
 
 // Takes reports whether the server is still listed as one that takes new
 // requests: time passes between the choice and the sending.
-func (s *State) Takes(id string) bool {
+func (s *State) Takes(id routing.Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.picker.Takes(id)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/hop"
 )
 
@@ -24,7 +25,7 @@
 
 // Call is one exchange.
 type Call struct {
-	ServerID string
+	Server   routing.Identity
 	Addr     string
 	MaxConns int // of this router to the server; 0: no bound
 	Once     bool
@@ -56,7 +57,7 @@
 // exchange is what an answer needs to end.
 type exchange struct {
 	pool    *Pool
-	id      string
+	id      routing.Identity
 	conn    *conn
 	stop    func() bool // ends the watch over the caller's context
 	written chan struct{}
@@ -68,11 +69,11 @@
 // bounds the whole exchange, the answer's body included: when it ends, the
 // connection is closed, by which the server learns of it.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, *Error) {
-	c, err := p.get(ctx, call.ServerID, call.Addr, call.MaxConns, call.Once)
+	c, err := p.get(ctx, call.Server, call.Addr, call.MaxConns, call.Once)
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
-	e := &exchange{pool: p, id: call.ServerID, conn: c, clean: true, written: make(chan struct{})}
+	e := &exchange{pool: p, id: call.Server, conn: c, clean: true, written: make(chan struct{})}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ctx.Err(); err != nil {
 		e.end(false, 0)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/dial"
 )
 
@@ -33,8 +34,8 @@
 type Pool struct {
 	dialer *net.Dialer
 	mu     sync.Mutex
-	by     map[string]*serverConns // by the server's ID
-	dials  int64                   // connections opened, for the metrics
+	by     map[routing.Identity]*serverConns
+	dials  int64 // connections opened, for the metrics
 }
 
 // serverConns are the connections to one start of a server.
@@ -45,12 +46,12 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{by: map[string]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
+	return &Pool{by: map[routing.Identity]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
 }
 
 // get returns a connection to the server: an idle one that may still be used,
 // or a new one if fewer than limit are open.
-func (p *Pool) get(ctx context.Context, id, addr string, limit int, once bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, id routing.Identity, addr string, limit int, once bool) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	s := p.by[id]
@@ -96,7 +97,7 @@
 }
 
 // put gives a connection back after a whole exchange.
-func (p *Pool) put(id string, c *conn, keep time.Duration) {
+func (p *Pool) put(id routing.Identity, c *conn, keep time.Duration) {
 	now := time.Now()
 	c.used = true
 	c.idleAt = now
@@ -115,14 +116,14 @@
 }
 
 // discard closes a connection that can't be used any more.
-func (p *Pool) discard(id string, c *conn) {
+func (p *Pool) discard(id routing.Identity, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.drop(id, c)
 }
 
 // drop closes the connection; the lock is held.
-func (p *Pool) drop(id string, c *conn) {
+func (p *Pool) drop(id routing.Identity, c *conn) {
 	_ = c.Close()
 	if s := p.by[id]; s != nil {
 		s.open--
@@ -130,7 +131,7 @@
 }
 
 // forget counts a connection that was never opened.
-func (p *Pool) forget(id string) {
+func (p *Pool) forget(id routing.Identity) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.by[id]; s != nil {
@@ -141,7 +142,7 @@
 // Doubt closes the idle connections to the server that have not been used since a
 // moment at which it fell silent on another: connections may go silent for good, all
 // that one host has at once, while new ones work. A request on each would be lost.
-func (p *Pool) Doubt(id string, since time.Time) {
+func (p *Pool) Doubt(id routing.Identity, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.by[id]
@@ -169,7 +170,7 @@
 
 // Retire closes the idle connections of servers that are not in keep, and of
 // all servers those that were idle too long.
-func (p *Pool) Retire(keep func(id string) bool) {
+func (p *Pool) Retire(keep func(id routing.Identity) bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,4 +192,4 @@
 }
 
 // Close closes all idle connections.
-func (p *Pool) Close() { p.Retire(func(string) bool { return false }) }
+func (p *Pool) Close() { p.Retire(func(routing.Identity) bool { return false }) }
