platform, follow: an entry that another writer made or spoilt names no server

A fault is typed, is told by one line and a counter until the entry is good or gone, and takes the server off the list at once, without doubt, at all routers (the list's stamp moves).

--- a/internal/edge/follow/ends.go
+++ b/internal/edge/follow/ends.go
@@ -17,6 +17,8 @@
 	// askEvery is the least time between two such reads: calls are priced, and a
 	// content that this router does not know blocked costs a server a copy.
 	askEvery = time.Second
+	// whatEnds names them in logs and metrics.
+	whatEnds = "blocked contents"
 )
 
 // readServers reads the list of servers, and before it for the first time which contents
@@ -84,8 +86,9 @@
 	if err != nil {
 		return err
 	}
-	for _, err := range bad {
-		events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", "blocked contents", "err", err)
+	for _, row := range bad {
+		f.Meter.BadRow(whatEnds)
+		events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", whatEnds, "key", row.Key, "err", row.Err)
 	}
 	var blocked []routing.Content
 	if len(list) > 0 {
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/poison"
@@ -47,7 +49,7 @@
 	FollowConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
 	ReadServers(ctx context.Context) (platform.Change, error)
 	FollowServers(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
-	ReadBlocked(ctx context.Context) ([]poison.Record, []error, error)
+	ReadBlocked(ctx context.Context) ([]poison.Record, []platform.BadRow, error)
 	WriteBlocked(ctx context.Context, write []poison.Record, remove []routing.Content) ([]poison.Record, []routing.Content, error)
 }
 
@@ -133,9 +135,12 @@
 	} else {
 		f.State.ServersChanged(c.Servers, c.Gone, c.Ver)
 	}
+	for _, row := range c.Bad {
+		f.State.ServerUnusable(row.Key, c.Ver)
+	}
 	for _, s := range c.Servers {
 		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", s.ID, "service", s.Service,
-			"ready", s.Takes(), "addr", s.Addr, "ver", c.Ver)
+			"ready", s.Takes(), "addr", s.Addr, "born", s.Born, "ver", c.Ver)
 	}
 	for _, id := range c.Gone {
 		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", id, "gone", true, "ver", c.Ver)
@@ -148,6 +153,7 @@
 	var after uint64
 	known := false
 	lost := false
+	bad := map[string]bool{}
 	pause := backoffLeast
 	f.Sought(ctx)
 	for ctx.Err() == nil {
@@ -192,9 +198,7 @@
 		}
 		s.back()
 		pause = backoffLeast
-		for _, bad := range c.Bad {
-			events.StoreRowBad.Log(ctx, f.Log, slog.LevelError, "what", s.name, "err", bad)
-		}
+		f.noteBad(bad, s.name, c, !known)
 		if c.Ver < after || !s.take(c, !known, age(c, role, known, time.Since(began))) {
 			sleep(ctx, backoffLeast) // an old view: read again
 			continue
@@ -208,6 +212,30 @@
 	return ctx.Err()
 }
 
+// noteBad logs and counts the rows that have become bad. bad holds those that are: one that
+// is written again and again, or is read with the whole table, is told once.
+func (f *Follower) noteBad(bad map[string]bool, what string, c platform.Change, whole bool) {
+	if whole {
+		maps.DeleteFunc(bad, func(key string, _ bool) bool {
+			return !slices.ContainsFunc(c.Bad, func(row platform.BadRow) bool { return row.Key == key })
+		})
+	}
+	for _, s := range c.Servers {
+		delete(bad, s.ID)
+	}
+	for _, id := range c.Gone {
+		delete(bad, id)
+	}
+	for _, row := range c.Bad {
+		if bad[row.Key] {
+			continue
+		}
+		bad[row.Key] = true
+		f.Meter.BadRow(what)
+		events.StoreRowBad.Log(context.Background(), f.Log, slog.LevelError, "what", what, "key", row.Key, "err", row.Err)
+	}
+}
+
 // next makes the next call.
 func (f *Follower) next(ctx context.Context, s source, role Role, known bool, after uint64) (platform.Change, error) {
 	if !known {
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/state"
@@ -25,16 +26,35 @@
 	store *platformtest.Store
 	state *state.State
 	role  follow.Role
+	log   *lines
+}
+
+// lines collects the log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func start(t *testing.T, role follow.Role) *followed {
 	t.Helper()
-	f := &followed{store: platformtest.NewStore(), state: state.New("dc", 0.2, 80, time.Now), role: role}
+	f := &followed{store: platformtest.NewStore(), state: state.New("dc", 0.2, 80, time.Now), role: role, log: &lines{}}
 	server := httptest.NewServer(f.store)
 	follower := &follow.Follower{
 		State:  f.state,
 		Store:  platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
-		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Log:    slog.New(slog.NewTextHandler(f.log, nil)),
 		Meter:  meter.New(),
 		Role:   func() follow.Role { return f.role },
 		Sought: func(context.Context) {},
@@ -77,7 +97,7 @@
 	f := start(t, follow.Everyone)
 	assert.Assert(t, !f.state.Ready())
 	f.put(3)
-	f.store.Put("servers", "a", []byte(`{"service":"app","address":"127.0.0.1:1","state":"ready"}`))
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	until(t, "first view", func() bool { return f.state.Ready() && f.listed() == 1 })
 	f.put(9)
 	f.store.RemoveServer("a")
@@ -97,10 +117,10 @@
 func TestReadsAnewWhenTheHistoryIsGone(t *testing.T) {
 	f := start(t, follow.Everyone)
 	f.put(1)
-	f.store.Put("servers", "a", []byte(`{"service":"app","address":"127.0.0.1:1","state":"ready"}`))
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	until(t, "first view", func() bool { return f.listed() == 1 })
 	f.store.Fail(func(*http.Request) platformtest.Trouble { return platformtest.Reset })
-	f.store.Put("servers", "b", []byte(`{"service":"app","address":"127.0.0.1:2","state":"ready"}`))
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
 	f.put(2)
 	f.store.Forget()
 	f.store.Fail(nil)
@@ -112,7 +132,7 @@
 func TestLapsedEntriesSurviveAnOutage(t *testing.T) {
 	f := start(t, follow.Everyone)
 	f.put(1)
-	f.store.Put("servers", "a", []byte(`{"service":"app","address":"127.0.0.1:1","state":"ready"}`))
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	until(t, "first view", func() bool { return f.listed() == 1 })
 	calls := f.store.Calls("/v1/rows-feed")
 	f.store.Fail(func(*http.Request) platformtest.Trouble { return platformtest.Busy })
@@ -131,3 +151,25 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, f.store.Calls("/v1/rows-get")+f.store.Calls("/v1/rows-feed"), 0)
 }
+
+// An entry that another writer spoils takes its server away at once, whatever was listed
+// before; it is told once however often it is written, and the server is used again as soon
+// as a good entry comes. The others stay.
+func TestASpoiltEntryIsNotUsedUntilItIsGood(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.put(3)
+	good := platformtest.Entry("app", "127.0.0.1:1", "ready")
+	f.store.Put("servers", "a", good)
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
+	takes := func(id string) bool { return f.state.Takes(routing.Identity{ID: id, Born: 1}) }
+	until(t, "both", func() bool { return takes("a") && takes("b") })
+	for _, spoilt := range []string{`{"service":"app"}`, `{`, `{"state":7}`} {
+		f.store.Put("servers", "a", []byte(spoilt))
+	}
+	until(t, "it is not used", func() bool { return !takes("a") })
+	assert.Assert(t, takes("b"))
+	f.store.Put("servers", "a", good)
+	until(t, "it is used again", func() bool { return takes("a") })
+	assert.Assert(t, takes("b"))
+	assert.Equal(t, strings.Count(f.log.String(), "can't be read"), 1)
+}
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -38,6 +38,7 @@
 	fetches   prometheus.Counter
 	storeFail *prometheus.CounterVec
 	ended     *prometheus.CounterVec
+	badRows   *prometheus.CounterVec
 }
 
 // New returns the metrics of a process.
@@ -54,9 +55,10 @@
 		beliefs:   counter("beliefs_total", "Changes of belief about servers.", "service", "change"),
 		fetches:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "fetches_total", Help: "Requests whose server was told to fetch parts of the prompt."}),
 		storeFail: counter("store_failures_total", "Calls to the platform's store that failed.", "what", "kind"),
+		badRows:   counter("store_bad_rows_total", "Rows of the platform's store that became unusable.", "what"),
 		ended:     counter("server_ends_total", "Servers that ended, or broke their connection, under a request.", "service"),
 	}
-	m.registry.MustRegister(m.ended, m.answers, m.refusals, m.first, m.whole, m.attempts, m.ends, m.beliefs, m.fetches, m.storeFail)
+	m.registry.MustRegister(m.ended, m.badRows, m.answers, m.refusals, m.first, m.whole, m.attempts, m.ends, m.beliefs, m.fetches, m.storeFail)
 	return m
 }
 
@@ -116,5 +118,8 @@
 // ServerEnded counts a request under which its server ended.
 func (m *Meter) ServerEnded(service string) { m.ended.WithLabelValues(service).Inc() }
 
+// BadRow counts a row of the platform's store that has become unusable.
+func (m *Meter) BadRow(what string) { m.badRows.WithLabelValues(what).Inc() }
+
 // StoreFailed counts a failed call to the platform's store.
 func (m *Meter) StoreFailed(what, kind string) { m.storeFail.WithLabelValues(what, kind).Inc() }
