clock: ages and deadlines count the time in which the host was suspended

Cause, by reading: nothing read a clock that goes on while a host is suspended, so that views, suspicions and deadlines were too young by that time.

Change: edge/clock compares the system's two clocks every 100 ms and adds their difference to the steady time, by which the state, peers, the store's follower, requests and kept connections judge ages. The runtime's timers stay late, so requests whose time is over are ended at the return.

--- a/internal/edge/follow/ends.go
+++ b/internal/edge/follow/ends.go
@@ -45,12 +45,12 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		if time.Since(last) < askEvery {
+		if f.Now().Sub(last) < askEvery {
 			continue
 		}
 		called, err := f.keepEnds(ctx)
 		if called {
-			last = time.Now()
+			last = f.Now()
 		}
 		if err != nil && !lost {
 			events.StoreEnds.Log(ctx, f.Log, slog.LevelWarn, "err", err)
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -63,6 +63,8 @@
 	Sought func(context.Context)
 	// Role says whether this router has to follow the store itself.
 	Role func() Role
+	// Now is the time by which answers' ages are judged.
+	Now func() time.Time
 	// Registers says whether this router writes into the store for others too.
 	Registers func() bool
 	// MissesMany says whether this router hears too few others to know what they know.
@@ -168,7 +170,7 @@
 			sleep(ctx, idlePoll)
 			continue
 		}
-		began := time.Now()
+		began := f.Now()
 		c, err := f.next(ctx, s, role, known, after)
 		if ctx.Err() != nil {
 			break
@@ -193,13 +195,13 @@
 			lost = false
 			events.StoreRegained.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "ver", c.Ver)
 		}
-		if known && time.Since(began) > wait(role)+lateAnswer {
+		if known && f.Now().Sub(began) > wait(role)+lateAnswer {
 			s.idle() // the store may have been away meanwhile
 		}
 		s.back()
 		pause = backoffLeast
 		f.noteBad(bad, s.name, c, !known)
-		if c.Ver < after || !s.take(c, !known, age(c, role, known, time.Since(began))) {
+		if c.Ver < after || !s.take(c, !known, age(c, role, known, f.Now().Sub(began))) {
 			sleep(ctx, backoffLeast) // an old view: read again
 			continue
 		}
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -56,6 +56,7 @@
 		Store:  platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
 		Log:    slog.New(slog.NewTextHandler(f.log, nil)),
 		Meter:  meter.New(),
+		Now:    time.Now,
 		Role:   func() follow.Role { return f.role },
 		Sought: func(context.Context) {},
 	}
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -65,7 +65,7 @@
 		return again
 	}
 	q.h.State.First(x.job)
-	q.h.Meter.First(q.service, time.Since(q.begin))
+	q.h.Meter.First(q.service, q.age())
 	x.header(a, int64(len(body)), err == nil)
 	if _, werr := q.w.Write(body); werr != nil {
 		a.Close()
@@ -147,10 +147,10 @@
 			return x.broken(err)
 		}
 		if count == 0 {
-			x.begun = time.Now()
+			x.begun = q.h.Now()
 			q.h.State.First(x.job)
 			if !q.started {
-				q.h.Meter.First(q.service, time.Since(q.begin))
+				q.h.Meter.First(q.service, q.age())
 			}
 		}
 		count++
@@ -173,7 +173,7 @@
 
 // pass writes one event.
 func (x *exchange) pass(control *http.ResponseController, ev upstream.Event) error {
-	if err := control.SetWriteDeadline(x.q.deadline.Add(writeSlack)); err != nil {
+	if err := control.SetWriteDeadline(time.Now().Add(x.q.remaining() + writeSlack)); err != nil {
 		return err
 	}
 	if _, err := x.q.w.Write(ev.Raw); err != nil {
@@ -241,7 +241,7 @@
 func (x *exchange) answeredLine(status, size int) {
 	q := x.q
 	x.worked(status)
-	q.h.Meter.Answered(q.service, status, time.Since(q.begin))
+	q.h.Meter.Answered(q.service, status, q.age())
 	if q.routine || status >= http.StatusInternalServerError || len(q.tried) > 1 {
 		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "status", status, "size", size, "tries", len(q.tried))
 	}
--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -36,7 +36,7 @@
 
 // leftMeanwhile reports whether the caller of a request that has waited here has left.
 func (q *request) leftMeanwhile() bool {
-	return !q.started && time.Since(q.begin) > lookAgain && q.hasLeft()
+	return !q.started && q.age() > lookAgain && q.hasLeft()
 }
 
 // leave ends a request whose caller has left before it was sent to any server.
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -65,14 +65,14 @@
 
 // await begins anew to wait for a sign of the server, for at most d.
 func (x *exchange) await(d time.Duration) {
-	x.due.Store(time.Since(x.q.begin).Nanoseconds() + d.Nanoseconds())
+	x.due.Store(x.q.age().Nanoseconds() + d.Nanoseconds())
 	x.timer.Reset(d)
 }
 
 // overdue is how long ago the server's next sign was due; negative: it is not
 // due yet. A timer that fires late says that this host was frozen or overloaded.
 func (x *exchange) overdue() time.Duration {
-	return time.Since(x.q.begin) - time.Duration(x.due.Load())
+	return x.q.age() - time.Duration(x.due.Load())
 }
 
 // stopWatch ends the watch.
@@ -107,7 +107,7 @@
 func (x *exchange) brokenLine(args ...any) {
 	runMs := int64(0)
 	if !x.begun.IsZero() {
-		runMs = time.Since(x.begun).Milliseconds()
+		runMs = x.q.h.Now().Sub(x.begun).Milliseconds()
 	}
 	line := []any{"server", x.server.ID, "content", x.q.asks().String(), "runMs", runMs, "late", x.late.isSet()}
 	x.q.log(slog.LevelInfo, events.EdgeFailed, append(line, args...)...)
@@ -123,7 +123,7 @@
 		q.h.Meter.Failed(q.service, "caller left")
 		return gone
 	}
-	if !time.Now().Before(q.deadline) {
+	if q.remaining() <= 0 {
 		x.end(pick.Abandoned, "")
 		return timeout
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -54,6 +54,9 @@
 	// processor; from pressure.Overloaded on it takes no requests.
 	ProcessorWait func() time.Duration
 	Meter         *meter.Meter
+	// Now is the time by which requests' deadlines are judged; nil: the system's steady
+	// clock. It may jump ahead: see Resumed.
+	Now func() time.Time
 }
 
 // Handler serves callers. It is safe for concurrent use.
@@ -64,12 +67,16 @@
 	held     atomic.Int64
 	running  atomic.Int64
 	progress progress
+	inFlight inFlight
 	draining atomic.Bool // answers end their connections
 	closed   atomic.Bool // new requests are refused
 }
 
 // New returns a handler.
 func New(c Config) *Handler {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	return &Handler{
 		Config:   c,
 		refusals: rate.NewLimiter(refusalsPerSecond, refusalsPerSecond),
@@ -128,7 +135,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	q := &request{h: h, w: w, r: r, ask: h.Headers.Ask(r.Header), begin: time.Now()}
+	q := &request{h: h, w: w, r: r, ask: h.Headers.Ask(r.Header), begin: h.Now()}
 	q.routine = h.OneIn > 0 && xxhash.Sum64String(q.ask.Attempt)%uint64(h.OneIn) == 0
 	if h.draining.Load() || h.NearConnLimit() {
 		w.Header().Set("Connection", "close")
@@ -155,7 +162,7 @@
 	}
 	base := []any{
 		"request", q.ask.Attempt, "route", route, "customer", q.customer,
-		"config", q.version, "afterMs", time.Since(q.begin).Milliseconds(),
+		"config", q.version, "afterMs", q.age().Milliseconds(),
 	}
 	e.Log(context.Background(), q.h.Log, level, append(base, args...)...)
 }
@@ -169,5 +176,11 @@
 	return q.content
 }
 
+// age is how long ago the request came.
+func (q *request) age() time.Duration { return q.h.Now().Sub(q.begin) }
+
+// remaining is what is left of the request's time.
+func (q *request) remaining() time.Duration { return q.deadline.Sub(q.h.Now()) }
+
 // left reports whether the request's caller has left.
 func left(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -62,7 +62,7 @@
 	r := &rig{t: t, log: &lines{}, state: state.New("dc", 0.2, 80, time.Now)}
 	r.handler = front.New(front.Config{
 		State:   r.state,
-		Pool:    upstream.NewPool(),
+		Pool:    upstream.NewPool(time.Now),
 		Headers: platform.Headers{},
 		Log:     slog.New(slog.NewJSONHandler(r.log, nil)),
 		OneIn:   1,
--- a/internal/edge/front/progress_test.go
+++ b/internal/edge/front/progress_test.go
@@ -86,7 +86,7 @@
 	defer func() { _ = conn.Close() }()
 	r, err := http.NewRequestWithContext(WithConn(context.Background(), conn), http.MethodPost, "/", nil)
 	assert.NilError(t, err)
-	old := &request{r: r, begin: time.Now().Add(-2 * lookAgain)}
+	old := &request{h: New(Config{}), r: r, begin: time.Now().Add(-2 * lookAgain)}
 	assert.Assert(t, !old.leftMeanwhile())
 	assert.NilError(t, caller.Close())
 	for !old.leftMeanwhile() {
@@ -94,6 +94,6 @@
 	}
 	old.started = true
 	assert.Assert(t, !old.leftMeanwhile(), "its answer is on its way, and tells")
-	young := &request{r: r, begin: time.Now().Add(time.Hour)}
+	young := &request{h: New(Config{}), r: r, begin: time.Now().Add(time.Hour)}
 	assert.Assert(t, !young.leftMeanwhile())
 }
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -46,8 +46,10 @@
 
 // run sends the request to servers until one answers or no other may be asked.
 func (q *request) run() {
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := context.WithTimeout(q.r.Context(), q.remaining())
 	defer cancel()
+	q.h.inFlight.begin(q, cancel)
+	defer q.h.inFlight.end(q)
 	if q.hasLeft() {
 		q.leave()
 		panic(http.ErrAbortHandler) // nobody reads an answer
@@ -111,7 +113,7 @@
 	if q.blocked() != nil {
 		return false
 	}
-	return time.Until(q.deadline) > leastLeft
+	return q.remaining() > leastLeft
 }
 
 // unplaced is the answer to a request that no server was found for.
@@ -147,7 +149,7 @@
 	q.tried = append(q.tried, server.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x := &exchange{q: q, placed: p, job: p.Job, server: server, cancel: cancel, began: time.Now()}
+	x := &exchange{q: q, placed: p, job: p.Job, server: server, cancel: cancel, began: q.h.Now()}
 	x.watch(q.patience(p.Choice))
 	defer x.stopWatch()
 	if q.routine {
@@ -177,7 +179,7 @@
 		q.header = upstream.EndToEnd(q.r.Header)
 	}
 	q.h.Headers.ToServer(q.header, routing.Order{
-		Left:     time.Until(q.deadline),
+		Left:     q.remaining(),
 		ServerID: p.Choice.Server.ID,
 		Customer: q.customer,
 		After:    q.last,
--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return // nothing was read that could be answered
 	}
-	q := &request{h: h, r: r, ask: h.Headers.Ask(r.Header), begin: time.Now()}
+	q := &request{h: h, r: r, ask: h.Headers.Ask(r.Header), begin: h.Now()}
 	if q.find() == nil {
 		h.State.TurnedAway(q.need())
 	}
--- a/internal/edge/front/stall_test.go
+++ b/internal/edge/front/stall_test.go
@@ -28,7 +28,7 @@
 		{ID: "a", Service: "app", Slots: 64, State: routing.ServerReady},
 		{ID: "b", Service: "app", Slots: 64, State: routing.ServerReady},
 	}, roster.Stamp{Version: 1}, true)
-	h := New(Config{State: s, Pool: upstream.NewPool(), ProcessorWait: wait, Meter: meter.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	h := New(Config{State: s, Pool: upstream.NewPool(time.Now), ProcessorWait: wait, Meter: meter.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	return h, func() *exchange {
 		q := &request{h: h, begin: time.Now(), route: route, service: "app", deadline: time.Now().Add(time.Hour)}
 		placed := q.place()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 
 	"github.com/windscale/windscale/internal/core/spread"
+	"github.com/windscale/windscale/internal/edge/clock"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/edge/front"
 	"github.com/windscale/windscale/internal/edge/meter"
@@ -70,6 +71,7 @@
 	handler  *front.Handler
 	peers    *peers.Peers
 	probe    *pressure.Probe
+	clock    *clock.Clock
 	limiter  *connLimiter
 	callers  *http.Server
 	draining atomic.Bool
@@ -82,15 +84,17 @@
 	n := &Node{path: path, settings: s, level: level, log: log, dropped: dropped}
 	n.meter = meter.New()
 	n.probe = pressure.New(time.Now)
-	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, time.Now)
+	n.clock = clock.New()
+	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, n.clock.Now)
 	n.store = platform.NewStore(s.Store)
-	n.pool = upstream.NewPool()
+	n.pool = upstream.NewPool(n.clock.Now)
 	n.handler = front.New(front.Config{
 		State:   n.state,
 		Pool:    n.pool,
 		Headers: platform.Headers{},
 		Log:     log,
 		Meter:   n.meter,
+		Now:     n.clock.Now,
 		OneIn:   s.LogOneInThis,
 		MaxHeld: int64(float64(s.MemoryMB<<20) * heldPart),
 
@@ -146,7 +150,7 @@
 		Addr:       n.settings.Control,
 		DataCentre: n.settings.DataCentre,
 		Cores:      n.settings.Cores,
-	}, conn, platform.DecodeConfig, n.probe.Wait)
+	}, conn, platform.DecodeConfig, n.probe.Wait, n.clock.Now)
 	n.peers.Add(true, n.settings.Seeds...)
 	most := int64(n.settings.MemoryMB * connsPerMB)
 	n.limiter = &connLimiter{Listener: n.callersL, most: most, shed: n.handler.Shed, shedMost: int64(float64(most) * shedPart)}
@@ -158,7 +162,7 @@
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
 	f := &follow.Follower{
-		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Sought: n.peers.Sought,
+		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Sought: n.peers.Sought, Now: n.clock.Now,
 		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany,
 	}
 	n.loop(g, func(ctx context.Context) error {
@@ -173,6 +177,7 @@
 	n.loop(g, n.peers.Receive)
 	n.loop(g, n.tick)
 	n.loop(g, n.probe.Run)
+	n.loop(g, func(ctx context.Context) error { return n.clock.Run(ctx, n.log, n.handler.Resumed) })
 	n.loop(g, n.register)
 	n.loop(g, func(ctx context.Context) error { return n.reload(ctx, hup) })
 	n.loop(g, func(ctx context.Context) error { return n.stop(ctx, term) })
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -85,6 +85,8 @@
 	Decode func([]byte) (*routing.Config, error) // a configuration as the operator wrote it
 	// Wait is for how long what could run on this host waits for its processor.
 	Wait func() time.Duration
+	// Now is the time by which the ages of reports are judged.
+	Now func() time.Time
 
 	port uint16 // of datagrams, the same at all routers
 	conn *net.UDPConn
@@ -107,13 +109,14 @@
 }
 
 // New returns the peers of a router. conn is its datagram socket.
-func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration) *Peers {
+func New(s *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration, now func() time.Time) *Peers {
 	return &Peers{
 		State:   s,
 		Log:     log,
 		Self:    self,
 		Decode:  decode,
 		Wait:    wait,
+		Now:     now,
 		port:    conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 		conn:    conn,
 		spread:  spread.New(self),
@@ -133,7 +136,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range controls {
-		p.spread.Add(spread.Member{Addr: c}, seed, time.Now())
+		p.spread.Add(spread.Member{Addr: c}, seed, p.Now())
 	}
 }
 
@@ -178,7 +181,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			now := time.Now()
+			now := p.Now()
 			p.publish(now)
 			p.pullNewer(ctx, now)
 			p.pullList(ctx, now)
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -36,7 +36,7 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: udp})
 	assert.NilError(t, err)
 	s := state.New("dc", 0.2, 80, time.Now)
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig, noWait)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig, noWait, time.Now)
 	p.Add(true, seeds...)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -173,7 +173,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	s := state.New("dc", 0.2, 80, now)
-	return New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.39:1", DataCentre: "dc"}, conn, platform.DecodeConfig, wait)
+	return New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.39:1", DataCentre: "dc"}, conn, platform.DecodeConfig, wait, now)
 }
 
 // A view is fetched from a peer that is there, not from one that fell silent
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -32,7 +32,7 @@
 			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
 			continue
 		}
-		p.take(w, time.Now())
+		p.take(w, p.Now())
 	}
 }
 
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -63,7 +63,7 @@
 
 // serveView answers a router that starts.
 func (p *Peers) serveView(w http.ResponseWriter, _ *http.Request) {
-	v, err := p.firstView(time.Now())
+	v, err := p.firstView(p.Now())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -94,9 +94,9 @@
 		return
 	}
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == p.Self.Addr })
-	until := time.Now().Add(seekMost)
+	until := p.Now().Add(seekMost)
 	for ctx.Err() == nil {
-		if p.askSeeds(ctx, seeds) || !firstStart || time.Now().After(until) {
+		if p.askSeeds(ctx, seeds) || !firstStart || p.Now().After(until) {
 			return
 		}
 		select {
@@ -111,14 +111,14 @@
 func (p *Peers) askSeeds(ctx context.Context, seeds []string) bool {
 	for _, i := range rand.Perm(len(seeds)) {
 		ctx, cancel := context.WithTimeout(ctx, seekTimeout)
-		began := time.Now()
+		began := p.Now()
 		text, err := p.get(ctx, seeds[i], pathView)
 		cancel()
 		if err == nil {
-			err = p.takeView(text, time.Since(began))
+			err = p.takeView(text, p.Now().Sub(began))
 		}
 		if err == nil {
-			events.ViewFound.Log(ctx, p.Log, slog.LevelInfo, "peer", seeds[i], "config", p.State.Version(), "tookMs", time.Since(began).Milliseconds())
+			events.ViewFound.Log(ctx, p.Log, slog.LevelInfo, "peer", seeds[i], "config", p.State.Version(), "tookMs", p.Now().Sub(began).Milliseconds())
 			return true
 		}
 		events.PeerPullFailed.Log(ctx, p.Log, slog.LevelInfo, "peer", seeds[i], "what", "first view", "err", err)
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := p.Now()
 	p.mu.Lock()
 	for _, k := range v.Routers {
 		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre, Cores: float64(k.Cores)}, time.Duration(k.AgeMs)*time.Millisecond+took, now)
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -38,4 +38,6 @@
 	StoreEnds       = Event{725, "blocked requests not kept in the platform's store"}
 	ReadyChanged    = Event{107, "readiness changed"}
 	LogDropped      = Event{108, "log lines dropped"}
+	HostSuspended   = Event{109, "host was suspended"}
+	ClockUnread     = Event{115, "clock that counts suspensions can't be read"}
 )
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,7 +17,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = ln.Close() }()
-	p := NewPool()
+	p := NewPool(time.Now)
 	old, now := routing.Identity{ID: "i", Born: 1}, routing.Identity{ID: "i", Born: 2}
 	c, err := p.get(context.Background(), old, ln.Addr().String(), 1, false)
 	assert.NilError(t, err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,6 +33,7 @@
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dialer *net.Dialer
+	now    func() time.Time
 	mu     sync.Mutex
 	by     map[routing.Identity]*serverConns
 	dials  int64 // connections opened, for the metrics
@@ -44,15 +45,15 @@
 	open int
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{by: map[routing.Identity]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
+// NewPool returns an empty pool that judges by now how long a connection was idle.
+func NewPool(now func() time.Time) *Pool {
+	return &Pool{now: now, by: map[routing.Identity]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
 }
 
 // get returns a connection to the server: an idle one that may still be used,
 // or a new one if fewer than limit are open.
 func (p *Pool) get(ctx context.Context, id routing.Identity, addr string, limit int, once bool) (*conn, error) {
-	now := time.Now()
+	now := p.now()
 	p.mu.Lock()
 	s := p.by[id]
 	if s == nil {
@@ -98,7 +99,7 @@
 
 // put gives a connection back after a whole exchange.
 func (p *Pool) put(id routing.Identity, c *conn, keep time.Duration) {
-	now := time.Now()
+	now := p.now()
 	c.used = true
 	c.idleAt = now
 	c.expires = time.Time{}
@@ -171,7 +172,7 @@
 // Retire closes the idle connections of servers that are not in keep, and of
 // all servers those that were idle too long.
 func (p *Pool) Retire(keep func(id routing.Identity) bool) {
-	now := time.Now()
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.by {
