emulator, soak: engines that return under their IDs, guilty requests, foreign entries

The emulator's engines return untold, under their IDs or under new ones, and a fetch brings only what its holder keeps. So a return under the ID is as good as one under a new ID within noise, and the test holds that.

The soak draws three more faults: a server that starts again under its ID (reborn), copies of a request that crashes each server (poison), entries that name no server and one that is spoilt (foreign); two promises with them.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -68,3 +68,39 @@
 		}
 	}
 }
+
+// The pattern: six of eighteen engines crash at 4 s and are back two seconds later with
+// empty memories. Where the routers know of the return no more than the ID, they go on
+// sending what the engines kept before, and hold the end against them; where they know the new start it is as good
+// as a new ID.
+func TestEnginesThatReturnUnderTheirIDsAreUsedAsNewOnes(t *testing.T) {
+	const back, after = 6 * time.Second, 3 * time.Second
+	measure := func(how Return) (late, reread float64, first int) {
+		for seed := range uint64(6) {
+			s := fleet(20 + seed)
+			s.Engines = 18
+			s.Capacity = 18 * 25_000
+			for i := range s.Customers {
+				s.Customers[i].PerSecond = 7
+			}
+			s.Losses = []Loss{{At: 4 * time.Second, Back: back, Engines: 6, Return: how}}
+			r := Run(s)
+			for _, c := range s.Customers {
+				sum := r.Total(c.Name, back, back+after)
+				late += (sum.Asked - sum.InTime) / sum.Asked / float64(len(s.Customers)) / 6
+			}
+			reread += r.Again / r.Read / 6
+			for _, n := range r.Back[:4] {
+				first += n
+			}
+		}
+		t.Logf("return %d: not in time %.4f, shared part of what is read %.4f, %d requests in the first second", how, late, reread, first)
+		return late, reread, first
+	}
+	untold, _, untoldFirst := measure(Untold)
+	late, reread, first := measure(UnderTheirs)
+	newLate, newReread, newFirst := measure(UnderNew)
+	assert.Assert(t, late <= untold && late < newLate+0.005)
+	assert.Assert(t, reread < newReread*1.05)
+	assert.Assert(t, first > 3*untoldFirst && float64(first) > 0.8*float64(newFirst))
+}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -17,6 +17,7 @@
 	kept    int64
 	lost    bool
 	silent  bool
+	backAt  time.Time // when it started again; zero: it was never lost
 }
 
 // cached is a shared part in an engine's memory.
@@ -29,8 +30,9 @@
 const slowdown = 0.5
 
 // accept takes a request that arrives at now and returns when its first and its last
-// token come, and what it read: all, and of that shared.
-func (e *engine) accept(ask *routing.Ask, fetched bool, now time.Time) (first, last time.Time, read, shared int) {
+// token come, and what it read: all, and of that shared. What the holder keeps of the shared parts is
+// fetched; nil: there is none.
+func (e *engine) accept(ask *routing.Ask, holder *engine, now time.Time) (first, last time.Time, read, shared int) {
 	for i, part := range ask.Prompt {
 		own := i == len(ask.Prompt)-1
 		if _, ok := e.cache[part.ID]; ok && !own {
@@ -40,7 +42,7 @@
 		if !own {
 			e.keep(part, now)
 		}
-		if fetched && !own {
+		if holder != nil && !own && holder.keeps(part) {
 			continue
 		}
 		read += part.Tokens
@@ -59,6 +61,12 @@
 	return first, last, read, shared
 }
 
+// keeps reports whether the part is in the memory.
+func (e *engine) keeps(part routing.Part) bool {
+	_, ok := e.cache[part.ID]
+	return ok && !e.lost
+}
+
 // keep puts a part into the memory, and the least recently used ones out.
 func (e *engine) keep(part routing.Part, now time.Time) {
 	if old, ok := e.cache[part.ID]; ok {
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -107,7 +107,8 @@
 		q.lostAt(r, p, e)
 		return
 	}
-	first, last, read, shared := e.accept(&q.ask, p.Choice.FetchAt != "", s.now)
+	s.countBack(e)
+	first, last, read, shared := e.accept(&q.ask, s.holder(p.Choice.FetchAt), s.now)
 	s.result.Read += float64(read)
 	s.result.Again += float64(shared)
 	sentAt := s.now
@@ -131,6 +132,18 @@
 	})
 }
 
+// countBack counts a request that reaches an engine that is back.
+func (s *sim) countBack(e *engine) {
+	if e.backAt.IsZero() {
+		return
+	}
+	i := int(s.now.Sub(e.backAt) / (time.Second / 4))
+	for len(s.result.Back) <= i {
+		s.result.Back = append(s.result.Back, 0)
+	}
+	s.result.Back[i]++
+}
+
 // lostAt ends a try at an engine that does not answer.
 func (q *request) lostAt(r *state.State, p state.Placed, e *engine) {
 	q.s.result.Lost++
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -63,8 +63,19 @@
 	// Silent says that what is sent there gets no answer and fails after SilentFor;
 	// otherwise it fails at once.
 	Silent bool
+	Return Return
 }
 
+// Return is what the routers learn of engines that are back with empty memories.
+type Return int
+
+// The returns.
+const (
+	Untold      Return = iota // nothing: only their IDs are known, and are the same
+	UnderTheirs               // their IDs, and that they have started again
+	UnderNew                  // new IDs
+)
+
 // SilentFor is after what time a request that a silent engine has is given up.
 const SilentFor = 900 * time.Millisecond
 
@@ -82,7 +93,10 @@
 	Expected, Seen []float64
 	Sent           int     // requests that reached an engine
 	Lost           int     // requests that reached an engine which did not answer
-	Read, Again    float64 // tokens read, and of these shared ones that an engine had read
+	Read, Again    float64 // tokens read, and of these shared ones
+	// Back are the requests that reached engines that had been lost, by the quarter second
+	// after their return.
+	Back []int
 }
 
 // Total adds up a customer's seconds from one moment to another.
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -63,6 +63,7 @@
 	routes  map[string]*routing.Route
 	result  *Result
 	ids     int
+	version uint64 // of the list of engines
 }
 
 // Run plays the scenario. The same scenario gives the same result.
@@ -73,6 +74,7 @@
 		start:    time.Unix(1000, 0),
 		engines:  map[string]*engine{},
 		routes:   map[string]*routing.Route{},
+		version:  1,
 		result:   &Result{Seconds: map[string][]Second{}},
 	}
 	s.now = s.start
@@ -114,7 +116,7 @@
 		e := &engine{Engine: s.Engine, id: fmt.Sprintf("i-%04d", i), addr: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), cache: map[string]cached{}}
 		s.engines[e.id] = e
 		s.list = append(s.list, e)
-		servers = append(servers, routing.Server{ID: e.id, Service: service, Addr: e.addr, DataCentre: s.centre(i), Slots: e.Slots, State: routing.ServerReady})
+		servers = append(servers, s.entryOf(i, e))
 	}
 	config := &routing.Config{
 		Version: 1,
@@ -170,11 +172,45 @@
 		}
 	})
 	s.after(l.Back, func() {
-		for _, e := range s.list[:l.Engines] {
-			e.lost = false
-			e.running = 0
-			e.cache = map[string]cached{}
-			e.kept = 0
+		for i, e := range s.list[:l.Engines] {
+			s.back(i, e, l.Return)
 		}
 	})
 }
+
+// back has an engine start again, and the routers learn of it.
+func (s *sim) back(i int, e *engine, how Return) {
+	fresh := &engine{Engine: e.Engine, id: e.id, addr: e.addr, cache: map[string]cached{}, backAt: s.now}
+	entry := s.entryOf(i, fresh)
+	var gone []string
+	switch how {
+	case Untold:
+	case UnderTheirs:
+		entry.Born = s.now.UnixMilli()
+	case UnderNew:
+		gone = []string{e.id}
+		fresh.id = e.id + "-again"
+		entry.ID = fresh.id
+	}
+	s.engines[fresh.id] = fresh
+	s.list[i] = fresh
+	s.version++
+	for _, r := range s.routers {
+		r.ServersChanged([]routing.Server{entry}, gone, s.version)
+	}
+}
+
+// entryOf is the i-th engine's entry.
+func (s *sim) entryOf(i int, e *engine) routing.Server {
+	return routing.Server{ID: e.id, Service: service, Addr: e.addr, DataCentre: s.centre(i), Slots: e.Slots, State: routing.ServerReady}
+}
+
+// holder is the engine at the address; nil: none.
+func (s *sim) holder(addr string) *engine {
+	for _, e := range s.list {
+		if e.addr == addr {
+			return e
+		}
+	}
+	return nil
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -72,6 +73,8 @@
 	troubles []span
 	troubled time.Time
 	exits    sync.WaitGroup
+	poisons  sync.Mutex   // one guilty request at a time
+	poisoned atomic.Int64 // servers that ended under a guilty request
 }
 
 // newFleet starts the stand-ins and n routers.
@@ -137,7 +140,9 @@
 		return nil, err
 	}
 	s.Listed = p.addr()
+	s.Crashes = isGuilty
 	out := &server{Server: s, proxy: p}
+	s.Crashed = func() { f.ended(out) }
 	f.servers = append(f.servers, out)
 	f.store.PutServer(s, "ready")
 	return out, nil
--- /dev/null
+++ b/soak/lives.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+const (
+	// guilty begins the IDs of attempts under which servers crash.
+	guilty = "guilty-"
+	// copyEvery is the pause between two copies of a guilty request, each to another router.
+	copyEvery = 60 * time.Millisecond
+	// copiesFor is for how long they come beside the fault's own time.
+	copiesFor = 3 * time.Second
+	// endsMost is how many servers may end under one guilty request: three until it is
+	// known, three while the routers tell each other, three for what is killed meanwhile.
+	endsMost = 9
+	// backAfter is how long after a crash a server starts again.
+	backAfter = 200 * time.Millisecond
+)
+
+func isGuilty(attempt string) bool { return strings.HasPrefix(attempt, guilty) }
+
+// ended starts a server that crashed under a request again, under its ID.
+func (f *fleet) ended(s *server) {
+	f.poisoned.Add(1)
+	time.AfterFunc(backAfter, func() { f.revive(s) })
+}
+
+// revive starts a server that has ended again, unless it has left.
+func (f *fleet) revive(s *server) {
+	f.mu.Lock()
+	left := !s.left.IsZero()
+	f.mu.Unlock()
+	if left {
+		return
+	}
+	if err := s.Restart(); err != nil {
+		f.verdicts.report(noUnaskedExit, "server %s does not start again: %v", s.ID, err)
+		return
+	}
+	f.store.PutServer(s.Server, "ready")
+}
+
+// reborn ends a server and starts it again under its ID.
+func (f *fleet) reborn(x fault) {
+	s := f.pickServer(x)
+	if s == nil {
+		return
+	}
+	s.Close()
+	time.Sleep(x.For / 2)
+	f.revive(s)
+}
+
+// poison sends copies of a request that crashes each server to one router after the other.
+// One such fault at a time: their ends are counted together.
+func (f *fleet) poison(x fault) {
+	f.poisons.Lock()
+	defer f.poisons.Unlock()
+	before := f.poisoned.Load()
+	begin := time.Now()
+	for n := 0; time.Since(begin) < x.For+copiesFor; n++ {
+		f.sendGuilty(f.routers[(x.Who+n)%len(f.routers)], fmt.Sprintf("%s%d-%d", guilty, x.At, n), x)
+		time.Sleep(copyEvery)
+	}
+	if n := f.poisoned.Load() - before; n > endsMost {
+		f.verdicts.report(poisonStops, "%d servers ended under one request", n)
+	}
+}
+
+// sendGuilty sends one copy. What its caller gets does not matter.
+func (f *fleet) sendGuilty(r *router, attempt string, x fault) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	body := strings.NewReader(fmt.Sprintf("crashes servers %d", x.At))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/o/x", f.callers(r)), body)
+	if err != nil {
+		return // the address is our own
+	}
+	req.Host = platformtest.Host
+	platformtest.Ask(req.Header, attempt, "key-a", time.Second, "aa:100,bb:50")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
+// foreignEntries writes entries that name no server, with the address of a listener that
+// nothing may connect to, and spoils that of a server for a while.
+func (f *fleet) foreignEntries(x fault) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		f.verdicts.report(noUnaskedExit, "listener: %v", err)
+		return
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return // closed
+			}
+			f.verdicts.report(foreignUnused, "a connection from %s", c.RemoteAddr())
+			_ = c.Close()
+		}
+	}()
+	addr := ln.Addr().String()
+	entries := []string{
+		`{"service":"app","address":"` + addr + `","state":"ready","slots":8}`,
+		`{"service":"app","address":"` + addr + `","zone":"dc0","version":"v1","slots":-8,"state":"ready","warmupLeftMs":0,"sequence":1}`,
+		`{"service":"app","address":"` + addr + `","zone":"dc0","version":"v1","slots":8,"state":"warm","warmupLeftMs":0,"sequence":1}`,
+		"\xff\x00", "",
+	}
+	for i, text := range entries {
+		f.store.Put("servers", fmt.Sprintf("foreign-%d-%d", x.At, i), []byte(text))
+	}
+	s := f.pickServer(x)
+	if s != nil {
+		f.store.Put("servers", s.ID, []byte(entries[x.How%len(entries)]))
+	}
+	time.Sleep(x.For)
+	for i := range entries {
+		f.store.Remove("servers", fmt.Sprintf("foreign-%d-%d", x.At, i))
+	}
+	if s == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.left.IsZero() {
+		f.store.PutServer(s.Server, "ready")
+	}
+}
