--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -222,6 +222,9 @@
 			return !slices.ContainsFunc(c.Bad, func(row platform.BadRow) bool { return row.Key == key })
 		})
 	}
+	if c.Config != nil {
+		clear(bad) // its table has no other row that is read
+	}
 	for _, s := range c.Servers {
 		delete(bad, s.ID)
 	}
