--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -21,8 +21,8 @@
 
 const (
 	// EndsToBlock is how many times servers have to end under a content for it to be
-	// blocked. Two may be chance: of 40 requests that an engine of 18 runs beside a guilty
-	// one, two or three that come again meet it once more; three times, one in ten fleets does.
+	// blocked. Two may be chance. By count: of 40 requests that one of 18 engines runs beside a
+	// guilty one and that all come again, 40/18 meet it a second time and 40/324 a third.
 	EndsToBlock = 3
 	// sameMoment is the time within which ends of servers count once, unless the later
 	// run was sent after the earlier end. A lost rack or power feed ends many servers at
