follow: the list of servers does not wait for the blocked contents

Found in reading: a store of which only a part is down may serve the list of servers and not the table of blocked contents, and a router that started then was never ready. The list is read first; the contents right after it, and again each second until they are known. TestTheListDoesNotWaitForBlockedContents.

--- a/internal/edge/follow/ends.go
+++ b/internal/edge/follow/ends.go
@@ -21,15 +21,18 @@
 	whatEnds = "blocked contents"
 )
 
-// readServers reads the list of servers, and before it for the first time which contents
-// are blocked: a router that takes requests knows what the fleet knew before it started.
+// readServers reads the list of servers, and with it for the first time which contents are
+// blocked: a router that takes requests knows what the fleet knew before it started. If
+// that can't be read, in a store of which a part is down, the list does not wait for it.
 func (f *Follower) readServers(ctx context.Context) (platform.Change, error) {
-	if !f.State.KnowsEnds() {
-		if err := f.readEnds(ctx); err != nil {
-			return platform.Change{}, err
-		}
+	c, err := f.Store.ReadServers(ctx)
+	if err != nil || f.State.KnowsEnds() {
+		return c, err
+	}
+	if err := f.readEnds(ctx); err != nil {
+		events.StoreEnds.Log(ctx, f.Log, slog.LevelWarn, "err", err)
 	}
-	return f.Store.ReadServers(ctx)
+	return c, nil
 }
 
 // Ends keeps in the store which contents are blocked, and asks it for those that other
@@ -74,7 +77,7 @@
 		f.State.EndsStored(written, removed)
 		return true, nil
 	}
-	if f.State.EndedSince() && f.MissesMany() {
+	if f.State.Ready() && !f.State.KnowsEnds() || f.State.EndedSince() && f.MissesMany() {
 		return true, f.readEnds(ctx)
 	}
 	return false, nil
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -22,33 +22,40 @@
 
 // followed is a state that follows a stand-in of the store.
 type followed struct {
-	store *platformtest.Store
-	state *state.State
-	role  follow.Role
-	log   *edgetest.Lines
+	store  *platformtest.Store
+	state  *state.State
+	role   follow.Role
+	log    *edgetest.Lines
+	client *platform.Store
 }
 
 func start(t *testing.T, role follow.Role) *followed {
 	t.Helper()
 	f := &followed{store: platformtest.NewStore(), state: state.New("dc", 0.2, 80, time.Now), role: role, log: &edgetest.Lines{}}
 	server := httptest.NewServer(f.store)
+	f.client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	follower := &follow.Follower{
-		State:  f.state,
-		Store:  platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
-		Log:    slog.New(slog.NewTextHandler(f.log, nil)),
-		Meter:  meter.New(),
-		Now:    time.Now,
-		Role:   func() follow.Role { return f.role },
-		Sought: func(context.Context) {},
+		State: f.state,
+		Store: f.client,
+		Log:   slog.New(slog.NewTextHandler(f.log, nil)),
+		Meter: meter.New(),
+		Now:   time.Now,
+
+		Registers:  func() bool { return true },
+		MissesMany: func() bool { return false },
+		Role:       func() follow.Role { return f.role },
+		Sought:     func(context.Context) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{}, 2)
+	done := make(chan struct{}, 3)
 	go func() { _ = follower.Config(ctx); done <- struct{}{} }()
 	go func() { _ = follower.Servers(ctx); done <- struct{}{} }()
+	go func() { _ = follower.Ends(ctx); done <- struct{}{} }()
 	t.Cleanup(func() {
 		cancel()
 		<-done
 		<-done
+		<-done
 		server.CloseClientConnections()
 		server.Close()
 	})
