--- /dev/null
+++ b/internal/edge/state/report.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"github.com/windscale/windscale/internal/core/fair"
+	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// Report is what a router tells its peers.
+type Report struct {
+	Loads  map[routing.ServerKey]pick.Load
+	Rates  map[string]fair.Rates
+	Sent   pick.Sent                   // parts of prompts sent since the last report
+	Firsts map[string]pick.FirstTokens // first tokens seen since the last report, by service
+	Ends   []poison.Record             // contents under which servers ended since the last report
+}
+
+// NewReport returns one that tells nothing yet.
+func NewReport() Report {
+	return Report{Loads: map[routing.ServerKey]pick.Load{}, Rates: map[string]fair.Rates{}}
+}
+
+// Add adds the loads and rates of o.
+func (r Report) Add(o Report) {
+	for key, l := range o.Loads {
+		r.Loads[key] = r.Loads[key].Plus(l)
+	}
+	for name, rates := range o.Rates {
+		r.Rates[name] = r.Rates[name].Plus(rates)
+	}
+}
+
+// Report returns this router's load, its customers' rates, and what it has sent
+// where since the last report.
+func (s *State) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return Report{
+		Loads:  s.picker.Loads(now),
+		Rates:  s.meter.Own(now),
+		Sent:   s.picker.TakePending(),
+		Firsts: s.picker.TakeFirsts(),
+		Ends:   s.poison.TakeFresh(now),
+	}
+}
+
+// HeardFirsts takes the first tokens that other routers saw.
+func (s *State) HeardFirsts(firsts map[string]pick.FirstTokens) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.HeardFirsts(firsts, s.now())
+}
+
+// HeardSent takes other routers' report of which parts they sent where.
+func (s *State) HeardSent(sent pick.Sent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Heard(sent, s.now())
+}
+
+// TotalReport takes the sum over all routers, this one included.
+func (s *State) TotalReport(from string, r Report) {
+	s.mu.Lock()
+	now := s.now()
+	own := s.picker.Loads(now)
+	rates := s.meter.Own(now)
+	s.mu.Unlock()
+	for key, l := range own {
+		if total, ok := r.Loads[key]; ok {
+			r.Loads[key] = total.Less(l)
+		}
+	}
+	for name, mine := range rates {
+		total, ok := r.Rates[name]
+		if !ok {
+			continue
+		}
+		r.Rates[name] = fair.Rates{Asked: max(0, total.Asked-mine.Asked), Served: max(0, total.Served-mine.Served)}
+	}
+	s.PeerReport(from, r)
+}
+
+// PeerReport takes another router's, or the sum of several others'.
+func (s *State) PeerReport(peer string, r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.picker.PeerLoad(peer, r.Loads, now)
+	if len(r.Rates) > 0 {
+		s.meter.Peer(peer, r.Rates, now)
+	}
+}
--- /dev/null
+++ b/internal/edge/state/servers.go
@@ -0,0 +1,115 @@
+package state
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/core/routing"
+)
+
+// ServersReplaced takes the whole list of servers, as of a version of the
+// store. An older list than that in force is left out. sure says that it comes
+// from a router which follows the store, so that what is missing has left.
+func (s *State) ServersReplaced(list []routing.Server, stamp roster.Stamp, sure bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.Stamp().After(stamp) {
+		return false
+	}
+	s.roster.SetStamp(stamp)
+	s.roster.Replace(list, sure, s.now())
+	s.listed = true
+	s.picker.SetServers(s.roster.List())
+	return true
+}
+
+// ServersChanged takes changed and removed entries.
+func (s *State) ServersChanged(changed []routing.Server, gone []string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(changed)+len(gone) == 0 {
+		return
+	}
+	s.roster.SetStamp(roster.Stamp{Version: version})
+	s.roster.Apply(changed, gone, s.now())
+	s.picker.SetServers(s.roster.List())
+}
+
+// ServerUnusable notes that, as of a version of the store, the entry of the ID names no
+// server to use.
+func (s *State) ServerUnusable(id string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.Forget(id, version) {
+		s.picker.SetServers(s.roster.List())
+	}
+}
+
+// Servers returns the list and its stamp.
+func (s *State) Servers() ([]routing.Server, roster.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.List(), s.roster.Stamp()
+}
+
+// Stamp returns the stamp of the list of servers.
+func (s *State) Stamp() roster.Stamp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Stamp()
+}
+
+// StoreDown and StoreBack note whether the store's list can be followed.
+func (s *State) StoreDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.StoreDown(s.now())
+}
+
+// StoreBack notes that the store answers again.
+func (s *State) StoreBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.StoreBack(s.now())
+}
+
+// StoreNotFollowed notes that the list comes from other routers.
+func (s *State) StoreNotFollowed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.NotFollowed()
+}
+
+// Followed returns for how long the store's list has been followed without a gap.
+func (s *State) Followed() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Followed(s.now())
+}
+
+// Settle takes a router's report that it has followed the store for so long, and
+// reports whether doubtful servers were forgotten for it.
+func (s *State) Settle(followed time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.roster.Settle(followed, s.now()) {
+		return false
+	}
+	s.picker.SetServers(s.roster.List())
+	return true
+}
+
+// Known reports whether the server is listed or has requests of this router.
+func (s *State) Known(id routing.Identity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Known(id)
+}
+
+// Takes reports whether the server is still listed as one that takes new
+// requests: time passes between the choice and the sending.
+func (s *State) Takes(id routing.Identity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Takes(id)
+}
