--- a/soak/callers.go
+++ b/soak/callers.go
@@ -156,6 +156,9 @@
 	if resp.StatusCode == 401 || resp.StatusCode == 404 {
 		c.fleet.verdicts.report(inForce, "%s: %d at %s for a route and key of every version", s.id, resp.StatusCode, r.name)
 	}
+	if resp.StatusCode == 503 && strings.Contains(body, "servers end") {
+		c.fleet.verdicts.report(innocentServed, "%s at %s: %s", s.id, r.name, strings.TrimSpace(body))
+	}
 	if resp.StatusCode != 200 {
 		return
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,6 +32,8 @@
 	"killall": (*fleet).killAll,
 	"stop":    (*fleet).stopRouter,
 	"pause":   (*fleet).pause,
+	"starve":  (*fleet).starve,
+	"flood":   (*fleet).flood,
 	"store":   (*fleet).storeTrouble,
 	"lapse":   (*fleet).storeLapse,
 	"slow":    (*fleet).storeSlow,
@@ -100,7 +102,7 @@
 		go func() {
 			defer wg.Done()
 			switch x.Kind {
-			case "kill", "killall", "stop", "pause":
+			case "kill", "killall", "stop", "pause", "starve":
 				one.Lock()
 				defer one.Unlock()
 			}
--- a/soak/lives.go
+++ b/soak/lives.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/windscale/windscale/platform/platformtest"
@@ -68,7 +70,7 @@
 	before := f.poisoned.Load()
 	begin := time.Now()
 	for n := 0; time.Since(begin) < x.For+copiesFor; n++ {
-		f.sendGuilty(f.routers[(x.Who+n)%len(f.routers)], fmt.Sprintf("%s%d-%d", guilty, x.At, n), x)
+		f.copyOf(x, n)
 		time.Sleep(copyEvery)
 	}
 	if n := f.poisoned.Load() - before; n > endsMost {
@@ -76,17 +78,22 @@
 	}
 }
 
-// sendGuilty sends one copy. What its caller gets does not matter.
-func (f *fleet) sendGuilty(r *router, attempt string, x fault) {
+// copyOf sends the n-th copy of a guilty request.
+func (f *fleet) copyOf(x fault, n int) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	body := strings.NewReader(fmt.Sprintf("crashes servers %d", x.At))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/o/x", f.callers(r)), body)
+	r := f.routers[(x.Who+n)%len(f.routers)]
+	f.send(ctx, r, fmt.Sprintf("%s%d-%d", guilty, x.At, n), "key-a", fmt.Sprintf("crashes servers %d", x.At))
+}
+
+// send sends a request of a fault's own. What its caller gets does not matter.
+func (f *fleet) send(ctx context.Context, r *router, attempt, key, body string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/o/x", f.callers(r)), strings.NewReader(body))
 	if err != nil {
 		return // the address is our own
 	}
 	req.Host = platformtest.Host
-	platformtest.Ask(req.Header, attempt, "key-a", time.Second, "aa:100,bb:50")
+	platformtest.Ask(req.Header, attempt, key, time.Second, "aa:3000,bb:500")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return
@@ -141,3 +148,41 @@
 		f.store.PutServer(s.Server, "ready")
 	}
 }
+
+const (
+	// starvedRuns and starvedStands are how long a starved router runs and stands in turn:
+	// a sixth of a core, in slices as a quota gives them.
+	starvedRuns   = 5 * time.Millisecond
+	starvedStands = 25 * time.Millisecond
+	// floodCallers send at once during a flood.
+	floodCallers = 48
+)
+
+// starve gives a router a small part of its processor time.
+func (f *fleet) starve(x fault) {
+	r := f.router(x)
+	for begin := time.Now(); time.Since(begin) < x.For; {
+		f.signal(r, syscall.SIGSTOP)
+		time.Sleep(starvedStands)
+		f.signal(r, syscall.SIGCONT)
+		time.Sleep(starvedRuns)
+	}
+}
+
+// flood has one customer send to one router as much as it can. What it gets does not
+// matter; the other callers' answers are checked as ever.
+func (f *fleet) flood(x fault) {
+	ctx, cancel := context.WithTimeout(context.Background(), x.For)
+	defer cancel()
+	r := f.router(x)
+	var wg sync.WaitGroup
+	for i := range floodCallers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				attempt := fmt.Sprintf("flood-%d-%d-%d", x.At, i, n)
+				f.send(ctx, r, attempt, "key-c", attempt)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -25,6 +25,7 @@
 	endsInTime     promise = "every request has its final answer in its route's time"
 	noUnaskedExit  promise = "no process ends by itself"
 	poisonStops    promise = "a request that crashes servers is soon sent to none"
+	innocentServed promise = "a request that crashes no server is not blocked"
 	foreignUnused  promise = "nothing is sent to an entry that names no server"
 	serverIsPassed promise = "a request's method, path and body reach the server unchanged"
 )
