sight: each second, what became of the requests of the customers that a router refused most

The lines of refusals are bounded and don't tell, for a customer that a host refuses for its own load, what was placed, what began, and what the routers believe of it. No change of logic.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -273,6 +273,7 @@
 	defer t.Stop()
 	ready := false
 	var retired time.Time
+	var told accountLines
 	for {
 		select {
 		case <-ctx.Done():
@@ -283,6 +284,7 @@
 				retired = now
 				n.pool.Retire(n.state.Known)
 			}
+			told.log(ctx, n, now)
 			if r := n.ready(); r != ready {
 				ready = r
 				events.ReadyChanged.Log(ctx, n.log, slog.LevelInfo, "ready", ready, "config", n.state.Version())
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -108,6 +108,7 @@
 func (s *State) serve(customer string, tokens float64, c pick.Choice, now time.Time) *counted {
 	placed := &counted{customer: customer, tokens: tokens, due: now.Add(c.Wait + c.Own + beginSlack)}
 	s.meter.Served(customer, tokens, now)
+	s.accounts.Of(customer).Placed += tokens
 	s.unbegun = append(s.unbegun, placed)
 	return placed
 }
@@ -119,6 +120,7 @@
 	}
 	c.undone = true
 	s.meter.Undo(c.customer, c.tokens, now)
+	s.accounts.Of(c.customer).TakenBack += c.tokens
 }
 
 // undoOverdue takes back what has not begun in its time.
@@ -153,6 +155,7 @@
 		return Placed{}, false
 	}
 	s.ask(n, now)
+	s.accounts.Of(n.Customer).OverShare += n.tokens()
 	rates, level := s.meter.Sum(n.Customer, now)
 	return Placed{Why: WhyOver, Back: s.back(n, pick.Choice{}, WhyOver), Rates: rates, Level: level}, true
 }
@@ -163,12 +166,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ask(n, s.now())
+	s.accounts.Of(n.Customer).HostLoad += n.tokens()
 }
 
 // ask counts a request.
 func (s *State) ask(n Need, now time.Time) {
 	s.bucket(n.Service).Request()
 	s.meter.Asked(n.Customer, n.tokens(), now)
+	s.accounts.Of(n.Customer).Asked += n.tokens()
 }
 
 // farOver reports whether the customer is so far above its share that it gets
@@ -200,6 +205,7 @@
 		return Placed{Why: WhyNoOne, Back: retryMost}
 	}
 	if why := s.admit(n, c, now); why != WhyNone {
+		s.accountRefusal(n, why)
 		rates, level := s.meter.Sum(n.Customer, now)
 		return Placed{Why: why, Choice: c, Back: s.back(n, c, why), Rates: rates, Level: level}
 	}
@@ -214,6 +220,16 @@
 	}
 }
 
+// accountRefusal notes what was refused, and why.
+func (s *State) accountRefusal(n Need, why Why) {
+	account := s.accounts.Of(n.Customer)
+	if why == WhyOver {
+		account.OverShare += n.tokens()
+		return
+	}
+	account.NoRoom += n.tokens()
+}
+
 // admit decides whether the request is worth sending: its wait must leave it
 // time, and a customer above its share gives way first.
 func (s *State) admit(n Need, c pick.Choice, now time.Time) Why {
@@ -294,6 +310,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if !p.counted.began {
+		s.accounts.Of(p.counted.customer).Begun += p.counted.tokens
+	}
 	if p.counted.undone && !p.counted.began {
 		s.meter.Served(p.counted.customer, p.counted.tokens, now)
 	}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -39,9 +39,10 @@
 	roster    *roster.Roster
 	listed    bool // the servers have been read once
 	meter     *fair.Meter
-	unbegun   []*counted // placed requests that no server has begun
-	undoneAt  time.Time  // when these were looked through last
-	refusedAt time.Time  // when a customer not above its share was refused last
+	accounts  fair.Accounts // of customers, since they were taken last
+	unbegun   []*counted    // placed requests that no server has begun
+	undoneAt  time.Time     // when these were looked through last
+	refusedAt time.Time     // when a customer not above its share was refused last
 	budgets   map[string]*budget.Bucket
 	ratio     float64
 	slack     float64
@@ -60,16 +61,17 @@
 func NewSeeded(dataCentre string, ratio, slack float64, now func() time.Time, seed uint64) *State {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	return &State{
-		now:     now,
-		rng:     rng,
-		picker:  pick.New(dataCentre, rng),
-		roster:  roster.New(),
-		meter:   fair.New(),
-		budgets: map[string]*budget.Bucket{},
-		ratio:   ratio,
-		slack:   slack,
-		routers: expectedRouters,
-		poison:  poison.New(),
+		now:      now,
+		rng:      rng,
+		picker:   pick.New(dataCentre, rng),
+		roster:   roster.New(),
+		meter:    fair.New(),
+		accounts: fair.Accounts{},
+		budgets:  map[string]*budget.Bucket{},
+		ratio:    ratio,
+		slack:    slack,
+		routers:  expectedRouters,
+		poison:   poison.New(),
 	}
 }
 
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -11,9 +11,10 @@
 	EdgeLeft     = Event{346, "caller left"}
 	EdgeResumed  = Event{347, "stream goes on at another server"}
 
-	ServerEnded    = Event{348, "servers ended under a request more than once"}
-	ContentBlocked = Event{349, "request blocked, servers end under it"}
-	ContentCleared = Event{350, "request cleared, a server answered it"}
+	ServerEnded     = Event{348, "servers ended under a request more than once"}
+	ContentBlocked  = Event{349, "request blocked, servers end under it"}
+	ContentCleared  = Event{350, "request cleared, a server answered it"}
+	CustomerRefused = Event{351, "requests of a customer were refused"}
 )
 
 // The events of what windscale-edge believes.
