--- /dev/null
+++ b/internal/edge/follow/era_test.go
@@ -0,0 +1,64 @@
+package follow_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/edge/edgetest"
+	"github.com/windscale/windscale/internal/edge/follow"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// What was seen: a store came back from a copy some seconds old, and a router saw neither a
+// new server nor a newer configuration, reading both tables whole 32 times a second. How: the
+// copy's versions were lower than the one that the router went on from. Cause: versions
+// were compared across what the copy had undone. Proof: this test.
+func TestAStoreThatComesBackOlderIsFollowed(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.store.SetEra(1)
+	f.put(1)
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 && f.listed() == 1 })
+	older := f.store.Copy()
+	for range 41 {
+		f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+	}
+	f.put(2)
+	edgetest.Until(t, "the second configuration", func() bool { return f.state.Version() == 2 })
+	reads := f.store.Calls("/v1/rows-get")
+	f.store.SetBack(older)
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
+	f.put(3)
+	edgetest.Until(t, "the new server and the newer configuration", func() bool { return f.state.Version() == 3 && f.listed() == 2 })
+	assert.Assert(t, f.store.Calls("/v1/rows-get")-reads <= 4, "each table is read once, and once more if a change comes between")
+}
+
+// Versions have passed the one that a router goes on from before it asks again: the feed
+// would go on from a version that means another change.
+func TestVersionsThatAreGivenOutAgainAreNotTakenForThoseBefore(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.store.SetEra(1)
+	f.put(1)
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 && f.listed() == 1 })
+	older := f.store.Copy()
+	f.store.Put("servers", "gone", platformtest.Entry("app", "127.0.0.1:9", "ready"))
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+	edgetest.Until(t, "both", func() bool { return f.listed() == 2 })
+	f.store.Fail(func(*http.Request) platformtest.Trouble { return platformtest.Reset })
+	f.store.SetBack(older)
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
+	f.store.Put("servers", "c", platformtest.Entry("app", "127.0.0.1:3", "ready"))
+	f.store.Put("servers", "d", platformtest.Entry("app", "127.0.0.1:4", "ready"))
+	f.store.Fail(nil)
+	edgetest.Until(t, "what was written since", func() bool {
+		list, _ := f.state.Servers()
+		names := ""
+		for _, s := range list {
+			names += s.ID
+		}
+		return names == "abcd" || names == "abcdgone" // the last one until its grace is over
+	})
+}
