a flooded host lets in what it has time for: work let in counts as wait, requests are waited for a moment

Requests that had not arrived when their connection was accepted went the dear way, and so did all beyond the bound of connections, 896 goroutines at a time. Change: what was let in counts as expected wait until a measurement has waited behind it; connections wait up to 5 ms for their requests while the host refuses; 64 requests at a time are waited for longer.

--- a/internal/edge/front/admit.go
+++ b/internal/edge/front/admit.go
@@ -77,14 +77,14 @@
 // comes back at another router. The customers that dominate this host go first.
 func (q *request) behind() *Refusal {
 	running := q.h.running.Load()
-	wait := q.h.ProcessorWait()
+	wait := q.h.ExpectedWait()
 	reason := ""
 	switch {
 	case running > q.h.MaxRunning:
 		reason = "too many requests are in progress here"
 	case wait >= pressure.Overloaded:
 		reason = "this router is behind its work"
-	case wait >= pressure.Busy && q.h.progress.fills(q.customer):
+	case q.h.ProcessorWait() >= pressure.Busy && q.h.progress.fills(q.customer):
 		reason = "this customer fills this router"
 	default:
 		return nil
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -51,8 +51,10 @@
 	// is to end its own.
 	NearConnLimit func() bool
 	// ProcessorWait is for how long what could run on this host waits for its
-	// processor; from pressure.Overloaded on it takes no requests.
+	// processor, as measured lately; ExpectedWait is the same with what was let in since (nil: the same).
+	// From pressure.Overloaded on it takes no requests.
 	ProcessorWait func() time.Duration
+	ExpectedWait  func() time.Duration
 	Meter         *meter.Meter
 	// Now is the time by which requests' deadlines are judged; nil: the system's steady
 	// clock. It may jump ahead: see Resumed.
@@ -77,6 +79,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.ExpectedWait == nil {
+		c.ExpectedWait = c.ProcessorWait
+	}
 	return &Handler{
 		Config:   c,
 		refusals: rate.NewLimiter(refusalsPerSecond, refusalsPerSecond),
@@ -92,8 +97,7 @@
 // Refusing reports whether this host has so little time that it refuses requests for its
 // own load.
 func (h *Handler) Refusing() bool {
-	wait := h.ProcessorWait()
-	return wait >= pressure.Overloaded || wait >= pressure.Busy && h.progress.filled()
+	return h.ExpectedWait() >= pressure.Overloaded || h.ProcessorWait() >= pressure.Busy && h.progress.filled()
 }
 
 // overloaded reports whether this host is too far behind to take requests.
--- a/internal/edge/node/flood_bench_test.go
+++ b/internal/edge/node/flood_bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,15 +49,38 @@
 			assert.NilError(b, header.Write(&request))
 			request.WriteString("\r\n" + strings.Repeat("x", 9200))
 			b.ReportAllocs()
-			for b.Loop() {
-				c, err := net.Dial("tcp4", ln.Addr().String())
-				assert.NilError(b, err)
-				_, err = io.WriteString(c, request.String())
-				assert.NilError(b, err)
-				_, err = io.Copy(io.Discard, c)
-				assert.NilError(b, err)
-				assert.NilError(b, c.Close())
-			}
+			b.SetParallelism(128) // the listener waits a moment for requests
+			before := processorTime(b)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					refuseOne(b, ln.Addr().String(), request.String())
+				}
+			})
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
+
+// processorTime is what this process has taken so far, callers included.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// refuseOne makes a request on a connection of its own and reads its answer.
+func refuseOne(b *testing.B, addr, request string) {
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, request); err != nil {
+		b.Error(err)
+		return
+	}
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		b.Error(err)
+	}
+}
--- a/internal/edge/node/limiter.go
+++ b/internal/edge/node/limiter.go
@@ -16,11 +16,10 @@
 	// its memory: one takes some 16 KB with its buffers and stacks, so that they
 	// take an eighth at most.
 	connsPerMB = 8
-	// shedPart is for which part of that number beside it a request is still read, so
-	// that it can be refused: such a connection takes some 20 KB, with what its caller
-	// has sent, for as long as a refusal takes. A flood of 1,200 requests a second at one
-	// host had 79,000 connections closed unread at a quarter.
-	shedPart = 1.0
+	// shedMost is of how many connections beyond that number, or of a host that has no
+	// time, a request is waited for that has not arrived when it is looked for. Each takes a
+	// goroutine and some 20 KB; were they as many as are served, the processor was theirs.
+	shedMost = 64
 )
 
 // connLimiter is a listener that keeps a bounded number of connections. One beyond
@@ -35,9 +34,13 @@
 	// sift answers the request that has arrived on a connection for which there is no
 	// time, or, if it is told so, no room; it returns what it has read if it did not.
 	sift func(c front.Arrival, full bool) (read []byte, answered bool)
+	// letIn notes that a connection is served.
+	letIn func()
 	// raw is the listener's descriptor; nil: it has none.
-	raw  syscall.RawConn
-	pace pace
+	raw syscall.RawConn
+	// waiting and pace are of who calls Accept.
+	waiting []waiting
+	pace    pace
 	// refusing reports whether this host refuses requests for its own load: then it does
 	// before anything is spent on them.
 	refusing func() bool
@@ -57,10 +60,11 @@
 		Listener: l,
 		most:     most,
 		shed:     h.Shed,
-		shedMost: int64(float64(most) * shedPart),
+		shedMost: shedMost,
 		sift:     h.NewSifter().Sift,
 		refusing: h.Refusing,
-		wait:     h.ProcessorWait,
+		wait:     h.ExpectedWait,
+		letIn:    func() {},
 	}
 	if c, ok := l.(syscall.Conn); ok {
 		if raw, err := c.SyscallConn(); err == nil {
@@ -86,8 +90,9 @@
 // Accept returns the next connection that is served.
 func (l *connLimiter) Accept() (net.Conn, error) {
 	for {
-		a, err := l.arrival()
+		a, err := l.next()
 		if err != nil {
+			l.end()
 			return nil, err
 		}
 		if c := l.take(a); c != nil {
@@ -96,43 +101,89 @@
 	}
 }
 
-// arrival waits for the next connection.
-func (l *connLimiter) arrival() (arrival, error) {
-	if l.raw != nil && l.refusing() {
+// next waits for the next connection. While the host refuses, connections wait for a moment
+// until their requests have arrived.
+func (l *connLimiter) next() (arrival, error) {
+	for {
+		if len(l.waiting) == 0 {
+			l.pace = pace{}
+			c, err := l.Listener.Accept()
+			if err != nil {
+				return nil, err
+			}
+			if !l.refusing() {
+				return known{c}, nil
+			}
+			l.waiting = append(l.waiting, waiting{known{c}, time.Now()})
+		}
+		l.takeIn()
+		first := l.waiting[0]
+		if left := arrivesWithin - time.Since(first.since); left > 0 && l.refusing() {
+			time.Sleep(left)
+			continue
+		}
+		l.waiting = l.waiting[1:]
 		l.pace.next()
-		if b := acceptBare(l.raw); b != nil {
-			return b, nil
+		return first.arrival, nil
+	}
+}
+
+// takeIn accepts the connections that wait to be, as far as there is room for them here.
+func (l *connLimiter) takeIn() {
+	for l.raw != nil && len(l.waiting) < waitingMost {
+		b := acceptBare(l.raw)
+		if b == nil {
+			return
 		}
+		l.waiting = append(l.waiting, waiting{b, time.Now()})
 	}
-	l.pace = pace{}
-	c, err := l.Listener.Accept()
-	return known{c}, err
 }
 
-// paceBatch is how many connections are taken in one go while others wait: some 2 ms of a
-// processor of a fifth of a core.
-const paceBatch = 16
+// end closes what still waits when the listener has ended.
+func (l *connLimiter) end() {
+	for _, w := range l.waiting {
+		_ = w.Close() // nothing was read of it
+	}
+	l.waiting = nil
+}
+
+// waiting is a connection whose request may be on its way.
+type waiting struct {
+	arrival
+	since time.Time
+}
+
+const (
+	// arrivesWithin is how long after its connection a request is looked for: a caller sends it
+	// as soon as it hears that the connection is there, a millisecond or two away.
+	arrivesWithin = 5 * time.Millisecond
+	// waitingMost bounds the connections that wait so, by descriptors.
+	waitingMost = 256
+	// paceBatch is how many connections are looked at in one go while others wait: some 2 ms
+	// of a processor of a fifth of a core.
+	paceBatch = 16
+)
 
-// pace keeps half of the processor from who accepts connections that never end. Such a
+// pace keeps half of the processor from who looks at connections that never end. Such a
 // loop does not wait for anything, and what is read from other connections waits behind
 // it: for seconds at a host to which a flood of 3,000 connections a second came. Connections
 // beyond what half of a processor can refuse wait in the system's queue, and, when that is
 // full, find no connection, which costs this host nothing.
 type pace struct {
-	taken int
-	began time.Time
+	looked int
+	began  time.Time
 }
 
 // next is called before each connection; it sleeps for as long as the last ones took.
 func (p *pace) next() {
 	switch {
-	case p.taken == 0:
+	case p.looked == 0:
 		p.began = time.Now()
-	case p.taken%paceBatch == 0:
+	case p.looked%paceBatch == 0:
 		time.Sleep(time.Since(p.began))
 		p.began = time.Now()
 	}
-	p.taken++
+	p.looked++
 }
 
 // take returns the connection if it is served; it counts until it is closed.
@@ -158,6 +209,7 @@
 		c = &begun{Conn: c, read: read}
 	}
 	if room && !l.saturated() {
+		l.letIn()
 		return c
 	}
 	l.open.Add(-1)
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -23,7 +23,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }, sift: passOn, refusing: no, wait: func() time.Duration { return 0 }}
+	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }, sift: passOn, refusing: no, letIn: func() {}, wait: func() time.Duration { return 0 }}
 	defer func() { _ = l.Close() }()
 	accepted := make(chan net.Conn)
 	go func() {
@@ -58,8 +58,8 @@
 // of any new one on a host that has no time.
 func TestARequestBeyondTheBoundIsRefused(t *testing.T) {
 	for name, l := range map[string]*connLimiter{
-		"no room": {refusing: no, wait: func() time.Duration { return 0 }},
-		"no time": {most: 10, refusing: func() bool { return true }, wait: func() time.Duration { return pressure.Saturated }},
+		"no room": {refusing: no, letIn: func() {}, wait: func() time.Duration { return 0 }},
+		"no time": {most: 10, letIn: func() {}, refusing: func() bool { return true }, wait: func() time.Duration { return pressure.Saturated }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -83,7 +83,7 @@
 func New(path string, s *settings.Settings, level *slog.LevelVar, log *slog.Logger, dropped func() int64) (*Node, error) {
 	n := &Node{path: path, settings: s, level: level, log: log, dropped: dropped}
 	n.meter = meter.New()
-	n.probe = pressure.New(time.Now)
+	n.probe = pressure.New(s.Cores, time.Now)
 	n.clock = clock.New()
 	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, n.clock.Now)
 	n.store = platform.NewStore(s.Store)
@@ -99,6 +99,7 @@
 		MaxHeld: int64(float64(s.MemoryMB<<20) * heldPart),
 
 		ProcessorWait: n.probe.Wait,
+		ExpectedWait:  n.probe.Expected,
 		NearConnLimit: func() bool { return n.limiter.near() },
 		MaxRunning:    int64(s.MemoryMB * runsPerMB),
 	})
@@ -153,6 +154,7 @@
 	}, conn, platform.DecodeConfig, n.probe.Wait, n.clock.Now)
 	n.peers.Add(true, n.settings.Seeds...)
 	n.limiter = newLimiter(n.callersL, n.handler, n.settings.MemoryMB)
+	n.limiter.letIn = n.probe.LetIn
 	return nil
 }
 
--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -26,6 +26,9 @@
 	// Saturated is the wait from which a host refuses everyone: a request waits
 	// some five times on its way to a server.
 	Saturated = 150 * time.Millisecond
+	// serveCost is the processor time of a core that serving a request takes: a host of a
+	// fifth of a core that a flood came in by served 350 a second at its best.
+	serveCost = 500 * time.Microsecond
 )
 
 // Probe measures the wait. It is safe for concurrent use; a nil one reports no
@@ -33,16 +36,31 @@
 type Probe struct {
 	begin  atomic.Int64 // when a measurement in progress began, ns since base; 0: none
 	last   atomic.Int64 // the last wait measured, ns
+	let    atomic.Int64 // work let in that no measurement has waited behind yet, ns of this host
+	cost   int64        // of a request, ns of this host
 	base   time.Time
 	now    func() time.Time
 	launch func(func())
 }
 
-// New returns a probe that reads the time by now.
-func New(now func() time.Time) *Probe {
-	return &Probe{base: now().Add(-time.Second), now: now, launch: func(f func()) { f() }}
+// New returns a probe of a host with so many cores, that reads the time by now.
+func New(cores float64, now func() time.Time) *Probe {
+	return &Probe{
+		base:   now().Add(-time.Second),
+		now:    now,
+		launch: func(f func()) { f() },
+		cost:   int64(float64(serveCost) / cores),
+	}
 }
 
+// LetIn notes that a request was let in: until a measurement has waited behind it, its
+// work is expected to make others wait.
+func (p *Probe) LetIn() { p.let.Add(p.cost) }
+
+// Expected returns the wait with the work let in since it was measured. A measurement is
+// 20 ms old or more, and a flood brings a second's work in that time.
+func (p *Probe) Expected() time.Duration { return p.Wait() + time.Duration(p.let.Load()) }
+
 // poll runs functions when a byte that was written to a pipe has been read, as a request
 // is served when its bytes have been read. A goroutine that is just started would wait
 // in the processor's own queue only; on a host that always has work those that the
@@ -116,8 +134,10 @@
 	if !p.begin.CompareAndSwap(0, begin) {
 		return
 	}
+	before := p.let.Load()
 	p.launch(func() {
 		p.last.Store(int64(p.now().Sub(p.base)) - begin)
+		p.let.Add(-before)
 		p.begin.Store(0)
 	})
 }
--- a/internal/edge/pressure/pressure_test.go
+++ b/internal/edge/pressure/pressure_test.go
@@ -13,7 +13,7 @@
 // next one shows that the wait is over.
 func TestWaitIsSeenWhileItLasts(t *testing.T) {
 	now := time.Unix(100, 0)
-	p := New(func() time.Time { return now })
+	p := New(1, func() time.Time { return now })
 	var queued []func()
 	p.launch = func(f func()) { queued = append(queued, f) }
 	assert.Equal(t, p.Wait(), time.Duration(0))
@@ -49,7 +49,7 @@
 // The pattern: a host whose processor always has work of its own while bytes wait in its
 // sockets. What waits for the poller is measured, not only what waits for its turn.
 func TestWhatWaitsToBeReadIsMeasured(t *testing.T) {
-	p := New(time.Now)
+	p := New(1, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() { ended <- p.Run(ctx) }()
@@ -59,3 +59,26 @@
 	cancel()
 	assert.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// The pattern: a flood comes to a host that has been idle. Were its wait known by
+// measurements alone, all that comes in 20 ms would be let in, a second's work for a fifth of
+// a core. What was let in counts until a measurement has waited behind it.
+func TestWhatWasLetInCountsUntilItIsMeasured(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := New(0.2, func() time.Time { return now })
+	var queued []func()
+	p.launch = func(f func()) { queued = append(queued, f) }
+	const each = serveCost * 5
+	for range 3 {
+		p.LetIn()
+	}
+	assert.Equal(t, p.Expected(), 3*each)
+	p.measure()
+	p.LetIn()
+	now = now.Add(3 * each)
+	queued[0]()
+	assert.Equal(t, p.Expected(), 3*each+each, "the last one has come behind the measurement")
+	p.measure()
+	queued[1]()
+	assert.Equal(t, p.Expected(), time.Duration(0))
+}
