store: it may come back from an older copy; one stamp of era and version

A follower kept the one that it went on from, took what was lower for an old view, and saw nothing that was written after. Change: each answer, failures too, is decoded with its era; roster.Stamp holds era and version and alone is compared.

--- a/internal/core/poison/tell.go
+++ b/internal/core/poison/tell.go
@@ -60,7 +60,7 @@
 		r.merge(told, now)
 		if t.settle(told.Content, r, now) {
 			blocked = append(blocked, told.Content)
-			r.due = now.Add(storeAfter + time.Duration(rng.Int64N(int64(storeAfter))))
+			r.due = storeDue(rng, now)
 		}
 	}
 	return blocked
@@ -120,6 +120,27 @@
 	return write, remove
 }
 
+// Unstored notes that the store has lost what was written lately: what is blocked is written
+// again, by the router that comes first.
+func (t *Table) Unstored(rng *rand.Rand, now time.Time) {
+	for _, r := range t.records {
+		r.stored = false
+		r.due = storeDue(rng, now)
+	}
+}
+
+// Unstored takes from what another router told that the store has it.
+func Unstored(told []Record) {
+	for i := range told {
+		told[i].Stored = false
+	}
+}
+
+// storeDue is when a router that did not learn first of a blocked content writes it.
+func storeDue(rng *rand.Rand, now time.Time) time.Time {
+	return now.Add(storeAfter + time.Duration(rng.Int64N(int64(storeAfter))))
+}
+
 // Stored notes that the store has the ones and has forgotten the others.
 func (t *Table) Stored(written []Record, removed []routing.Content) {
 	for _, told := range written {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -31,18 +32,22 @@
 	blindAt  time.Time // when the store was lost last
 	since    time.Time // the store is followed without a gap since then; zero: it is not
 	stamp    Stamp
+	back     returned // what is remembered of a return of the store from a copy
 }
 
-// Stamp orders the lists that routers have: by the store's version of the last
-// change, and then by what was forgotten since without the store's answer.
+// Stamp orders the lists that routers have, and the answers of the store: by the store's
+// era, which rises when the store comes back from an older copy and gives versions out
+// again, by the version of the last change, and then by what was forgotten since without
+// the store's answer.
 type Stamp struct {
+	Era     uint64
 	Version uint64
 	Edits   uint32
 }
 
 // After reports whether the list of s is newer than that of o.
 func (s Stamp) After(o Stamp) bool {
-	return s.Version > o.Version || s.Version == o.Version && s.Edits > o.Edits
+	return cmp.Or(cmp.Compare(s.Era, o.Era), cmp.Compare(s.Version, o.Version), cmp.Compare(s.Edits, o.Edits)) > 0
 }
 
 // Stamp returns the list's.
@@ -53,7 +58,7 @@
 
 // New returns an empty list.
 func New() *Roster {
-	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]time.Time{}}
+	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]time.Time{}, back: newReturned()}
 }
 
 // StoreDown notes that the store does not answer.
@@ -81,11 +86,11 @@
 // lost the store, the store was there, and only this router was cut off. It
 // reports whether there was any doubt.
 func (r *Roster) Settle(followed time.Duration, now time.Time) bool {
-	if len(r.doubtful) == 0 || followed <= now.Sub(r.blindAt) {
+	if len(r.doubtful) == 0 || followed <= now.Sub(r.blindAt) || r.back.within(ReturnGrace, now) {
 		return false
 	}
 	for id := range r.doubtful {
-		r.forget(id)
+		r.forget(id, now)
 	}
 	r.stamp.Edits++
 	return true
@@ -114,61 +119,84 @@
 // Apply takes changed and removed entries.
 func (r *Roster) Apply(changed []routing.Server, gone []string, now time.Time) {
 	for _, s := range changed {
-		r.servers[s.ID] = s
-		delete(r.doubtful, s.ID)
+		r.set(s)
 	}
 	for _, id := range gone {
 		r.lose(id, now)
 	}
 }
 
+// set takes an entry.
+func (r *Roster) set(s routing.Server) {
+	r.servers[s.ID] = s
+	delete(r.doubtful, s.ID)
+	r.back.written(s.ID)
+}
+
 // Replace takes the whole list anew. sure says that a missing entry is that of
 // a server that has left, also if this router can't ask the store: the list is
-// that of a router which can.
+// that of a router which can. For a while after the store's return from a copy
+// no list is believed so far: see merge.
 func (r *Roster) Replace(list []routing.Server, sure bool, now time.Time) {
+	if r.back.within(heldFor, now) {
+		r.merge(list, now)
+		return
+	}
+	r.Apply(list, nil, now)
+	for _, id := range r.missing(list) {
+		if sure {
+			r.forget(id, now)
+			continue
+		}
+		r.lose(id, now)
+	}
+}
+
+// missing returns the IDs of the servers that the list lacks.
+func (r *Roster) missing(list []routing.Server) (ids []string) {
 	named := make(map[string]bool, len(list))
 	for _, s := range list {
 		named[s.ID] = true
 	}
-	r.Apply(list, nil, now)
 	for id := range r.servers {
-		switch {
-		case named[id]:
-		case sure:
-			r.forget(id)
-		default:
-			r.lose(id, now)
+		if !named[id] {
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
 
 // Forget drops a server whose entry has become unusable, without doubt: the entry is there and
 // says so, as of a version of the store. It reports whether the server was listed.
-func (r *Roster) Forget(id string, version uint64) bool {
+func (r *Roster) Forget(id string, as Stamp, now time.Time) bool {
 	if _, known := r.servers[id]; !known {
 		return false
 	}
-	r.forget(id)
+	r.forget(id, now)
 	r.stamp.Edits++ // other routers fetch the list without it
-	if version > r.stamp.Version {
-		r.stamp = Stamp{Version: version}
+	if as.Era > r.stamp.Era || as.Era == r.stamp.Era && as.Version > r.stamp.Version {
+		r.stamp = as
 	}
 	return true
 }
 
 // forget drops an entry.
-func (r *Roster) forget(id string) {
+func (r *Roster) forget(id string, now time.Time) {
+	if s, known := r.servers[id]; known {
+		r.back.leaves(s, now)
+	}
 	delete(r.servers, id)
 	delete(r.doubtful, id)
 }
 
 // lose forgets an entry, or doubts it.
 func (r *Roster) lose(id string, now time.Time) {
+	r.back.written(id) // that it was removed
 	if _, known := r.servers[id]; !known {
 		return
 	}
 	if !r.shaky(now) {
-		r.forget(id)
+		r.forget(id, now)
 		return
 	}
 	if _, already := r.doubtful[id]; !already {
@@ -179,18 +207,18 @@
 // Tick forgets the doubtful entries whose time is over, and reports whether
 // there were any. While the store is down nothing is forgotten.
 func (r *Roster) Tick(now time.Time) bool {
-	changed := false
 	if !r.downAt.IsZero() {
 		return false
 	}
+	changed := r.release(now)
 	for id, since := range r.doubtful {
 		if since.Before(r.backAt) {
 			since = r.backAt
 		}
-		if now.Sub(since) < doubtMost && now.Sub(r.backAt) < ReturnGrace {
+		if now.Sub(since) < doubtMost && now.Sub(r.backAt) < ReturnGrace || r.back.lacks(id, now) {
 			continue
 		}
-		r.forget(id)
+		r.forget(id, now)
 		changed = true
 	}
 	if changed {
--- a/internal/edge/follow/era_test.go
+++ b/internal/edge/follow/era_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -62,3 +64,71 @@
 		return names == "abcd" || names == "abcdgone" // the last one until its grace is over
 	})
 }
+
+// An older configuration that the copy brings back is not put in force, and does not count as
+// confirmation that the newer one still stands; the operator's next write does.
+func TestAnOlderConfigurationConfirmsNothing(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.store.SetEra(1)
+	f.put(1)
+	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 })
+	older := f.store.Copy()
+	f.put(2)
+	edgetest.Until(t, "the second configuration", func() bool { return f.state.Version() == 2 })
+	f.store.SetBack(older)
+	edgetest.Until(t, "the return", func() bool { return f.state.Era() == 2 })
+	const old = 1500 * time.Millisecond // longer than a router settles after it has read a table
+	edgetest.Until(t, "the view grows old", func() bool {
+		f.store.Put("op", "other", nil) // an answer
+		_, age := f.state.Table()
+		return age > old
+	})
+	assert.Equal(t, f.state.Version(), int64(2))
+	f.put(2)
+	edgetest.Until(t, "it is confirmed", func() bool {
+		_, age := f.state.Table()
+		return age < old
+	})
+	assert.Equal(t, f.state.Version(), int64(2))
+}
+
+// A server that had left is in the copy and is not used, one that lives is not and stays.
+func TestTheListDoesNotGoBackWithTheStore(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.store.SetEra(1)
+	f.put(1)
+	entry := func(port string) []byte { return platformtest.Entry("app", "127.0.0.1:"+port, "ready") }
+	f.store.Put("servers", "left", entry("1"))
+	edgetest.Until(t, "first view", func() bool { return f.listed() == 1 })
+	older := f.store.Copy()
+	f.store.Put("servers", "lives", entry("2"))
+	f.store.RemoveServer("left")
+	edgetest.Until(t, "the change", func() bool { list, _ := f.state.Servers(); return len(list) == 1 && list[0].ID == "lives" })
+	f.store.SetBack(older)
+	edgetest.Until(t, "the return", func() bool { _, stamp := f.state.Servers(); return stamp.Era == 2 })
+	list, _ := f.state.Servers()
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].ID, "lives")
+	f.store.Put("servers", "lives", entry("2"))
+	f.store.RemoveServer("left")
+	f.store.Put("servers", "new", entry("3"))
+	edgetest.Until(t, "what is written again", func() bool { return f.listed() == 2 })
+	assert.Equal(t, strings.Count(f.log.String(), "came back from an older copy"), 1)
+}
+
+// An answer of an earlier era, that comes late by an old connection, changes nothing.
+func TestALateAnswerOfAnEarlierEraChangesNothing(t *testing.T) {
+	f := start(t, follow.Everyone)
+	f.store.SetEra(5)
+	f.put(3)
+	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+	edgetest.Until(t, "first view", func() bool { return f.listed() == 1 })
+	f.store.SetEra(4)
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
+	calls := f.store.Calls("/v1/rows-get")
+	edgetest.Until(t, "some answers", func() bool { return f.store.Calls("/v1/rows-get") > calls+2 })
+	assert.Equal(t, f.listed(), 1)
+	f.store.SetEra(9) // a jump of more than one is a return too
+	edgetest.Until(t, "the later era", func() bool { return f.listed() == 2 })
+	assert.Equal(t, f.state.Era(), uint64(9))
+}
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -46,9 +46,9 @@
 // Store is the platform's store as the follower uses it.
 type Store interface {
 	ReadConfig(ctx context.Context) (platform.Change, error)
-	FollowConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
+	FollowConfig(ctx context.Context, after roster.Stamp, wait time.Duration) (platform.Change, error)
 	ReadServers(ctx context.Context) (platform.Change, error)
-	FollowServers(ctx context.Context, after uint64, wait time.Duration) (platform.Change, error)
+	FollowServers(ctx context.Context, after roster.Stamp, wait time.Duration) (platform.Change, error)
 	ReadBlocked(ctx context.Context) ([]poison.Record, []platform.BadRow, error)
 	WriteBlocked(ctx context.Context, write []poison.Record, remove []routing.Content) ([]poison.Record, []routing.Content, error)
 }
@@ -69,6 +69,10 @@
 	Registers func() bool
 	// MissesMany says whether this router hears too few others to know what they know.
 	MissesMany func() bool
+
+	// held is the version of the configuration that the store holds; 0: it holds none, or it
+	// was not read yet. Config uses it.
+	held int64
 }
 
 // Role is how a router follows the store.
@@ -85,7 +89,7 @@
 type source struct {
 	name   string
 	read   func(context.Context) (platform.Change, error)
-	follow func(context.Context, uint64, time.Duration) (platform.Change, error)
+	follow func(context.Context, roster.Stamp, time.Duration) (platform.Change, error)
 	take   func(c platform.Change, whole bool, age time.Duration) bool
 	down   func()
 	back   func()
@@ -118,9 +122,20 @@
 	})
 }
 
-// takeConfig puts a newer configuration in force.
-func (f *Follower) takeConfig(c platform.Change, _ bool, age time.Duration) bool {
-	f.State.Confirm(age)
+// takeConfig puts a newer configuration in force. While the store, back from a copy, holds
+// an older one than that in force, its answers say nothing of whether that is the newest.
+func (f *Follower) takeConfig(c platform.Change, whole bool, age time.Duration) bool {
+	switch {
+	case c.Config != nil:
+		f.held = c.Config.Version
+	case whole && len(c.Bad) == 0:
+		f.held = 0
+	case whole:
+		f.held = f.State.Version() // the row is there; which version it should have is not known
+	}
+	if f.held >= f.State.Version() {
+		f.State.Confirm(age)
+	}
 	if c.Config != nil && f.State.TakeConfig(c.Config, c.Raw) {
 		events.ConfigInForce.Log(context.Background(), f.Log, slog.LevelInfo, "version", c.Config.Version, "from", "store",
 			"routes", len(c.Config.Routes), "customers", len(c.Config.Customers))
@@ -131,29 +146,34 @@
 // takeServers takes the list or what has changed of it.
 func (f *Follower) takeServers(c platform.Change, whole bool, _ time.Duration) bool {
 	if whole {
-		if !f.State.ServersReplaced(c.Servers, roster.Stamp{Version: c.Ver}, false) {
+		if !f.State.ServersReplaced(c.Servers, c.At, false) {
 			return false
 		}
 	} else {
-		f.State.ServersChanged(c.Servers, c.Gone, c.Ver)
+		f.State.ServersChanged(c.Servers, c.Gone, c.At)
 	}
 	for _, row := range c.Bad {
-		f.State.ServerUnusable(row.Key, c.Ver)
+		f.State.ServerUnusable(row.Key, c.At)
 	}
 	for _, s := range c.Servers {
 		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", s.ID, "service", s.Service,
-			"ready", s.Takes(), "addr", s.Addr, "born", s.Born, "ver", c.Ver)
+			"ready", s.Takes(), "addr", s.Addr, "born", s.Born, "era", c.At.Era, "ver", c.At.Version)
 	}
 	for _, id := range c.Gone {
-		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", id, "gone", true, "ver", c.Ver)
+		events.ServersChanged.Log(context.Background(), f.Log, slog.LevelInfo, "server", id, "gone", true, "era", c.At.Era, "ver", c.At.Version)
 	}
 	return true
 }
 
+// cursor is how far a source has been read.
+type cursor struct {
+	known bool         // it was read whole, and is followed
+	at    roster.Stamp // what it was read up to
+}
+
 // run reads the source and follows it.
 func (f *Follower) run(ctx context.Context, s source) error {
-	var after uint64
-	known := false
+	var at cursor
 	lost := false
 	bad := map[string]bool{}
 	pause := backoffLeast
@@ -165,27 +185,29 @@
 				lost = false
 				s.back()
 			}
-			known = false
+			at.known = false
 			s.idle()
 			sleep(ctx, idlePoll)
 			continue
 		}
 		began := f.Now()
-		c, err := f.next(ctx, s, role, known, after)
+		c, err := f.next(ctx, s, role, at)
 		if ctx.Err() != nil {
 			break
 		}
+		f.takeEra(s, &at, c, err)
 		if err != nil {
 			if kind(err) == platform.KindHistory {
-				events.StoreHistory.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "after", after)
-				known = false
+				events.StoreHistory.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "after", at.at.Version)
+				at.known = false
+				sleep(ctx, backoffLeast)
 				continue
 			}
 			s.down()
 			f.Meter.StoreFailed(s.name, kind(err).String())
 			if !lost {
 				lost = true
-				events.StoreLost.Log(ctx, f.Log, slog.LevelWarn, "what", s.name, "err", err, "after", after)
+				events.StoreLost.Log(ctx, f.Log, slog.LevelWarn, "what", s.name, "err", err, "after", at.at.Version)
 			}
 			sleep(ctx, pause)
 			pause = min(pause*2, backoffMost)
@@ -193,27 +215,51 @@
 		}
 		if lost {
 			lost = false
-			events.StoreRegained.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "ver", c.Ver)
+			events.StoreRegained.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "ver", c.At.Version)
 		}
-		if known && f.Now().Sub(began) > wait(role)+lateAnswer {
+		if at.known && f.Now().Sub(began) > wait(role)+lateAnswer {
 			s.idle() // the store may have been away meanwhile
 		}
 		s.back()
 		pause = backoffLeast
-		f.noteBad(bad, s.name, c, !known)
-		if c.Ver < after || !s.take(c, !known, age(c, role, known, f.Now().Sub(began))) {
+		f.noteBad(bad, s.name, c, !at.known)
+		if at.at.After(c.At) || !s.take(c, !at.known, age(c, role, at.known, f.Now().Sub(began))) {
 			sleep(ctx, backoffLeast) // an old view: read again
 			continue
 		}
-		after = c.Ver
-		if !known {
-			known = true
+		at.at = c.At
+		if !at.known {
+			at.known = true
 			sleep(ctx, settle) // until it shows whether others follow the store for this router
 		}
 	}
 	return ctx.Err()
 }
 
+// takeEra takes the era of an answer. In a later one than the source was read in the
+// versions up to which it was read mean nothing any more, and it is read whole; an answer
+// of an earlier one, which came late, is older than the cursor by its stamp.
+func (f *Follower) takeEra(s source, at *cursor, c platform.Change, err error) {
+	era := eraOf(c, err)
+	if before, returned := f.State.TakeEra(era); returned {
+		events.StoreReturned.Log(context.Background(), f.Log, slog.LevelWarn, "from", "store", "what", s.name, "before", before, "era", era,
+			"ver", c.At.Version, "config", f.State.Version(), "servers", f.State.ServerCount())
+	}
+	if now := f.State.Era(); now > at.at.Era {
+		at.at = roster.Stamp{Era: now}
+		at.known = false
+	}
+}
+
+// eraOf is the era of an answer or of an error; 0: it is not told.
+func eraOf(c platform.Change, err error) uint64 {
+	var e *platform.Error
+	if errors.As(err, &e) {
+		return e.Era
+	}
+	return c.At.Era
+}
+
 // noteBad logs and counts the rows that have become bad. bad holds those that are: one that
 // is written again and again, or is read with the whole table, is told once.
 func (f *Follower) noteBad(bad map[string]bool, what string, c platform.Change, whole bool) {
@@ -242,11 +288,15 @@
 }
 
 // next makes the next call.
-func (f *Follower) next(ctx context.Context, s source, role Role, known bool, after uint64) (platform.Change, error) {
-	if !known {
-		return s.read(ctx)
+func (f *Follower) next(ctx context.Context, s source, role Role, at cursor) (platform.Change, error) {
+	if at.known {
+		return s.follow(ctx, at.at, wait(role))
+	}
+	c, err := s.read(ctx)
+	if err == nil && c.At.Era == 0 {
+		c.At.Era = f.State.Era() // it is not told: the one that is known
 	}
-	return s.follow(ctx, after, wait(role))
+	return c, err
 }
 
 // wait is how long a call of the role waits for a change.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -200,6 +200,7 @@
 		return 0
 	})
 	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
+	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
@@ -297,6 +298,7 @@
 // and reads those of the others while it hears none.
 func (n *Node) register(ctx context.Context) error {
 	written := false
+	era := uint64(0) // of the store that has the address
 	n.peers.Sought(ctx)
 	t := time.NewTimer(registerAfter + rand.N(registerAfter))
 	defer t.Stop()
@@ -307,6 +309,10 @@
 		case <-t.C:
 		}
 		t.Reset(registerEvery)
+		if now := n.state.Era(); now != era {
+			era = now
+			written = false // the store may have lost it
+		}
 		if !written && n.peers.Registers() {
 			if err := n.store.Register(ctx, n.settings.Control); err != nil {
 				events.StoreRegister.Log(ctx, n.log, slog.LevelWarn, "err", err)
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -46,6 +46,7 @@
 	Suspects   map[routing.ServerKey]int      `cbor:"14,keyasint,omitempty"` // routers that suspect a server
 	Firsts     map[string][5]float32          `cbor:"15,keyasint,omitempty"` // service: sums over first tokens
 	Ends       []contentEnds                  `cbor:"16,keyasint,omitempty"` // contents under which servers ended
+	Era        uint64                         `cbor:"17,keyasint,omitempty"` // the store's era of its list of servers
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -78,7 +79,9 @@
 }
 
 // stamp is that of the sender's list of servers.
-func (w heartbeat) stamp() roster.Stamp { return roster.Stamp{Version: w.List, Edits: w.Edits} }
+func (w heartbeat) stamp() roster.Stamp {
+	return roster.Stamp{Era: w.Era, Version: w.List, Edits: w.Edits}
+}
 
 // report returns what a heartbeat tells that has waited here for so long.
 func (w heartbeat) report(waited time.Duration) state.Report {
@@ -121,6 +124,7 @@
 		Version:    p.State.Version(),
 		List:       stamp.Version,
 		Edits:      stamp.Edits,
+		Era:        stamp.Era,
 		AgeMs:      min(age, time.Hour).Milliseconds(),
 		Known:      known,
 		Sent:       r.Sent,
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if len(v.Servers) > 0 && p.State.ServersReplaced(v.Servers, v.Stamp, true) {
-		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
+		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "era", v.Stamp.Era, "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
 	}
 }
 
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
@@ -41,6 +42,7 @@
 	if w.Control == p.Self.Addr || w.Control == "" {
 		return
 	}
+	p.takeEra(w.Control, w.Era)
 	version := p.State.Version()
 	p.mu.Lock()
 	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre, Cores: w.Cores}, 0, now)
@@ -72,11 +74,21 @@
 	if p.State.Settle(time.Duration(w.FollowedMs) * time.Millisecond) {
 		events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", w.Control, "followedMs", w.FollowedMs, "what", "doubtful ones forgotten")
 	}
-	if vouches && w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
+	if vouches && w.Era >= p.State.Era() && w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
 		p.confirm(p.age(w))
 	}
 }
 
+// takeEra takes the store's era of another router's list of servers.
+func (p *Peers) takeEra(from string, era uint64) {
+	before, returned := p.State.TakeEra(era)
+	if !returned {
+		return
+	}
+	events.StoreReturned.Log(context.Background(), p.Log, slog.LevelWarn, "from", from, "before", before, "era", era,
+		"config", p.State.Version(), "servers", p.State.ServerCount())
+}
+
 // takeUpdates takes what is told once, and keeps it if this router tells it on.
 func (p *Peers) takeUpdates(w heartbeat, r state.Report) {
 	if len(r.Sent) > 0 {
@@ -85,6 +97,9 @@
 	if len(r.Firsts) > 0 {
 		p.State.HeardFirsts(r.Firsts)
 	}
+	if w.Era < p.State.Era() {
+		poison.Unstored(r.Ends) // the store may have lost them since
+	}
 	p.takeEnds(w.Control, r.Ends)
 	if w.Kind == kindSum || w.DataCentre == p.Self.DataCentre {
 		p.keepPending(w.Kind, updatesOf(r))
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -142,6 +142,7 @@
 		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre, Cores: float64(k.Cores)}, time.Duration(k.AgeMs)*time.Millisecond+took, now)
 	}
 	p.mu.Unlock()
+	p.takeEra("first view", v.Stamp.Era)
 	p.State.TakeConfig(c, v.Raw)
 	p.State.ServersReplaced(v.Servers, v.Stamp, true)
 	p.State.Confirm(time.Duration(v.AgeMs)*time.Millisecond + took)
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -23,24 +23,24 @@
 	return true
 }
 
-// ServersChanged takes changed and removed entries.
-func (s *State) ServersChanged(changed []routing.Server, gone []string, version uint64) {
+// ServersChanged takes changed and removed entries, as of a version of the store.
+func (s *State) ServersChanged(changed []routing.Server, gone []string, as roster.Stamp) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(changed)+len(gone) == 0 {
 		return
 	}
-	s.roster.SetStamp(roster.Stamp{Version: version})
+	s.roster.SetStamp(as)
 	s.roster.Apply(changed, gone, s.now())
 	s.picker.SetServers(s.roster.List())
 }
 
 // ServerUnusable notes that, as of a version of the store, the entry of the ID names no
 // server to use.
-func (s *State) ServerUnusable(id string, version uint64) {
+func (s *State) ServerUnusable(id string, as roster.Stamp) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.roster.Forget(id, version) {
+	if s.roster.Forget(id, as, s.now()) {
 		s.picker.SetServers(s.roster.List())
 	}
 }
@@ -52,6 +52,13 @@
 	return s.roster.List(), s.roster.Stamp()
 }
 
+// ServerCount returns how many servers are listed.
+func (s *State) ServerCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.roster.List())
+}
+
 // Stamp returns the stamp of the list of servers.
 func (s *State) Stamp() roster.Stamp {
 	s.mu.Lock()
@@ -59,6 +66,34 @@
 	return s.roster.Stamp()
 }
 
+// Era returns the store's era, the highest that an answer or another router told.
+func (s *State) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// TakeEra takes the era of an answer of the store or of another router's list. If it is a
+// later one the store has come back from an older copy: the list of servers is in doubt,
+// the configuration in force stays, and what the routers wrote there is written again. It
+// reports whether that is so; a router that knows nothing yet has nothing to lose.
+func (s *State) TakeEra(era uint64) (before uint64, returned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before = s.era
+	if era <= before {
+		return before, false
+	}
+	s.era = era
+	if !s.listed && s.table == nil {
+		return before, false
+	}
+	now := s.now()
+	s.roster.Returned(now)
+	s.poison.Unstored(s.rng, now)
+	return before, true
+}
+
 // StoreDown and StoreBack note whether the store's list can be followed.
 func (s *State) StoreDown() {
 	s.mu.Lock()
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -37,7 +37,8 @@
 	confirmed time.Time
 	picker    *pick.Picker
 	roster    *roster.Roster
-	listed    bool // the servers have been read once
+	listed    bool   // the servers have been read once
+	era       uint64 // of the store, the highest that was told
 	meter     *fair.Meter
 	accounts  fair.Accounts // of customers, since they were taken last
 	unbegun   []*counted    // placed requests that no server has begun
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -196,7 +196,7 @@
 	s.list[i] = fresh
 	s.version++
 	for _, r := range s.routers {
-		r.ServersChanged([]routing.Server{entry}, gone, s.version)
+		r.ServersChanged([]routing.Server{entry}, gone, roster.Stamp{Version: s.version})
 	}
 }
 
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -36,6 +36,7 @@
 	StoreRowBad     = Event{722, "row of the platform's store can't be read"}
 	StoreHistory    = Event{723, "history of the platform's store dropped, read anew"}
 	StoreRegister   = Event{724, "router not registered in the platform's store"}
+	StoreReturned   = Event{726, "platform's store came back from an older copy"}
 	StoreEnds       = Event{725, "blocked requests not kept in the platform's store"}
 	ReadyChanged    = Event{107, "readiness changed"}
 	LogDropped      = Event{108, "log lines dropped"}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,6 +38,7 @@
 	"lapse":   (*fleet).storeLapse,
 	"slow":    (*fleet).storeSlow,
 	"forget":  (*fleet).storeForgets,
+	"older":   (*fleet).storeOlder,
 	"stale":   (*fleet).storeStale,
 	"grey":    (*fleet).grey,
 	"link":    (*fleet).link,
@@ -56,7 +57,7 @@
 func calm(list []fault) bool {
 	for _, x := range list {
 		switch x.Kind {
-		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "stale":
+		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "older", "stale":
 		default:
 			return false
 		}
@@ -218,6 +219,35 @@
 	f.store.Forget()
 }
 
+// storeOlder has the store come back from a copy as old as the fault is long. What was
+// written since is gone, and is written again some moments later; then a change is seen as
+// soon as on a healthy store, and nothing has gone back.
+func (f *fleet) storeOlder(x fault) {
+	older := f.store.Copy()
+	time.Sleep(x.For)
+	back := f.trouble()
+	f.store.SetBack(older)
+	const step = 20 * time.Millisecond // up to 1.3 s
+	time.Sleep(time.Duration(x.How) * step)
+	f.writeAgain()
+	back()
+	f.checkInForce(f.configure())
+}
+
+// writeAgain has the operator and the servers write again what they wrote last.
+func (f *fleet) writeAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.left.IsZero() {
+			f.store.PutServer(s.Server, "ready")
+		} else {
+			f.store.RemoveServer(s.ID)
+		}
+	}
+	f.store.PutConfig(f.config)
+}
+
 // storeStale makes the routers read anew and tells them what was before.
 func (f *fleet) storeStale(x fault) {
 	version := f.configure()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -67,8 +67,9 @@
 	routers []*router
 	servers []*server
 	version int
-	extra   int // routes beside those that are asked for
-	born    int // servers ever started
+	config  []byte // as the operator wrote it last
+	extra   int    // routes beside those that are asked for
+	born    int    // servers ever started
 	// troubles are the store's, and troubled is when the last one ended.
 	troubles []span
 	troubled time.Time
@@ -80,6 +81,7 @@
 // newFleet starts the stand-ins and n routers.
 func newFleet(binary, dir string, n int, v *verdicts) (*fleet, error) {
 	f := &fleet{binary: binary, dir: dir, store: platformtest.NewStore(), verdicts: v}
+	f.store.SetEra(1)
 	f.storeHTTP = httptest.NewServer(f.store)
 	if err := f.freePorts(); err != nil {
 		return nil, err
@@ -169,7 +171,8 @@
 	for i := range f.extra {
 		routes = append(routes, route(fmt.Sprintf("/extra/%d/", i), "safe", "app", 2, false))
 	}
-	f.store.PutConfig(platformtest.Config(f.version, routes, []string{"llm"}, []string{"app"}, keys))
+	f.config = platformtest.Config(f.version, routes, []string{"llm"}, []string{"app"}, keys)
+	f.store.PutConfig(f.config)
 	return f.version
 }
 
