roster: lists of a return end alike at all routers; three faults found by the fuzz target

A router that is told by others counted its own forgetting in the stamp, so that a later list was taken for one that it had; what was held back came up though a later list lacked it; a host that started was given what was in doubt.

--- a/internal/core/roster/returned.go
+++ b/internal/core/roster/returned.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/routing"
@@ -73,6 +74,7 @@
 // the copy says, the more careful. A server that has left is not used for it, one that was
 // leaving goes on leaving, and one that is missing has its time to write its entry.
 func (r *Roster) merge(list []routing.Server, now time.Time) {
+	clear(r.back.held) // what was held back and is not in this list has left for good
 	for _, s := range list {
 		known, listed := r.servers[s.ID]
 		left, gone := r.back.leavers[s.ID]
@@ -94,6 +96,13 @@
 	}
 }
 
+// Told returns the list for other routers: without the servers that a copy lacks. Those that
+// know of the return doubt by themselves what is missing, and one that has just started
+// would take for sure what is only not given up yet.
+func (r *Roster) Told() []routing.Server {
+	return slices.DeleteFunc(r.List(), func(s routing.Server) bool { return r.back.absent[s.ID] })
+}
+
 // release lists the entries that were held back and are still there, forgets old leavers,
 // and reports whether the list has changed.
 func (r *Roster) release(now time.Time) bool {
--- a/internal/core/roster/returned_test.go
+++ b/internal/core/roster/returned_test.go
@@ -171,6 +171,7 @@
 func (w *world) read(r *router) {
 	now := at(w.now)
 	r.heard(w.stamp, now)
+	r.StoreBack(now)
 	if r.at.Era != w.stamp.Era {
 		r.Replace(w.list(), false, now)
 		r.SetStamp(w.stamp)
@@ -204,8 +205,9 @@
 	if !from.Stamp().After(to.Stamp()) {
 		return
 	}
+	to.NotFollowed()
 	to.heard(from.Stamp(), at(w.now))
-	to.Replace(from.List(), true, at(w.now))
+	to.Replace(from.Told(), true, at(w.now))
 	to.SetStamp(from.Stamp())
 }
 
@@ -246,10 +248,14 @@
 		for i, r := range w.routers {
 			if i < 2 {
 				w.read(r)
+			} else {
+				r.NotFollowed()
 			}
 		}
 		for i := range w.routers {
-			w.tell(w.routers[i%2], w.routers[i])
+			if i >= 2 {
+				w.tell(w.routers[i%2], w.routers[i])
+			}
 		}
 		w.now += 200
 		for _, r := range w.routers {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -92,10 +92,19 @@
 	for id := range r.doubtful {
 		r.forget(id, now)
 	}
-	r.stamp.Edits++
+	r.edited()
 	return true
 }
 
+// edited notes that the list was changed without the store's answer. Only who follows the
+// store counts that in the stamp: a router that is told by others would count its own changes
+// as if they were theirs, and take a later list of theirs for one that it has.
+func (r *Roster) edited() {
+	if !r.since.IsZero() {
+		r.stamp.Edits++
+	}
+}
+
 // StoreBack notes that the store answers.
 func (r *Roster) StoreBack(now time.Time) {
 	if r.since.IsZero() {
@@ -222,7 +231,7 @@
 		changed = true
 	}
 	if changed {
-		r.stamp.Edits++
+		r.edited()
 	}
 	return changed
 }
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -191,7 +191,7 @@
 		_, _ = w.Write(raw)
 	})
 	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		servers, stamp := p.State.Servers()
+		servers, stamp := p.State.ServersTold()
 		text, err := json.Marshal(view{Stamp: stamp, Servers: servers})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -52,7 +52,7 @@
 		return firstView{}, &NoViewError{AgeMs: min(age, time.Hour).Milliseconds()}
 	}
 	v := firstView{Raw: p.State.Raw(), AgeMs: age.Milliseconds()}
-	v.Servers, v.Stamp = p.State.Servers()
+	v.Servers, v.Stamp = p.State.ServersTold()
 	v.Ends = wireEnds(p.State.RepeatEnds())
 	v.AllEnds = p.State.KnowsEnds()
 	p.mu.Lock()
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -52,6 +52,13 @@
 	return s.roster.List(), s.roster.Stamp()
 }
 
+// ServersTold returns the list for other routers, and its stamp.
+func (s *State) ServersTold() ([]routing.Server, roster.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Told(), s.roster.Stamp()
+}
+
 // ServerCount returns how many servers are listed.
 func (s *State) ServerCount() int {
 	s.mu.Lock()
