--- a/internal/edge/follow/era_test.go
+++ b/internal/edge/follow/era_test.go
@@ -13,17 +13,24 @@
 	"github.com/windscale/windscale/platform/platformtest"
 )
 
-// What was seen: a store came back from a copy some seconds old, and a router saw neither a
-// new server nor a newer configuration, reading both tables whole 32 times a second. How: the
-// copy's versions were lower than the one that the router went on from. Cause: versions
-// were compared across what the copy had undone. Proof: this test.
-func TestAStoreThatComesBackOlderIsFollowed(t *testing.T) {
+// inFirstEra follows a store in its first era, with a configuration and a server, of which a
+// copy is made.
+func inFirstEra(t *testing.T) (*followed, platformtest.StoreCopy) {
+	t.Helper()
 	f := start(t, follow.Everyone)
 	f.store.SetEra(1)
 	f.put(1)
 	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 && f.listed() == 1 })
-	older := f.store.Copy()
+	return f, f.store.Copy()
+}
+
+// What was seen: a store came back from a copy some seconds old, and a router saw neither a
+// new server nor a newer configuration, reading both tables whole 32 times a second. How: the
+// copy's versions were lower than the one that the router went on from. Cause: versions
+// were compared across what the copy had undone. Proof: this test.
+func TestAStoreThatComesBackOlderIsFollowed(t *testing.T) {
+	f, older := inFirstEra(t)
 	for range 41 {
 		f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	}
@@ -40,12 +47,7 @@
 // Versions have passed the one that a router goes on from before it asks again: the feed
 // would go on from a version that means another change.
 func TestVersionsThatAreGivenOutAgainAreNotTakenForThoseBefore(t *testing.T) {
-	f := start(t, follow.Everyone)
-	f.store.SetEra(1)
-	f.put(1)
-	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
-	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 && f.listed() == 1 })
-	older := f.store.Copy()
+	f, older := inFirstEra(t)
 	f.store.Put("servers", "gone", platformtest.Entry("app", "127.0.0.1:9", "ready"))
 	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	edgetest.Until(t, "both", func() bool { return f.listed() == 2 })
