--- a/internal/edge/follow/era_test.go
+++ b/internal/edge/follow/era_test.go
@@ -18,7 +18,6 @@
 func inFirstEra(t *testing.T) (*followed, platformtest.StoreCopy) {
 	t.Helper()
 	f := start(t, follow.Everyone)
-	f.store.SetEra(1)
 	f.put(1)
 	f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
 	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 && f.listed() == 1 })
@@ -71,7 +70,6 @@
 // confirmation that the newer one still stands; the operator's next write does.
 func TestAnOlderConfigurationConfirmsNothing(t *testing.T) {
 	f := start(t, follow.Everyone)
-	f.store.SetEra(1)
 	f.put(1)
 	edgetest.Until(t, "first view", func() bool { return f.state.Version() == 1 })
 	older := f.store.Copy()
@@ -97,7 +95,6 @@
 // A server that had left is in the copy and is not used, one that lives is not and stays.
 func TestTheListDoesNotGoBackWithTheStore(t *testing.T) {
 	f := start(t, follow.Everyone)
-	f.store.SetEra(1)
 	f.put(1)
 	entry := func(port string) []byte { return platformtest.Entry("app", "127.0.0.1:"+port, "ready") }
 	f.store.Put("servers", "left", entry("1"))
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -32,6 +32,7 @@
 func start(t *testing.T, role follow.Role) *followed {
 	t.Helper()
 	f := &followed{store: platformtest.NewStore(), state: state.New("dc", 0.2, 80, time.Now), role: role, log: &edgetest.Lines{}}
+	f.store.SetEra(1) // before it is followed: a later one is that of a return
 	server := httptest.NewServer(f.store)
 	f.client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	follower := &follow.Follower{
