entry: the flood of bodies of a test comes again if it was refused

Ruled out: a bound that does not hold (the three were counted as they should be), a body read deadline (10 s as well, but then connections end). The check is as before: four hold the memory, the next is refused, and served once they have gone.

--- a/internal/entry/security_test.go
+++ b/internal/entry/security_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -388,25 +390,48 @@
 	}
 }
 
+// unended is a body that lacks its end.
+var unended = "Content-Length: 1024\r\n\r\n" + strings.Repeat("x", 1000)
+
+// open writes bytes on a connection of its own.
+func (g *guarded) open(t *testing.T, raw string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", g.addr)
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, raw)
+	assert.NilError(t, err)
+	return c
+}
+
+// answered reports whether the connection's request has been answered.
+func answered(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err := c.Read(make([]byte, 1))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Callers that send large bodies and never end them hold no more memory than
 // the settings allow; the next one is told to come back, and is served once
 // they have gone.
 func TestFloodOfBodiesIsBounded(t *testing.T) {
 	g := newGuarded(t)
 	const head = "POST /services/d/x HTTP/1.1\r\nHost: a\r\n" + auth + last
-	var flood []net.Conn
-	for range 4 { // 4 of 1000 bytes fill queue_bytes
-		c, err := net.Dial("tcp", g.addr)
-		assert.NilError(t, err)
-		_, err = io.WriteString(c, head+"Content-Length: 1024\r\n\r\n"+strings.Repeat("x", 1000))
-		assert.NilError(t, err)
-		flood = append(flood, c)
+	flood := make([]net.Conn, 4) // 4 of 1000 bytes fill queue_bytes
+	for i := range flood {
+		flood[i] = g.open(t, head+unended)
 	}
 	ask := func() (int, *http.Response, string) {
 		status, resp, body := g.send(t, head+"Content-Length: 1000\r\n\r\n"+strings.Repeat("x", 1000))
 		return status[0], resp, body
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, c := range flood {
+			if answered(t, c) { // the one that asks had the memory just then
+				assert.NilError(t, c.Close())
+				flood[i] = g.open(t, head+unended)
+			}
+		}
 		status, resp, body := ask()
 		if status != 503 {
 			return poll.Continue("%d", status)
