edge: a connection that can't be opened is told of; one figure, one refusal

What a host without room says and counts stands once (withoutRoom), the figure from which a customer is far over its share once (fair.FarOver). Not taken: asking givesWay once only, since the body is read between the two and the answer is another one then.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -19,6 +19,9 @@
 	fresh = 50 * time.Millisecond
 	// margin is how far above the level a customer may be before it waits.
 	margin = 1.1
+	// farOverPart is how many times its share a customer has that is to get nothing while
+	// others lack of theirs.
+	farOverPart = 1.2
 	// belowPart is the part of its share below which a customer goes before
 	// others; the rule of fair shares is broken at half.
 	belowPart = 0.7
@@ -191,6 +194,18 @@
 	return Even
 }
 
+// FarOver reports whether the customer has so much more than its share that it is to get
+// nothing while others lack of theirs.
+func (m *Meter) FarOver(customer string, now time.Time) bool {
+	m.update(now)
+	return farOver(m.sums[customer], m.level)
+}
+
+// farOver reports whether the rates are far above the level, if there is one.
+func farOver(r Rates, level float64) bool {
+	return level > 0 && r.Served > level*farOverPart
+}
+
 // Contended reports whether customers lack so much of their shares, at all
 // routers together, that those above theirs have to give way.
 func (m *Meter) Contended(now time.Time) bool {
--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -18,9 +18,6 @@
 	// rationBoost bounds how much more a router lets in for others that can't let in their
 	// parts: hosts differ in what they can carry.
 	rationBoost = 1.5
-	// rationStop is the part of its share from which a customer gets nothing, and nothing is
-	// kept for it meanwhile: it had more than that before the shortage began.
-	rationStop = 1.2
 )
 
 // episodeGap is how long nobody may have been short for a shortage to be another one.
@@ -56,8 +53,8 @@
 	}
 	earned := own.area / sum.Asked
 	own.area = 0
-	if sum.Served > rationStop*m.level {
-		return true
+	if farOver(sum, m.level) {
+		return true // it had that before the shortage began; nothing is kept for it meanwhile
 	}
 	boost := min(max(m.level/max(sum.Served, 1), 1), rationBoost)
 	rate := m.level * rationPart * boost
--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -25,7 +25,7 @@
 
 // Shed refuses the one request of a connection that this host has no room for, without
 // reading its body, and closes the connection. It costs a tenth of a request that is
-// served only to be refused. The request counts as asked for by its customer.
+// served only to be refused.
 func (h *Handler) Shed(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	if err := c.SetDeadline(time.Now().Add(shedRead)); err != nil {
@@ -37,10 +37,7 @@
 		return // nothing was read that could be answered
 	}
 	q := &request{h: h, r: r, ask: h.Headers.Ask(r.Header), begin: h.Now()}
-	if q.find() == nil {
-		h.State.TurnedAway(q.need())
-	}
-	refusal := tooManyConnections()
+	refusal := q.withoutRoom()
 	q.note(refusal)
 	if err := q.writeRefusal(c, refusal); err != nil {
 		return // the caller has left
@@ -48,8 +45,12 @@
 	drain(c, in)
 }
 
-// tooManyConnections refuses a request whose connection this host has no room for.
-func tooManyConnections() *Refusal {
+// withoutRoom refuses a request whose connection this host has no room for. It counts as asked
+// for by its customer.
+func (q *request) withoutRoom() *Refusal {
+	if q.find() == nil {
+		q.h.State.TurnedAway(q.need())
+	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "too many connections here", Back: comeBack}
 }
 
--- a/internal/edge/front/sift.go
+++ b/internal/edge/front/sift.go
@@ -70,11 +70,8 @@
 
 // siftedOut refuses what this host has no time or no room for.
 func (q *request) siftedOut(full bool) *Refusal {
-	if !full {
-		return q.admit()
+	if full {
+		return q.withoutRoom()
 	}
-	if q.find() == nil {
-		q.h.State.TurnedAway(q.need())
-	}
-	return tooManyConnections()
+	return q.admit()
 }
--- a/internal/edge/node/bare.go
+++ b/internal/edge/node/bare.go
@@ -14,7 +14,8 @@
 	ReadArrived(b []byte) (int, error)
 	Write(b []byte) (int, error)
 	Close() error
-	// Open makes it one that can be waited for. The arrival is not to be used any more.
+	// Open makes it one that can be waited for. The arrival is not to be used any more; it is
+	// closed if that fails, as when the process has no descriptor left.
 	Open() (net.Conn, error)
 }
 
--- a/internal/edge/node/limiter.go
+++ b/internal/edge/node/limiter.go
@@ -36,6 +36,8 @@
 	sift func(c front.Arrival, full bool) (read []byte, answered bool)
 	// letIn notes that a connection is served.
 	letIn func()
+	// lost notes that a connection that was accepted could not be opened, and was closed.
+	lost func(error)
 	// raw is the listener's descriptor; nil: it has none.
 	raw syscall.RawConn
 	// waiting and pace are of who calls Accept.
@@ -50,7 +52,7 @@
 	open     atomic.Int64
 	shedding atomic.Int64 // connections whose requests are being refused
 	refused  atomic.Int64 // connections whose requests were refused
-	closed   atomic.Int64 // connections closed unread
+	closed   atomic.Int64 // connections closed without an answer
 }
 
 // newLimiter returns the bound of a host with so much memory.
@@ -65,6 +67,7 @@
 		refusing: h.Refusing,
 		wait:     h.ExpectedWait,
 		letIn:    func() {},
+		lost:     func(error) {},
 	}
 	if c, ok := l.(syscall.Conn); ok {
 		if raw, err := c.SyscallConn(); err == nil {
@@ -203,7 +206,9 @@
 	c, err := a.Open()
 	if err != nil {
 		l.open.Add(-1)
-		return nil // its caller has left
+		l.closed.Add(1)
+		l.lost(err)
+		return nil
 	}
 	if len(read) > 0 {
 		c = &begun{Conn: c, read: read}
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +90,22 @@
 		})
 	}
 }
+
+// unopened is an arrival that can't be opened.
+type unopened struct {
+	arrival
+	err error
+}
+
+func (u unopened) Open() (net.Conn, error) { return nil, u.err }
+
+// A connection that can't be opened, since the process has no descriptor left, is told of, and
+// takes no room from others.
+func TestAConnectionThatCantBeOpenedIsToldOf(t *testing.T) {
+	var lost error
+	l := &connLimiter{most: 1, sift: passOn, refusing: no, lost: func(err error) { lost = err }}
+	assert.Assert(t, l.take(unopened{err: syscall.EMFILE}) == nil)
+	assert.ErrorIs(t, lost, syscall.EMFILE)
+	assert.Equal(t, l.open.Load(), int64(0))
+	assert.Equal(t, l.closed.Load(), int64(1))
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/clock"
@@ -155,9 +156,22 @@
 	n.peers.Add(true, n.settings.Seeds...)
 	n.limiter = newLimiter(n.callersL, n.handler, n.settings.MemoryMB)
 	n.limiter.letIn = n.probe.LetIn
+	n.limiter.lost = n.connectionLost()
 	return nil
 }
 
+// connectionLost returns what writes of connections of callers that could not be opened, one
+// line a second at most: a process without descriptors loses them all.
+func (n *Node) connectionLost() func(error) {
+	lines := rate.Sometimes{Interval: time.Second}
+	return func(err error) {
+		lines.Do(func() {
+			events.CallerLost.Log(context.Background(), n.log, slog.LevelWarn, "err", err,
+				"connections", n.limiter.open.Load(), "connectionsClosed", n.limiter.closed.Load())
+		})
+	}
+}
+
 // Actors adds what the router does to the group. The group ends when the
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
@@ -209,7 +223,7 @@
 	})
 	n.meter.Gauge("processor_wait_seconds", "For how long what could run waits for the processor.", func() float64 { return n.probe.Wait().Seconds() })
 	n.meter.Gauge("callers_connections", "Connections of callers.", func() float64 { return float64(n.limiter.open.Load()) })
-	n.meter.Gauge("callers_turned_away", "Connections of callers closed unread since the start for being too many.", func() float64 { return float64(n.limiter.closed.Load()) })
+	n.meter.Gauge("callers_turned_away", "Connections of callers closed without an answer since the start: too many, or no descriptor left.", func() float64 { return float64(n.limiter.closed.Load()) })
 	n.meter.Gauge("callers_refused", "Connections of callers whose request was refused since the start for being too many.", func() float64 { return float64(n.limiter.refused.Load()) })
 	n.meter.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(n.dropped()) })
 	mux := http.NewServeMux()
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -22,10 +22,8 @@
 	// belowLimit is that of a customer that has much less than its share, and of all
 	// while the servers make what is asked.
 	belowLimit = 500 * time.Millisecond
-	// farOver is how many times its share a customer has that gets nothing while
-	// this router has refused another within the time contended, or customers
-	// lack of their shares anywhere in the fleet.
-	farOver   = 1.2
+	// contended is for how long after this router has refused a customer with its share or
+	// less those far above theirs get nothing, also if nobody lacks much in the whole fleet.
 	contended = time.Second
 	// plainPart is the part of the time that a plain service's answer is due in
 	// that a request may wait for a slot.
@@ -182,7 +180,7 @@
 	if s.meter.Rationed(n.Customer, n.tokens(), s.rng.Float64(), now) {
 		return true
 	}
-	if s.meter.Standing(n.Customer, now) != fair.Over || s.meter.Ratio(n.Customer, now) <= farOver {
+	if !s.meter.FarOver(n.Customer, now) {
 		return false
 	}
 	return now.Sub(s.refusedAt) < contended || s.meter.Contended(now)
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -15,6 +15,7 @@
 	ContentBlocked  = Event{349, "request blocked, servers end under it"}
 	ContentCleared  = Event{350, "request cleared, a server answered it"}
 	CustomerRefused = Event{351, "requests of a customer were refused"}
+	CallerLost      = Event{352, "caller's connection could not be opened"}
 )
 
 // The events of what windscale-edge believes.
