--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -24,7 +24,7 @@
 
 // fleet is some routers before stand-ins of the platform, all in this process.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformtest.Store
 	stored  *httptest.Server
 	servers []*platformtest.Server
@@ -34,11 +34,12 @@
 
 // member is one router.
 type member struct {
-	f     *fleet
-	ip    string
-	ports [4]int // of callers, readiness, control and datagrams
-	node  *Node
-	kill  func()
+	f          *fleet
+	ip         string
+	dataCentre string
+	ports      [4]int // of callers, readiness, control and datagrams
+	node       *Node
+	kill       func()
 }
 
 // fleetEngines is how many engines a fleet has: more than a request may end in the
@@ -46,7 +47,7 @@
 const fleetEngines = 10
 
 // newFleet starts the platform. Its routers listen on the loopback network 127.0.NET.
-func newFleet(t *testing.T, network int) *fleet {
+func newFleet(t testing.TB, network int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: platformtest.NewStore()}
 	f.stored = httptest.NewServer(f.store)
@@ -68,7 +69,7 @@
 }
 
 // freePorts returns ports that are free on the address.
-func freePorts(t *testing.T, ip string) (ports [4]int) {
+func freePorts(t testing.TB, ip string) (ports [4]int) {
 	t.Helper()
 	for i := range ports {
 		ln, err := net.Listen("tcp4", ip+":0")
@@ -81,13 +82,19 @@
 
 // start starts a router that knows the seeds, and waits until it is ready.
 func (f *fleet) start(ip string, seeds ...*member) *member {
-	m := &member{f: f, ip: ip, ports: f.ports}
+	m := &member{f: f, ip: ip, dataCentre: "dc", ports: f.ports}
 	m.start(seeds...)
 	return m
 }
 
-// start starts the router's node, also after a kill.
+// start starts the router's node, also after a kill, and waits until it is ready.
 func (m *member) start(seeds ...*member) {
+	m.begin(seeds...)
+	edgetest.Until(m.f.t, "ready", m.node.ready)
+}
+
+// begin starts the router's node.
+func (m *member) begin(seeds ...*member) {
 	t := m.f.t
 	var controls []string
 	for _, s := range seeds {
@@ -95,7 +102,7 @@
 	}
 	text := fmt.Sprintf(`[router]
 name = %s
-data_centre = dc
+data_centre = %s
 [listen]
 callers = %s
 ready = %s
@@ -112,7 +119,7 @@
 slack = 200
 [bounds]
 grace_s = 1
-`, m.ip, m.addr(0), m.addr(1), m.addr(2), m.addr(3), strings.TrimPrefix(m.f.stored.URL, "http://"), strings.Join(controls, ","))
+`, m.ip, m.dataCentre, m.addr(0), m.addr(1), m.addr(2), m.addr(3), strings.TrimPrefix(m.f.stored.URL, "http://"), strings.Join(controls, ","))
 	path := filepath.Join(t.TempDir(), "edge.ini")
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := settings.Load(path)
@@ -120,7 +127,6 @@
 	m.node, err = New(path, s, new(slog.LevelVar), slog.New(slog.NewTextHandler(io.Discard, nil)), func() int64 { return 0 })
 	assert.NilError(t, err)
 	m.run()
-	edgetest.Until(t, "ready", m.node.ready)
 }
 
 // run runs the node until it is killed.
