emulator: simple ways and a queue that knows all, beside the decisions of the program

Each policy of choice stood alone so far: no figure said how far it is from what could be had. Five others decide in place of the routers; the distance to one queue with exact loads and caches is the figure.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -50,17 +50,19 @@
 			shared += part.Tokens
 		}
 	}
-	rate := e.TokensPerMs / (1 + slowdown*float64(e.running)/float64(e.Slots))
-	if e.freeAt.Before(now) {
-		e.freeAt = now
-	}
-	e.freeAt = e.freeAt.Add(time.Duration(float64(read) / rate * float64(time.Millisecond)))
+	e.freeAt = latest(e.freeAt, now).Add(e.reading(read))
 	first = e.freeAt.Add(e.Base)
 	last = first.Add(time.Duration(ask.TokensOut) * e.Step)
 	e.running++
 	return first, last, read, shared
 }
 
+// reading is how long so many tokens take beside what runs.
+func (e *engine) reading(tokens int) time.Duration {
+	rate := e.TokensPerMs / (1 + slowdown*float64(e.running)/float64(e.Slots))
+	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
+}
+
 // keeps reports whether the part is in the memory.
 func (e *engine) keeps(part routing.Part) bool {
 	_, ok := e.cache[part.ID]
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -17,6 +17,7 @@
 	begin    time.Time
 	again    bool // its caller has come back once
 	tried    []string
+	sentAt   time.Time // to the last engine
 }
 
 // arrive plans a customer's next request.
@@ -37,7 +38,7 @@
 			TokensOut: c.Out,
 		}
 		q.second().Asked += q.tokens()
-		q.place(s.entry(c))
+		s.place(q)
 		s.arrive(c)
 	})
 }
@@ -90,7 +91,7 @@
 		return
 	}
 	q.tried = append(q.tried, p.Choice.Server.ID)
-	q.s.after(hop, func() { q.send(r, p) })
+	q.s.after(hop, func() { q.send(q.s.engines[p.Choice.Server.ID], q.s.holder(p.Choice.FetchAt), &placed{q, r, p}) })
 }
 
 // hostBack is when a caller returns whom a host refuses for its own load.
@@ -118,28 +119,58 @@
 	q.s.after(p.Back, func() { q.place(q.s.entry(q.customer)) })
 }
 
-// send brings the request to its engine.
-func (q *request) send(r *state.State, p state.Placed) {
+// watcher is told what becomes of a request at its engine.
+type watcher interface {
+	began()
+	ended()
+	// lost returns once the engine is known not to answer; the request may go elsewhere.
+	lost()
+}
+
+// placed is a request that a router has placed.
+type placed struct {
+	q  *request
+	at *state.State
+	p  state.Placed
+}
+
+func (w *placed) began() {
+	r := w.q.s.result
+	r.Expected = append(r.Expected, ms(w.p.Choice.Wait+w.p.Choice.Own))
+	r.Seen = append(r.Seen, ms(w.q.s.now.Sub(w.q.sentAt)))
+	w.at.First(&w.p)
+}
+
+func (w *placed) ended() { w.at.End(&w.p, pick.Worked) }
+
+func (w *placed) lost() {
+	w.at.End(&w.p, pick.Failed)
+	if len(w.q.tried) >= attempts {
+		w.q.second().Failed += w.q.tokens()
+		return
+	}
+	w.q.place(w.at)
+}
+
+// send brings the request to its engine. What the holder keeps of it is fetched; nil: nothing is.
+func (q *request) send(e, holder *engine, w watcher) {
 	s := q.s
-	e := s.engines[p.Choice.Server.ID]
 	s.result.Sent++
 	if e.lost {
-		q.lostAt(r, p, e)
+		q.lostAt(e, w)
 		return
 	}
 	s.countBack(e)
-	first, last, read, shared := e.accept(&q.ask, s.holder(p.Choice.FetchAt), s.now)
+	first, last, read, shared := e.accept(&q.ask, holder, s.now)
 	s.result.Read += float64(read)
 	s.result.Again += float64(shared)
-	sentAt := s.now
+	q.sentAt = s.now
 	s.after(first.Sub(s.now)+hop, func() {
 		if e.lost {
-			q.lostAt(r, p, e)
+			q.lostAt(e, w)
 			return
 		}
-		s.result.Expected = append(s.result.Expected, ms(p.Choice.Wait+p.Choice.Own))
-		s.result.Seen = append(s.result.Seen, ms(s.now.Sub(sentAt)))
-		r.First(&p)
+		w.began()
 		if s.now.Sub(q.begin) <= q.customer.Target {
 			q.second().InTime += q.tokens()
 		} else {
@@ -148,7 +179,7 @@
 	})
 	s.after(last.Sub(s.now)+hop, func() {
 		e.running = max(0, e.running-1)
-		r.End(&p, pick.Worked)
+		w.ended()
 	})
 }
 
@@ -165,20 +196,13 @@
 }
 
 // lostAt ends a try at an engine that does not answer.
-func (q *request) lostAt(r *state.State, p state.Placed, e *engine) {
+func (q *request) lostAt(e *engine, w watcher) {
 	q.s.result.Lost++
 	wait := time.Duration(0)
 	if e.silent {
 		wait = SilentFor
 	}
-	q.s.after(wait, func() {
-		r.End(&p, pick.Failed)
-		if len(q.tried) >= attempts {
-			q.second().Failed += q.tokens()
-			return
-		}
-		q.place(r)
-	})
+	q.s.after(wait, w.lost)
 }
 
 // ms is a duration in milliseconds.
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -27,6 +27,7 @@
 	// reach all the others, through reporters.
 	ReportEvery time.Duration
 	ReportDelay time.Duration
+	Policy      Policy
 	Customers   []Customer
 	Losses      []Loss
 }
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -66,6 +66,7 @@
 	version uint64                // of the list of engines
 	room    map[*Customer]float64 // tokens that its hosts can carry now
 	roomAt  map[*Customer]time.Time
+	base    *baseline // who decides in place of the routers; nil: they do
 }
 
 // Run plays the scenario. The same scenario gives the same result.
@@ -92,6 +93,9 @@
 	for _, l := range sc.Losses {
 		s.lose(l)
 	}
+	if sc.Policy != Product {
+		s.base = newBaseline(s)
+	}
 	s.report()
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
@@ -138,8 +142,22 @@
 	}
 }
 
+// place has the request decided on.
+func (s *sim) place(q *request) {
+	if s.base != nil {
+		s.base.place(q)
+		return
+	}
+	q.place(s.entry(q.customer))
+}
+
 // report has all routers report, and each hear the total of all after the delay.
 func (s *sim) report() {
+	if s.base != nil {
+		s.base.report()
+		s.after(s.ReportEvery, s.report)
+		return
+	}
 	total := state.NewReport()
 	sent := pick.Sent{}
 	firsts := map[string]pick.FirstTokens{}
