soak: a router's way to the store is cut, open connections go silent while new ones work, callers claim the fleet's headers

Each router goes to the store by a proxy of its own. Not done: reports of a dead router kept for ever (no fault has a router gone for good).

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -118,6 +118,9 @@
 		prompt = fmt.Sprintf("p:200,s%d:3000,o%s:500", rng.IntN(20), s.id)
 	}
 	platformtest.Ask(req.Header, s.id, s.key, routeTimeout, prompt)
+	if rng.IntN(10) == 0 { // a caller that says what is not for it to say
+		platformtest.Claim(req.Header)
+	}
 	c.all.Add(1)
 	begin := time.Now()
 	resp, err := client.Do(req)
--- a/soak/check.go
+++ b/soak/check.go
@@ -129,6 +129,9 @@
 	if run.Target != sent.path || run.Body != sent.body {
 		f.verdicts.report(serverIsPassed, "%s: %s with %d bytes, sent %s with %d", run.Attempt, run.Target, len(run.Body), sent.path, len(sent.body))
 	}
+	if len(run.Claimed) > 0 {
+		f.verdicts.report(claimsStay, "%s: %v", run.Attempt, run.Claimed)
+	}
 	late := run.At.Sub(s.left)
 	if !s.left.IsZero() && late > drainBound && !f.storeWasTroubled(s.left) {
 		f.verdicts.report(drained, "%s reached %s %s after its leaving", run.Attempt, s.ID, late.Round(time.Millisecond))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -40,6 +40,9 @@
 	"forget":  (*fleet).storeForgets,
 	"older":   (*fleet).storeOlder,
 	"stale":   (*fleet).storeStale,
+	"cut":     (*fleet).cut,
+	"mute":    (*fleet).mute,
+	"dumb":    (*fleet).dumb,
 	"grey":    (*fleet).grey,
 	"link":    (*fleet).link,
 	"crash":   (*fleet).crash,
@@ -57,7 +60,7 @@
 func calm(list []fault) bool {
 	for _, x := range list {
 		switch x.Kind {
-		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "older", "stale":
+		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "older", "stale", "cut", "mute":
 		default:
 			return false
 		}
@@ -263,6 +266,39 @@
 	f.store.Stale(false)
 }
 
+// cut harms one router's way to the store, both ways or one.
+func (f *fleet) cut(x fault) {
+	defer f.trouble()()
+	r := f.router(x)
+	r.store.set(mode(x.How%int(oneWay)) + 1)
+	time.Sleep(x.For)
+	r.store.set(pass)
+}
+
+// heardWithin is how long after its connections to the store have gone silent a router may be
+// deaf: a call waits for two seconds, and 0.8 s for its answer.
+const heardWithin = 3 * time.Second
+
+// mute has all connections to the store go silent for good while new ones work. A change
+// that is made once that must have been noticed is in force as soon as ever.
+func (f *fleet) mute(fault) {
+	for _, r := range f.routers {
+		r.store.mute()
+	}
+	back := f.trouble()
+	time.Sleep(heardWithin)
+	back()
+	time.Sleep(applyBound) // until then what is late is excused
+	f.checkInForce(f.configure())
+}
+
+// dumb has all connections to a server go silent for good while new ones work.
+func (f *fleet) dumb(x fault) {
+	if s := f.pickServer(x); s != nil {
+		s.proxy.mute()
+	}
+}
+
 // grey makes a server fail part of its requests.
 func (f *fleet) grey(x fault) {
 	s := f.pickServer(x)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -44,6 +43,7 @@
 	ip      string
 	file    string
 	log     string
+	store   *proxy // its way to the store
 	cmd     *exec.Cmd
 	started time.Time
 	expects bool // an end that we caused
@@ -98,7 +98,11 @@
 	}
 	f.configure()
 	for i := range n {
-		r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("127.0.0.%d", 10+i)}
+		way, err := newProxy(f.storeHTTP.Listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("127.0.0.%d", 10+i), store: way}
 		f.routers = append(f.routers, r)
 	}
 	for _, r := range f.routers {
@@ -208,7 +212,7 @@
 	r.file = filepath.Join(f.dir, r.name+".ini")
 	r.log = filepath.Join(f.dir, r.name+".log")
 	text := fmt.Sprintf(settingsText, r.name, "dc"+r.name[len(r.name)-1:], r.ip, f.ports[0], f.ports[1], f.ports[2], f.ports[3],
-		strings.TrimPrefix(f.storeHTTP.URL, "http://"), memoryMB, retrySlack, graceS)
+		r.store.addr(), memoryMB, retrySlack, graceS)
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -330,6 +334,9 @@
 		f.signal(r, syscall.SIGKILL)
 	}
 	f.exits.Wait()
+	for _, r := range f.routers {
+		r.store.close()
+	}
 	f.store.Fail(nil)
 	f.storeHTTP.CloseClientConnections()
 	f.storeHTTP.Close()
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -27,6 +27,7 @@
 	poisonStops    promise = "a request that crashes servers is soon sent to none"
 	innocentServed promise = "a request that crashes no server is not blocked"
 	foreignUnused  promise = "nothing is sent to an entry that names no server"
+	claimsStay     promise = "what a caller says in the fleet's own headers reaches no server"
 	serverIsPassed promise = "a request's method, path and body reach the server unchanged"
 )
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,7 +22,7 @@
 // proxyDelay is how late bytes arrive in mode delay.
 const proxyDelay = 60 * time.Millisecond
 
-// proxy stands between the routers and one backend server.
+// proxy stands between the routers and one backend server, or one router and the store.
 type proxy struct {
 	ln     net.Listener
 	target string
@@ -29,7 +30,7 @@
 	mu      sync.Mutex
 	mode    mode
 	changed chan struct{}
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]*atomic.Bool // whether what they carry is lost, of those from routers
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]*atomic.Bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -59,6 +60,16 @@
 	}
 }
 
+// mute has all open connections lose what they carry from now on, without a word; new ones
+// carry it.
+func (p *proxy) mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, muted := range p.conns {
+		muted.Store(true)
+	}
+}
+
 // abort closes a connection with a reset.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -86,7 +97,8 @@
 func (p *proxy) carry(c net.Conn) {
 	p.mu.Lock()
 	refuse := p.mode == reset
-	p.conns[c] = true
+	muted := new(atomic.Bool)
+	p.conns[c] = muted
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -102,17 +114,17 @@
 		abort(c)
 		return
 	}
-	go p.copy(s, c, false)
-	p.copy(c, s, true)
+	go p.copy(s, c, false, muted)
+	p.copy(c, s, true, muted)
 }
 
 // copy copies one direction until either side ends, and then ends both.
-func (p *proxy) copy(to, from net.Conn, answers bool) {
+func (p *proxy) copy(to, from net.Conn, answers bool, muted *atomic.Bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		p.hold(answers)
-		if n > 0 {
+		if n > 0 && !muted.Load() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
 			}
