lab: scenarios of the emulator as files, policies compared over the same seeds

A question such as 'what would another choice do to my customers when engines fall silent' took a test to answer. windscale-lab plays a file under one policy or several and bounds the difference with 95% confidence; baselines have the hosts' limits too.

--- a/internal/emulator/baseline.go
+++ b/internal/emulator/baseline.go
@@ -52,6 +52,10 @@
 
 // place decides on a request that has come.
 func (b *baseline) place(q *request) {
+	if q.customer.HostTakes > 0 && !b.s.carried(q) {
+		q.second().Refused += q.tokens() // a host that has no time lets nothing in, whoever decides
+		return
+	}
 	if b.s.Policy == AllKnowing {
 		b.waiting = append(b.waiting, q)
 		b.serve()
@@ -182,9 +186,7 @@
 func (r *Result) Served(from, to time.Duration) float64 {
 	var sum Second
 	for name := range r.Seconds {
-		t := r.Total(name, from, to)
-		sum.Asked += t.Asked
-		sum.InTime += t.InTime
+		sum.Add(r.Total(name, from, to))
 	}
 	return sum.InTime / sum.Asked
 }
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -88,6 +88,15 @@
 	Asked, InTime, Late, Refused, Failed float64
 }
 
+// Add adds another second's tokens.
+func (s *Second) Add(o Second) {
+	s.Asked += o.Asked
+	s.InTime += o.InTime
+	s.Late += o.Late
+	s.Refused += o.Refused
+	s.Failed += o.Failed
+}
+
 // Result is what a run measured.
 type Result struct {
 	// Seconds are by customer.
@@ -110,11 +119,7 @@
 		if at := time.Duration(i) * time.Second; at < from || at >= to {
 			continue
 		}
-		sum.Asked += s.Asked
-		sum.InTime += s.InTime
-		sum.Late += s.Late
-		sum.Refused += s.Refused
-		sum.Failed += s.Failed
+		sum.Add(s)
 	}
 	return sum
 }
--- a/test/targets.mk
+++ b/test/targets.mk
@@ -4,7 +4,7 @@
 SEED ?= 1
 FLEET = bin/fleet --bin bin --out out --seed $(SEED)
 
-.PHONY: demo up faults measure bench fleet-programs
+.PHONY: demo up faults measure bench lab fleet-programs
 
 fleet-programs:
 	mkdir -p bin out
@@ -22,6 +22,10 @@
 measure: fleet-programs bench ## fairness, utilisation, control traffic, on processes and on the core alone
 	$(FLEET) measure
 
+lab: ## the emulator's silent engines, under the program's decisions and two others; within half a minute
+	go build -o bin/ ./cmd/windscale-lab
+	bin/windscale-lab --policy product,homes-only,all-knowing --seeds 5 deploy/lab/silent.ini
+
 bench: ## the core alone: sharing at 8, 40 and 410 routers, and the grant decision; within two minutes
 	go test -run xxx -bench 'Sharing|Short' -benchtime 1x ./internal/core/share
 	go test -run xxx -bench Grant ./internal/core/share
