roster, fair, state, sift: what stood twice stands once

Read once more. The stamp of an unusable entry is compared by Stamp.After (its edits are 0, as those of all answers of the store); the doubt of a missing entry, the account of a refusal for the share, and what an arrival is are written once; the level of what servers are said to make is worked out once an update. No decision changes.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -259,10 +259,11 @@
 			m.sums[name] = m.sums[name].Plus(r)
 		}
 	}
-	m.level = max(level(m.sums, served(m.sums)), level(m.sums, m.capacity))
+	m.level = level(m.sums, served(m.sums))
 	m.due = m.level
 	if m.capacity > 0 {
 		m.due = level(m.sums, m.capacity)
+		m.level = max(m.level, m.due)
 	}
 	m.contended, m.outdone = lacking(m.sums, m.level)
 	m.noteShortage(now)
--- a/internal/core/roster/returned.go
+++ b/internal/core/roster/returned.go
@@ -90,9 +90,7 @@
 	}
 	for _, id := range r.missing(list) {
 		r.back.absent[id] = true
-		if _, already := r.doubtful[id]; !already {
-			r.doubtful[id] = now
-		}
+		r.doubt(id, now)
 	}
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -183,7 +183,7 @@
 	}
 	r.forget(id, now)
 	r.stamp.Edits++ // other routers fetch the list without it
-	if as.Era > r.stamp.Era || as.Era == r.stamp.Era && as.Version > r.stamp.Version {
+	if as.After(r.stamp) {
 		r.stamp = as
 	}
 	return true
@@ -208,6 +208,11 @@
 		r.forget(id, now)
 		return
 	}
+	r.doubt(id, now)
+}
+
+// doubt notes since when an entry is missing.
+func (r *Roster) doubt(id string, now time.Time) {
 	if _, already := r.doubtful[id]; !already {
 		r.doubtful[id] = now
 	}
--- a/internal/edge/front/sift.go
+++ b/internal/edge/front/sift.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net/http"
+
+	"github.com/windscale/windscale/internal/peek"
 )
 
 // siftBuffer holds a request whole, header and body, of some 10 KB where prompts are sent.
@@ -28,9 +31,8 @@
 
 // Arrival is a connection on which a request may have arrived.
 type Arrival interface {
-	// ReadArrived reads what has arrived, without a wait; nothing is no error.
-	ReadArrived(b []byte) (int, error)
-	Write(b []byte) (int, error)
+	peek.Reader
+	io.Writer
 }
 
 // Sift answers the connection's request, if it has arrived whole and this host has no
--- a/internal/edge/node/bare.go
+++ b/internal/edge/node/bare.go
@@ -1,19 +1,19 @@
 package node
 
 import (
+	"io"
 	"net"
 	"os"
 	"syscall"
 
+	"github.com/windscale/windscale/internal/edge/front"
 	"github.com/windscale/windscale/internal/peek"
 )
 
 // arrival is a connection that has been accepted, and that nothing else was spent on yet.
 type arrival interface {
-	// ReadArrived reads what has arrived, without a wait; nothing is no error.
-	ReadArrived(b []byte) (int, error)
-	Write(b []byte) (int, error)
-	Close() error
+	front.Arrival
+	io.Closer
 	// Open makes it one that can be waited for. The arrival is not to be used any more; it is
 	// closed if that fails, as when the process has no descriptor left.
 	Open() (net.Conn, error)
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -153,7 +153,7 @@
 		return Placed{}, false
 	}
 	s.ask(n, now)
-	s.accounts.Of(n.Customer).OverShare += n.tokens()
+	s.accountRefusal(n, WhyOver)
 	rates, level := s.meter.Sum(n.Customer, now)
 	return Placed{Why: WhyOver, Back: s.back(n, pick.Choice{}, WhyOver), Rates: rates, Level: level}, true
 }
