roster: a list told in doubt stays at its receiver, as a failing seed of FuzzReturns

Seen: copy taken; router 0 reads; a is written; the store comes back; router 0 tells router 2; router 2 reads; a is removed twice; router 2 reads and tells router 3. Router 3 lists a for good, under the same stamp under which router 1 does not. Fails: go test ./internal/core/roster -run Fuzz.

--- a/internal/core/roster/returned_test.go
+++ b/internal/core/roster/returned_test.go
@@ -294,6 +294,8 @@
 
 func FuzzReturns(f *testing.F) {
 	f.Add([]byte{0, 16, 32, 5, 21, 3, 2, 4, 5, 7, 9, 9})
+	// A router that was told a list in doubt keeps a server that the others no longer have.
+	f.Add([]byte("\x03\x05\x00\x04\x89\x23\x02\x02\x23\xe3"))
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		w := newWorld()
 		w.write("a", true)
