roster: routers tell the store's entries and what they believe beyond them apart

Cause: Told gave the list in effect, entries in doubt among the others, under the stamp up to which the store was read. Its receiver took them for settled, while a router that read the store anew had none of them under the same stamp; equal stamps are never exchanged again, so both lists stayed. Class: a stamp has to name one list, and that was true of the store's rows only. Change: a told list is the store's entries as of its stamp; what is held back and what is doubted stand apart, each with its end, and the receiver gives them up by itself. Entries that were leaving before the store came back from a copy are held back like those that had left. Ruled out: counting the end of a doubt as an edit of the stamp everywhere (a router told by others may not count, and the one that read anew has nothing to count). The view's fields keep their names, so that routers of both releases read each other's.

--- a/internal/core/roster/returned.go
+++ b/internal/core/roster/returned.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,18 +24,24 @@
 	at time.Time
 }
 
+// held is an entry of the store that is not used yet.
+type held struct {
+	server routing.Server
+	until  time.Time
+}
+
 // returned is what is remembered for the store's return from an older copy. The copy
 // lacks entries of servers that live and holds entries of servers that have left, until both
 // are written again.
 type returned struct {
-	at      time.Time                 // the last return; zero: there was none
-	leavers map[string]leaver         // by ID
-	held    map[string]routing.Server // entries that the copy may have brought back
-	absent  map[string]bool           // servers that the copy lacked
+	at      time.Time         // the last return; zero: there was none
+	leavers map[string]leaver // by ID
+	held    map[string]held   // entries that the copy may have brought back
+	absent  map[string]bool   // servers that the copy lacked
 }
 
 func newReturned() returned {
-	return returned{leavers: map[string]leaver{}, held: map[string]routing.Server{}, absent: map[string]bool{}}
+	return returned{leavers: map[string]leaver{}, held: map[string]held{}, absent: map[string]bool{}}
 }
 
 // within reports whether the last return was less than d ago.
@@ -74,16 +81,19 @@
 // the copy says, the more careful. A server that has left is not used for it, one that was
 // leaving goes on leaving, and one that is missing has its time to write its entry.
 func (r *Roster) merge(list []routing.Server, now time.Time) {
-	clear(r.back.held) // what was held back and is not in this list has left for good
+	r.keepHeld(list)
+	until := r.back.at.Add(heldFor)
 	for _, s := range list {
 		known, listed := r.servers[s.ID]
 		left, gone := r.back.leavers[s.ID]
+		waits, isHeld := r.back.held[s.ID]
 		switch {
+		case isHeld && waits.server.Identity() == s.Identity():
+			r.hold(s, waits.until)
 		case !listed && gone && left.id == s.Identity():
-			r.back.held[s.ID] = s
+			r.hold(s, until)
 		case listed && known.Identity() == s.Identity() && !known.Takes():
-			s.State = known.State
-			r.set(s)
+			r.hold(s, until)
 		default:
 			r.set(s)
 		}
@@ -94,26 +104,35 @@
 	}
 }
 
-// Told returns the list for other routers: without the servers that a copy lacks. Those that
-// know of the return doubt by themselves what is missing, and one that has just started
-// would take for sure what is only not given up yet.
-func (r *Roster) Told() []routing.Server {
-	return slices.DeleteFunc(r.List(), func(s routing.Server) bool { return r.back.absent[s.ID] })
+// hold keeps an entry of the store from being used for a while.
+func (r *Roster) hold(s routing.Server, until time.Time) {
+	delete(r.servers, s.ID)
+	delete(r.doubtful, s.ID)
+	r.back.held[s.ID] = held{s, until}
+}
+
+// keepHeld drops what was held back and is not in the store's list: it has left for good.
+func (r *Roster) keepHeld(list []routing.Server) {
+	maps.DeleteFunc(r.back.held, func(id string, _ held) bool {
+		return !slices.ContainsFunc(list, func(s routing.Server) bool { return s.ID == id })
+	})
 }
 
 // release lists the entries that were held back and are still there, forgets old leavers,
 // and reports whether the list has changed.
-func (r *Roster) release(now time.Time) bool {
+func (r *Roster) release(now time.Time) (changed bool) {
 	for id, l := range r.back.leavers {
 		if now.Sub(l.at) > leaversFor {
 			delete(r.back.leavers, id)
 		}
 	}
-	if len(r.back.held) == 0 || r.back.within(heldFor, now) {
-		return false
-	}
-	for _, s := range r.back.held {
-		r.set(s)
+	for id, h := range r.back.held {
+		if now.Before(h.until) {
+			continue
+		}
+		delete(r.back.held, id)
+		r.set(h.server)
+		changed = true
 	}
-	return true
+	return changed
 }
--- a/internal/core/roster/returned_test.go
+++ b/internal/core/roster/returned_test.go
@@ -207,7 +207,7 @@
 	}
 	to.NotFollowed()
 	to.heard(from.Stamp(), at(w.now))
-	to.Replace(from.Told(), true, at(w.now))
+	to.ReplaceTold(from.Told(at(w.now)), at(w.now))
 	to.SetStamp(from.Stamp())
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -26,8 +26,8 @@
 // Roster is the list. It is not safe for concurrent use.
 type Roster struct {
 	servers  map[string]routing.Server
-	doubtful map[string]time.Time // since when each is missing
-	downAt   time.Time            // zero: the store answers
+	doubtful map[string]doubt // those of them that the store lacks
+	downAt   time.Time        // zero: the store answers
 	backAt   time.Time
 	blindAt  time.Time // when the store was lost last
 	since    time.Time // the store is followed without a gap since then; zero: it is not
@@ -35,6 +35,12 @@
 	back     returned // what is remembered of a return of the store from a copy
 }
 
+// doubt is that about a server whose entry is missing.
+type doubt struct {
+	since time.Time
+	until time.Time // as another router told it; zero: this one works it out
+}
+
 // Stamp orders the lists that routers have, and the answers of the store: by the store's
 // era, which rises when the store comes back from an older copy and gives versions out
 // again, by the version of the last change, and then by what was forgotten since without
@@ -58,7 +64,7 @@
 
 // New returns an empty list.
 func New() *Roster {
-	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]time.Time{}, back: newReturned()}
+	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]doubt{}, back: newReturned()}
 }
 
 // StoreDown notes that the store does not answer.
@@ -151,7 +157,13 @@
 		r.merge(list, now)
 		return
 	}
-	r.Apply(list, nil, now)
+	r.keepHeld(list)
+	for _, s := range list {
+		if h, ok := r.back.held[s.ID]; ok && !sure && h.server.Identity() == s.Identity() {
+			continue
+		}
+		r.set(s)
+	}
 	for _, id := range r.missing(list) {
 		if sure {
 			r.forget(id, now)
@@ -214,22 +226,19 @@
 // doubt notes since when an entry is missing.
 func (r *Roster) doubt(id string, now time.Time) {
 	if _, already := r.doubtful[id]; !already {
-		r.doubtful[id] = now
+		r.doubtful[id] = doubt{since: now}
 	}
 }
 
 // Tick forgets the doubtful entries whose time is over, and reports whether
-// there were any. While the store is down nothing is forgotten.
+// there were any. While the store is down nothing is forgotten that this router doubts.
 func (r *Roster) Tick(now time.Time) bool {
-	if !r.downAt.IsZero() {
-		return false
+	changed := false
+	if r.downAt.IsZero() {
+		changed = r.release(now)
 	}
-	changed := r.release(now)
-	for id, since := range r.doubtful {
-		if since.Before(r.backAt) {
-			since = r.backAt
-		}
-		if now.Sub(since) < doubtMost && now.Sub(r.backAt) < ReturnGrace || r.back.lacks(id, now) {
+	for id := range r.doubtful {
+		if r.doubtLeft(id, now) > 0 {
 			continue
 		}
 		r.forget(id, now)
@@ -241,6 +250,26 @@
 	return changed
 }
 
+// doubtLeft is for how much longer a missing server counts as one that lives.
+func (r *Roster) doubtLeft(id string, now time.Time) time.Duration {
+	d := r.doubtful[id]
+	switch {
+	case !d.until.IsZero():
+		return d.until.Sub(now)
+	case !r.downAt.IsZero():
+		return ReturnGrace
+	}
+	since := d.since
+	if since.Before(r.backAt) {
+		since = r.backAt
+	}
+	left := min(since.Add(doubtMost).Sub(now), r.backAt.Add(ReturnGrace).Sub(now))
+	if r.back.lacks(id, now) {
+		left = max(left, r.back.at.Add(ReturnGrace).Sub(now))
+	}
+	return left
+}
+
 // List returns the servers in the order of their IDs.
 func (r *Roster) List() []routing.Server {
 	list := make([]routing.Server, 0, len(r.servers))
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/core/roster"
-	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/events"
 )
@@ -133,8 +132,8 @@
 
 // view is a peer's list of servers.
 type view struct {
-	Stamp   roster.Stamp
-	Servers []routing.Server
+	Stamp roster.Stamp
+	roster.Told
 }
 
 // pullServers fetches a peer's list of servers.
@@ -149,8 +148,9 @@
 		events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "err", err)
 		return
 	}
-	if len(v.Servers) > 0 && p.State.ServersReplaced(v.Servers, v.Stamp, true) {
-		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "era", v.Stamp.Era, "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
+	if len(v.Servers)+len(v.Doubtful) > 0 && p.State.ServersToldBy(v.Told, v.Stamp) {
+		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "held", len(v.Held),
+			"doubtful", len(v.Doubtful), "era", v.Stamp.Era, "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
 	}
 }
 
@@ -191,8 +191,8 @@
 		_, _ = w.Write(raw)
 	})
 	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		servers, stamp := p.State.ServersTold()
-		text, err := json.Marshal(view{Stamp: stamp, Servers: servers})
+		list, stamp := p.State.ServersTold()
+		text, err := json.Marshal(view{Stamp: stamp, Told: list})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -11,7 +11,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/windscale/windscale/internal/core/roster"
-	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/events"
 )
@@ -30,9 +29,9 @@
 // firstView is what a router that starts is given by another: all that it needs to
 // serve. It spares the store two reads and two calls that wait.
 type firstView struct {
-	Raw     []byte // the configuration as the operator wrote it
-	Stamp   roster.Stamp
-	Servers []routing.Server
+	Raw   []byte // the configuration as the operator wrote it
+	Stamp roster.Stamp
+	roster.Told
 	AgeMs   int64         // of the store's last answer on which it rests
 	Routers []knownRouter // live ones, the sender among them
 	Ends    []contentEnds // blocked contents, and those that may be soon
@@ -52,7 +51,7 @@
 		return firstView{}, &NoViewError{AgeMs: min(age, time.Hour).Milliseconds()}
 	}
 	v := firstView{Raw: p.State.Raw(), AgeMs: age.Milliseconds()}
-	v.Servers, v.Stamp = p.State.ServersTold()
+	v.Told, v.Stamp = p.State.ServersTold()
 	v.Ends = wireEnds(p.State.RepeatEnds())
 	v.AllEnds = p.State.KnowsEnds()
 	p.mu.Lock()
@@ -144,7 +143,7 @@
 	p.mu.Unlock()
 	p.takeEra("first view", v.Stamp.Era)
 	p.State.TakeConfig(c, v.Raw)
-	p.State.ServersReplaced(v.Servers, v.Stamp, true)
+	p.State.ServersToldBy(v.Told, v.Stamp)
 	p.State.Confirm(time.Duration(v.AgeMs)*time.Millisecond + took)
 	p.takeEnds("first view", readEnds(v.Ends, took))
 	if v.AllEnds {
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -23,6 +23,20 @@
 	return true
 }
 
+// ServersToldBy takes the list of another router, unless it is an older one.
+func (s *State) ServersToldBy(list roster.Told, stamp roster.Stamp) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.Stamp().After(stamp) {
+		return false
+	}
+	s.roster.SetStamp(stamp)
+	s.roster.ReplaceTold(list, s.now())
+	s.listed = true
+	s.picker.SetServers(s.roster.List())
+	return true
+}
+
 // ServersChanged takes changed and removed entries, as of a version of the store.
 func (s *State) ServersChanged(changed []routing.Server, gone []string, as roster.Stamp) {
 	s.mu.Lock()
@@ -53,10 +67,10 @@
 }
 
 // ServersTold returns the list for other routers, and its stamp.
-func (s *State) ServersTold() ([]routing.Server, roster.Stamp) {
+func (s *State) ServersTold() (roster.Told, roster.Stamp) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.Told(), s.roster.Stamp()
+	return s.roster.Told(s.now()), s.roster.Stamp()
 }
 
 // ServerCount returns how many servers are listed.
