--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -30,6 +30,10 @@
 	servers []*platformtest.Server
 	ports   [4]int
 	ids     atomic.Int64 // of attempts
+	// settings are sections beside those that each router has.
+	settings string
+	// prompts is how many shared parts the requests' prompts have between them; 0: one.
+	prompts int64
 }
 
 // member is one router.
@@ -119,7 +123,8 @@
 slack = 200
 [bounds]
 grace_s = 1
-`, m.ip, m.dataCentre, m.addr(0), m.addr(1), m.addr(2), m.addr(3), strings.TrimPrefix(m.f.stored.URL, "http://"), strings.Join(controls, ","))
+%s
+`, m.ip, m.dataCentre, m.addr(0), m.addr(1), m.addr(2), m.addr(3), strings.TrimPrefix(m.f.stored.URL, "http://"), strings.Join(controls, ","), m.f.settings)
 	path := filepath.Join(t.TempDir(), "edge.ini")
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := settings.Load(path)
@@ -162,7 +167,9 @@
 	req, err := http.NewRequest(http.MethodPost, "http://"+m.addr(0)+path, strings.NewReader(body))
 	assert.NilError(m.f.t, err)
 	req.Host = platformtest.Host
-	platformtest.Ask(req.Header, fmt.Sprintf("%s-%d", name, m.f.ids.Add(1)), "k", 5*time.Second, "aa:600,bb:100")
+	id := m.f.ids.Add(1)
+	prompt := fmt.Sprintf("aa%d:600,bb:100", id%max(m.f.prompts, 1))
+	platformtest.Ask(req.Header, fmt.Sprintf("%s-%d", name, id), "k", 5*time.Second, prompt)
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
