evacuations, slow start, homes: decoded once, kept by every router, and kept to

Cause: nothing read op/evacuate, warmupS, warmupPerS or allowedRegions. Evacuations are rows as of a stamp (internal/core/evacuation): told in every heartbeat and first view, kept through a copy of the store that lacks them. Their servers take nothing, from the choice to the moment of sending; the capacity that shares are worked out from falls with them. Cold is who says so in its entry, whose data centre was taken back, or whom two routers could not reach. Homes: where route and customer have some, both bind; choice, retries and fetches.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -272,6 +272,9 @@
 // SetCapacity says what the backend servers make together, tokens a second;
 // 0: it is not known.
 func (m *Meter) SetCapacity(tokensPerSec float64) {
+	if tokensPerSec == m.capacity {
+		return
+	}
 	m.capacity = tokensPerSec
 	m.at = time.Time{}
 }
--- a/internal/core/pick/cache.go
+++ b/internal/core/pick/cache.go
@@ -84,10 +84,11 @@
 
 // holder returns a server other than s that keeps the part, one in the same data
 // centre first; nil if none is known.
-func (p *Picker) holder(key uint32, s *server, life time.Duration, now time.Time) *server {
+func (p *Picker) holder(key uint32, s *server, homes routing.Homes, life time.Duration, now time.Time) *server {
 	var found *server
 	for _, h := range p.holders[key] {
-		if h.s == nil || h.s == s || !h.s.takes || now.Sub(h.at) > life || p.rankOf(h.s, now) != rankGood {
+		if h.s == nil || h.s == s || !h.s.takes || now.Sub(h.at) > life || p.rankOf(h.s, now) != rankGood ||
+			!homes.Allow(h.s.region) || h.s.bounded && h.s.cold.Is(now) {
 			continue
 		}
 		if h.s.DataCentre == s.DataCentre {
--- a/internal/core/pick/cache_test.go
+++ b/internal/core/pick/cache_test.go
@@ -18,7 +18,7 @@
 
 // other returns an engine that is neither of the prompt's homes.
 func other(p *Picker, prompt []routing.Part) *server {
-	home, second := p.homes(prompt, p.services["llm"], start)
+	home, second := p.homes(Request{Prompt: prompt}, p.services["llm"], start)
 	for _, s := range p.services["llm"] {
 		if s != home && s != second {
 			return s
@@ -38,13 +38,13 @@
 	holder := other(a, first.Prompt)
 	send(a, holder.ID, first, 0)
 	b.Heard(a.TakePending(), at(20))
-	home, _ := b.homes(first.Prompt, b.services["llm"], start)
+	home, _ := b.homes(first, b.services["llm"], start)
 	next := Request{Service: "llm", Prompt: prompt(1, 2)}
 	b.keys = keys(nil, next.Prompt)
-	n := b.need(home, next.Prompt, home, nil, firstTokensPerMs, at(30))
+	n := b.need(home, next, home, nil, firstTokensPerMs, at(30))
 	assert.Equal(t, n.fetchAt, holder.Addr)
 	assert.Equal(t, n.fetched, 6300.0)
-	n = b.need(b.servers[holder.ID], next.Prompt, home, nil, firstTokensPerMs, at(30))
+	n = b.need(b.servers[holder.ID], next, home, nil, firstTokensPerMs, at(30))
 	assert.Equal(t, n.fetchAt, "", "the holder has them")
 	assert.Equal(t, n.first+n.again, 2900.0)
 }
--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -15,8 +15,8 @@
 	}
 	list := p.services[req.Service]
 	p.keys = keys(p.keys[:0], req.Prompt)
-	home, second := p.homes(req.Prompt, list, now)
-	if few := p.draw(list, home, second); len(few) > 0 {
+	home, second := p.homes(req, list, now)
+	if few := p.draw(list, home, second, now); len(few) > 0 {
 		best, ok = p.least(few, req, home, second, now)
 		if ok && best.rank == rankGood {
 			return best, true
@@ -27,7 +27,7 @@
 
 // draw returns the homes and a few others, none if the list is too short for it
 // or of a plain service.
-func (p *Picker) draw(list []*server, home, second *server) []*server {
+func (p *Picker) draw(list []*server, home, second *server, now time.Time) []*server {
 	if len(list) <= othersDrawn || list[0].engine == nil {
 		return nil
 	}
@@ -42,6 +42,22 @@
 			few = append(few, s)
 		}
 	}
+	return p.drawCold(few, list, now)
+}
+
+// drawCold adds cold servers that this router has a free permit for: no other router may use
+// it, so that they would idle.
+func (p *Picker) drawCold(few, list []*server, now time.Time) []*server {
+	drawn := 0
+	for _, s := range list {
+		if drawn == coldDrawn {
+			break
+		}
+		if s.bounded && s.cold.Is(now) && s.cold.Free(p.slotsOf(s), now) && !slices.Contains(few, s) {
+			few = append(few, s)
+			drawn++
+		}
+	}
 	return few
 }
 
@@ -52,7 +68,7 @@
 	best.rank = math.MaxInt
 	candidates := 0
 	for _, s := range list {
-		if slices.Contains(req.Tried, s.ID) {
+		if slices.Contains(req.Tried, s.ID) || !req.Homes.Allow(s.region) || p.bearsNone(s, now) {
 			continue
 		}
 		r := p.rankOf(s, now)
--- /dev/null
+++ b/internal/core/pick/cold.go
@@ -0,0 +1,198 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/slowstart"
+)
+
+const (
+	// unreachedBy is how many routers have to suspect a server at a time for it to count as
+	// one that may come back cold, and unreachedPart the part of a service's servers above
+	// which that says more of the network than of servers.
+	unreachedBy   = 2
+	unreachedPart = 2.0 / 3
+	// unreachedMore is what is added to the warm-up of such a server: it may be back for so
+	// long before its first request or entry shows it.
+	unreachedMore = time.Second
+	// coldDrawn is how many cold servers with a free permit a choice looks at.
+	coldDrawn = 2
+)
+
+// SetFleet takes what is known of the routers among which permits are shared out.
+func (p *Picker) SetFleet(f *slowstart.Fleet) { p.fleet = f }
+
+// SetBound takes by how much what cold servers bear may be exceeded.
+func (p *Picker) SetBound(b slowstart.Bound) {
+	p.bound = b
+	for _, s := range p.servers {
+		p.describe(s)
+	}
+}
+
+// SetRegions takes the region of each data centre.
+func (p *Picker) SetRegions(regions map[string]string) { p.regions = regions }
+
+// SetEvacuated takes the evacuated data centres, in force with the next list of servers.
+func (p *Picker) SetEvacuated(dataCentres []string) {
+	clear(p.evacuated)
+	for _, dc := range dataCentres {
+		p.evacuated[dc] = true
+	}
+}
+
+// TakenBack notes that the data centre's evacuation was taken back then: its servers may have
+// become cold meanwhile.
+func (p *Picker) TakenBack(dataCentre string, at, now time.Time) {
+	for _, s := range p.servers {
+		if s.DataCentre == dataCentre && s.bounded {
+			p.mark(s, slowstart.ByTakeBack, at.Add(p.specs[s.Service].SlowStart.For), now)
+		}
+	}
+}
+
+// readWarmup takes what the server's entry says of it, if that is news.
+func (p *Picker) readWarmup(s *server, before routing.Server, now time.Time) {
+	if before.Identity() == s.Identity() && before.Warmup == s.Warmup {
+		return
+	}
+	if s.Warmup <= 0 {
+		s.cold.Clear(slowstart.ByEntry)
+		return
+	}
+	p.mark(s, slowstart.ByEntry, now.Add(s.Warmup), now)
+}
+
+// mark notes that the server is cold. What was sent to it a moment ago, when it was taken for
+// warm, counts against its bound.
+func (p *Picker) mark(s *server, by slowstart.Source, until, now time.Time) {
+	if !s.cold.Mark(by, until, now) {
+		return
+	}
+	if now.Sub(s.sent) < slowstart.Window {
+		s.cold.Rest(s.permits, now)
+	}
+	p.warmups = append(p.warmups, Warmup{Server: s.Server, By: by, For: until.Sub(now)})
+}
+
+// TakeWarmups returns the servers that have become cold since it was called last, once.
+func (p *Picker) TakeWarmups() []Warmup {
+	list := p.warmups
+	p.warmups = nil
+	return list
+}
+
+// Cold returns how many servers are cold.
+func (p *Picker) Cold(now time.Time) (n int) {
+	for _, s := range p.servers {
+		if s.cold.Is(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// bearsNone reports whether nothing may be sent to the server by this router now, since it is
+// cold.
+func (p *Picker) bearsNone(s *server, now time.Time) bool {
+	return s.bounded && s.cold.Is(now) && !s.cold.Free(p.slotsOf(s), now)
+}
+
+// slotsOf is how many of the server's permits are this router's.
+func (p *Picker) slotsOf(s *server) int {
+	if changes := p.fleet.Changes(); s.slotsAt != changes {
+		s.slotsAt = changes
+		s.slots = p.fleet.Slots(s.hash, s.permits)
+	}
+	return s.slots
+}
+
+// usePermit notes that a request is sent to the server, on a permit if that is cold.
+func (p *Picker) usePermit(s *server, now time.Time) {
+	s.sent = now
+	if s.bounded && s.cold.Is(now) {
+		s.cold.Use(now)
+	}
+}
+
+// May reports whether a request that was placed then may still be sent to the server: that it
+// is listed, and warm or the request has a permit that counts.
+func (p *Picker) May(id routing.Identity, permit bool, placed, now time.Time) bool {
+	if !p.Takes(id) {
+		return false
+	}
+	s := p.servers[id.ID]
+	if !s.bounded || !s.cold.Is(now) {
+		return true
+	}
+	return permit && now.Sub(placed) < slowstart.Window/2
+}
+
+// noteUnreached marks the servers that routers can't reach: when they answer again they may
+// be cold, and no entry has said so yet.
+func (p *Picker) noteUnreached(now time.Time) {
+	for _, list := range p.services {
+		var unreached []*server
+		for _, s := range list {
+			own := 0
+			if now.Before(s.health.until) {
+				own = 1
+			}
+			if s.bounded && s.peers.Suspects+own >= unreachedBy {
+				unreached = append(unreached, s)
+			}
+		}
+		if float64(len(unreached)) > unreachedPart*float64(len(list)) {
+			continue
+		}
+		for _, s := range unreached {
+			p.mark(s, slowstart.BySuspicion, now.Add(p.specs[s.Service].SlowStart.For+unreachedMore), now)
+		}
+	}
+}
+
+// Lack is why no server of a service takes requests.
+type Lack int
+
+// The reasons.
+const (
+	LackServers   Lack = iota // none is listed, or all were tried
+	LackEvacuated             // all stand in evacuated data centres
+	LackCold                  // all that may be asked are cold and get what they bear
+	LackHome                  // none stands in a region in which the request may be served
+)
+
+// Lacks says why there is no server for a request, and when there may be one, if that is known.
+func (p *Picker) Lacks(req Request, now time.Time) (lack Lack, back time.Duration) {
+	listed, evacuated, home := 0, 0, 0
+	var soonest time.Time
+	for _, s := range p.servers {
+		if s.Service != req.Service || !s.Server.Takes() {
+			continue
+		}
+		listed++
+		if !req.Homes.Allow(s.region) {
+			continue
+		}
+		home++
+		if p.evacuated[s.DataCentre] {
+			evacuated++
+			continue
+		}
+		if until := s.cold.Until(); s.bounded && until.After(now) && (soonest.IsZero() || until.Before(soonest)) {
+			soonest = until
+		}
+	}
+	switch {
+	case listed == 0:
+		return LackServers, 0
+	case home == 0:
+		return LackHome, 0
+	case evacuated == home:
+		return LackEvacuated, 0
+	case !soonest.IsZero():
+		return LackCold, soonest.Sub(now)
+	}
+	return LackServers, 0
+}
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -24,13 +24,13 @@
 // expect works out what the request would find at the server.
 func (p *Picker) expect(s *server, req Request, home, second *server, now time.Time) Choice {
 	if s.engine == nil {
-		return p.expectPlain(s)
+		return p.expectPlain(s, now)
 	}
 	learnt := p.rate(s.Service)
 	rate, base := learnt.first.fit()
-	slowness := s.slowness(learnt.slow)
+	slowness := s.slowness(learnt.slow, now)
 	rate /= slowness
-	need := p.need(s, req.Prompt, home, second, rate, now)
+	need := p.need(s, req, home, second, rate, now)
 	work := need.cost(rate)
 	ahead := s.backlog(now, rate)
 	ms := ahead / rate
@@ -49,6 +49,7 @@
 	}
 	return Choice{
 		Server:  s.Server,
+		Cold:    s.bounded && s.cold.Is(now),
 		Wait:    millis(ms),
 		Own:     millis(base + need.time(rate)),
 		ahead:   ahead,
@@ -59,17 +60,17 @@
 }
 
 // slowness is how much slower than its service the server counts.
-func (s *server) slowness(usual float64) float64 {
+func (s *server) slowness(usual float64, now time.Time) float64 {
 	x := max(s.slow/usual, 1)
-	if s.Warmup > 0 {
+	if s.cold.Is(now) {
 		x = max(x, warmupX)
 	}
 	return x
 }
 
 // expectPlain does so for a plain service: its slots work side by side.
-func (p *Picker) expectPlain(s *server) Choice {
-	work := p.rate(s.Service).workMs * s.slowness(p.rate(s.Service).slow)
+func (p *Picker) expectPlain(s *server, now time.Time) Choice {
+	work := p.rate(s.Service).workMs * s.slowness(p.rate(s.Service).slow, now)
 	load := float64(s.own.Running + s.peers.Running)
 	slots := float64(max(s.Slots, 1))
 	// A server with free slots answers at once; that with most of them free is
@@ -77,6 +78,7 @@
 	ms := work * max(0, load-slots+1) / slots
 	return Choice{
 		Server: s.Server,
+		Cold:   s.bounded && s.cold.Is(now),
 		Wait:   millis(ms),
 		Own:    millis(work),
 		work:   work * (1 + load/slots/4),
@@ -140,7 +142,8 @@
 
 // need works out what the server would have to do for the prompt, whose keys are
 // those that p holds.
-func (p *Picker) need(s *server, prompt []routing.Part, home, second *server, rate float64, now time.Time) need {
+func (p *Picker) need(s *server, req Request, home, second *server, rate float64, now time.Time) need {
+	prompt := req.Prompt
 	life := p.rate(s.Service).life
 	kept, all := s.cache.kept(prompt, p.keys, life, now)
 	if len(prompt) < 2 {
@@ -153,7 +156,7 @@
 	}
 	lack := float64(shared - kept)
 	n := need{first: float64(own)}
-	from := p.holder(p.keys[len(prompt)-2], s, life, now)
+	from := p.holder(p.keys[len(prompt)-2], s, req.Homes, life, now)
 	if from == nil && s != home {
 		from = home
 	}
@@ -176,15 +179,16 @@
 }
 
 // homes returns the two servers that keep a shared prompt: rendezvous hashing,
-// so that all routers agree without talking. Suspected servers are passed over.
-func (p *Picker) homes(prompt []routing.Part, list []*server, now time.Time) (home, second *server) {
+// so that all routers agree without talking. Suspected and cold servers are passed over.
+func (p *Picker) homes(req Request, list []*server, now time.Time) (home, second *server) {
+	prompt := req.Prompt
 	if len(prompt) < 2 {
 		return nil, nil
 	}
 	key := xxhash.Sum64String(prompt[len(prompt)-2].ID)
 	var top, next uint64
 	for _, s := range list {
-		if p.rankOf(s, now) != rankGood {
+		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.bounded && s.cold.Is(now) {
 			continue
 		}
 		score := mix(key, s.hash)
--- a/internal/core/pick/identity_test.go
+++ b/internal/core/pick/identity_test.go
@@ -25,7 +25,7 @@
 			list[i].Born = born
 		}
 	}
-	p.SetServers(list)
+	p.SetServers(list, start)
 	return p.servers[id].Server
 }
 
@@ -56,7 +56,7 @@
 	assert.Assert(t, p.Takes(entry.Identity()))
 	assert.Assert(t, !p.Takes(old.Identity()), "what was placed at the life before is placed anew")
 	assert.Assert(t, !p.Known(old.Identity()), "connections to the life before are closed")
-	assert.Assert(t, p.holder(partKey("s1"), s, mostLife, at(20)) == nil, "nobody fetches what it kept")
+	assert.Assert(t, p.holder(partKey("s1"), s, nil, mostLife, at(20)) == nil, "nobody fetches what it kept")
 
 	// Reports and ends of the life before that come now change nothing.
 	p.PeerLoad("other", map[routing.ServerKey]Load{old.key: {Waiting: 30000, Suspects: 5}}, at(30))
@@ -92,7 +92,7 @@
 	p := picker(9)
 	s := p.servers["i-003"]
 	s.cache[partKey("x")] = at(0)
-	p.SetServers(listOf(p))
+	p.SetServers(listOf(p), start)
 	assert.Equal(t, p.servers["i-003"], s)
 	assert.Equal(t, routing.Identity{ID: "i-003"}.Key(), s.key)
 	assert.Assert(t, routing.Identity{ID: "i-003", Born: int64(time.Millisecond)}.Key() != s.key)
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -77,6 +77,7 @@
 	s.own.Waiting += j.missing
 	s.own.Memory += j.memory
 	s.own.Running++
+	p.usePermit(s, now)
 	p.busy[s.key] = s
 	if s.health.strikes > 0 {
 		s.health.trying = true
--- a/internal/core/pick/loads.go
+++ b/internal/core/pick/loads.go
@@ -65,6 +65,7 @@
 		}
 	}
 	p.judgeReports()
+	p.noteUnreached(now)
 }
 
 // Loads returns this router's load at each server where it has any, and those that it
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/slowstart"
 )
 
 const (
@@ -76,6 +77,8 @@
 	Out     int // tokens that are made at most
 	// Tried lists servers that this request was sent to already.
 	Tried []string
+	// Homes are the regions in which it may be served; nil: all.
+	Homes routing.Homes
 }
 
 // Choice is a server with what led to it.
@@ -86,6 +89,7 @@
 	Missing int           // tokens of the prompt that the server is thought to have to read
 	FetchAt string        // the server that it fetches shared parts from; empty: none
 	Full    bool          // every server is at its bound
+	Cold    bool          // the server is cold, and the request is sent on a permit
 	// work is the request's own work with its price, in milliseconds.
 	work float64
 	// ahead is how many tokens are to be read before its first token; negative: the
@@ -112,7 +116,14 @@
 	health     health
 	shunned    bool // passed over for what other routers report
 	connLimit  int
-	takes      bool // listed as one that takes new requests
+	takes      bool // listed as one that takes new requests, in no evacuated data centre
+	region     string
+	cold       slowstart.Cold
+	sent       time.Time // when this router sent a request there last
+	permits    int       // requests in a window that the fleet may send while it is cold
+	bounded    bool      // its service has such a bound
+	slots      int       // those of this router, as of a change of the fleet
+	slotsAt    int
 }
 
 // Picker is the state of the choice at one router.
@@ -133,6 +144,18 @@
 	firsts       map[string]FirstTokens // first tokens that the other routers are to know of, by service
 	forgot       time.Time              // when old parts were dropped last
 	keys         []uint32               // of the prompt that is being placed
+	evacuated    map[string]bool        // data centres
+	regions      map[string]string      // by data centre
+	fleet        *slowstart.Fleet
+	bound        slowstart.Bound
+	warmups      []Warmup // what changed since it was taken last
+}
+
+// Warmup is a change of belief about a server's being cold.
+type Warmup struct {
+	Server routing.Server
+	By     slowstart.Source
+	For    time.Duration
 }
 
 // speed is what was learnt of a service's speed.
@@ -165,6 +188,8 @@
 		holders:    map[uint32]holders{},
 		pending:    Sent{},
 		firsts:     map[string]FirstTokens{},
+		evacuated:  map[string]bool{},
+		fleet:      slowstart.NewFleet(""),
 	}
 }
 
@@ -182,11 +207,14 @@
 // describe takes over what the configuration says of the server's service.
 func (p *Picker) describe(s *server) {
 	s.engine = nil
+	s.bounded = false
 	spec := p.specs[s.Service]
 	if spec == nil {
 		return
 	}
 	s.connLimit = spec.MaxConnections
+	s.permits, s.bounded = p.bound.Permits(spec.SlowStart)
+	s.slotsAt = -1
 	if spec.Engine == nil {
 		return
 	}
@@ -201,7 +229,7 @@
 // servers that stay is kept. One that has started again under its ID is another server: its
 // memory is empty, nothing runs there, and what was believed of it, held against it or reported of it was of the
 // life before. Only its homes stay, which go by the ID: they are where other routers look too.
-func (p *Picker) SetServers(list []routing.Server) {
+func (p *Picker) SetServers(list []routing.Server, now time.Time) {
 	named := make(map[string]bool, len(list))
 	clear(p.services)
 	for _, entry := range list {
@@ -217,9 +245,12 @@
 			p.servers[entry.ID] = s
 			p.keyed[s.key] = s
 		}
+		before := s.Server
 		s.Server = entry
-		s.takes = entry.Takes()
+		s.takes = entry.Takes() && !p.evacuated[entry.DataCentre]
+		s.region = p.regions[entry.DataCentre]
 		p.describe(s)
+		p.readWarmup(s, before, now)
 		if s.takes {
 			p.services[entry.Service] = append(p.services[entry.Service], s)
 		}
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -33,7 +33,7 @@
 	for i := range 2 {
 		list = append(list, routing.Server{ID: fmt.Sprintf("p-%d", i), Service: "app", DataCentre: fmt.Sprintf("dc%d", i), Slots: 6, State: routing.ServerReady})
 	}
-	p.SetServers(list)
+	p.SetServers(list, start)
 	return p
 }
 
@@ -101,7 +101,7 @@
 
 func TestLeavingServerIsNotChosen(t *testing.T) {
 	p := picker(0)
-	p.SetServers([]routing.Server{{ID: "p-0", Service: "app", State: routing.ServerDraining}})
+	p.SetServers([]routing.Server{{ID: "p-0", Service: "app", State: routing.ServerDraining}}, start)
 	_, ok := p.Choose(Request{Service: "app"}, at(0))
 	assert.Assert(t, !ok)
 }
@@ -209,7 +209,7 @@
 	p.First(a, at(10))
 	p.End(a, Worked, at(20))
 	assert.DeepEqual(t, p.Loads(at(0)), map[routing.ServerKey]Load{routing.Identity{ID: c.Server.ID}.Key(): {Waiting: b.missing, Memory: b.memory, Running: 1}})
-	p.SetServers(nil) // the one that is left goes on
+	p.SetServers(nil, start) // the one that is left goes on
 	assert.Equal(t, len(p.Loads(at(0))), 1)
 	p.End(b, Worked, at(30))
 	p.End(b, Worked, at(40))
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -40,6 +41,7 @@
 	Priority    int           // 0 is the highest
 	MaxAttempts int           // servers that one attempt of a caller may be sent to
 	Shares      []Share
+	Homes       Homes
 }
 
 // Repeatable reports whether a request that may have run may be sent again.
@@ -80,6 +82,36 @@
 	Name           string
 	MaxConnections int     // for each server, from all routers
 	Engine         *Engine // nil: a plain service
+	SlowStart      SlowStart
+}
+
+// SlowStart is what the operator declares of a service's servers after their start.
+type SlowStart struct {
+	For       time.Duration // how long they are cold; 0: they are not
+	PerSecond float64       // requests that a cold one bears; 0: not bounded
+}
+
+// Homes are the regions in which requests may be served; nil: all.
+type Homes []string
+
+// Allow reports whether the region is one of them.
+func (h Homes) Allow(region string) bool { return h == nil || slices.Contains(h, region) }
+
+// And returns the regions that both allow.
+func (h Homes) And(o Homes) Homes {
+	if h == nil {
+		return o
+	}
+	if o == nil {
+		return h
+	}
+	both := Homes{}
+	for _, region := range h {
+		if o.Allow(region) {
+			both = append(both, region)
+		}
+	}
+	return both
 }
 
 // Limits bound what a caller may send.
@@ -96,6 +128,7 @@
 	Name     string
 	Keys     []string
 	Priority int // 0 is the highest; negative: none, the route's counts
+	Homes    Homes
 }
 
 // Config is one version of the whole configuration.
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -213,6 +213,17 @@
 // silent for a short time included.
 func (s *Spread) Count() int { return len(s.known) + 1 }
 
+// Fleet returns the addresses of the other routers that were ever heard of and are not
+// forgotten, and whether most of them are live.
+func (s *Spread) Fleet() (others []string, most bool) {
+	for addr, e := range s.known {
+		if e.DataCentre != "" {
+			others = append(others, addr)
+		}
+	}
+	return others, 2*(len(s.Live())+1) > len(others)+1
+}
+
 // Pace is in how many ticks routers tell each other, a power of two: 1 in a
 // fleet of today's sizes, 8 at 410 routers.
 func (s *Spread) Pace() int {
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -125,10 +125,11 @@
 // takeConfig puts a newer configuration in force. While the store, back from a copy, holds
 // an older one than that in force, its answers say nothing of whether that is the newest.
 func (f *Follower) takeConfig(c platform.Change, whole bool, age time.Duration) bool {
+	f.takeEvacuations(c, whole) // before the first configuration makes this router ready
 	switch {
 	case c.Config != nil:
 		f.held = c.Config.Version
-	case whole && len(c.Bad) == 0:
+	case whole && !c.ConfigBad:
 		f.held = 0
 	case whole:
 		f.held = f.State.Version() // the row is there; which version it should have is not known
@@ -143,6 +144,12 @@
 	return true
 }
 
+// takeEvacuations takes which data centres are evacuated, or what has changed of it.
+func (f *Follower) takeEvacuations(c platform.Change, whole bool) {
+	change := f.State.EvacuationsChanged(c.Evacuated, c.TakenBack, whole, c.At)
+	change.Log(f.Log, "store", c.At)
+}
+
 // takeServers takes the list or what has changed of it.
 func (f *Follower) takeServers(c platform.Change, whole bool, _ time.Duration) bool {
 	if whole {
@@ -268,14 +275,8 @@
 			return !slices.ContainsFunc(c.Bad, func(row platform.BadRow) bool { return row.Key == key })
 		})
 	}
-	if c.Config != nil {
-		clear(bad) // its table has no other row that is read
-	}
-	for _, s := range c.Servers {
-		delete(bad, s.ID)
-	}
-	for _, id := range c.Gone {
-		delete(bad, id)
+	for _, key := range c.Good {
+		delete(bad, key)
 	}
 	for _, row := range c.Bad {
 		if bad[row.Key] {
--- a/internal/edge/front/admit.go
+++ b/internal/edge/front/admit.go
@@ -44,8 +44,10 @@
 	if customer == nil && !q.route.Public {
 		return unknown(http.StatusUnauthorized, "no customer has this key", age)
 	}
+	q.homes = q.route.Homes
 	if customer != nil {
 		q.customer = customer.Name
+		q.homes = q.homes.And(customer.Homes)
 	}
 	q.limits = table.Config.Limits
 	if limits := q.limits; limits.MaxHeaderBytes > 0 && headerBytes(q.r) > limits.MaxHeaderBytes {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -124,6 +124,7 @@
 	ask      routing.Ask
 	route    *routing.Route
 	customer string
+	homes    routing.Homes // of the route and the customer
 	service  string
 	version  int64 // of the configuration that decided
 	limits   routing.Limits
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -95,6 +95,7 @@
 		Service:  q.service,
 		Route:    q.route,
 		Customer: q.customer,
+		Homes:    q.homes,
 		Ask:      &q.ask,
 		Tried:    q.tried,
 		Again:    len(q.tried) > 0,
@@ -196,7 +197,7 @@
 		Header:   q.header,
 		Body:     q.body,
 		Own:      q.own,
-		Takes:    func() bool { return q.h.State.Takes(p.Choice.Server.Identity()) && !q.leftMeanwhile() },
+		Takes:    func() bool { return q.h.State.MaySend(&p) && !q.leftMeanwhile() },
 	}
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/time/rate"
 
+	"github.com/windscale/windscale/internal/core/slowstart"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/clock"
 	"github.com/windscale/windscale/internal/edge/follow"
@@ -87,6 +88,9 @@
 	n.probe = pressure.New(s.Cores, time.Now)
 	n.clock = clock.New()
 	n.state = state.New(s.DataCentre, s.RetryRatio, s.RetrySlack, n.clock.Now)
+	n.state.SetSelf(s.Control)
+	n.state.SetSlowStart(slowstart.Bound{Over: s.ColdOver, Slack: s.ColdSlack})
+	n.state.SetRegions(s.Regions)
 	n.store = platform.NewStore(s.Store)
 	n.pool = upstream.NewPool(n.clock.Now)
 	n.handler = front.New(front.Config{
@@ -215,6 +219,8 @@
 	})
 	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
 	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
+	n.meter.Gauge("data_centres_evacuated", "Data centres to whose servers nothing is sent.", func() float64 { return float64(n.state.EvacuatedCount()) })
+	n.meter.Gauge("servers_cold", "Backend servers that count as cold.", func() float64 { return float64(n.state.ColdCount()) })
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
@@ -295,6 +301,7 @@
 			return ctx.Err()
 		case now := <-t.C:
 			n.state.Tick()
+			n.logWarmups(ctx)
 			if now.Sub(retired) > retireEvery {
 				retired = now
 				n.pool.Retire(n.state.Known)
@@ -308,6 +315,14 @@
 	}
 }
 
+// logWarmups tells which servers have become cold.
+func (n *Node) logWarmups(ctx context.Context) {
+	for _, w := range n.state.TakeWarmups() {
+		events.ServerCold.Log(ctx, n.log, slog.LevelInfo, "server", w.Server.ID, "service", w.Server.Service,
+			"dataCentre", w.Server.DataCentre, "by", w.By.String(), "forMs", w.For.Milliseconds())
+	}
+}
+
 // register writes this router's address into the store, if others are to find it there,
 // and reads those of the others while it hears none.
 func (n *Node) register(ctx context.Context) error {
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/windscale/windscale/internal/core/evacuation"
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/roster"
@@ -47,6 +48,12 @@
 	Firsts     map[string][5]float32          `cbor:"15,keyasint,omitempty"` // service: sums over first tokens
 	Ends       []contentEnds                  `cbor:"16,keyasint,omitempty"` // contents under which servers ended
 	Era        uint64                         `cbor:"17,keyasint,omitempty"` // the store's era of its list of servers
+	// Evac and EvacEra are the store's version and era of the sender's evacuations.
+	Evac      uint64           `cbor:"18,keyasint,omitempty"`
+	EvacEra   uint64           `cbor:"19,keyasint,omitempty"`
+	Evacuated []string         `cbor:"20,keyasint,omitempty"` // data centres
+	EvacKept  map[string]int64 `cbor:"21,keyasint,omitempty"` // others that count as such for so long, ms
+	EvacEnded map[string]int64 `cbor:"22,keyasint,omitempty"` // how long ago each was taken back, ms
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -83,6 +90,38 @@
 	return roster.Stamp{Era: w.Era, Version: w.List, Edits: w.Edits}
 }
 
+// evacuations are the sender's, as they were when the heartbeat came.
+func (w heartbeat) evacuations(waited time.Duration) (evacuation.Told, roster.Stamp) {
+	t := evacuation.Told{Rows: w.Evacuated, Kept: map[string]time.Duration{}, Ended: map[string]time.Duration{}}
+	for dc, ms := range w.EvacKept {
+		t.Kept[dc] = time.Duration(ms) * time.Millisecond
+	}
+	for dc, ms := range w.EvacEnded {
+		t.Ended[dc] = time.Duration(ms)*time.Millisecond + waited
+	}
+	return t, roster.Stamp{Era: w.EvacEra, Version: w.Evac}
+}
+
+// setEvacuations has the heartbeat tell this router's evacuations.
+func (w *heartbeat) setEvacuations(t evacuation.Told, as roster.Stamp) {
+	w.Evac = as.Version
+	w.EvacEra = as.Era
+	w.Evacuated = t.Rows
+	w.EvacKept = inMillis(t.Kept)
+	w.EvacEnded = inMillis(t.Ended)
+}
+
+func inMillis(m map[string]time.Duration) map[string]int64 {
+	if len(m) == 0 {
+		return nil
+	}
+	ms := make(map[string]int64, len(m))
+	for key, d := range m {
+		ms[key] = d.Milliseconds()
+	}
+	return ms
+}
+
 // report returns what a heartbeat tells that has waited here for so long.
 func (w heartbeat) report(waited time.Duration) state.Report {
 	r := state.NewReport()
@@ -130,6 +169,7 @@
 		Sent:       r.Sent,
 		Ends:       wireEnds(r.Ends),
 	}
+	w.setEvacuations(p.State.EvacuationsTold())
 	w.setLoads(r.Loads)
 	w.setRates(r.Rates)
 	if len(r.Firsts) > 0 {
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -58,7 +58,10 @@
 	// sameReport is how much younger an age has to be than the one known to be that
 	// of a newer answer of the store: more than a datagram's delay and the
 	// millisecond that ages are rounded to, less than the pause between two reports.
-	sameReport  = 50 * time.Millisecond
+	sameReport = 50 * time.Millisecond
+	// joinFor is how long after its start a router has heard of all others: they tell each
+	// knownEvery reports which ones they hear, by way of two reporters.
+	joinFor     = 2 * time.Second
 	maxDatagram = 60 << 10
 	maxView     = 8 << 20
 
@@ -97,8 +100,9 @@
 	views   map[string]*peer
 	reports map[string]heardReport // by sender: loads of this data centre's routers, sums of others
 	ticks   int
-	sums    int     // sums of this data centre that were told
-	pending pending // what a reporter has yet to tell on
+	began   time.Time // when this router told of itself first
+	sums    int       // sums of this data centre that were told
+	pending pending   // what a reporter has yet to tell on
 
 	// sought is closed when the first view has been sought from the seeds.
 	sought chan struct{}
--- a/internal/edge/peers/publish.go
+++ b/internal/edge/peers/publish.go
@@ -28,8 +28,11 @@
 	to := p.spread.Targets(now, p.sums)
 	var known vouched
 	repeat := p.ticks%knownEvery == 0
+	var fleet []string
+	trusted := false
 	if repeat {
 		known = p.known(now)
+		fleet, trusted = p.fleet(now)
 	}
 	sum := p.sum(now)
 	count := p.spread.Count()
@@ -47,6 +50,9 @@
 		events.PeerLost.Log(context.Background(), p.Log, slog.LevelWarn, "peer", addr)
 	}
 	p.State.SetRouters(count)
+	if repeat {
+		p.State.SetFleet(fleet, trusted)
+	}
 	own := p.State.Report()
 	if !rates {
 		own.Rates = nil
@@ -72,6 +78,16 @@
 	p.send(to.Total, p.heartbeat(kindTotal, sum.others, known.all))
 }
 
+// fleet returns the other routers, and whether they are known well enough to share permits
+// out among all. The lock is held.
+func (p *Peers) fleet(now time.Time) (others []string, trusted bool) {
+	others, most := p.spread.Fleet()
+	if p.began.IsZero() {
+		p.began = now
+	}
+	return others, most && now.Sub(p.began) >= joinFor
+}
+
 // sums are what a reporter has heard.
 type sums struct {
 	centre state.Report // of the other routers of this data centre
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -43,6 +43,8 @@
 		return
 	}
 	p.takeEra(w.Control, w.Era)
+	evacuated, as := w.evacuations(p.Wait())
+	p.State.EvacuationsToldBy(evacuated, as).Log(p.Log, w.Control, as)
 	version := p.State.Version()
 	p.mu.Lock()
 	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre, Cores: w.Cores}, 0, now)
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/seek.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/windscale/windscale/internal/core/evacuation"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/events"
@@ -35,7 +36,10 @@
 	AgeMs   int64         // of the store's last answer on which it rests
 	Routers []knownRouter // live ones, the sender among them
 	Ends    []contentEnds // blocked contents, and those that may be soon
-	AllEnds bool          // the sender knows what the store had of them when it started
+	// Evacuations are the sender's, as of the stamp.
+	Evacuations   evacuation.Told
+	EvacuationsAs roster.Stamp
+	AllEnds       bool // the sender knows what the store had of them when it started
 }
 
 // NoViewError says that a peer has no view that is young enough to be given.
@@ -52,6 +56,7 @@
 	}
 	v := firstView{Raw: p.State.Raw(), AgeMs: age.Milliseconds()}
 	v.Told, v.Stamp = p.State.ServersTold()
+	v.Evacuations, v.EvacuationsAs = p.State.EvacuationsTold()
 	v.Ends = wireEnds(p.State.RepeatEnds())
 	v.AllEnds = p.State.KnowsEnds()
 	p.mu.Lock()
@@ -143,6 +148,7 @@
 	p.mu.Unlock()
 	p.takeEra("first view", v.Stamp.Era)
 	p.State.TakeConfig(c, v.Raw)
+	p.State.EvacuationsToldBy(v.Evacuations, v.EvacuationsAs).Log(p.Log, "first view", v.EvacuationsAs)
 	p.State.ServersToldBy(v.Told, v.Stamp)
 	p.State.Confirm(time.Duration(v.AgeMs)*time.Millisecond + took)
 	p.takeEnds("first view", readEnds(v.Ends, took))
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -29,10 +29,15 @@
 	// FirstStart says that the whole fleet starts for the first time.
 	FirstStart bool
 
-	Cores        float64 // processor time of the host, in cores
-	MemoryMB     int     // the process is killed above it
-	RetryRatio   float64 // of the fleet: retries for each request
-	RetrySlack   float64 // of the fleet: retries beside, in a window
+	Cores      float64 // processor time of the host, in cores
+	MemoryMB   int     // the process is killed above it
+	RetryRatio float64 // of the fleet: retries for each request
+	RetrySlack float64 // of the fleet: retries beside, in a window
+	// ColdOver and ColdSlack say how much more than it bears a cold server may get: times, and
+	// requests a second beside.
+	ColdOver     float64
+	ColdSlack    float64
+	Regions      map[string]string // of data centres
 	Grace        time.Duration
 	LogLevel     slog.Level
 	LogOneInThis int // routine lines are kept of one request in so many
@@ -88,6 +93,9 @@
 		MemoryMB:     int(r.number("limits", "memory_mb", 16, 1<<20, 0)),
 		RetryRatio:   r.number("retries", "ratio", 0, 1, 0),
 		RetrySlack:   r.number("retries", "slack", 0, 1e6, 0),
+		ColdOver:     r.optional("slow_start", "over", 0, 1e3, defaultColdOver),
+		ColdSlack:    r.optional("slow_start", "slack", 0, 1e6, 0),
+		Regions:      r.table("regions"),
 		Grace:        r.seconds("bounds", "grace_s"),
 		LogLevel:     r.level("log", "level"),
 		LogOneInThis: int(r.number("log", "one_in", 1, 1e6, defaultOneIn)),
@@ -98,6 +106,9 @@
 	return s, nil
 }
 
+// defaultColdOver is what a server bears, no more.
+const defaultColdOver = 1
+
 // defaultCores is a whole core: a file that says nothing of it is one for trials.
 const defaultCores = 1
 
@@ -159,6 +170,28 @@
 	return v
 }
 
+// optional reads a number in [least, most]; empty: the default.
+func (r *reader) optional(section, key string, least, most, otherwise float64) float64 {
+	if r.raw(section, key) == "" {
+		return otherwise
+	}
+	return r.number(section, key, least, most, otherwise)
+}
+
+// table reads all keys of a section; nil: there are none.
+func (r *reader) table(section string) map[string]string {
+	var all map[string]string
+	for _, key := range r.file.Section(section).Keys() {
+		if all == nil {
+			all = map[string]string{}
+		}
+		if all[key.Name()] = strings.TrimSpace(key.String()); all[key.Name()] == "" {
+			r.fault(section, key.Name(), "missing")
+		}
+	}
+	return all
+}
+
 // maxBound is the longest time that a bound may be.
 const maxBound = 3600
 
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -53,6 +53,7 @@
 	Route    *routing.Route
 	Customer string
 	Ask      *routing.Ask
+	Homes    routing.Homes // of route and customer
 	Tried    []string
 	Again    bool // it was placed before; admission is not asked again
 	Repeat   bool // it has reached a server: once more takes from the retry budget
@@ -63,15 +64,33 @@
 
 // The reasons.
 const (
-	WhyNone    Why = iota
-	WhyNoOne       // no server of the service is listed, or all were tried
-	WhyOver        // the customer has more than its share and servers are busy
-	WhyBusy        // the wait is too long everywhere
-	WhySpent       // the retry budget is used up
-	WhyUnknown     // the service is not in the configuration
+	WhyNone      Why = iota
+	WhyNoOne         // no server of the service is listed, or all were tried
+	WhyOver          // the customer has more than its share and servers are busy
+	WhyBusy          // the wait is too long everywhere
+	WhySpent         // the retry budget is used up
+	WhyUnknown       // the service is not in the configuration
+	WhyEvacuated     // all its servers stand in evacuated data centres
+	WhyCold          // its servers are warming up and get what they bear
+	WhyHome          // none of its servers stands in a region in which the request may be served
 )
 
-var whyNames = [...]string{"none", "no server", "over share", "busy", "budget spent", "unknown service"}
+var whyNames = [...]string{
+	"none", "no server", "over share", "busy", "budget spent", "unknown service", "data centres evacuated", "servers warm up", "no server in its regions",
+}
+
+// lacks are the reasons by those of the picker.
+var lacks = map[pick.Lack]Why{
+	pick.LackServers: WhyNoOne, pick.LackEvacuated: WhyEvacuated, pick.LackCold: WhyCold, pick.LackHome: WhyHome,
+}
+
+const (
+	// evacuatedBack is when a caller is told to come back while all is evacuated: an operator
+	// takes that back in seconds at the soonest.
+	evacuatedBack = time.Second
+	// coldBack bounds the same while servers warm up: permits come free all the time.
+	coldBack = retryMost
+)
 
 // String returns the reason's name.
 func (w Why) String() string { return whyNames[w] }
@@ -81,7 +100,8 @@
 	Job     *pick.Job
 	Choice  pick.Choice
 	counted *counted
-	Conns   int // connections that this router may open to the server
+	Conns   int       // connections that this router may open to the server
+	at      time.Time // when it was placed
 	Why     Why
 	Back    time.Duration // when a refused caller may come back
 	Rates   fair.Rates    // of the customer, at all routers; refusals only
@@ -200,10 +220,10 @@
 	if !n.Again {
 		s.ask(n, now)
 	}
-	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried}
+	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes}
 	c, ok := s.picker.Choose(req, now)
 	if !ok {
-		return Placed{Why: WhyNoOne, Back: retryMost}
+		return s.lacking(req, now)
 	}
 	if why := s.admit(n, c, now); why != WhyNone {
 		s.accountRefusal(n, why)
@@ -217,10 +237,24 @@
 		Job:     s.picker.Begin(req, c, now),
 		counted: s.serve(n.Customer, tokens, c, now),
 		Choice:  c,
+		at:      now,
 		Conns:   max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
 	}
 }
 
+// lacking is the answer to a request that no server may be asked for.
+func (s *State) lacking(req pick.Request, now time.Time) Placed {
+	lack, back := s.picker.Lacks(req, now)
+	p := Placed{Why: lacks[lack], Back: retryMost}
+	switch p.Why {
+	case WhyEvacuated:
+		p.Back = evacuatedBack
+	case WhyCold:
+		p.Back = min(max(back, retryLeast), coldBack)
+	}
+	return p
+}
+
 // accountRefusal notes what was refused, and why.
 func (s *State) accountRefusal(n Need, why Why) {
 	account := s.accounts.Of(n.Customer)
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -19,7 +19,7 @@
 	s.roster.SetStamp(stamp)
 	s.roster.Replace(list, sure, s.now())
 	s.listed = true
-	s.picker.SetServers(s.roster.List())
+	s.setServers(s.now())
 	return true
 }
 
@@ -33,7 +33,7 @@
 	s.roster.SetStamp(stamp)
 	s.roster.ReplaceTold(list, s.now())
 	s.listed = true
-	s.picker.SetServers(s.roster.List())
+	s.setServers(s.now())
 	return true
 }
 
@@ -46,7 +46,7 @@
 	}
 	s.roster.SetStamp(as)
 	s.roster.Apply(changed, gone, s.now())
-	s.picker.SetServers(s.roster.List())
+	s.setServers(s.now())
 }
 
 // ServerUnusable notes that, as of a version of the store, the entry of the ID names no
@@ -55,7 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.roster.Forget(id, as, s.now()) {
-		s.picker.SetServers(s.roster.List())
+		s.setServers(s.now())
 	}
 }
 
@@ -151,7 +151,7 @@
 	if !s.roster.Settle(followed, s.now()) {
 		return false
 	}
-	s.picker.SetServers(s.roster.List())
+	s.setServers(s.now())
 	return true
 }
 
@@ -162,10 +162,50 @@
 	return s.picker.Known(id)
 }
 
-// Takes reports whether the server is still listed as one that takes new
-// requests: time passes between the choice and the sending.
+// Takes reports whether the server is still listed as one that takes new requests.
 func (s *State) Takes(id routing.Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.picker.Takes(id)
 }
+
+// MaySend reports whether a placed request may still be sent to its server: time passes
+// between the choice and the sending, and the server may leave, be evacuated or become cold.
+func (s *State) MaySend(p *Placed) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.May(p.Choice.Server.Identity(), p.Choice.Cold, p.at, s.now())
+}
+
+// setServers has the picker take the list in force.
+func (s *State) setServers(now time.Time) {
+	s.picker.SetEvacuated(s.evacuated.All())
+	s.picker.SetServers(s.roster.List(), now)
+	for dc, at := range s.evacuated.Ended() {
+		s.picker.TakenBack(dc, at, now)
+	}
+	s.setCapacity()
+}
+
+// setCapacity says what the engines make that may be asked: of what all make together, the
+// part of those that stand in no evacuated data centre.
+func (s *State) setCapacity() {
+	if s.table == nil {
+		return
+	}
+	all, open := 0, 0
+	for _, server := range s.roster.List() {
+		if !s.table.Engine(server.Service) {
+			continue
+		}
+		all++
+		if !s.evacuated.In(server.DataCentre) {
+			open++
+		}
+	}
+	part := 1.0
+	if all > 0 {
+		part = float64(open) / float64(all)
+	}
+	s.meter.SetCapacity(s.table.Config.Limits.TokensPerSec * part)
+}
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/core/budget"
+	"github.com/windscale/windscale/internal/core/evacuation"
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/slowstart"
 )
 
 const (
@@ -49,6 +51,8 @@
 	slack     float64
 	routers   int
 	poison    *poison.Table
+	evacuated *evacuation.List
+	fleet     *slowstart.Fleet
 	endsRead  bool // the store's list of blocked contents was read once
 	askStore  bool // a server has ended under a request of this router since
 }
@@ -61,7 +65,7 @@
 // NewSeeded returns one whose random choices follow from the seed.
 func NewSeeded(dataCentre string, ratio, slack float64, now func() time.Time, seed uint64) *State {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	return &State{
+	s := &State{
 		now:      now,
 		rng:      rng,
 		picker:   pick.New(dataCentre, rng),
@@ -73,7 +77,11 @@
 		slack:    slack,
 		routers:  expectedRouters,
 		poison:   poison.New(),
+
+		evacuated: evacuation.New(),
 	}
+	s.SetSelf("")
+	return s
 }
 
 // Table returns the configuration in force, nil before the first is known, and
@@ -139,7 +147,7 @@
 	s.table = table
 	s.raw = raw
 	s.picker.SetServices(c.Services)
-	s.meter.SetCapacity(c.Limits.TokensPerSec)
+	s.setCapacity()
 	return true
 }
 
@@ -157,8 +165,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.roster.Tick(now) {
-		s.picker.SetServers(s.roster.List())
+	changed := s.evacuated.Tick(now)
+	if s.roster.Tick(now) || changed {
+		s.setServers(now)
 	}
 	s.undoOverdue(now)
 	s.picker.Tick(now)
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -27,20 +27,25 @@
 	ServerSuspected = Event{420, "backend server suspected"}
 	ServerCleared   = Event{421, "backend server cleared"}
 	ServersChanged  = Event{422, "list of backend servers changed"}
-	PeerFound       = Event{530, "router found"}
-	PeerLost        = Event{531, "router silent"}
-	PeerMalformed   = Event{532, "router's message malformed"}
-	PeerPullFailed  = Event{533, "router gave no view"}
-	ViewFound       = Event{534, "first view from another router"}
-	StoreLost       = Event{720, "platform's store lost"}
-	StoreRegained   = Event{721, "platform's store back"}
-	StoreRowBad     = Event{722, "row of the platform's store can't be read"}
-	StoreHistory    = Event{723, "history of the platform's store dropped, read anew"}
-	StoreRegister   = Event{724, "router not registered in the platform's store"}
-	StoreReturned   = Event{726, "platform's store came back from an older copy"}
-	StoreEnds       = Event{725, "blocked requests not kept in the platform's store"}
-	ReadyChanged    = Event{107, "readiness changed"}
-	LogDropped      = Event{108, "log lines dropped"}
-	HostSuspended   = Event{109, "host was suspended"}
-	ClockUnread     = Event{115, "clock that counts suspensions can't be read"}
+	ServerCold      = Event{423, "backend server is cold"}
+
+	EvacuationSet       = Event{424, "data centre evacuated, nothing is sent to its servers"}
+	EvacuationTakenBack = Event{425, "evacuation of a data centre taken back"}
+
+	PeerFound      = Event{530, "router found"}
+	PeerLost       = Event{531, "router silent"}
+	PeerMalformed  = Event{532, "router's message malformed"}
+	PeerPullFailed = Event{533, "router gave no view"}
+	ViewFound      = Event{534, "first view from another router"}
+	StoreLost      = Event{720, "platform's store lost"}
+	StoreRegained  = Event{721, "platform's store back"}
+	StoreRowBad    = Event{722, "row of the platform's store can't be read"}
+	StoreHistory   = Event{723, "history of the platform's store dropped, read anew"}
+	StoreRegister  = Event{724, "router not registered in the platform's store"}
+	StoreReturned  = Event{726, "platform's store came back from an older copy"}
+	StoreEnds      = Event{725, "blocked requests not kept in the platform's store"}
+	ReadyChanged   = Event{107, "readiness changed"}
+	LogDropped     = Event{108, "log lines dropped"}
+	HostSuspended  = Event{109, "host was suspended"}
+	ClockUnread    = Event{115, "clock that counts suspensions can't be read"}
 )
