--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -19,6 +19,9 @@
 	keptFor = 5 * time.Second
 	// endedFor is how long it is remembered when an evacuation was taken back.
 	endedFor = time.Minute
+	// endedTold is the age up to which others are believed about that: were it the same, two
+	// routers would remind each other for ever.
+	endedTold = endedFor / 2
 )
 
 // List is one router's. It is not safe for concurrent use.
@@ -155,13 +158,13 @@
 		l.Replace(t.Rows, as, now)
 	}
 	for dc, left := range t.Kept {
-		if !l.In(dc) && left > 0 {
+		if _, over := l.ended[dc]; !over && !l.In(dc) && left > 0 {
 			l.kept[dc] = now.Add(min(left, keptFor))
 			changed = true
 		}
 	}
 	for dc, age := range t.Ended {
-		if _, known := l.ended[dc]; !known && !l.In(dc) && age >= 0 && age < endedFor {
+		if _, known := l.ended[dc]; !known && !l.In(dc) && age >= 0 && age < endedTold {
 			l.ended[dc] = now.Add(-age)
 			changed = true
 		}
