--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// unreachedBy is how many routers have to suspect a server at a time for it to count as
-	// one that may come back cold, and unreachedPart the part of a service's servers above
-	// which that says more of the network than of servers.
-	unreachedBy   = 2
+	// unreachedMost is how many routers have to fail to connect to a server at a time for it to
+	// count as one that may come back cold, and unreachedPart the part of a service's servers
+	// above which that says more of the network than of servers. That it is late says nothing:
+	// a server with a long queue is.
+	unreachedMost = 2
 	unreachedPart = 2.0 / 3
 	// unreachedMore is what is added to the warm-up of such a server: it may be back for so
 	// long before its first request or entry shows it.
@@ -129,17 +130,21 @@
 	return permit && now.Sub(placed) < slowstart.Window/2
 }
 
+// unreachedBy is 1 if this router could not connect to the server a moment ago.
+func (s *server) unreachedBy(now time.Time) int {
+	if now.Before(s.unreached) {
+		return 1
+	}
+	return 0
+}
+
 // noteUnreached marks the servers that routers can't reach: when they answer again they may
 // be cold, and no entry has said so yet.
 func (p *Picker) noteUnreached(now time.Time) {
 	for _, list := range p.services {
 		var unreached []*server
 		for _, s := range list {
-			own := 0
-			if now.Before(s.health.until) {
-				own = 1
-			}
-			if s.bounded && s.peers.Suspects+own >= unreachedBy {
+			if s.bounded && s.peers.Unreached+s.unreachedBy(now) >= unreachedMost {
 				unreached = append(unreached, s)
 			}
 		}
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -13,6 +13,7 @@
 // The outcomes.
 const (
 	Worked    Outcome = iota + 1 // a whole answer
+	Unreached                    // no connection could be opened
 	Failed                       // no answer, a broken one, or a failure of the server
 	Full                         // it said that it has no room
 	Leaving                      // another server has the address, or it is gone
@@ -146,6 +147,12 @@
 		if s.health.worked() {
 			return Cleared
 		}
+	case Unreached:
+		s.unreached = now.Add(firstSuspicion)
+		p.busy[s.key] = s
+		if s.health.failed(now) {
+			return Suspected
+		}
 	case Failed, Leaving:
 		p.busy[s.key] = s
 		if s.health.failed(now) {
--- a/internal/core/pick/loads.go
+++ b/internal/core/pick/loads.go
@@ -8,10 +8,11 @@
 
 // Load is what one router has at one server, or several have together.
 type Load struct {
-	Waiting  int64 // tokens of prompts that are still to be read
-	Memory   int64 // tokens that its running requests take
-	Running  int   // requests
-	Suspects int   // routers that suspect it by what they saw themselves
+	Waiting   int64 // tokens of prompts that are still to be read
+	Memory    int64 // tokens that its running requests take
+	Running   int   // requests
+	Suspects  int   // routers that suspect it by what they saw themselves
+	Unreached int   // routers that could not connect to it a moment ago
 }
 
 // Plus returns the sum of both.
@@ -21,6 +22,8 @@
 		Memory:   l.Memory + o.Memory,
 		Running:  l.Running + o.Running,
 		Suspects: l.Suspects + o.Suspects,
+
+		Unreached: l.Unreached + o.Unreached,
 	}
 }
 
@@ -31,6 +34,8 @@
 		Memory:   max(0, l.Memory-o.Memory),
 		Running:  max(0, l.Running-o.Running),
 		Suspects: max(0, l.Suspects-o.Suspects),
+
+		Unreached: max(0, l.Unreached-o.Unreached),
 	}
 }
 
@@ -77,6 +82,7 @@
 		if now.Before(s.health.until) {
 			l.Suspects = 1
 		}
+		l.Unreached = s.unreachedBy(now)
 		if l.Running == 0 && l.Suspects == 0 {
 			delete(p.busy, key)
 			continue
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -120,6 +120,7 @@
 	region     string
 	cold       slowstart.Cold
 	sent       time.Time // when this router sent a request there last
+	unreached  time.Time // until when it counts as one that this router could not connect to
 	permits    int       // requests in a window that the fleet may send while it is cold
 	bounded    bool      // its service has such a bound
 	slots      int       // those of this router, as of a change of the fleet
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -94,6 +94,8 @@
 		outcome = pick.Full
 	case errors.Is(err, upstream.ErrLeft):
 		outcome = pick.Abandoned
+	case err.Stage == upstream.StageDial && !errors.Is(err, upstream.ErrCancelled) && !q.h.overloaded():
+		outcome = pick.Unreached
 	}
 	x.end(outcome, err.Error())
 	x.ended(err.Sent, err)
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -49,11 +49,12 @@
 	Ends       []contentEnds                  `cbor:"16,keyasint,omitempty"` // contents under which servers ended
 	Era        uint64                         `cbor:"17,keyasint,omitempty"` // the store's era of its list of servers
 	// Evac and EvacEra are the store's version and era of the sender's evacuations.
-	Evac      uint64           `cbor:"18,keyasint,omitempty"`
-	EvacEra   uint64           `cbor:"19,keyasint,omitempty"`
-	Evacuated []string         `cbor:"20,keyasint,omitempty"` // data centres
-	EvacKept  map[string]int64 `cbor:"21,keyasint,omitempty"` // others that count as such for so long, ms
-	EvacEnded map[string]int64 `cbor:"22,keyasint,omitempty"` // how long ago each was taken back, ms
+	Evac      uint64                    `cbor:"18,keyasint,omitempty"`
+	EvacEra   uint64                    `cbor:"19,keyasint,omitempty"`
+	Evacuated []string                  `cbor:"20,keyasint,omitempty"` // data centres
+	EvacKept  map[string]int64          `cbor:"21,keyasint,omitempty"` // others that count as such for so long, ms
+	Unreached map[routing.ServerKey]int `cbor:"23,keyasint,omitempty"` // routers that can't connect to a server
+	EvacEnded map[string]int64          `cbor:"22,keyasint,omitempty"` // how long ago each was taken back, ms
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -133,6 +134,11 @@
 		l.Suspects = n
 		r.Loads[key] = l
 	}
+	for key, n := range w.Unreached {
+		l := r.Loads[key]
+		l.Unreached = n
+		r.Loads[key] = l
+	}
 	for name, v := range w.Rates {
 		r.Rates[name] = fair.Rates{Asked: float64(v[0] * rateUnit), Served: float64(v[1] * rateUnit)}
 	}
@@ -187,14 +193,21 @@
 		if l.Waiting != 0 || l.Memory != 0 || l.Running != 0 {
 			w.Loads[key] = [3]int64{units(l.Waiting, waitingUnit), units(l.Memory, memoryUnit), int64(l.Running)}
 		}
-		if l.Suspects == 0 {
-			continue
-		}
-		if w.Suspects == nil {
-			w.Suspects = map[routing.ServerKey]int{}
-		}
-		w.Suspects[key] = l.Suspects
+		w.Suspects = with(w.Suspects, key, l.Suspects)
+		w.Unreached = with(w.Unreached, key, l.Unreached)
+	}
+}
+
+// with returns the counts with one more, if it is not 0.
+func with(counts map[routing.ServerKey]int, key routing.ServerKey, n int) map[routing.ServerKey]int {
+	if n == 0 {
+		return counts
+	}
+	if counts == nil {
+		counts = map[routing.ServerKey]int{}
 	}
+	counts[key] = n
+	return counts
 }
 
 func (w *heartbeat) setRates(rates map[string]fair.Rates) {
