--- a/soak/check.go
+++ b/soak/check.go
@@ -99,7 +99,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range f.servers {
-		for _, run := range s.Runs() {
+		runs := s.Runs()
+		f.checkCold(s, runs)
+		for _, run := range runs {
+			f.checkEvacuated(s, run)
 			sent := c.sent[run.Attempt]
 			if sent == nil {
 				continue // asks of the checks themselves
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,6 +53,9 @@
 	"config":  (*fleet).change,
 	"grow":    (*fleet).grow,
 	"reload":  (*fleet).reload,
+
+	"evacuate": (*fleet).evacuate,
+	"cold":     (*fleet).turnCold,
 }
 
 // calm reports whether no fault of the list may break an answer off: stops,
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,8 +74,12 @@
 	troubles []span
 	troubled time.Time
 	exits    sync.WaitGroup
-	poisons  sync.Mutex   // one guilty request at a time
-	poisoned atomic.Int64 // servers that ended under a guilty request
+
+	evacuating  sync.Mutex
+	evacuations []evacuation
+	colds       []coldSpell
+	poisons     sync.Mutex   // one guilty request at a time
+	poisoned    atomic.Int64 // servers that ended under a guilty request
 }
 
 // newFleet starts the stand-ins and n routers.
@@ -175,7 +179,7 @@
 	for i := range f.extra {
 		routes = append(routes, route(fmt.Sprintf("/extra/%d/", i), "safe", "app", 2, false))
 	}
-	f.config = platformtest.Config(f.version, routes, []string{"llm"}, []string{"app"}, keys)
+	f.config = platformtest.SlowStart(platformtest.Config(f.version, routes, []string{"llm"}, []string{"app"}, keys), warmup, coldPerS)
 	f.store.PutConfig(f.config)
 	return f.version
 }
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -28,6 +28,8 @@
 	innocentServed promise = "a request that crashes no server is not blocked"
 	foreignUnused  promise = "nothing is sent to an entry that names no server"
 	claimsStay     promise = "what a caller says in the fleet's own headers reaches no server"
+	evacuated      promise = "nothing reaches the servers of an evacuated data centre"
+	notTooMuch     promise = "a cold server gets no more than it bears"
 	serverIsPassed promise = "a request's method, path and body reach the server unchanged"
 )
 
