pick: a data centre with ten engines or more has homes of its own, with a fetch; distance by bytes

Cause: with homes over all, two thirds of prompts with shared parts go to another data centre, and a fetch counted 7 times its time also where the copy stays in use. The test of cold servers plays engines that read and routers that hear loads.

--- a/internal/core/pick/cache_test.go
+++ b/internal/core/pick/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,9 +19,9 @@
 
 // other returns an engine that is neither of the prompt's homes.
 func other(p *Picker, prompt []routing.Part) *server {
-	home, second := p.homes(Request{Prompt: prompt}, p.services["llm"], start)
+	at := p.homes(Request{Prompt: prompt}, p.services["llm"], start)
 	for _, s := range p.services["llm"] {
-		if s != home && s != second {
+		if !slices.Contains(at.each(), s) {
 			return s
 		}
 	}
@@ -38,13 +39,13 @@
 	holder := other(a, first.Prompt)
 	send(a, holder.ID, first, 0)
 	b.Heard(a.TakePending(), at(20))
-	home, _ := b.homes(first, b.services["llm"], start)
+	home := b.homes(first, b.services["llm"], start).first
 	next := Request{Service: "llm", Prompt: prompt(1, 2)}
 	b.keys = keys(nil, next.Prompt)
-	n := b.need(home, next, home, nil, firstTokensPerMs, at(30))
+	n := b.need(home, next, homes{first: home}, firstTokensPerMs, at(30))
 	assert.Equal(t, n.fetchAt, holder.Addr)
 	assert.Equal(t, n.fetched, 6300.0)
-	n = b.need(b.servers[holder.ID], next, home, nil, firstTokensPerMs, at(30))
+	n = b.need(b.servers[holder.ID], next, homes{first: home}, firstTokensPerMs, at(30))
 	assert.Equal(t, n.fetchAt, "", "the holder has them")
 	assert.Equal(t, n.first+n.again, 2900.0)
 }
--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -15,28 +15,23 @@
 	}
 	list := p.services[req.Service]
 	p.keys = keys(p.keys[:0], req.Prompt)
-	home, second := p.homes(req, list, now)
-	if few := p.draw(list, home, second, now); len(few) > 0 {
-		best, ok = p.least(few, req, home, second, now)
+	at := p.homes(req, list, now)
+	if few := p.draw(list, at, now); len(few) > 0 {
+		best, ok = p.least(few, req, at, now)
 		if ok && best.rank == rankGood {
 			return best, true
 		}
 	}
-	return p.least(list, req, home, second, now)
+	return p.least(list, req, at, now)
 }
 
 // draw returns the homes and a few others, none if the list is too short for it
 // or of a plain service.
-func (p *Picker) draw(list []*server, home, second *server, now time.Time) []*server {
+func (p *Picker) draw(list []*server, at homes, now time.Time) []*server {
 	if len(list) <= othersDrawn || list[0].engine == nil {
 		return nil
 	}
-	few := make([]*server, 0, othersDrawn+2)
-	for _, s := range []*server{home, second} {
-		if s != nil {
-			few = append(few, s)
-		}
-	}
+	few := at.each()
 	for range othersDrawn {
 		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
 			few = append(few, s)
@@ -63,7 +58,7 @@
 
 // least returns the server of the list with the least expected time among those
 // of the best rank.
-func (p *Picker) least(list []*server, req Request, home, second *server, now time.Time) (best Choice, ok bool) {
+func (p *Picker) least(list []*server, req Request, at homes, now time.Time) (best Choice, ok bool) {
 	least := math.Inf(1)
 	best.rank = math.MaxInt
 	candidates := 0
@@ -76,8 +71,8 @@
 			continue
 		}
 		candidates++
-		c := p.expect(s, req, home, second, now)
-		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s)
+		c := p.expect(s, req, at, now)
+		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s, req)
 		if r < best.rank || cost < least {
 			least = cost
 			best = c
--- a/internal/core/pick/cold_test.go
+++ b/internal/core/pick/cold_test.go
@@ -63,44 +63,101 @@
 	return most
 }
 
-// coldDay has the routers place 15 requests a second for each engine, of which some become
-// cold after a second, and returns when each of these got its requests and how many found none.
-func coldDay(routers, engines, cold int) (sent map[string][]int, refused int) {
-	const forMs = 4200
-	pickers := make([]*Picker, routers)
-	for i := range pickers {
-		pickers[i] = warming(i, routers, engines)
+// coldDay is a fleet before engines of which some become cold after a second. An engine reads
+// one prompt after the other; routers hear each 80 ms what waits at each.
+type coldDay struct {
+	pickers []*Picker
+	rng     *rand.Rand
+	ms      int
+	freeAt  map[string]int // when an engine has read what it has
+	begun   []begun
+	sent    map[string][]int // when each engine got its requests, from its turning cold on
+	refused int
+}
+
+// begun is a request at an engine.
+type begun struct {
+	p   *Picker
+	job *Job
+	due int
+}
+
+const (
+	turnMs  = 1000
+	coldMs  = 4000
+	readMs  = 38.7 // tokens a millisecond
+	perS    = 15   // requests a second for each engine
+	heardMs = 80
+)
+
+func newColdDay(routers, engines int) *coldDay {
+	d := &coldDay{rng: rand.New(rand.NewPCG(1, 1)), freeAt: map[string]int{}, sent: map[string][]int{}}
+	for i := range routers {
+		d.pickers = append(d.pickers, warming(i, routers, engines))
 	}
-	sent = map[string][]int{}
-	rng := rand.New(rand.NewPCG(1, 1))
-	for ms := 0; ms < forMs; ms++ {
-		if ms == 1000 {
-			for _, p := range pickers {
-				p.SetServers(enginesOf(engines, cold, bearing.For), at(ms))
+	return d
+}
+
+// play lets the engines get their requests until the cold ones are warm.
+func (d *coldDay) play(engines, cold int) {
+	for ; d.ms < coldMs; d.ms++ {
+		if d.ms == turnMs {
+			for _, p := range d.pickers {
+				p.SetServers(enginesOf(engines, cold, bearing.For), at(d.ms))
 			}
 		}
-		for range engines * 15 / 1000 {
-			place(pickers[rng.IntN(routers)], rng, ms, sent, &refused)
+		for d.rng.Float64() < float64(engines*perS)/1000/(1+float64(engines*perS)/1000) {
+			d.place(d.pickers[d.rng.IntN(len(d.pickers))])
 		}
-		if rng.Float64() < float64(engines*15%1000)/1000 {
-			place(pickers[rng.IntN(routers)], rng, ms, sent, &refused)
+		d.end()
+		if d.ms%heardMs == 0 {
+			d.report()
 		}
 	}
-	return sent, refused
 }
 
-func place(p *Picker, rng *rand.Rand, ms int, sent map[string][]int, refused *int) {
-	req := Request{Service: "llm", Prompt: prompt(rng.IntN(200), rng.IntN(1<<30))}
-	c, ok := p.Choose(req, at(ms))
+func (d *coldDay) place(p *Picker) {
+	req := Request{Service: "llm", Prompt: prompt(d.rng.IntN(200), d.rng.IntN(1<<30))}
+	c, ok := p.Choose(req, at(d.ms))
 	if !ok {
-		*refused++
+		d.refused++
 		return
 	}
-	j := p.Begin(req, c, at(ms))
-	p.First(j, at(ms))
-	p.End(j, Worked, at(ms))
-	if ms >= 1000 {
-		sent[c.Server.ID] = append(sent[c.Server.ID], ms)
+	id := c.Server.ID
+	d.freeAt[id] = max(d.freeAt[id], d.ms) + int(float64(c.Missing)/readMs)
+	d.begun = append(d.begun, begun{p, p.Begin(req, c, at(d.ms)), d.freeAt[id]})
+	if d.ms >= turnMs {
+		d.sent[id] = append(d.sent[id], d.ms)
+	}
+}
+
+// end ends what has been read.
+func (d *coldDay) end() {
+	d.begun = slices.DeleteFunc(d.begun, func(b begun) bool {
+		if b.due > d.ms {
+			return false
+		}
+		b.p.First(b.job, at(d.ms))
+		b.p.End(b.job, Worked, at(d.ms))
+		return true
+	})
+}
+
+// report tells every router what all others have waiting.
+func (d *coldDay) report() {
+	total := map[routing.ServerKey]Load{}
+	for _, p := range d.pickers {
+		for key, l := range p.Loads(at(d.ms)) {
+			total[key] = total[key].Plus(l)
+		}
+	}
+	for _, p := range d.pickers {
+		others := map[routing.ServerKey]Load{}
+		own := p.Loads(at(d.ms))
+		for key, l := range total {
+			others[key] = l.Less(own[key])
+		}
+		p.PeerLoad("others", others, at(d.ms))
 	}
 }
 
@@ -110,16 +167,16 @@
 	const engines = 60
 	for _, routers := range []int{8, 91, 295} {
 		for _, cold := range []int{1, 20, engines} {
-			sent, refused := coldDay(routers, engines, cold)
+			d := newColdDay(routers, engines)
+			d.play(engines, cold)
 			most, all := 0, 0
 			for i := range cold {
-				times := sent[fmt.Sprintf("i-%03d", i)]
-				times = slices.DeleteFunc(slices.Clone(times), func(ms int) bool { return ms >= 4000 })
+				times := d.sent[fmt.Sprintf("i-%03d", i)]
 				most = max(most, mostInASecond(times))
 				all += len(times)
 			}
 			t.Logf("%d routers, %d of %d cold: at most %d in a second of %d allowed, %.1f a second each on average, %d refused",
-				routers, cold, engines, most, allowed, float64(all)/float64(cold)/3, refused)
+				routers, cold, engines, most, allowed, float64(all)/float64(cold)/3, d.refused)
 			assert.Assert(t, most <= allowed)
 			assert.Assert(t, all > 0, "nothing of the allowance is used")
 		}
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -11,18 +11,20 @@
 )
 
 // distance is what a server in another data centre costs.
-func (p *Picker) distance(s *server) float64 {
+func (p *Picker) distance(s *server, req Request) float64 {
 	switch {
 	case s.DataCentre == p.dataCentre:
 		return 0
-	case s.engine != nil:
+	case s.engine == nil:
+		return otherCentrePlainMs
+	case !p.near[req.Service]:
 		return otherCentreMs
 	}
-	return otherCentrePlainMs
+	return nearMs + perKBMs*float64(req.Bytes+answerPerToken*req.Out)/1024
 }
 
 // expect works out what the request would find at the server.
-func (p *Picker) expect(s *server, req Request, home, second *server, now time.Time) Choice {
+func (p *Picker) expect(s *server, req Request, at homes, now time.Time) Choice {
 	if s.engine == nil {
 		return p.expectPlain(s, now)
 	}
@@ -30,7 +32,7 @@
 	rate, base := learnt.first.fit()
 	slowness := s.slowness(learnt.slow, now)
 	rate /= slowness
-	need := p.need(s, req, home, second, rate, now)
+	need := p.need(s, req, at, rate, now)
 	work := need.cost(rate)
 	ahead := s.backlog(now, rate)
 	ms := ahead / rate
@@ -105,6 +107,7 @@
 	fetched float64 // fetched from another server
 	perMs   float64 // tokens fetched in a millisecond
 	fetchAt string
+	stays   bool // the copy is at a home, where the next request finds it
 }
 
 // time is how long the server works on it, in milliseconds.
@@ -119,8 +122,12 @@
 // cost is the same with what the work costs beside its time.
 func (n need) cost(rate float64) float64 {
 	ms := (n.first + n.again*rereadX) / rate
+	x := fetchX
+	if n.stays {
+		x = 1
+	}
 	if n.fetched > 0 {
-		ms += fetchSetupMs + fetchX*n.fetched/n.perMs
+		ms += fetchSetupMs + x*n.fetched/n.perMs
 	}
 	return ms
 }
@@ -142,7 +149,7 @@
 
 // need works out what the server would have to do for the prompt, whose keys are
 // those that p holds.
-func (p *Picker) need(s *server, req Request, home, second *server, rate float64, now time.Time) need {
+func (p *Picker) need(s *server, req Request, at homes, rate float64, now time.Time) need {
 	prompt := req.Prompt
 	life := p.rate(s.Service).life
 	kept, all := s.cache.kept(prompt, p.keys, life, now)
@@ -157,50 +164,83 @@
 	lack := float64(shared - kept)
 	n := need{first: float64(own)}
 	from := p.holder(p.keys[len(prompt)-2], s, req.Homes, life, now)
-	if from == nil && s != home {
-		from = home
+	if from == nil && s != at.first {
+		from = at.first
 	}
 	switch {
 	case from != nil && lack >= leastFetch(s.engine, rate):
 		n.fetched = lack
 		n.perMs = float64(time.Millisecond) / float64(s.engine.FetchPerToken)
 		n.fetchAt = from.Addr
+		n.stays = s == at.first && p.near[req.Service]
 		if s.DataCentre != from.DataCentre {
 			n.perMs /= otherCentreFetchX
 		}
 		return n
-	case s == home:
+	case s == at.first:
 		lack *= unknownShare
-	case s == second:
+	case s == at.second, s == at.far:
 		lack *= secondShare
 	}
 	n.again = lack
 	return n
 }
 
-// homes returns the two servers that keep a shared prompt: rendezvous hashing,
-// so that all routers agree without talking. Suspected and cold servers are passed over.
-func (p *Picker) homes(req Request, list []*server, now time.Time) (home, second *server) {
+// homes are the servers that keep a shared prompt, nil where there is none.
+type homes struct {
+	first  *server // of this router's data centre if that has homes of its own, else of all
+	second *server // of the same ones
+	far    *server // the first one of all, if that is in another data centre and not among these
+}
+
+// each returns those that there are.
+func (h homes) each() (list []*server) {
+	for _, s := range []*server{h.first, h.second, h.far} {
+		if s != nil {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// homes returns those of a prompt by rendezvous hashing, so that all routers of a data centre
+// agree without talking. Suspected and cold servers are passed over. A data centre with
+// enough engines has homes of its own: a copy that is fetched once is cheaper than the bodies
+// and answers of all requests on the way to another one.
+func (p *Picker) homes(req Request, list []*server, now time.Time) (h homes) {
 	prompt := req.Prompt
 	if len(prompt) < 2 {
-		return nil, nil
+		return h
 	}
 	key := xxhash.Sum64String(prompt[len(prompt)-2].ID)
-	var top, next uint64
+	own := p.near[req.Service]
+	var first, second, far uint64
 	for _, s := range list {
 		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.bounded && s.cold.Is(now) {
 			continue
 		}
 		score := mix(key, s.hash)
+		if h.far == nil || score > far {
+			h.far, far = s, score
+		}
+		if own && s.DataCentre != p.dataCentre {
+			continue
+		}
 		switch {
-		case home == nil || score > top:
-			second, next = home, top
-			home, top = s, score
-		case second == nil || score > next:
-			second, next = s, score
+		case h.first == nil || score > first:
+			h.second, second = h.first, first
+			h.first, first = s, score
+		case h.second == nil || score > second:
+			h.second, second = s, score
 		}
 	}
-	return home, second
+	if h.first == nil {
+		h.first = h.far
+	}
+	if h.first == h.far {
+		h.far = nil
+	}
+	return h
 }
 
 // mix hashes two hashes into one.
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -25,12 +25,19 @@
 	unknownShare = 0.1
 	// secondShare is the same for the second choice.
 	secondShare = 0.4
-	// otherCentreMs is what bytes between data centres cost, in the time of an
-	// engine: the price of 18 KB against what an engine earns in a millisecond.
-	otherCentreMs = 8.0
-	// otherCentrePlainMs is the same for a plain service, which has time to
-	// spare in quiet times.
+	// otherCentreMs is what a server in another data centre costs, in the time of an engine, and
+	// otherCentrePlainMs the same for a plain service, which has time to spare in quiet times.
+	otherCentreMs      = 8.0
 	otherCentrePlainMs = 4.0
+	// A data centre with homes of its own need not send prompts elsewhere: there it is nearMs and
+	// for each KB on the way there or back perKBMs, a KB's price where bytes are dear.
+	nearMs  = 4.0
+	perKBMs = 2.0
+	// answerPerToken is how many bytes of an answer a token takes with its event.
+	answerPerToken = 20
+	// nearLeast is how many engines a data centre needs for homes of its own: with fewer, two of
+	// them are most of what its requests are spread over.
+	nearLeast = 10
 	// slotWaitMs is what a request waits for each one before it when all slots
 	// of an engine are taken.
 	slotWaitMs = 40.0
@@ -79,6 +86,7 @@
 	Tried []string
 	// Homes are the regions in which it may be served; nil: all.
 	Homes routing.Homes
+	Bytes int // of its body
 }
 
 // Choice is a server with what led to it.
@@ -135,6 +143,7 @@
 	keyed        map[routing.ServerKey]*server
 	busy         map[routing.ServerKey]*server // those with requests of this router, and those that it suspects
 	services     map[string][]*server
+	near         map[string]bool // services of which this data centre has homes of its own
 	specs        map[string]*routing.Service
 	peers        map[string]peerLoad
 	stale        bool               // a peer's load has come since the sums were made
@@ -183,6 +192,7 @@
 		keyed:      map[routing.ServerKey]*server{},
 		busy:       map[routing.ServerKey]*server{},
 		services:   map[string][]*server{},
+		near:       map[string]bool{},
 		specs:      map[string]*routing.Service{},
 		peers:      map[string]peerLoad{},
 		rates:      map[string]*speed{},
@@ -265,7 +275,8 @@
 			p.forgetServer(s)
 		}
 	}
-	for _, list := range p.services {
+	for service, list := range p.services {
+		p.near[service] = p.countNear(list) >= nearLeast
 		slices.SortFunc(list, func(a, b *server) int {
 			if a.ID < b.ID {
 				return -1
@@ -275,6 +286,16 @@
 	}
 }
 
+// countNear is how many of the servers are engines of this router's data centre.
+func (p *Picker) countNear(list []*server) (n int) {
+	for _, s := range list {
+		if s.engine != nil && s.DataCentre == p.dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // forgetServer drops a server that is not listed any more.
 func (p *Picker) forgetServer(s *server) {
 	delete(p.servers, s.ID)
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -96,6 +96,7 @@
 		Route:    q.route,
 		Customer: q.customer,
 		Homes:    q.homes,
+		Bytes:    len(q.body),
 		Ask:      &q.ask,
 		Tried:    q.tried,
 		Again:    len(q.tried) > 0,
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -54,6 +54,7 @@
 	Customer string
 	Ask      *routing.Ask
 	Homes    routing.Homes // of route and customer
+	Bytes    int           // of its body
 	Tried    []string
 	Again    bool // it was placed before; admission is not asked again
 	Repeat   bool // it has reached a server: once more takes from the retry budget
@@ -220,7 +221,7 @@
 	if !n.Again {
 		s.ask(n, now)
 	}
-	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes}
+	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes, Bytes: n.Bytes}
 	c, ok := s.picker.Choose(req, now)
 	if !ok {
 		return s.lacking(req, now)
