pick: a long prompt that would be late looks at four more engines

Hypothesis: the worst kind of request is the largest tenth of the plans; such a prompt takes 410 of its 600 ms for itself and fits before few queues, and its choice looks at its homes and one engine. Short prompts would only be spread away from their homes, by loads that are 0.1 s old.

--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -18,6 +18,10 @@
 	at := p.homes(req, list, now)
 	if few := p.draw(list, at, now); len(few) > 0 {
 		best, ok = p.least(few, req, at, now)
+		if late(best, req) {
+			few = p.drawMore(few, list, lateDrawn)
+			best, ok = p.least(few, req, at, now)
+		}
 		if ok && best.rank == rankGood {
 			return best, true
 		}
@@ -32,30 +36,27 @@
 		return nil
 	}
 	few := at.each()
-	for range othersDrawn {
-		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
-			few = append(few, s)
-		}
-	}
-	return p.drawCold(few, list, now)
+	return p.drawCold(p.drawMore(few, list, othersDrawn), list, now)
 }
 
-// drawCold adds cold servers that this router has a free permit for: no other router may use
-// it, so that they would idle.
-func (p *Picker) drawCold(few, list []*server, now time.Time) []*server {
-	drawn := 0
-	for _, s := range list {
-		if drawn == coldDrawn {
-			break
-		}
-		if s.bounded && s.cold.Is(now) && s.cold.Free(p.slotsOf(s), now) && !slices.Contains(few, s) {
+// drawMore adds up to n servers drawn at random.
+func (p *Picker) drawMore(few, list []*server, n int) []*server {
+	for range n {
+		if s := list[p.rng.IntN(len(list))]; !slices.Contains(few, s) {
 			few = append(few, s)
-			drawn++
 		}
 	}
 	return few
 }
 
+// late reports whether the request is a long one whose first token would come so late that
+// more servers are worth a look: it needs much of its time for itself and fits before few
+// queues. Short ones would only be spread away from their homes.
+func late(c Choice, req Request) bool {
+	target := float64(req.Target)
+	return target > 0 && float64(c.Own) > longPart*target && float64(c.Wait+c.Own) > inTimePart*target
+}
+
 // least returns the server of the list with the least expected time among those
 // of the best rank.
 func (p *Picker) least(list []*server, req Request, at homes, now time.Time) (best Choice, ok bool) {
--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/routing"
@@ -201,3 +202,19 @@
 	}
 	return LackServers, 0
 }
+
+// drawCold adds cold servers that this router has a free permit for: no other router may use
+// it, so that they would idle.
+func (p *Picker) drawCold(few, list []*server, now time.Time) []*server {
+	drawn := 0
+	for _, s := range list {
+		if drawn == coldDrawn {
+			break
+		}
+		if s.bounded && s.cold.Is(now) && s.cold.Free(p.slotsOf(s), now) && !slices.Contains(few, s) {
+			few = append(few, s)
+			drawn++
+		}
+	}
+	return few
+}
--- a/internal/core/pick/near_test.go
+++ b/internal/core/pick/near_test.go
@@ -1,8 +1,10 @@
 package pick
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -68,3 +70,39 @@
 	assert.Equal(t, short, 6.0)
 	assert.Assert(t, long > short+10)
 }
+
+// The pattern: prompts of which the longest need most of their time for themselves, before
+// engines that all have a little waiting but for a few. A long one finds one of those; short
+// ones, which are in time at their homes, stay there.
+func TestALongPromptFindsAnEngineThatHasTime(t *testing.T) {
+	const target = 600 * time.Millisecond
+	inTime := func(tokens int, due time.Duration) (n, moved int) {
+		p := inCentre("dc1", 60)
+		loads := map[routing.ServerKey]Load{}
+		for i, s := range enginesOf(60, 0, 0) {
+			if i%4 != 0 {
+				loads[p.servers[s.ID].key] = Load{Waiting: 8000, Running: 3}
+			}
+		}
+		p.PeerLoad("others", loads, at(0))
+		for i := range 200 {
+			parts := []routing.Part{{ID: fmt.Sprint("s", i%20), Tokens: 400}, {ID: fmt.Sprint("o", i), Tokens: tokens}}
+			req := Request{Service: "llm", Prompt: parts, Out: 50, Bytes: 4000, Target: due}
+			c := choose(t, p, req, 10)
+			if c.Wait+c.Own <= target {
+				n++
+			}
+			if h := p.homes(req, p.services["llm"], at(10)); c.Server.ID != h.first.ID && c.Server.ID != h.second.ID {
+				moved++
+			}
+		}
+		return n, moved
+	}
+	long, _ := inTime(30000, target)
+	before, _ := inTime(30000, 0)
+	t.Logf("long ones in time: %d of 200, %d without", long, before)
+	assert.Assert(t, long > 170 && long > before, "%d, %d", long, before)
+	_, moved := inTime(3000, target)
+	_, usual := inTime(3000, 0)
+	assert.Equal(t, moved, usual, "short ones")
+}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -63,14 +63,16 @@
 	plainQueue = 3.0
 	// warmupX is how much slower a server counts that has just started.
 	warmupX = 1.5
-	// othersDrawn is how many engines a choice looks at beside a prompt's homes.
-	// Loads of other routers are some 50 ms old: if each router took the least
-	// loaded of all, all would take the same one, and its queue would be the
-	// longest before anyone heard of it. A few at random spread the requests
-	// (M. Mitzenmacher, How Useful Is Old Information?, 2000) and leave most at
-	// their homes. Mean worth of 15 days on 9 engines with 4, 2 and 1 of them:
-	// 0.698, 0.712, 0.720; shared parts read again 3.9, 3.5, 2.9% of what is read.
+	// othersDrawn is how many engines a choice looks at beside a prompt's homes. If each router
+	// took the least loaded of all by loads some 50 ms old, all would take the same one; a few at
+	// random spread requests and leave most at their homes (M. Mitzenmacher, How Useful Is Old
+	// Information?, 2000).
 	othersDrawn = 1
+	// lateDrawn is how many more a choice looks at where the best of these would need more than
+	// inTimePart of the time in which the first token is due, longPart of it for the request itself.
+	lateDrawn  = 4
+	inTimePart = 0.8
+	longPart   = 0.6
 	// forgetEvery is how often parts that no server keeps any more are dropped.
 	forgetEvery = 2 * time.Second
 	// peerStale is how long a router's report of its load counts.
@@ -87,6 +89,8 @@
 	// Homes are the regions in which it may be served; nil: all.
 	Homes routing.Homes
 	Bytes int // of its body
+	// Target is when its first token is to come; 0: not told.
+	Target time.Duration
 }
 
 // Choice is a server with what led to it.
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -9,14 +9,10 @@
 )
 
 const (
-	// waitLimit is the longest wait before a request's own work at which it is
-	// still sent while customers ask for more than the servers make, and overLimit
-	// that of a customer above its share. A queue of some prompts keeps an engine
-	// busy between two reports of other routers; a longer one only makes all who wait
-	// in it late, and was filled by those above their shares first. Measured on
-	// engines of 39, 43 and 112 tokens a millisecond, mean worth of 10, 10 and 20
-	// days: limits of 200/40 ms 0.696, 0.743, 0.673; 100/15 ms 0.729, 0.755, 0.712;
-	// 60/10 ms 0.723, 0.742, 0.720 (docs/design/admission.md).
+	// waitLimit is the longest wait before a request's own work at which it is still sent while
+	// customers ask for more than the servers make, and overLimit that of a customer above its
+	// share. A queue of some prompts keeps an engine busy between two reports; a longer one only
+	// makes all who wait in it late (docs/design/admission.md).
 	waitLimit = 100 * time.Millisecond
 	overLimit = 15 * time.Millisecond
 	// belowLimit is that of a customer that has much less than its share, and of all
@@ -33,12 +29,9 @@
 	// whoever waits for an answer.
 	retryLeast = 40 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// beginSlack is how long after its first token was expected a request that has none
-	// counts as served no more. At a host that a flood has filled, what was placed waits
-	// for seconds: a customer of whose requests 332,000 tokens a second began counted as
-	// served 614,000, above its share of 448,000, and was refused everywhere. Counted from the first
-	// token only, a burst passes uncounted until it begins: mean worth of five days of trouble and high
-	// load on 9 engines 0.706 without any of it, 0.683 so, 0.702 with 100 ms.
+	// beginSlack is how long after its first token was expected a request that has none counts as
+	// served no more: at a flooded host what is placed may wait for seconds, and its customer would
+	// be refused everywhere for what it does not get.
 	beginSlack = 100 * time.Millisecond
 	// undoEvery is how often what is overdue is taken back; shares are worked out each 50 ms.
 	undoEvery = 20 * time.Millisecond
@@ -221,7 +214,7 @@
 	if !n.Again {
 		s.ask(n, now)
 	}
-	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes, Bytes: n.Bytes}
+	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes, Bytes: n.Bytes, Target: n.Route.Target}
 	c, ok := s.picker.Choose(req, now)
 	if !ok {
 		return s.lacking(req, now)
@@ -298,11 +291,9 @@
 	return WhyBusy
 }
 
-// evenLimit is how long a request of a customer with about its share may wait. While
-// the servers make what all customers ask, a queue is a wave that passes: a request
-// waits as long as it can still be answered in time, rather than be refused by a fleet
-// that has room for it. On quiet days of three fleets (12) the whole day's worth of the one
-// with the most refusals rose from 0.941 to 0.954, that of the others by 0.002.
+// evenLimit is how long a request of a customer with about its share may wait. While the servers
+// make what all customers ask, a queue is a wave that passes: a request waits as long as it can
+// still be answered in time, rather than be refused by a fleet that has room for it.
 func (s *State) evenLimit(n Need, c pick.Choice, now time.Time) time.Duration {
 	if s.meter.Ratio(n.Customer, now) > 0 {
 		return waitLimit
@@ -323,16 +314,10 @@
 	return WhyNone
 }
 
-// back is when a refused caller may come back: when the wait will have fallen so far
-// that its request may be sent; one of a customer above its share at a moment drawn
-// at random, so that those who are refused together don't return together. It is at
-// most half of the time in which the request could still be answered in time: a
-// caller that comes back later has an answer that is late, if any, and takes the
-// place of one that would be in time. When callers were told to come back after up to
-// 400 ms, most answers that were late by their callers' clocks came in time by their
-// routers' (786 of 858 on a day); mean worth of 15 days of high load and trouble
-// 0.664, with this bound and those above their share told 40 ms 0.676. Informed 40 ms, the
-// bound or a moment between: 0.718, 0.715, 0.720, no difference.
+// back is when a refused caller may come back: when the wait will have fallen so far that its
+// request may be sent; one of a customer above its share at a moment drawn at random, so that
+// those who are refused together don't return together. It is at most half of the time in which
+// the answer would still be in time: a later one takes the place of one that would be.
 func (s *State) back(n Need, c pick.Choice, why Why) time.Duration {
 	inTime := min(max((n.Route.Target-c.Own)/2, retryLeast), retryMost)
 	if why == WhyOver {
