--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -3,13 +3,9 @@
 import "time"
 
 const (
-	// rationPart is what customers that ask for more than their share can have of it while
-	// another has far less than the best served one. Letting in all or nothing by what was
-	// served, 0.3 s late, gave one that came by all of 295 routers 1.9 M tokens a second within
-	// 0.4 s and nothing for 3 s, twice its share on average; the one that was short had less than
-	// half of that. Who lacks of its share without being outdone has nothing of rations: engines
-	// stood idle, and ten days of trouble and high load before 18 of them had a mean worth of 0.723, 0.730
-	// with rations only for who is outdone.
+	// rationPart is what customers that ask for more than their share can have of it while another
+	// has far less than the best served one. All or nothing, by what is known 0.3 s late, lets them
+	// in by bursts of twice their share (docs/design/admission.md).
 	rationPart = 1.1
 	// rationFrom is how many times its share of what the servers are said to make a customer
 	// asks for that is rationed. One that asks for less can't have much more than its share
@@ -33,11 +29,9 @@
 }
 
 // Rationed reports whether the customer, which asks for far more than its share while others
-// have far less than the best served one, has had its part of that at this router. A router's
-// part is that of what is asked there, whatever becomes of it, so that it stays the same when
-// the whole flood grows or ends. When a shortage begins some of a request of so many tokens
-// counts as had already, as much as draw (0 to 1) says: at hundreds of routers a ration is less
-// than a request a second, and all of them would let one in at once.
+// have far less than the best served one, has had its part of that at this router: that of what
+// is asked there. draw (0 to 1) is how much of a request counts as had when a shortage begins, so
+// that hundreds of routers do not let one in each at once.
 func (m *Meter) Rationed(customer string, tokens, draw float64, now time.Time) bool {
 	m.update(now)
 	sum := m.sums[customer]
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -134,10 +134,7 @@
 
 // leastFetch is from how many shared tokens on an engine that reads so fast is better
 // off to fetch them: their price by the price of reading them again; never if that is
-// the cheaper one however many there are. Fetches from 400 tokens on any engine, and
-// from 150: mean worth of 8 days each 0.734 and 0.742 on engines that read 39 tokens a
-// millisecond, by this rule (from 100 there) 0.741; 0.728 and 0.727 at 112, by this rule
-// (from 350) 0.732.
+// the cheaper one however many there are.
 func leastFetch(e *routing.Engine, rate float64) float64 {
 	perToken := float64(e.FetchPerToken) / float64(time.Millisecond)
 	gain := rereadX/rate - fetchX*perToken
--- a/internal/core/pick/speed.go
+++ b/internal/core/pick/speed.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-// What an engine is, is learnt from its first tokens: how fast it reads prompts
-// and what passes before a first token beside that. Both differ by more than
-// three times between engines in use (32 to 112 tokens a millisecond, 10 to 50
-// ms), so that no figure of either is right for all; every limit and price of a
-// choice is in milliseconds, and means as much as they do.
+// What an engine is, is learnt from its first tokens: how fast it reads prompts and what passes
+// before a first token beside that. Engines in use differ by more than three times in both, and
+// every limit and price of a choice is in milliseconds.
 
 const (
 	// firstTokensPerMs is how fast an engine counts as reading before the first
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -32,9 +32,7 @@
 	readersMost = 3
 	// standInFirst is how many routers of a data centre follow the store for it as soon as
 	// the readers' answers are old, and standInDoubles the time in which these become
-	// twice as many: the store may turn some away and serve others, and while it serves
-	// none each that asks costs calls. All of 295 asked during an outage of 8 s: 10,207
-	// calls, 0.077 of what the day earned.
+	// twice as many: while the store serves none, each that asks costs calls.
 	standInFirst   = 2
 	standInDoubles = 2 * time.Second
 	// fullPaceMost is the largest fleet whose routers tell at each tick. Above it
@@ -273,12 +271,10 @@
 	Total []string // the sum of the fleet
 }
 
-// Targets returns whom to tell at the moment. Routers that are silent are
-// probed now and then with this router's own load. turn counts the times at which the
-// sum of this data centre is told: it goes to one reporter of each other data centre,
-// another each time, while this centre's other reporter tells the other one. With this
-// and shorter reports 295 routers sent 0.188 GB between data centres on a quiet day, of
-// 0.354 before.
+// Targets returns whom to tell at the moment. Silent routers are probed now and then with this
+// router's own load. turn counts the times at which the sum of this data centre is told: it
+// goes to one reporter of each other data centre, another each time, while this centre's other
+// reporter tells the other one.
 func (s *Spread) Targets(now time.Time, turn int) Targets {
 	var t Targets
 	live := s.Live()
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -59,8 +59,8 @@
 	Store Store
 	Log   *slog.Logger
 	Meter *meter.Meter
-	// Sought returns once the first view has been sought from other routers.
-	Sought func(context.Context)
+	// Joined returns once the first view has been sought from other routers.
+	Joined func(context.Context)
 	// Role says whether this router has to follow the store itself.
 	Role func() Role
 	// Now is the time by which answers' ages are judged.
@@ -184,7 +184,7 @@
 	lost := false
 	bad := map[string]bool{}
 	pause := backoffLeast
-	f.Sought(ctx)
+	f.Joined(ctx)
 	for ctx.Err() == nil {
 		role := f.Role()
 		if role == Informed {
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -45,7 +45,7 @@
 		Registers:  func() bool { return true },
 		MissesMany: func() bool { return false },
 		Role:       func() follow.Role { return f.role },
-		Sought:     func(context.Context) {},
+		Joined:     func(context.Context) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
--- a/internal/edge/front/sift.go
+++ b/internal/edge/front/earlyrejection.go
@@ -9,24 +9,22 @@
 	"github.com/windscale/windscale/internal/peek"
 )
 
-// siftBuffer holds a request whole, header and body, of some 10 KB where prompts are sent.
-const siftBuffer = 32 << 10
+// arrivalBuffer holds a request whole, header and body, of some 10 KB where prompts are sent.
+const arrivalBuffer = 32 << 10
 
-// Sifter looks at what new connections ask for while this host has little time, and
-// refuses what the host would refuse anyway before anything is spent on it. A host of a
-// fifth of a core that a flood came in by refused 2,500 requests a second through net/http, a
-// goroutine and some buffers each, 70 us of a core; that was all that it had, and it
-// served a third of its customers' shares. It is not safe for concurrent use.
-type Sifter struct {
+// EarlyRejecter looks at what new connections ask for while this host has little time, and
+// refuses what the host would refuse anyway before anything is spent on it: refusing through
+// net/http can take all of a small host. It is not safe for concurrent use.
+type EarlyRejecter struct {
 	h    *Handler
 	buf  []byte
 	text bytes.Reader
 	in   *bufio.Reader
 }
 
-// NewSifter returns one for the handler's host.
-func (h *Handler) NewSifter() *Sifter {
-	return &Sifter{h: h, buf: make([]byte, siftBuffer), in: bufio.NewReaderSize(nil, siftBuffer)}
+// NewEarlyRejecter returns one for the handler's host.
+func (h *Handler) NewEarlyRejecter() *EarlyRejecter {
+	return &EarlyRejecter{h: h, buf: make([]byte, arrivalBuffer), in: bufio.NewReaderSize(nil, arrivalBuffer)}
 }
 
 // Arrival is a connection on which a request may have arrived.
@@ -35,11 +33,11 @@
 	io.Writer
 }
 
-// Sift answers the connection's request, if it has arrived whole and this host has no
+// Reject answers the connection's request, if it has arrived whole and this host has no
 // time, or no room, for it. Otherwise it returns what it has read, for who serves the
 // connection. full says that there is no room for the connection. A connection whose
 // caller has left counts as answered.
-func (s *Sifter) Sift(c Arrival, full bool) (read []byte, answered bool) {
+func (s *EarlyRejecter) Reject(c Arrival, full bool) (read []byte, answered bool) {
 	n, err := c.ReadArrived(s.buf)
 	if err != nil {
 		return nil, true
@@ -57,7 +55,7 @@
 
 // whole returns the request of which n bytes have arrived; nil: there is more to come, or
 // it is none.
-func (s *Sifter) whole(n int) *http.Request {
+func (s *EarlyRejecter) whole(n int) *http.Request {
 	if n == 0 {
 		return nil
 	}
--- a/internal/edge/front/sift_test.go
+++ b/internal/edge/front/earlyrejection_test.go
@@ -22,9 +22,9 @@
 
 func (a arrived) ReadArrived(b []byte) (int, error) { return peek.Arrived(a.Conn, b) }
 
-// sifted opens a connection on which the text has arrived, and returns what the sifter
+// rejected opens a connection on which the text has arrived, and returns what the rejecter
 // says of it, with both ends.
-func (r *rig) sifted(text string, full bool) (read []byte, answered bool, host, caller net.Conn) {
+func (r *rig) rejected(text string, full bool) (read []byte, answered bool, host, caller net.Conn) {
 	r.t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(r.t, err)
@@ -40,7 +40,7 @@
 		assert.NilError(r.t, err)
 		arrive(r.t, host, len(text))
 	}
-	read, answered = r.handler.NewSifter().Sift(arrived{host}, full)
+	read, answered = r.handler.NewEarlyRejecter().Reject(arrived{host}, full)
 	return read, answered, host, caller
 }
 
@@ -77,7 +77,7 @@
 	r := newRig(t)
 	r.configure()
 	r.wait.Store(int64(pressure.Saturated))
-	_, answered, host, caller := r.sifted(request("k", 0), false)
+	_, answered, host, caller := r.rejected(request("k", 0), false)
 	assert.Assert(t, answered)
 	assert.NilError(t, host.Close())
 	text, err := io.ReadAll(caller)
@@ -91,7 +91,7 @@
 func TestARequestWithoutRoomIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t)
 	r.configure()
-	_, answered, host, caller := r.sifted(request("k", 0), true)
+	_, answered, host, caller := r.rejected(request("k", 0), true)
 	assert.Assert(t, answered)
 	assert.NilError(t, host.Close())
 	text, err := io.ReadAll(caller)
@@ -115,7 +115,7 @@
 			if name != "room" {
 				r.wait.Store(int64(pressure.Saturated))
 			}
-			read, answered, host, caller := r.sifted(sent, false)
+			read, answered, host, caller := r.rejected(sent, false)
 			assert.Assert(t, !answered)
 			const more = "and more"
 			_, err := io.WriteString(caller, more)
@@ -141,6 +141,6 @@
 	assert.NilError(t, err)
 	assert.NilError(t, caller.Close())
 	edgetest.Until(t, "the close has not arrived", func() bool { return peek.At(c.(syscall.Conn)) == peek.Ended })
-	_, answered := r.handler.NewSifter().Sift(arrived{c}, false)
+	_, answered := r.handler.NewEarlyRejecter().Reject(arrived{c}, false)
 	assert.Assert(t, answered)
 }
--- a/internal/edge/node/arrivals.go
+++ b/internal/edge/node/arrivals.go
@@ -32,7 +32,7 @@
 // takeIn accepts the connections that wait to be, as far as there is room for them here.
 func (l *connLimiter) takeIn() {
 	for l.raw != nil && len(l.waiting) < waitingMost {
-		b := acceptBare(l.raw)
+		b := acceptRaw(l.raw)
 		if b == nil {
 			return
 		}
@@ -65,11 +65,9 @@
 	paceBatch = 16
 )
 
-// pace keeps half of the processor from who looks at connections that never end. Such a
-// loop does not wait for anything, and what is read from other connections waits behind
-// it: for seconds at a host to which a flood of 3,000 connections a second came. Connections
-// beyond what half of a processor can refuse wait in the system's queue, and, when that is
-// full, find no connection, which costs this host nothing.
+// pace keeps half of the processor from who looks at connections that never end: what is read
+// from other connections waits behind such a loop. Connections beyond it wait in the system's
+// queue and, when that is full, find no connection, which costs this host nothing.
 type pace struct {
 	looked int
 	began  time.Time
--- a/internal/edge/node/limiter.go
+++ b/internal/edge/node/limiter.go
@@ -30,9 +30,9 @@
 	most     int64
 	shed     func(net.Conn) // refuses the request of a connection, and closes it
 	shedMost int64
-	// sift answers the request that has arrived on a connection for which there is no
+	// reject answers the request that has arrived on a connection for which there is no
 	// time, or, if it is told so, no room; it returns what it has read if it did not.
-	sift func(c front.Arrival, full bool) (read []byte, answered bool)
+	reject func(c front.Arrival, full bool) (read []byte, answered bool)
 	// letIn notes that a connection is served.
 	letIn func()
 	// lost notes that a connection that was accepted could not be opened, and was closed.
@@ -62,7 +62,7 @@
 		most:     most,
 		shed:     h.Shed,
 		shedMost: shedMost,
-		sift:     h.NewSifter().Sift,
+		reject:   h.NewEarlyRejecter().Reject,
 		refusing: h.Refusing,
 		wait:     h.ExpectedWait,
 		letIn:    func() {},
@@ -109,7 +109,7 @@
 	var read []byte
 	answered := false
 	if !room || l.refusing() {
-		read, answered = l.sift(a, !room)
+		read, answered = l.reject(a, !room)
 	}
 	if answered {
 		l.open.Add(-1)
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -24,7 +24,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }, sift: passOn, refusing: no, letIn: func() {}, wait: func() time.Duration { return 0 }}
+	l := &connLimiter{Listener: ln, most: 1, shed: func(c net.Conn) { _ = c.Close() }, reject: passOn, refusing: no, letIn: func() {}, wait: func() time.Duration { return 0 }}
 	defer func() { _ = l.Close() }()
 	accepted := make(chan net.Conn)
 	go func() {
@@ -68,7 +68,7 @@
 			defer func() { _ = ln.Close() }()
 			shed := make(chan net.Conn, 1)
 			l.Listener = ln
-			l.sift = passOn
+			l.reject = passOn
 			l.shed = func(c net.Conn) { shed <- c }
 			l.shedMost = 1
 			accepted := make(chan struct{})
@@ -103,7 +103,7 @@
 // takes no room from others.
 func TestAConnectionThatCantBeOpenedIsToldOf(t *testing.T) {
 	var lost error
-	l := &connLimiter{most: 1, sift: passOn, refusing: no, lost: func(err error) { lost = err }}
+	l := &connLimiter{most: 1, reject: passOn, refusing: no, lost: func(err error) { lost = err }}
 	assert.Assert(t, l.take(unopened{err: syscall.EMFILE}) == nil)
 	assert.ErrorIs(t, lost, syscall.EMFILE)
 	assert.Equal(t, l.open.Load(), int64(0))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -180,11 +180,11 @@
 // router was told to stop and has drained.
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
 	f := &follow.Follower{
-		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Sought: n.peers.Sought, Now: n.clock.Now,
+		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Joined: n.peers.Joined, Now: n.clock.Now,
 		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany,
 	}
 	n.loop(g, func(ctx context.Context) error {
-		n.peers.Seek(ctx, n.settings.Seeds, n.settings.FirstStart)
+		n.peers.Join(ctx, n.settings.Seeds, n.settings.FirstStart)
 		<-ctx.Done()
 		return ctx.Err()
 	})
@@ -328,7 +328,7 @@
 func (n *Node) register(ctx context.Context) error {
 	written := false
 	era := uint64(0) // of the store that has the address
-	n.peers.Sought(ctx)
+	n.peers.Joined(ctx)
 	t := time.NewTimer(registerAfter + rand.N(registerAfter))
 	defer t.Stop()
 	for {
--- a/internal/edge/node/bare.go
+++ b/internal/edge/node/rawconn.go
@@ -25,14 +25,14 @@
 func (k known) ReadArrived(b []byte) (int, error) { return peek.Arrived(k.Conn, b) }
 func (k known) Open() (net.Conn, error)           { return k.Conn, nil }
 
-// bare is an arrival that is no more than a descriptor. A connection of the runtime's costs
+// rawConn is an arrival that is no more than a descriptor. A connection of the runtime's costs
 // nine system calls from accepting to closing it beside those that read and write;
 // of the 75 us of a core that a refusal took on a flooded host, most were these.
-type bare struct{ fd int }
+type rawConn struct{ fd int }
 
-// acceptBare accepts a connection that waits to be; nil: none does. What makes accepting fail
+// acceptRaw accepts a connection that waits to be; nil: none does. What makes accepting fail
 // is left to who waits for the next one.
-func acceptBare(l syscall.RawConn) *bare {
+func acceptRaw(l syscall.RawConn) *rawConn {
 	fd := -1
 	var failed error
 	// Control, unlike Read, is there for listeners.
@@ -42,23 +42,23 @@
 	if err != nil || failed != nil {
 		return nil
 	}
-	return &bare{fd}
+	return &rawConn{fd}
 }
 
 // ReadArrived implements arrival.
-func (b *bare) ReadArrived(p []byte) (int, error) {
+func (b *rawConn) ReadArrived(p []byte) (int, error) {
 	n, err := syscall.Read(b.fd, p)
 	return peek.Outcome(n, err)
 }
 
 // Write implements arrival. What is written is short, and fits into an empty buffer.
-func (b *bare) Write(p []byte) (int, error) { return syscall.Write(b.fd, p) }
+func (b *rawConn) Write(p []byte) (int, error) { return syscall.Write(b.fd, p) }
 
 // Close implements arrival.
-func (b *bare) Close() error { return syscall.Close(b.fd) }
+func (b *rawConn) Close() error { return syscall.Close(b.fd) }
 
 // Open implements arrival.
-func (b *bare) Open() (net.Conn, error) {
+func (b *rawConn) Open() (net.Conn, error) {
 	f := os.NewFile(uintptr(b.fd), "caller")
 	defer func() { _ = f.Close() }() // the connection has a descriptor of its own
 	return net.FileConn(f)
--- a/internal/edge/peers/seek.go
+++ b/internal/edge/peers/join.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// seekTimeout bounds one try to fetch a view at the start: a peer in another data
+	// joinTimeout bounds one try to fetch a view at the start: a peer in another data
 	// centre answers in some milliseconds, one that has no power never.
-	seekTimeout = 150 * time.Millisecond
-	// seekPause is about the pause between two rounds of tries while the whole fleet
-	// starts for the first time, and seekMost how long that lasts: nothing is asked of
+	joinTimeout = 150 * time.Millisecond
+	// joinPause is about the pause between two rounds of tries while the whole fleet
+	// starts for the first time, and joinMost how long that lasts: nothing is asked of
 	// the fleet yet, and what each reads from the store costs calls.
-	seekPause = 300 * time.Millisecond
-	seekMost  = 3 * time.Second
+	joinPause = 300 * time.Millisecond
+	joinMost  = 3 * time.Second
 )
 
 // firstView is what a router that starts is given by another: all that it needs to
@@ -81,31 +81,31 @@
 	_, _ = w.Write(text)
 }
 
-// Sought returns once the first view has been sought from the seeds, found or not.
-func (p *Peers) Sought(ctx context.Context) {
+// Joined returns once the first view has been sought from the seeds, found or not.
+func (p *Peers) Joined(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-p.sought:
+	case <-p.joined:
 	}
 }
 
-// Seek asks the seeds for a view. At the first start of the whole fleet all but the
+// Join asks the seeds for a view. At the first start of the whole fleet all but the
 // seeds ask until one of them has read the store; later a router whose seeds don't
 // answer at once reads the store itself.
-func (p *Peers) Seek(ctx context.Context, seeds []string, firstStart bool) {
-	defer close(p.sought)
+func (p *Peers) Join(ctx context.Context, seeds []string, firstStart bool) {
+	defer close(p.joined)
 	if slices.Contains(seeds, p.Self.Addr) && firstStart {
 		return
 	}
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == p.Self.Addr })
-	until := p.Now().Add(seekMost)
+	until := p.Now().Add(joinMost)
 	for ctx.Err() == nil {
 		if p.askSeeds(ctx, seeds) || !firstStart || p.Now().After(until) {
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(seekPause/2 + rand.N(seekPause)):
+		case <-time.After(joinPause/2 + rand.N(joinPause)):
 		}
 	}
 }
@@ -114,7 +114,7 @@
 // its view.
 func (p *Peers) askSeeds(ctx context.Context, seeds []string) bool {
 	for _, i := range rand.Perm(len(seeds)) {
-		ctx, cancel := context.WithTimeout(ctx, seekTimeout)
+		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 		began := p.Now()
 		text, err := p.get(ctx, seeds[i], pathView)
 		cancel()
--- a/internal/edge/peers/seek_test.go
+++ b/internal/edge/peers/join_test.go
@@ -41,8 +41,8 @@
 	}
 	a.peers.mu.Unlock()
 	b := start(t, "127.0.0.45", control, udp)
-	b.peers.Seek(context.Background(), []string{"127.0.0.45:1", a.peers.Self.Addr}, false)
-	b.peers.Sought(context.Background())
+	b.peers.Join(context.Background(), []string{"127.0.0.45:1", a.peers.Self.Addr}, false)
+	b.peers.Joined(context.Background())
 	assert.Assert(t, b.state.Ready())
 	assert.Equal(t, b.state.Version(), int64(5))
 	_, age := b.state.Table()
@@ -57,8 +57,8 @@
 	control, udp := ports(t)
 	a := start(t, "127.0.0.46", control, udp) // has no view itself
 	b := start(t, "127.0.0.47", control, udp)
-	b.peers.Seek(context.Background(), []string{a.peers.Self.Addr, "127.0.0.48:1"}, false)
-	b.peers.Sought(context.Background())
+	b.peers.Join(context.Background(), []string{a.peers.Self.Addr, "127.0.0.48:1"}, false)
+	b.peers.Joined(context.Background())
 	assert.Assert(t, !b.state.Ready())
 	assert.Equal(t, b.peers.Role(), follow.Everyone)
 }
@@ -75,9 +75,9 @@
 		a.know(t, 5)
 	}()
 	b.peers.http.Transport = notify{b.peers.http.Transport, asked}
-	b.peers.Seek(context.Background(), []string{a.peers.Self.Addr}, true)
+	b.peers.Join(context.Background(), []string{a.peers.Self.Addr}, true)
 	assert.Equal(t, b.state.Version(), int64(5))
-	a.peers.Seek(context.Background(), []string{a.peers.Self.Addr}, true) // a seed reads the store itself
+	a.peers.Join(context.Background(), []string{a.peers.Self.Addr}, true) // a seed reads the store itself
 }
 
 // notify tells of each request.
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -21,19 +21,14 @@
 )
 
 const (
-	// reportEvery is how often a router tells its peers its load. Every 150, 50
-	// and 20 ms: mean worth of eight days of 6 and 8 routers 0.660, 0.682 and
-	// 0.686, of a quiet one of 58 routers 0.446, 0.529 and 0.593
-	// (docs/MEASUREMENTS.md). Bytes between data centres are priced.
+	// reportEvery is how often a router tells its peers its load: the older it is, the more pile up
+	// at one server (docs/MEASUREMENTS.md).
 	reportEvery = 20 * time.Millisecond
 	// ratesEvery is in how many reports one tells the customers' rates, which
 	// change more slowly than loads and are most of a report.
 	ratesEvery = 4
-	// sumEvery is in how many ticks a reporter tells other data centres, bytes to
-	// which are priced. It divides knownEvery and is a multiple of ratesEvery, so that
-	// they hear those too. Every 20, 40 and 80 ms: worth 0.764, 0.775 and 0.779 on
-	// a quiet day of 58 routers. In a small fleet, where each tells each, 40 or 80 ms gain
-	// nothing (docs/MEASUREMENTS.md).
+	// sumEvery is in how many ticks a reporter tells other data centres, bytes to which are dear.
+	// It divides knownEvery and is a multiple of ratesEvery, so that they hear those too.
 	sumEvery = 4
 	// totalEvery is in how many ticks a reporter tells the routers of its data
 	// centre: there are two of them, so that a router hears one every 20 ms.
@@ -104,8 +99,8 @@
 	sums    int       // sums of this data centre that were told
 	pending pending   // what a reporter has yet to tell on
 
-	// sought is closed when the first view has been sought from the seeds.
-	sought chan struct{}
+	// joined is closed when the first view has been sought from the seeds.
+	joined chan struct{}
 
 	// What is being fetched. The servers are fetched apart from the configuration:
 	// a peer that does not answer must not hold up both.
@@ -127,7 +122,7 @@
 		views:   map[string]*peer{},
 		reports: map[string]heardReport{},
 		pending: newPending(),
-		sought:  make(chan struct{}),
+		joined:  make(chan struct{}),
 		http: &http.Client{
 			Timeout:   pullTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial.Dialer(pullTimeout / 2).DialContext},
--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -16,8 +16,7 @@
 	probeEvery = 20 * time.Millisecond
 	// Busy is the wait from which a host refuses the customer that fills it: a request
 	// waits some five times on its way to a server, and one that is refused is at another
-	// host 55 ms later. On a host of 0.192 cores that a flood came in by, and that refused
-	// from 60 ms on, answers took 406 ms by the median, at the others some 60.
+	// host soon.
 	Busy = 15 * time.Millisecond
 	// Overloaded is the wait from which a host refuses new requests at once: it is
 	// half of the shortest target in use (100 ms), and leaves a refused caller time to
@@ -62,10 +61,8 @@
 func (p *Probe) Expected() time.Duration { return p.Wait() + time.Duration(p.let.Load()) }
 
 // poll runs functions when a byte that was written to a pipe has been read, as a request
-// is served when its bytes have been read. A goroutine that is just started would wait
-// in the processor's own queue only; on a host that always has work those that the
-// runtime's poller wakes wait in another, of which one in 61 is taken. Requests lay in
-// the sockets of flooded hosts for seconds that such a measurement did not show.
+// is served when its bytes have been read. A goroutine that is just started would wait in
+// the processor's own queue, which on a busy host is far shorter than the poller's.
 type poll struct {
 	r, w *os.File
 	next chan func()
