--- a/internal/edge/front/operations_test.go
+++ b/internal/edge/front/operations_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/ctl"
 	"github.com/windscale/windscale/internal/edge/state"
@@ -101,3 +102,15 @@
 	said := follow(t, r, "edge-denied", a.id)
 	assert.Assert(t, strings.Contains(said, "under configuration 1: no customer has this key"), said)
 }
+
+func TestOperationsEvacuated(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	r.servers(2)
+	r.state.EvacuationsChanged([]string{"dc"}, nil, true, roster.Stamp{Version: 9})
+	a := r.call(context.Background(), "POST", "/s/x", "k", "")
+	assert.Equal(t, a.status, 503)
+	assert.Equal(t, a.header.Get("Retry-After"), "1.000")
+	said := follow(t, r, "edge-evacuated", a.id)
+	assert.Assert(t, strings.Contains(said, "data centres evacuated"), said)
+}
