--- a/internal/core/slowstart/slowstart.go
+++ b/internal/core/slowstart/slowstart.go
@@ -21,6 +21,8 @@
 	// views is how many sets of routers may give out a server's permits at a time: while
 	// routers join or fall silent, some know one set and some the next.
 	views = 2
+	// mostPermits bounds what a configuration may say: no server gets as many requests a second.
+	mostPermits = 10_000
 )
 
 // Bound is by how much a fleet may exceed what servers bear, as the operator allows it.
@@ -35,7 +37,7 @@
 	if s.For <= 0 || s.PerSecond <= 0 {
 		return 0, false
 	}
-	return int((s.PerSecond*b.Over + b.Slack) / views), true
+	return int(min((s.PerSecond*b.Over+b.Slack)/views, mostPermits)), true
 }
 
 // Source is what says that a server is cold.
--- a/internal/core/slowstart/slowstart_test.go
+++ b/internal/core/slowstart/slowstart_test.go
@@ -27,6 +27,8 @@
 	}
 	n, limited = Bound{Over: 1}.Permits(routing.SlowStart{For: time.Second, PerSecond: 1})
 	assert.Assert(t, limited && n == 0, "too little to share out: nothing")
+	n, _ = b.Permits(routing.SlowStart{For: time.Second, PerSecond: 1e300})
+	assert.Equal(t, n, mostPermits)
 }
 
 func TestTheLastSourceCounts(t *testing.T) {
--- a/internal/edge/settings/settings_test.go
+++ b/internal/edge/settings/settings_test.go
@@ -91,3 +91,21 @@
 		}
 	}
 }
+
+// Cold servers' bound and the regions may be left out; what is wrong is told.
+func TestSlowStartAndRegions(t *testing.T) {
+	s, err := load(t, good)
+	assert.NilError(t, err)
+	assert.Equal(t, s.ColdOver, 1.0)
+	assert.Equal(t, s.ColdSlack, 0.0)
+	assert.Equal(t, len(s.Regions), 0)
+	s, err = load(t, good+"[slow_start]\nover = 1.5\nslack = 5\n[regions]\na = x\nb = y\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.ColdOver, 1.5)
+	assert.Equal(t, s.ColdSlack, 5.0)
+	assert.DeepEqual(t, s.Regions, map[string]string{"a": "x", "b": "y"})
+	_, err = load(t, good+"[slow_start]\nover = -1\nslack = much\n[regions]\na =\n")
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, len(e.Faults), 3)
+}
