--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -35,6 +35,8 @@
 	*platformtest.Server
 	proxy *proxy
 	left  time.Time // when its entry said that it leaves; zero: it has not
+
+	spells int // of being cold, that have not ended
 }
 
 // router is one process.
@@ -78,6 +80,7 @@
 	evacuating  sync.Mutex
 	evacuations []evacuation
 	colds       []coldSpell
+	written     int          // warm-ups that entries said
 	poisons     sync.Mutex   // one guilty request at a time
 	poisoned    atomic.Int64 // servers that ended under a guilty request
 }
--- a/soak/warm.go
+++ b/soak/warm.go
@@ -53,28 +53,37 @@
 	f.troubled = time.Now()
 }
 
-// turnCold has an engine become cold, say so in its entry, and become warm again.
+// turnCold has an engine become cold, say so in its entry, and become warm again, unless it
+// has become cold anew meanwhile. Each time it says another number: routers can't tell an entry
+// that is written again from one that they have read.
 func (f *fleet) turnCold(x fault) {
 	list := f.live("llm")
 	if len(list) < 2 {
 		return
 	}
 	s := list[x.Who%len(list)]
-	f.writeWarmup(s, warmup)
+	f.writeWarmup(s, 1)
 	begin := time.Now()
 	time.Sleep(warmup)
 	f.mu.Lock()
 	f.colds = append(f.colds, coldSpell{s.ID, span{begin, time.Now()}})
 	f.mu.Unlock()
-	f.writeWarmup(s, 0)
+	f.writeWarmup(s, -1)
 }
 
-func (f *fleet) writeWarmup(s *server, left time.Duration) {
+// writeWarmup counts one spell of the server more or less, and writes what its entry says then.
+func (f *fleet) writeWarmup(s *server, spells int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !s.left.IsZero() {
+	s.spells += spells
+	if !s.left.IsZero() || spells < 0 && s.spells > 0 {
 		return
 	}
+	f.written++
+	left := warmup + time.Duration(f.written)*time.Millisecond
+	if spells < 0 {
+		left = 0
+	}
 	s.SetWarmup(left)
 	f.store.PutServer(s.Server, "ready")
 }
