read once more: one question for servers on permits, no work for heartbeats that tell the known evacuations

Whether a server gets requests on permits only stood six times; it is server.onPermits now. Each heartbeat made two maps and two sorted lists for evacuations that had not changed; the known list is left at once. Two cases of roster.merge that did the same are one, a doc comment names one function, Unreached stands behind the evacuation's fields.

--- a/internal/core/pick/cache.go
+++ b/internal/core/pick/cache.go
@@ -88,7 +88,7 @@
 	var found *server
 	for _, h := range p.holders[key] {
 		if h.s == nil || h.s == s || !h.s.takes || now.Sub(h.at) > life || p.rankOf(h.s, now) != rankGood ||
-			!homes.Allow(h.s.region) || h.s.bounded && h.s.cold.Is(now) {
+			!homes.Allow(h.s.region) || h.s.onPermits(now) {
 			continue
 		}
 		if h.s.DataCentre == s.DataCentre {
--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -95,10 +95,13 @@
 	return n
 }
 
+// onPermits reports whether requests go to the server on permits only.
+func (s *server) onPermits(now time.Time) bool { return s.bounded && s.cold.Is(now) }
+
 // bearsNone reports whether nothing may be sent to the server by this router now, since it is
 // cold.
 func (p *Picker) bearsNone(s *server, now time.Time) bool {
-	return s.bounded && s.cold.Is(now) && !s.cold.Free(p.slotsOf(s), now)
+	return s.onPermits(now) && !s.cold.Free(p.slotsOf(s), now)
 }
 
 // slotsOf is how many of the server's permits are this router's.
@@ -113,7 +116,7 @@
 // usePermit notes that a request is sent to the server, on a permit if that is cold.
 func (p *Picker) usePermit(s *server, now time.Time) {
 	s.sent = now
-	if s.bounded && s.cold.Is(now) {
+	if s.onPermits(now) {
 		s.cold.Use(now)
 	}
 }
@@ -125,7 +128,7 @@
 		return false
 	}
 	s := p.servers[id.ID]
-	if !s.bounded || !s.cold.Is(now) {
+	if !s.onPermits(now) {
 		return true
 	}
 	return permit && now.Sub(placed) < slowstart.Window/2
@@ -211,7 +214,7 @@
 		if drawn == coldDrawn {
 			break
 		}
-		if s.bounded && s.cold.Is(now) && s.cold.Free(p.slotsOf(s), now) && !slices.Contains(few, s) {
+		if s.onPermits(now) && !p.bearsNone(s, now) && !slices.Contains(few, s) {
 			few = append(few, s)
 			drawn++
 		}
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -51,7 +51,7 @@
 	}
 	return Choice{
 		Server:  s.Server,
-		Cold:    s.bounded && s.cold.Is(now),
+		Cold:    s.onPermits(now),
 		Wait:    millis(ms),
 		Own:     millis(base + need.time(rate)),
 		ahead:   ahead,
@@ -80,7 +80,7 @@
 	ms := work * max(0, load-slots+1) / slots
 	return Choice{
 		Server: s.Server,
-		Cold:   s.bounded && s.cold.Is(now),
+		Cold:   s.onPermits(now),
 		Wait:   millis(ms),
 		Own:    millis(work),
 		work:   work * (1 + load/slots/4),
@@ -213,7 +213,7 @@
 	own := p.near[req.Service]
 	var first, second, far uint64
 	for _, s := range list {
-		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.bounded && s.cold.Is(now) {
+		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.onPermits(now) {
 			continue
 		}
 		score := mix(key, s.hash)
--- a/internal/core/roster/returned.go
+++ b/internal/core/roster/returned.go
@@ -90,9 +90,7 @@
 		switch {
 		case isHeld && waits.server.Identity() == s.Identity():
 			r.hold(s, waits.until)
-		case !listed && gone && left.id == s.Identity():
-			r.hold(s, until)
-		case listed && known.Identity() == s.Identity() && !known.Takes():
+		case !listed && gone && left.id == s.Identity(), listed && known.Identity() == s.Identity() && !known.Takes():
 			r.hold(s, until)
 		default:
 			r.set(s)
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -53,8 +53,8 @@
 	EvacEra   uint64                    `cbor:"19,keyasint,omitempty"`
 	Evacuated []string                  `cbor:"20,keyasint,omitempty"` // data centres
 	EvacKept  map[string]int64          `cbor:"21,keyasint,omitempty"` // others that count as such for so long, ms
-	Unreached map[routing.ServerKey]int `cbor:"23,keyasint,omitempty"` // routers that can't connect to a server
 	EvacEnded map[string]int64          `cbor:"22,keyasint,omitempty"` // how long ago each was taken back, ms
+	Unreached map[routing.ServerKey]int `cbor:"23,keyasint,omitempty"` // routers that can't connect to a server
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -93,13 +93,7 @@
 
 // evacuations are the sender's, as they were when the heartbeat came.
 func (w heartbeat) evacuations(waited time.Duration) (evacuation.Told, roster.Stamp) {
-	t := evacuation.Told{Rows: w.Evacuated, Kept: map[string]time.Duration{}, Ended: map[string]time.Duration{}}
-	for dc, ms := range w.EvacKept {
-		t.Kept[dc] = time.Duration(ms) * time.Millisecond
-	}
-	for dc, ms := range w.EvacEnded {
-		t.Ended[dc] = time.Duration(ms)*time.Millisecond + waited
-	}
+	t := evacuation.Told{Rows: w.Evacuated, Kept: ofMillis(w.EvacKept, 0), Ended: ofMillis(w.EvacEnded, waited)}
 	return t, roster.Stamp{Era: w.EvacEra, Version: w.Evac}
 }
 
@@ -112,6 +106,18 @@
 	w.EvacEnded = inMillis(t.Ended)
 }
 
+// ofMillis is the other way of inMillis, with what has passed on the way.
+func ofMillis(m map[string]int64, passed time.Duration) map[string]time.Duration {
+	if len(m) == 0 {
+		return nil
+	}
+	all := make(map[string]time.Duration, len(m))
+	for key, ms := range m {
+		all[key] = time.Duration(ms)*time.Millisecond + passed
+	}
+	return all
+}
+
 func inMillis(m map[string]time.Duration) map[string]int64 {
 	if len(m) == 0 {
 		return nil
--- a/internal/edge/state/evacuation.go
+++ b/internal/edge/state/evacuation.go
@@ -42,11 +42,12 @@
 	})
 }
 
-// EvacuationsToldBy takes another router's list.
+// EvacuationsToldBy takes another router's list. Most heartbeats tell the list that is known.
 func (s *State) EvacuationsToldBy(t evacuation.Told, as roster.Stamp) Evacuations {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if as == (roster.Stamp{}) {
+	nothingBeyond := len(t.Kept)+len(t.Ended) == 0
+	if as == (roster.Stamp{}) || as == s.evacuated.Stamp() && nothingBeyond {
 		return Evacuations{}
 	}
 	return s.evacuate(func(now time.Time) bool { return s.evacuated.Take(t, as, now) })
@@ -81,7 +82,7 @@
 	return s.evacuated.Told(s.now()), s.evacuated.Stamp()
 }
 
-// EvacuatedCount and ColdCount return how many data centres are evacuated and servers cold.
+// EvacuatedCount returns how many data centres are evacuated.
 func (s *State) EvacuatedCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
