front, pick: record, log and count what servers announce in answers

Two incidents could not be told apart from others by logs or metrics: a server whose answers carry Server-Leaving, and one that refuses requests with Retry-After, looked like any other server. Both headers are now read from each answer to a request of its own before it is handled any further.

The picker keeps this state by server identity, apart from the server list, whose entries lapse while the store is unavailable. Values that can't be parsed are ignored and logged once for each server (event 427). No routing decision uses this state yet.

--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -163,6 +163,7 @@
 	fleet        *slowstart.Fleet
 	bound        slowstart.Bound
 	warmups      []Warmup // what changed since it was taken last
+	notices      map[routing.Identity]*notice
 }
 
 // Warmup is a change of belief about a server's being cold.
@@ -205,6 +206,7 @@
 		firsts:     map[string]FirstTokens{},
 		evacuated:  map[string]bool{},
 		fleet:      slowstart.NewFleet(""),
+		notices:    map[routing.Identity]*notice{},
 	}
 }
 
@@ -330,6 +332,7 @@
 	if now.Sub(p.forgot) > forgetEvery {
 		p.forgot = now
 		p.forgetParts(now)
+		p.forgetNotices(now)
 	}
 }
 
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -50,5 +50,11 @@
 // Identity returns the server's.
 func (s Server) Identity() Identity { return Identity{ID: s.ID, Born: s.Born} }
 
+// Notice is what a server announces about itself in an answer to any request.
+type Notice struct {
+	Leaving bool          // it is shutting down and wants no new requests
+	Backoff time.Duration // how long it wants no requests from this router; 0: not specified
+}
+
 // Takes reports whether the server takes new requests.
 func (s Server) Takes() bool { return s.State == ServerReady }
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -155,6 +155,7 @@
 // answered judges an answer by its status and passes it on if it is the last.
 func (x *exchange) answered(a *upstream.Answer) verdict {
 	q := x.q
+	x.recordNotice(a)
 	notRun, other, _ := q.h.Headers.Answer(a.Status, a.Header)
 	if notRun {
 		return x.refused(a, other)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -33,6 +33,9 @@
 	// never will, other that another server has the address, attempt the
 	// caller's id of the attempt that it belongs to.
 	Answer(status int, h http.Header) (notRun, other bool, attempt string)
+	// Notice parses the headers of an answer that describe the server itself. Values that
+	// can't be parsed are left zero, and an error is returned.
+	Notice(status int, h http.Header) (routing.Notice, error)
 	// ToCaller names the attempt in an answer of the fleet's own.
 	ToCaller(h http.Header, attempt string)
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -221,6 +221,8 @@
 	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
 	n.meter.Gauge("data_centres_evacuated", "Data centres to whose servers nothing is sent.", func() float64 { return float64(n.state.EvacuatedCount()) })
 	n.meter.Gauge("servers_cold", "Backend servers that count as cold.", func() float64 { return float64(n.state.ColdCount()) })
+	n.meter.Gauge("servers_leaving", "Backend servers that said in an answer that they are leaving.", func() float64 { return float64(n.state.LeavingCount()) })
+	n.meter.Gauge("servers_backoff", "Backend servers that asked for no requests for a time that is not over.", func() float64 { return float64(n.state.BackoffCount()) })
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -29,6 +29,9 @@
 	ServersChanged  = Event{422, "list of backend servers changed"}
 	ServerCold      = Event{423, "backend server is cold"}
 
+	ServerBackoff   = Event{426, "backend server asks for no requests for a time"}
+	ServerNoticeBad = Event{427, "what a backend server says of itself can't be read"}
+
 	EvacuationSet       = Event{424, "data centre evacuated, nothing is sent to its servers"}
 	EvacuationTakenBack = Event{425, "evacuation of a data centre taken back"}
 
