pick: send nothing to a server that has announced that it is leaving

Requests reached an engine 2406 to 2596 ms after it had announced in an answer, to the router that sent them, that it is leaving. The bound is 2000 ms.

Cause: the router learned that a server is leaving only from the store's list. The store was down from 6.5 to 20.1 s, the server's entry stayed ready, and the announcements in its answers were ignored. Ruled out: requests placed before the answer arrived (they took 5 ms from the caller to the server), and a list that reverted the information (no log line of a changed list in that time).

Change: a server that has announced that it is leaving gets no requests from the moment the header of that answer is read. This covers first sends, retries, streams and requests that are already placed, whatever the list of the store or of another router says. The server is used again when it has restarted (another identity), when its entry changes from draining to ready, or when the store, followed without a gap for 30 s, has listed it as ready for as long since its last announcement. Another router's report of having followed the store counts if its list has the same stamp. An entry that lapses and reappears within 10 minutes does not count, nor does one in a copy that the store was restored from. Event 428 reports a server whose mark was cleared.

--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -177,7 +177,7 @@
 	listed, evacuated, home := 0, 0, 0
 	var soonest time.Time
 	for _, s := range p.servers {
-		if s.Service != req.Service || !s.Server.Takes() {
+		if s.Service != req.Service || !s.Server.Takes() || p.isLeaving(s.Identity()) {
 			continue
 		}
 		listed++
--- a/internal/core/pick/notice.go
+++ b/internal/core/pick/notice.go
@@ -13,6 +13,10 @@
 	// leavingRetention is how long an unlisted server counts as leaving after its last
 	// announcement: its entry may reappear while it still serves requests.
 	leavingRetention = 10 * time.Minute
+	// leavingStaleAfter is how long the store must have listed a server as ready since its last
+	// announcement that it is leaving before the mark is cleared. A server that shuts down
+	// reports that to the store or stops its heartbeats well before.
+	leavingStaleAfter = 30 * time.Second
 )
 
 // notice is what a server has announced about itself in answers.
@@ -43,6 +47,64 @@
 	return isNew
 }
 
+// isLeaving reports whether the server is marked as leaving.
+func (p *Picker) isLeaving(id routing.Identity) bool {
+	n := p.notices[id]
+	return n != nil && !n.leavingAt.IsZero()
+}
+
+// ReturnedServer is a server that is no longer marked as leaving.
+type ReturnedServer struct {
+	Server routing.Server
+	Reason string // for the log
+}
+
+// clearLeaving removes the leaving mark of a server, if it has one.
+func (p *Picker) clearLeaving(s routing.Server, reason string) {
+	if !p.isLeaving(s.Identity()) {
+		return
+	}
+	p.notices[s.Identity()].leavingAt = time.Time{}
+	p.returned = append(p.returned, ReturnedServer{Server: s, Reason: reason})
+}
+
+// clearIfReadyAgain clears the mark of a server whose entry has changed from draining to ready,
+// which means that it cancelled its shutdown. An entry that reappears as ready does not, since the
+// store may have lost the report that the server is draining.
+func (p *Picker) clearIfReadyAgain(s *server, before routing.Server) {
+	if before.Identity() == s.Identity() && !s.unlisted && !before.Takes() && s.Server.Takes() {
+		p.clearLeaving(s.Server, "entry changed from draining to ready")
+	}
+}
+
+// ClearStaleLeaving clears the marks of servers that have been listed as ready for at least
+// leavingStaleAfter since their last announcement, and reports whether it cleared any. It clears
+// none if followed, the time for which the store has been followed without a gap, is shorter than
+// that. The change takes effect with the next call of SetServers.
+func (p *Picker) ClearStaleLeaving(followed time.Duration, now time.Time) bool {
+	if followed < leavingStaleAfter {
+		return false
+	}
+	changed := false
+	for id, n := range p.notices {
+		if !p.isLeaving(id) || !p.Known(id) || now.Sub(n.leavingAt) < leavingStaleAfter {
+			continue
+		}
+		if s := p.servers[id.ID]; !s.unlisted && s.Server.Takes() && now.Sub(s.readySince) >= leavingStaleAfter {
+			p.clearLeaving(s.Server, "entry stayed ready")
+			changed = true
+		}
+	}
+	return changed
+}
+
+// TakeReturned returns the servers whose mark was cleared since the last call.
+func (p *Picker) TakeReturned() []ReturnedServer {
+	list := p.returned
+	p.returned = nil
+	return list
+}
+
 // NoteBackoff records that the server requested a backoff of d, and reports whether none was
 // in effect. A later request can extend a backoff but not shorten it.
 func (p *Picker) NoteBackoff(id routing.Identity, d time.Duration, now time.Time) bool {
--- a/internal/core/pick/notice_test.go
+++ b/internal/core/pick/notice_test.go
@@ -1,6 +1,9 @@
 package pick
 
 import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -43,3 +46,154 @@
 	p.Tick(start.Add(leavingRetention + time.Minute))
 	assert.Equal(t, len(p.notices), 0)
 }
+
+// entries holds the state of each server's entry. The servers alternate between two data centres.
+type entries []byte
+
+const (
+	entryReady byte = iota
+	entryDraining
+	entryAbsent
+	entryStateCount
+)
+
+// list returns the servers whose entries are present.
+func (e entries) list() (list []routing.Server) {
+	for i, state := range e {
+		s := routing.Server{ID: fmt.Sprint(i), Service: "app", DataCentre: fmt.Sprintf("dc%d", i%2), Slots: 6, State: routing.ServerReady}
+		switch state {
+		case entryAbsent:
+			continue
+		case entryDraining:
+			s.State = routing.ServerDraining
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// leavingModel derives which servers may be chosen from the steps alone, without the picker.
+type leavingModel struct {
+	entries    entries
+	leaving    map[int]time.Time // last announcement
+	readySince map[int]time.Time // since when the entry has been ready
+}
+
+// setEntry changes the state of a server's entry.
+func (m *leavingModel) setEntry(i int, state byte, now time.Time) {
+	before := m.entries[i]
+	m.entries[i] = state
+	if state == entryReady && before != entryReady {
+		m.readySince[i] = now
+	}
+	if before == entryDraining && state == entryReady {
+		delete(m.leaving, i)
+	}
+}
+
+// clearStale clears the marks that the store contradicts after it was followed for
+// leavingStaleAfter.
+func (m *leavingModel) clearStale(now time.Time) {
+	for i, announced := range m.leaving {
+		if m.entries[i] == entryReady && now.Sub(announced) >= leavingStaleAfter && now.Sub(m.readySince[i]) >= leavingStaleAfter {
+			delete(m.leaving, i)
+		}
+	}
+}
+
+// forget drops the marks of servers that the picker does not know, after leavingRetention.
+func (m *leavingModel) forget(p *Picker, now time.Time) {
+	for i, announced := range m.leaving {
+		if !p.Known(routing.Identity{ID: fmt.Sprint(i)}) && now.Sub(announced) >= leavingRetention {
+			delete(m.leaving, i)
+		}
+	}
+}
+
+// usable returns the IDs of the servers that may be chosen.
+func (m *leavingModel) usable(evacuated string) map[string]bool {
+	ids := map[string]bool{}
+	for i, state := range m.entries {
+		if _, leaving := m.leaving[i]; state == entryReady && !leaving && fmt.Sprintf("dc%d", i%2) != evacuated {
+			ids[fmt.Sprint(i)] = true
+		}
+	}
+	return ids
+}
+
+// FuzzLeaving guards against sequences of lists, announcements, evacuations and clock advances
+// after which a leaving server is chosen, or a usable one is not.
+func FuzzLeaving(f *testing.F) {
+	f.Add([]byte{0, 8, 16, 1, 9, 2, 10, 0, 3, 4, 6, 5, 1, 7})
+	f.Add([]byte{0x01, 0x21, 0x05, 0x06, 0x41, 0x03})
+	f.Add(append(append([]byte{0, 66}, bytes.Repeat([]byte{253}, 25)...), 2)) // longer than leavingRetention
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const servers = 4
+		p := New("dc0", rand.New(rand.NewPCG(1, 2)))
+		p.SetServices([]routing.Service{{Name: "app"}})
+		m := leavingModel{entries: make(entries, servers), leaving: map[int]time.Time{}, readySince: map[int]time.Time{}}
+		now := start
+		for i := range servers {
+			m.readySince[i] = now
+		}
+		p.SetServers(m.entries.list(), now)
+		evacuated := ""
+		for _, b := range steps[:min(len(steps), 400)] {
+			i := int(b>>3) % servers
+			switch b % 8 {
+			case 0, 1:
+				if m.entries[i] != entryAbsent {
+					p.NoteLeaving(routing.Identity{ID: fmt.Sprint(i)}, now)
+					m.leaving[i] = now
+					p.SetServers(m.entries.list(), now)
+				}
+			case 2, 3:
+				m.setEntry(i, (m.entries[i]+1+b>>6)%entryStateCount, now)
+				p.SetServers(m.entries.list(), now)
+			case 4:
+				evacuated = []string{"", "dc0", "dc1"}[int(b>>3)%3]
+				p.SetEvacuated([]string{evacuated})
+				p.SetServers(m.entries.list(), now)
+			case 5:
+				now = now.Add(time.Duration(b) * 100 * time.Millisecond)
+				p.Tick(now)
+				p.forgetNotices(now)
+				m.forget(p, now)
+			case 6:
+				p.ClearStaleLeaving(leavingStaleAfter-1, now)
+				p.SetServers(m.entries.list(), now)
+			case 7:
+				p.ClearStaleLeaving(leavingStaleAfter, now)
+				m.clearStale(now)
+				p.SetServers(m.entries.list(), now)
+			}
+			usable := m.usable(evacuated)
+			for id := range servers {
+				takes := p.Takes(routing.Identity{ID: fmt.Sprint(id)})
+				if takes != usable[fmt.Sprint(id)] {
+					t.Fatalf("server %d: takes %t, %v", id, takes, m)
+				}
+			}
+			c, ok := p.Choose(Request{Service: "app"}, now)
+			if ok != (len(usable) > 0) || ok && !usable[c.Server.ID] {
+				t.Fatalf("chose %q of %v", c.Server.ID, usable)
+			}
+			if ok && b%3 == 0 {
+				p.Begin(Request{Service: "app"}, c, now) // keeps the server known while it is not listed
+			}
+		}
+	})
+}
+
+// Guards against a refusal that reports a lack of servers instead of an evacuation because a
+// server outside the evacuated data centre is leaving.
+func TestLackEvacuatedIgnoresLeavingServers(t *testing.T) {
+	p := picker(0)
+	p.NoteLeaving(routing.Identity{ID: "p-0"}, at(0))
+	p.SetEvacuated([]string{"dc1"})
+	p.SetServers(listOf(p), at(0))
+	_, ok := p.Choose(Request{Service: "app"}, at(10))
+	assert.Assert(t, !ok)
+	lack, _ := p.Lacks(Request{Service: "app"}, at(10))
+	assert.Equal(t, lack, LackEvacuated)
+}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -128,7 +128,9 @@
 	health     health
 	shunned    bool // passed over for what other routers report
 	connLimit  int
-	takes      bool // listed as one that takes new requests, in no evacuated data centre
+	takes      bool // listed as one that takes new requests, not leaving, in no evacuated data centre
+	unlisted   bool
+	readySince time.Time // since when it has been listed as ready without a gap
 	region     string
 	cold       slowstart.Cold
 	sent       time.Time // when this router sent a request there last
@@ -164,6 +166,7 @@
 	bound        slowstart.Bound
 	warmups      []Warmup // what changed since it was taken last
 	notices      map[routing.Identity]*notice
+	returned     []ReturnedServer // since TakeReturned was called last
 }
 
 // Warmup is a change of belief about a server's being cold.
@@ -264,7 +267,12 @@
 		}
 		before := s.Server
 		s.Server = entry
-		s.takes = entry.Takes() && !p.evacuated[entry.DataCentre]
+		p.clearIfReadyAgain(s, before)
+		if s.unlisted || !before.Takes() || before.Identity() != entry.Identity() {
+			s.readySince = now
+		}
+		s.unlisted = false
+		s.takes = entry.Takes() && !p.evacuated[entry.DataCentre] && !p.isLeaving(entry.Identity())
 		s.region = p.regions[entry.DataCentre]
 		p.describe(s)
 		p.readWarmup(s, before, now)
@@ -277,6 +285,7 @@
 			continue
 		}
 		s.takes = false
+		s.unlisted = true
 		if s.own.Running == 0 {
 			p.forgetServer(s)
 		}
@@ -359,7 +368,8 @@
 	return 0
 }
 
-// Takes reports whether the server is listed as one that takes new requests.
+// Takes reports whether the server is listed as one that takes new requests and has not
+// announced that it is leaving.
 func (p *Picker) Takes(id routing.Identity) bool { return p.Known(id) && p.servers[id.ID].takes }
 
 // Known reports whether the server is still known, and has not started again since.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -304,6 +304,7 @@
 		case now := <-t.C:
 			n.state.Tick()
 			n.logWarmups(ctx)
+			n.logReturned(ctx)
 			if now.Sub(retired) > retireEvery {
 				retired = now
 				n.pool.Retire(n.state.Known)
@@ -325,6 +326,14 @@
 	}
 }
 
+// logReturned logs and counts the servers that are no longer marked as leaving.
+func (n *Node) logReturned(ctx context.Context) {
+	for _, r := range n.state.TakeReturned() {
+		n.meter.Believed(r.Server.Service, "returned")
+		events.ServerReturned.Log(ctx, n.log, slog.LevelInfo, "server", r.Server.ID, "service", r.Server.Service, "why", r.Reason)
+	}
+}
+
 // register writes this router's address into the store, if others are to find it there,
 // and reads those of the others while it hears none.
 func (n *Node) register(ctx context.Context) error {
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -73,7 +73,7 @@
 		p.State.TotalReport(w.key(), report)
 	case useNone:
 	}
-	if p.State.Settle(time.Duration(w.FollowedMs) * time.Millisecond) {
+	if p.State.Settle(time.Duration(w.FollowedMs)*time.Millisecond, w.stamp()) {
 		events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", w.Control, "followedMs", w.FollowedMs, "what", "doubtful ones forgotten")
 	}
 	if vouches && w.Era >= p.State.Era() && w.Version != 0 && w.Version == p.State.Version() && !w.stamp().After(p.State.Stamp()) {
--- a/internal/edge/state/notice.go
+++ b/internal/edge/state/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -11,7 +12,27 @@
 func (s *State) ServerLeaving(id routing.Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.picker.NoteLeaving(id, s.now())
+	now := s.now()
+	if !s.picker.NoteLeaving(id, now) {
+		return false
+	}
+	s.setServers(now)
+	return true
+}
+
+// clearStaleLeaving clears marks that the store contradicts, as [pick.Picker.ClearStaleLeaving]
+// describes, and updates the servers in use.
+func (s *State) clearStaleLeaving(followed time.Duration, now time.Time) {
+	if s.picker.ClearStaleLeaving(followed, now) {
+		s.setServers(now)
+	}
+}
+
+// TakeReturned returns the servers whose leaving mark was cleared since the last call.
+func (s *State) TakeReturned() []pick.ReturnedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.TakeReturned()
 }
 
 // ServerBackoff records that a server requested a backoff of d, and reports whether none was
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -143,15 +143,20 @@
 	return s.roster.Followed(s.now())
 }
 
-// Settle takes a router's report that it has followed the store for so long, and
-// reports whether doubtful servers were forgotten for it.
-func (s *State) Settle(followed time.Duration) bool {
+// Settle takes another router's report of how long it has followed the store without a gap and of
+// its list's stamp. It clears stale leaving marks if this router's list has the same stamp, and
+// reports whether doubtful servers were forgotten.
+func (s *State) Settle(followed time.Duration, as roster.Stamp) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.roster.Settle(followed, s.now()) {
+	now := s.now()
+	if as == s.roster.Stamp() {
+		s.clearStaleLeaving(followed, now)
+	}
+	if !s.roster.Settle(followed, now) {
 		return false
 	}
-	s.setServers(s.now())
+	s.setServers(now)
 	return true
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -169,6 +169,7 @@
 	if s.roster.Tick(now) || changed {
 		s.setServers(now)
 	}
+	s.clearStaleLeaving(s.roster.Followed(now), now)
 	s.undoOverdue(now)
 	s.picker.Tick(now)
 	s.poison.Tick(now)
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -30,6 +30,7 @@
 	ServerCold      = Event{423, "backend server is cold"}
 
 	ServerBackoff   = Event{426, "backend server asks for no requests for a time"}
+	ServerReturned  = Event{428, "leaving backend server takes requests again"}
 	ServerNoticeBad = Event{427, "what a backend server says of itself can't be read"}
 
 	EvacuationSet       = Event{424, "data centre evacuated, nothing is sent to its servers"}
