pick: send nothing to a server within the backoff that it requested

An engine answered 503 with Retry-After: 3 and received 5 to 9 requests from the same router between 0.5 and 3 s after that; two are allowed. One or two such servers refused callers' requests along the way, and some of these requests ended with 503 because of it.

Cause: the Retry-After of a server's answer was not used to choose servers. A refusal excluded the server for 60 ms, whatever it requested. Ruled out: retries (the requests in the record are first sends, spread over the whole time, the next one 0.1 s after a refusal), and a list of servers that reinstated it (no log line of a changed list in that time).

Change: a server that refuses with Retry-After, by 503 or 429, gets no requests from this router until that time has passed, at most five minutes. This covers first sends, retries, streams and requests that are already placed, whatever lists of servers say in the meantime. The server is not the home of any prompt during that time. It is used again as soon as the backoff ends or it has restarted (another identity). When all servers that may be asked are in backoff, or cold with a backoff that ends first, a request is refused at once with reason "servers in backoff" and a Retry-After until the first backoff ends, within 40 to 400 ms: its next attempt reaches another router, whose servers may not be in backoff.

Evidence: the tests failed on the code before the change: a second request reached the server on plain routes, streams were answered with 503 although another server was free, and a placed request was sent. Each mechanism was removed in turn, and each has a test that fails without it. FuzzBackoff, 30 s: no failure.

--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -122,12 +122,15 @@
 }
 
 // May reports whether a request that was placed then may still be sent to the server: that it
-// is listed, and warm or the request has a permit that counts.
+// is listed and not in backoff, and warm or the request has a permit that counts.
 func (p *Picker) May(id routing.Identity, permit bool, placed, now time.Time) bool {
 	if !p.Takes(id) {
 		return false
 	}
 	s := p.servers[id.ID]
+	if s.inBackoff(now) {
+		return false
+	}
 	if !s.onPermits(now) {
 		return true
 	}
@@ -170,12 +173,14 @@
 	LackEvacuated             // all stand in evacuated data centres
 	LackCold                  // all that may be asked are cold and get what they bear
 	LackHome                  // none stands in a region in which the request may be served
+	LackBackoff               // all that may be asked are in backoff or cold, and a backoff ends first
 )
 
 // Lacks says why there is no server for a request, and when there may be one, if that is known.
 func (p *Picker) Lacks(req Request, now time.Time) (lack Lack, back time.Duration) {
 	listed, evacuated, home := 0, 0, 0
 	var soonest time.Time
+	lack = LackServers
 	for _, s := range p.servers {
 		if s.Service != req.Service || !s.Server.Takes() || p.isLeaving(s.Identity()) {
 			continue
@@ -189,8 +194,9 @@
 			evacuated++
 			continue
 		}
-		if until := s.cold.Until(); s.bounded && until.After(now) && (soonest.IsZero() || until.Before(soonest)) {
-			soonest = until
+		until, why := s.blockedUntil(now)
+		if !until.IsZero() && (soonest.IsZero() || until.Before(soonest)) {
+			soonest, lack = until, why
 		}
 	}
 	switch {
@@ -201,11 +207,23 @@
 	case evacuated == home:
 		return LackEvacuated, 0
 	case !soonest.IsZero():
-		return LackCold, soonest.Sub(now)
+		return lack, soonest.Sub(now)
 	}
 	return LackServers, 0
 }
 
+// blockedUntil returns when a listed server takes requests without bound, and what blocks it until
+// then; a zero time if nothing does.
+func (s *server) blockedUntil(now time.Time) (until time.Time, why Lack) {
+	if s.onPermits(now) {
+		until, why = s.cold.Until(), LackCold
+	}
+	if s.inBackoff(now) && s.notice.backoffUntil.After(until) {
+		until, why = s.notice.backoffUntil, LackBackoff
+	}
+	return until, why
+}
+
 // drawCold adds cold servers that this router has a free permit for: no other router may use
 // it, so that they would idle.
 func (p *Picker) drawCold(few, list []*server, now time.Time) []*server {
@@ -214,7 +232,7 @@
 		if drawn == coldDrawn {
 			break
 		}
-		if s.onPermits(now) && !p.bearsNone(s, now) && !slices.Contains(few, s) {
+		if s.onPermits(now) && !p.bearsNone(s, now) && !s.inBackoff(now) && !slices.Contains(few, s) {
 			few = append(few, s)
 			drawn++
 		}
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -213,7 +213,7 @@
 	own := p.near[req.Service]
 	var first, second, far uint64
 	for _, s := range list {
-		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.onPermits(now) {
+		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.onPermits(now) || s.inBackoff(now) {
 			continue
 		}
 		score := mix(key, s.hash)
--- a/internal/core/pick/notice.go
+++ b/internal/core/pick/notice.go
@@ -34,6 +34,9 @@
 	if n == nil {
 		n = &notice{}
 		p.notices[id] = n
+		if p.Known(id) {
+			p.servers[id.ID].notice = n
+		}
 	}
 	return n
 }
@@ -116,6 +119,11 @@
 	return isNew
 }
 
+// inBackoff reports whether a backoff that the server requested is in effect.
+func (s *server) inBackoff(now time.Time) bool {
+	return s.notice != nil && now.Before(s.notice.backoffUntil)
+}
+
 // NoteMalformed records that the server sent an announcement that can't be parsed, and reports
 // whether it is the first one.
 func (p *Picker) NoteMalformed(id routing.Identity) bool {
--- a/internal/core/pick/notice_test.go
+++ b/internal/core/pick/notice_test.go
@@ -197,3 +197,103 @@
 	lack, _ := p.Lacks(Request{Service: "app"}, at(10))
 	assert.Equal(t, lack, LackEvacuated)
 }
+
+// FuzzBackoff guards against sequences of backoff requests, lists and clock advances after which a
+// server in backoff is chosen or sent to, or a usable one is not.
+func FuzzBackoff(f *testing.F) {
+	f.Add([]byte{0, 9, 2, 0x43, 0x83, 17, 4, 0xc3, 25, 5, 6})
+	f.Add([]byte{8, 16, 0xff, 24, 3, 11, 19, 27, 7})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const servers = 4
+		p := New("dc0", rand.New(rand.NewPCG(1, 2)))
+		p.SetServices([]routing.Service{{Name: "app"}})
+		states := make(entries, servers)
+		backoffUntil := make([]time.Time, servers)
+		now := start
+		p.SetServers(states.list(), now)
+		for _, b := range steps[:min(len(steps), 400)] {
+			i := int(b>>3) % servers
+			switch b % 8 {
+			case 0, 1, 2:
+				d := time.Duration(b) * 20 * time.Millisecond
+				p.NoteBackoff(routing.Identity{ID: fmt.Sprint(i)}, d, now)
+				if end := now.Add(d); end.After(backoffUntil[i]) {
+					backoffUntil[i] = end
+				}
+			case 3, 4:
+				states[i] = (states[i] + 1) % entryStateCount
+				p.SetServers(states.list(), now)
+			default:
+				now = now.Add(time.Duration(b>>3) * 100 * time.Millisecond)
+				p.Tick(now)
+			}
+			usable := map[string]bool{}
+			for n, state := range states {
+				id := fmt.Sprint(n)
+				if state == entryReady && !now.Before(backoffUntil[n]) {
+					usable[id] = true
+				}
+				if may := p.May(routing.Identity{ID: id}, false, now, now); may != usable[id] {
+					t.Fatalf("server %s: May = %t, want %t", id, may, usable[id])
+				}
+			}
+			c, ok := p.Choose(Request{Service: "app"}, now)
+			if ok != (len(usable) > 0) || ok && !usable[c.Server.ID] {
+				t.Fatalf("chose %q of %v", c.Server.ID, usable)
+			}
+			if lack, back := p.Lacks(Request{Service: "app"}, now); !ok && lack == LackBackoff && back <= 0 {
+				t.Fatalf("LackBackoff with a wait of %s", back)
+			}
+		}
+	})
+}
+
+// Guards against choosing an engine in backoff as the home of a prompt, and against a home that
+// does not return when the backoff ends.
+func TestHomeInBackoffIsPassedOver(t *testing.T) {
+	p := picker(9)
+	req := Request{Service: "llm", Prompt: prompt(1, 1)}
+	home := choose(t, p, req, 0)
+	p.NoteBackoff(home.Server.Identity(), 3*time.Second, at(0))
+	for ms := 0; ms < 3000; ms += 100 {
+		assert.Assert(t, choose(t, p, req, ms).Server.ID != home.Server.ID)
+		for _, s := range p.homes(req, p.services["llm"], at(ms)).each() {
+			assert.Assert(t, s.ID != home.Server.ID)
+		}
+	}
+	assert.Equal(t, choose(t, p, req, 3000).Server.ID, home.Server.ID)
+}
+
+// Guards against drawing cold servers in backoff instead of those with a free permit.
+func TestColdServerInBackoffIsNotDrawn(t *testing.T) {
+	p := warming(0, 1, 6)
+	p.SetServers(enginesOf(6, 3, 3*time.Second), at(0))
+	list := p.services["llm"]
+	assert.Equal(t, len(p.drawCold(nil, list, at(0))), coldDrawn)
+	for _, s := range list[:2] {
+		p.NoteBackoff(s.Identity(), time.Second, at(0))
+	}
+	drawn := p.drawCold(nil, list, at(0))
+	assert.Equal(t, len(drawn), 1)
+	assert.Equal(t, drawn[0].ID, "i-002")
+}
+
+// Guards against a reason or a time that ignores one of two causes that block a server.
+func TestLacksTakesTheLaterOfColdAndBackoff(t *testing.T) {
+	p := warming(0, 2, 1)
+	p.fleet.Set([]string{"r1"}, false) // no permits
+	p.SetServers(enginesOf(1, 1, 2*time.Second), at(0))
+	req := Request{Service: "llm"}
+	lack, back := p.Lacks(req, at(0))
+	assert.Equal(t, lack, LackCold)
+	assert.Equal(t, back, 2*time.Second)
+	id := routing.Identity{ID: "i-000"}
+	p.NoteBackoff(id, time.Second, at(0))
+	lack, back = p.Lacks(req, at(0))
+	assert.Equal(t, lack, LackCold)
+	assert.Equal(t, back, 2*time.Second)
+	p.NoteBackoff(id, 3*time.Second, at(0))
+	lack, back = p.Lacks(req, at(0))
+	assert.Equal(t, lack, LackBackoff)
+	assert.Equal(t, back, 3*time.Second)
+}
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -128,7 +128,8 @@
 	health     health
 	shunned    bool // passed over for what other routers report
 	connLimit  int
-	takes      bool // listed as one that takes new requests, not leaving, in no evacuated data centre
+	takes      bool    // listed as one that takes new requests, not leaving, in no evacuated data centre
+	notice     *notice // its entry in Picker.notices; nil: none
 	unlisted   bool
 	readySince time.Time // since when it has been listed as ready without a gap
 	region     string
@@ -261,7 +262,7 @@
 			s = nil
 		}
 		if s == nil {
-			s = &server{slow: 1, key: entry.Identity().Key(), hash: xxhash.Sum64String(entry.ID)}
+			s = &server{slow: 1, key: entry.Identity().Key(), hash: xxhash.Sum64String(entry.ID), notice: p.notices[entry.Identity()]}
 			p.servers[entry.ID] = s
 			p.keyed[s.key] = s
 		}
--- a/internal/edge/front/operations_test.go
+++ b/internal/edge/front/operations_test.go
@@ -114,3 +114,15 @@
 	said := follow(t, r, "edge-evacuated", a.id)
 	assert.Assert(t, strings.Contains(said, "data centres evacuated"), said)
 }
+
+func TestOperationsBackoff(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	r.refuseWithBackoff("GET", "/r/x", plain, longBackoff)
+	a := r.call(context.Background(), "GET", "/r/x", "k", "")
+	assert.Equal(t, a.status, 503)
+	said := follow(t, r, "edge-backoff", a.id)
+	assert.Assert(t, strings.Contains(said, "servers in backoff"), said)
+	assert.Assert(t, strings.Contains(said, `"forMs":60000`), said)
+}
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -67,22 +67,24 @@
 	WhyEvacuated     // all its servers stand in evacuated data centres
 	WhyCold          // its servers are warming up and get what they bear
 	WhyHome          // none of its servers stands in a region in which the request may be served
+	WhyBackoff       // its servers are in backoff, or warming up and a backoff ends first
 )
 
 var whyNames = [...]string{
-	"none", "no server", "over share", "busy", "budget spent", "unknown service", "data centres evacuated", "servers warm up", "no server in its regions",
+	"none", "no server", "over share", "busy", "budget spent", "unknown service", "data centres evacuated", "servers warm up", "no server in its regions", "servers in backoff",
 }
 
 // lacks are the reasons by those of the picker.
 var lacks = map[pick.Lack]Why{
-	pick.LackServers: WhyNoOne, pick.LackEvacuated: WhyEvacuated, pick.LackCold: WhyCold, pick.LackHome: WhyHome,
+	pick.LackServers: WhyNoOne, pick.LackEvacuated: WhyEvacuated, pick.LackCold: WhyCold, pick.LackHome: WhyHome, pick.LackBackoff: WhyBackoff,
 }
 
 const (
 	// evacuatedBack is when a caller is told to come back while all is evacuated: an operator
 	// takes that back in seconds at the soonest.
 	evacuatedBack = time.Second
-	// coldBack bounds the same while servers warm up: permits come free all the time.
+	// coldBack caps the same while servers warm up, since permits become free all the time, and
+	// while servers are in backoff, since another router may have some that are not.
 	coldBack = retryMost
 )
 
@@ -243,7 +245,7 @@
 	switch p.Why {
 	case WhyEvacuated:
 		p.Back = evacuatedBack
-	case WhyCold:
+	case WhyCold, WhyBackoff:
 		p.Back = min(max(back, retryLeast), coldBack)
 	}
 	return p
