soak: servers that announce that they are leaving, cancel their shutdown, or request a backoff

Faults: `leave` (a server announces only in its answers that it is leaving, and reports it to the store 2.5 s or more later), `recall` (it also reports it to the store, and then cancels its shutdown), `shed` (it refuses half of its requests and requests a backoff).

Promises: a router that passed on that a server is leaving sends it no request that a caller sends later than the bound; no router sends more than two requests between 0.5 s after such a refusal and the end of the backoff; a server that cancelled its shutdown is used again. Excluded are routers that were started, frozen or thawed in the meantime, servers that restarted or cancelled a shutdown, for backoffs links to servers that lose or delay data, and for the last promise a store that failed around that time. A router that never reached the store is tested in internal/edge/node.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -28,6 +28,8 @@
 	id, key, path string
 	once          bool // it must not run twice
 	body          string
+	at            time.Time
+	router        *router
 	status        int
 	promised      bool // the answer said that it has not run
 }
@@ -43,6 +45,14 @@
 
 	mu   sync.Mutex
 	sent map[string]*sent
+	// leavingSeen holds when each router passed on an answer that announces that its server is leaving.
+	leavingSeen map[routerServer][]time.Time
+}
+
+// routerServer is a router and the ID of a server.
+type routerServer struct {
+	router *router
+	server string
 }
 
 // run runs n callers until ctx ends.
@@ -123,6 +133,9 @@
 	}
 	c.all.Add(1)
 	begin := time.Now()
+	c.mu.Lock()
+	s.at, s.router = begin, r
+	c.mu.Unlock()
 	resp, err := client.Do(req)
 	if err != nil {
 		c.late(s, r, begin)
@@ -152,6 +165,7 @@
 // check checks an answer.
 func (c *callers) check(s *sent, r *router, resp *http.Response, body string, err error) {
 	s.status = resp.StatusCode
+	c.recordLeaving(r, resp.Header)
 	if c.calm && (err != nil && !errors.Is(err, context.Canceled) || resp.StatusCode == http.StatusBadGateway) {
 		c.fleet.verdicts.report(gracefulStop, "%s at %s: %d, %v", s.id, r.name, resp.StatusCode, err)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -101,6 +101,7 @@
 	for _, s := range f.servers {
 		runs := s.Runs()
 		f.checkCold(s, runs)
+		f.checkNotices(c, s)
 		for _, run := range runs {
 			f.checkEvacuated(s, run)
 			sent := c.sent[run.Attempt]
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -54,6 +54,10 @@
 	"grow":    (*fleet).grow,
 	"reload":  (*fleet).reload,
 
+	"leave":  (*fleet).leave,
+	"recall": (*fleet).cancelShutdown,
+	"shed":   (*fleet).shed,
+
 	"evacuate": (*fleet).evacuate,
 	"cold":     (*fleet).turnCold,
 }
@@ -63,7 +67,7 @@
 func calm(list []fault) bool {
 	for _, x := range list {
 		switch x.Kind {
-		case "stop", "reload", "config", "grow", "drain", "store", "lapse", "slow", "forget", "older", "stale", "cut", "mute":
+		case "stop", "reload", "config", "grow", "drain", "leave", "recall", "store", "lapse", "slow", "forget", "older", "stale", "cut", "mute":
 		default:
 			return false
 		}
@@ -181,7 +185,7 @@
 	f.store.Fail(func(*http.Request) platformtest.Trouble { return platformtest.Busy })
 	f.entries(func(s *server) { f.store.RemoveServer(s.ID) })
 	time.Sleep(x.For)
-	f.entries(func(s *server) { f.store.PutServer(s.Server, "ready") })
+	f.entries(func(s *server) { f.store.PutServer(s.Server, s.state()) })
 	f.store.Fail(nil)
 }
 
@@ -246,7 +250,7 @@
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
 		if s.left.IsZero() {
-			f.store.PutServer(s.Server, "ready")
+			f.store.PutServer(s.Server, s.state())
 		} else {
 			f.store.RemoveServer(s.ID)
 		}
@@ -298,6 +302,7 @@
 // dumb has all connections to a server go silent for good while new ones work.
 func (f *fleet) dumb(x fault) {
 	if s := f.pickServer(x); s != nil {
+		defer f.recordLinkFault(s)()
 		s.proxy.mute()
 	}
 }
@@ -325,6 +330,7 @@
 	if s == nil {
 		return
 	}
+	defer f.recordLinkFault(s)()
 	s.proxy.set(mode(x.How%int(oneWay)) + 1)
 	time.Sleep(x.For)
 	s.proxy.set(pass)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -37,6 +37,10 @@
 	left  time.Time // when its entry said that it leaves; zero: it has not
 
 	spells int // of being cold, that have not ended
+
+	draining      bool        // its entry says so, and it may yet cancel its shutdown
+	interruptions []time.Time // when it restarted or cancelled its shutdown
+	cancelled     time.Time   // when it last cancelled its shutdown; zero: it has not
 }
 
 // router is one process.
@@ -51,6 +55,8 @@
 	expects bool // an end that we caused
 	stopped bool // frozen by us
 	thawed  time.Time
+
+	interruptions []time.Time // when it was started, frozen or thawed
 }
 
 // span is a time in which something failed.
@@ -80,6 +86,7 @@
 	evacuating  sync.Mutex
 	evacuations []evacuation
 	colds       []coldSpell
+	linkFaults  []linkFault
 	written     int          // warm-ups that entries said
 	poisons     sync.Mutex   // one guilty request at a time
 	poisoned    atomic.Int64 // servers that ended under a guilty request
@@ -235,6 +242,7 @@
 	}
 	f.mu.Lock()
 	r.cmd, r.started, r.expects, r.stopped = cmd, time.Now(), false, false
+	r.interruptions = append(r.interruptions, r.started)
 	f.mu.Unlock()
 	f.exits.Add(1)
 	go f.await(r, cmd, out)
@@ -269,6 +277,9 @@
 	if sig == syscall.SIGCONT && r.stopped {
 		r.thawed = time.Now()
 	}
+	if sig == syscall.SIGSTOP || sig == syscall.SIGCONT {
+		r.interruptions = append(r.interruptions, time.Now())
+	}
 	r.stopped = sig == syscall.SIGSTOP
 	// A process that has just ended by itself is reported by await.
 	_ = r.cmd.Process.Signal(sig)
--- a/soak/lives.go
+++ b/soak/lives.go
@@ -48,6 +48,10 @@
 		f.verdicts.report(noUnaskedExit, "server %s does not start again: %v", s.ID, err)
 		return
 	}
+	f.mu.Lock()
+	s.interruptions = append(s.interruptions, time.Now())
+	s.draining = false
+	f.mu.Unlock()
 	f.store.PutServer(s.Server, "ready")
 }
 
@@ -145,7 +149,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.left.IsZero() {
-		f.store.PutServer(s.Server, "ready")
+		f.store.PutServer(s.Server, s.state())
 	}
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -151,7 +151,7 @@
 		v.report(serviceBack, "not ready after the start")
 		return v.all(), "not played"
 	}
-	c := &callers{fleet: f, seed: seed, calm: calm(list), sent: map[string]*sent{}}
+	c := &callers{fleet: f, seed: seed, calm: calm(list), sent: map[string]*sent{}, leavingSeen: map[routerServer][]time.Time{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/soak/warm.go
+++ b/soak/warm.go
@@ -85,7 +85,7 @@
 		left = 0
 	}
 	s.SetWarmup(left)
-	f.store.PutServer(s.Server, "ready")
+	f.store.PutServer(s.Server, s.state())
 }
 
 // checkEvacuated checks that a run began outside of its data centre's evacuations.
