pick: treat an entry that was rewritten with the same warm-up as new

A server that became cold again while its entry stated the same warm-up counted as warm once the first warm-up had ended: it received 21 requests in one second, where the limit is 20 (soak, `cold`).

Cause: a router treated an entry as new only if its warm-up differed from the one it knew. Class: a change detected by its content when only its version identifies it.

Change: a server now carries the store version of its row, also in the lists that routers exchange, and an entry with a different version is new. A version of 0 (a router without this change) says nothing. An entry that is rewritten for another reason and still states a warm-up restarts it. Not covered: an entry that gets the same version again after the store was restored from a copy.

The soak's engines now state the same warm-up each time.

--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -54,9 +54,11 @@
 	}
 }
 
-// readWarmup takes what the server's entry says of it, if that is news.
+// readWarmup applies the warm-up in the server's entry if the entry is new. An entry that was
+// rewritten with the same warm-up also counts as new: the server may have become cold again.
 func (p *Picker) readWarmup(s *server, before routing.Server, now time.Time) {
-	if before.Identity() == s.Identity() && before.Warmup == s.Warmup {
+	rewritten := before.EntryVersion != s.EntryVersion && before.EntryVersion != 0 && s.EntryVersion != 0
+	if before.Identity() == s.Identity() && before.Warmup == s.Warmup && !rewritten {
 		return
 	}
 	if s.Warmup <= 0 {
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -45,6 +45,8 @@
 	Slots      int
 	State      ServerState
 	Warmup     time.Duration // how much longer it is slow after its start
+	// EntryVersion is the version of the store at which the entry was written; 0: unknown.
+	EntryVersion uint64
 }
 
 // Identity returns the server's.
--- a/internal/edge/state/cold_test.go
+++ b/internal/edge/state/cold_test.go
@@ -28,3 +28,32 @@
 	now = now.Add(1900 * time.Millisecond)
 	assert.Equal(t, s.ColdCount(), 1)
 }
+
+// Guards against a router that gets its list from another router and ignores an entry that was
+// rewritten with the same warm-up.
+func TestAnEntryWrittenAgainRestartsTheWarmupThroughAnotherRouter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := &routing.Config{Version: 1, Services: []routing.Service{
+		{Name: "llm", SlowStart: routing.SlowStart{For: 2 * time.Second, PerSecond: 20}},
+	}}
+	source := New("dc", 0.2, 80, func() time.Time { return now })
+	peer := New("dc", 0.2, 80, func() time.Time { return now })
+	for _, s := range []*State{source, peer} {
+		s.SetSlowStart(slowstart.Bound{Over: 1})
+		s.TakeConfig(config, nil)
+	}
+	cold := routing.Server{ID: "i", Service: "llm", State: routing.ServerReady, Slots: 4, Warmup: 2 * time.Second}
+	update := func(version uint64) {
+		source.ServersChanged([]routing.Server{cold}, nil, roster.Stamp{Version: version})
+		list, stamp := source.ServersTold()
+		assert.Assert(t, peer.ServersToldBy(list, stamp))
+	}
+	update(1)
+	now = now.Add(1700 * time.Millisecond)
+	update(2)
+	now = now.Add(1900 * time.Millisecond)
+	assert.Equal(t, peer.ColdCount(), 1)
+	now = now.Add(200 * time.Millisecond)
+	update(2) // not rewritten
+	assert.Equal(t, peer.ColdCount(), 0)
+}
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -45,6 +45,11 @@
 		return
 	}
 	s.roster.SetStamp(as)
+	for i := range changed {
+		if changed[i].EntryVersion == 0 {
+			changed[i].EntryVersion = as.Version
+		}
+	}
 	s.roster.Apply(changed, gone, s.now())
 	s.setServers(s.now())
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -87,7 +87,6 @@
 	evacuations []evacuation
 	colds       []coldSpell
 	linkFaults  []linkFault
-	written     int          // warm-ups that entries said
 	poisons     sync.Mutex   // one guilty request at a time
 	poisoned    atomic.Int64 // servers that ended under a guilty request
 }
--- a/soak/warm.go
+++ b/soak/warm.go
@@ -54,8 +54,7 @@
 }
 
 // turnCold has an engine become cold, say so in its entry, and become warm again, unless it
-// has become cold anew meanwhile. Each time it says another number: routers can't tell an entry
-// that is written again from one that they have read.
+// has become cold again in the meantime. The warm-up in its entry is the same each time.
 func (f *fleet) turnCold(x fault) {
 	list := f.live("llm")
 	if len(list) < 2 {
@@ -79,8 +78,7 @@
 	if !s.left.IsZero() || spells < 0 && s.spells > 0 {
 		return
 	}
-	f.written++
-	left := warmup + time.Duration(f.written)*time.Millisecond
+	left := warmup
 	if spells < 0 {
 		left = 0
 	}
