pick: a list without entry versions does not restart warm-ups

Now an entry without a version keeps the one that is known, and any other difference makes the entry new.

--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -57,8 +57,7 @@
 // readWarmup applies the warm-up in the server's entry if the entry is new. An entry that was
 // rewritten with the same warm-up also counts as new: the server may have become cold again.
 func (p *Picker) readWarmup(s *server, before routing.Server, now time.Time) {
-	rewritten := before.EntryVersion != s.EntryVersion && before.EntryVersion != 0 && s.EntryVersion != 0
-	if before.Identity() == s.Identity() && before.Warmup == s.Warmup && !rewritten {
+	if before.Identity() == s.Identity() && before.Warmup == s.Warmup && before.EntryVersion == s.EntryVersion {
 		return
 	}
 	if s.Warmup <= 0 {
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -268,6 +268,9 @@
 		}
 		before := s.Server
 		s.Server = entry
+		if entry.EntryVersion == 0 && before.Identity() == entry.Identity() {
+			s.EntryVersion = before.EntryVersion // from a router of an earlier release
+		}
 		p.clearIfReadyAgain(s, before)
 		if s.unlisted || !before.Takes() || before.Identity() != entry.Identity() {
 			s.readySince = now
--- a/internal/edge/state/cold_test.go
+++ b/internal/edge/state/cold_test.go
@@ -57,3 +57,24 @@
 	update(2) // not rewritten
 	assert.Equal(t, peer.ColdCount(), 0)
 }
+
+// Guards against warm-ups that restart with each list of a router that does not tell versions.
+func TestListWithoutVersionsDoesNotRestartTheWarmup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New("dc", 0.2, 80, func() time.Time { return now })
+	s.SetSlowStart(slowstart.Bound{Over: 1})
+	s.TakeConfig(&routing.Config{Version: 1, Services: []routing.Service{
+		{Name: "llm", SlowStart: routing.SlowStart{For: 2 * time.Second, PerSecond: 20}},
+	}}, nil)
+	cold := routing.Server{ID: "i", Service: "llm", State: routing.ServerReady, Slots: 4, Warmup: 2 * time.Second}
+	s.ServersChanged([]routing.Server{cold}, nil, roster.Stamp{Version: 1})
+	now = now.Add(3 * time.Second)
+	for version := uint64(2); version < 5; version++ {
+		for _, entryVersion := range []uint64{0, 1} {
+			entry := cold
+			entry.EntryVersion = entryVersion
+			s.ServersToldBy(roster.Told{Servers: []routing.Server{entry}}, roster.Stamp{Version: version})
+			assert.Equal(t, s.ColdCount(), 0)
+		}
+	}
+}
