httpplatform: identify the responding server in errors

"hosts.list: malformed answer: answer not as agreed: host list" was seen in a test that ran alongside other work on loopback, and nothing in the message showed that another program had answered at the platform's address. Confirmed: with an HTTP server of another kind at that address, the message is identical.

The error for a malformed answer now includes the address and the first 60 bytes of the body, quoted. So does the error for an unexpected status. Writes do not use the body, so their errors include the address only. A request that cannot be marshalled now reports the JSON error.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,14 +55,33 @@
 	return c
 }
 
+// AnswerInfo identifies an answer in an error, so that an operator can recognize an unrelated
+// program listening at the platform's address.
+type AnswerInfo struct {
+	Addr       string // host and port of the request URL
+	BodyPrefix string // quoted start of the body; empty if there is no body or it was not read
+}
+
+// maxBodyPrefix is the number of body bytes included in an error, before quoting.
+const maxBodyPrefix = 60
+
+// String implements [fmt.Stringer].
+func (i AnswerInfo) String() string {
+	if i.BodyPrefix == "" {
+		return "from " + i.Addr
+	}
+	return "from " + i.Addr + ", body starts with " + i.BodyPrefix
+}
+
 // StatusError is an HTTP status that is not the one hoped for.
 type StatusError struct {
 	Status int
+	Answer AnswerInfo
 }
 
 // Error implements error.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %d %s", e.Status, http.StatusText(e.Status))
+	return fmt.Sprintf("status %d %s %s", e.Status, http.StatusText(e.Status), e.Answer)
 }
 
 // TooLargeError is an answer longer than the form allows.
@@ -74,11 +94,14 @@
 
 // FormError is an answer that the form does not allow.
 type FormError struct {
-	What string
+	What   string
+	Answer AnswerInfo
 }
 
 // Error implements error.
-func (e *FormError) Error() string { return "answer not as agreed: " + e.What }
+func (e *FormError) Error() string {
+	return "answer not as agreed: " + e.What + " " + e.Answer.String()
+}
 
 // call is one HTTP call.
 type call struct {
@@ -95,6 +118,17 @@
 	status int
 	header http.Header
 	body   []byte
+	addr   string // host and port of the request URL
+}
+
+// info returns the details of the answer to include in an error. The body is quoted to keep
+// control characters out of logs and terminals.
+func (a answer) info() AnswerInfo {
+	i := AnswerInfo{Addr: a.addr}
+	if len(a.body) > 0 {
+		i.BodyPrefix = strconv.QuoteToASCII(string(a.body[:min(len(a.body), maxBodyPrefix)]))
+	}
+	return i
 }
 
 // do makes the call and reads its answer. A failure to get an answer is an
@@ -119,13 +153,13 @@
 	if k.write {
 		// The status alone tells the outcome.
 		_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
-		return answer{status: resp.StatusCode, header: resp.Header}, nil
+		return answer{status: resp.StatusCode, header: resp.Header, addr: req.URL.Host}, nil
 	}
 	body, err := readBounded(resp.Body)
 	if err != nil {
 		return answer{}, k.badRead(err)
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
+	return answer{status: resp.StatusCode, header: resp.Header, body: body, addr: req.URL.Host}, nil
 }
 
 // lost types the failure of a call that got no answer.
@@ -146,13 +180,14 @@
 }
 
 // malformed types an answer that the form does not allow.
-func (k call) malformed(what string) error {
-	return &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: &FormError{What: what}}
+func (k call) malformed(a answer, what string) error {
+	return &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: &FormError{What: what, Answer: a.info()}}
 }
 
 // status types a status that is not success.
-func (k call) status(status int) error {
-	err := &platform.Error{Op: k.op, Err: &StatusError{Status: status}}
+func (k call) status(a answer) error {
+	status := a.status
+	err := &platform.Error{Op: k.op, Err: &StatusError{Status: status, Answer: a.info()}}
 	switch {
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
 		err.Kind = platform.KindUnavailable
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -227,3 +227,27 @@
 		assert.DeepEqual(t, hosts, want)
 	}
 }
+
+// Guards against errors that do not identify the server: an unrelated program may be listening at
+// the platform's address.
+func TestErrorShowsAddressAndBodyPrefix(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		want   string
+	}{
+		{"malformed body", http.StatusOK, "hosts.list: malformed answer: answer not as agreed: host list from "},
+		{"unexpected status", http.StatusNotFound, "hosts.list: malformed answer: status 404 Not Found from "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, "<html>\x1b[31m"+strings.Repeat("x", 1000))
+			}))
+			_, err := client.Hosts(t.Context())
+			assert.ErrorContains(t, err, c.want+strings.TrimPrefix(client.base, "http://"))
+			assert.ErrorContains(t, err, `"<html>\x1b[31mxxx`)
+			assert.Assert(t, len(err.Error()) < 250, "%d", len(err.Error()))
+		})
+	}
+}
--- a/internal/platform/httpplatform/services.go
+++ b/internal/platform/httpplatform/services.go
@@ -46,11 +46,11 @@
 	case http.StatusNotFound:
 		return platform.Row{Key: key}, nil
 	default:
-		return platform.Row{}, k.status(ans.status)
+		return platform.Row{}, k.status(ans)
 	}
 	version, ok := wire.ParseETag(ans.header.Get(headerETag))
 	if !ok || version == 0 {
-		return platform.Row{}, k.malformed("entity tag")
+		return platform.Row{}, k.malformed(ans, "entity tag")
 	}
 	return platform.Row{Key: key, Value: ans.body, Version: version}, nil
 }
@@ -61,23 +61,23 @@
 	var err error
 	k.body, err = json.Marshal(wire.ReadRequest{Keys: keys})
 	if err != nil {
-		return nil, k.malformed("request")
+		return nil, &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: err}
 	}
 	ans, err := c.do(ctx, k)
 	if err != nil {
 		return nil, err
 	}
 	if ans.status != http.StatusOK {
-		return nil, k.status(ans.status)
+		return nil, k.status(ans)
 	}
 	var resp wire.ReadResponse
 	if json.Unmarshal(ans.body, &resp) != nil || len(resp.Rows) != len(keys) {
-		return nil, k.malformed("rows")
+		return nil, k.malformed(ans, "rows")
 	}
 	rows := make([]platform.Row, len(keys))
 	for i, r := range resp.Rows {
 		if r.Key != keys[i] {
-			return nil, k.malformed("row order")
+			return nil, k.malformed(ans, "row order")
 		}
 		rows[i] = platform.Row(r)
 	}
@@ -147,7 +147,7 @@
 	if ans.status == http.StatusNoContent || ans.status == http.StatusCreated {
 		return nil
 	}
-	return k.status(ans.status)
+	return k.status(ans)
 }
 
 // PutIfAbsent implements [platform.Objects].
@@ -171,7 +171,7 @@
 	case http.StatusNotFound:
 		return nil, &platform.Error{Kind: platform.KindAbsent, Op: k.op}
 	}
-	return nil, k.status(ans.status)
+	return nil, k.status(ans)
 }
 
 // Hosts implements [platform.HostList]. A list that has not changed since the
@@ -191,15 +191,15 @@
 	case ans.status == http.StatusNotModified && tag != "":
 		return known, nil
 	default:
-		return nil, k.status(ans.status)
+		return nil, k.status(ans)
 	}
 	var hosts []platform.Host
 	if json.Unmarshal(ans.body, &hosts) != nil {
-		return nil, k.malformed("host list")
+		return nil, k.malformed(ans, "host list")
 	}
 	for _, h := range hosts {
 		if !wellFormed(h) {
-			return nil, k.malformed("host " + h.ID)
+			return nil, k.malformed(ans, "host "+h.ID)
 		}
 	}
 	c.keepHosts(ans.header.Get(headerETag), hosts)
