test: reserve loopback ports until the requesting process ends

TestCertificatesPage failed in one of four runs of make test alongside two other programs on loopback. A port from the ephemeral range was released seconds before its program listened on it, and had been assigned to another program by then. test/fleet took ports outside of that range but did not hold them: two fleets that started at the same number were given the same address (shown by a test against the previous code).

It returns a port from 20000 to 31999 that is free for TCP and UDP at the address.

Alternatives considered: - Listening on port 0 and reporting the address needs a line of output in three programs, and a fleet that starts in order, since the routers' files name each other. - Passing listeners requires each program to accept descriptors. Neither works for a router that is killed and restarted at its address.

Checked and left unchanged: listeners on port 0 that stay open until the test ends.

--- a/internal/edge/node/crashing_test.go
+++ b/internal/edge/node/crashing_test.go
@@ -127,7 +127,7 @@
 	a := f.start("127.0.43.1")
 	b := f.start("127.0.43.2", a)
 	edgetest.Until(t, "each other", func() bool { return a.node.peers.Live() == 1 && b.node.peers.Live() == 1 })
-	alone := &member{f: f, ip: "127.0.43.3", dataCentre: "dc", ports: freePorts(t, "127.0.43.3")}
+	alone := &member{f: f, ip: "127.0.43.3", dataCentre: "dc", ports: reservePorts(t, "127.0.43.3")}
 	alone.start()
 	rounds(t, ends, endsToKnow+endsMore, a, b)
 	before := ends.Load()
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +19,7 @@
 	"github.com/windscale/windscale/internal/edge/edgetest"
 	"github.com/windscale/windscale/internal/edge/settings"
 	"github.com/windscale/windscale/platform/platformtest"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 // fleet is some routers before stand-ins of the platform, all in this process.
@@ -57,7 +57,7 @@
 	f.stored = httptest.NewServer(f.store)
 	t.Cleanup(f.stored.Close)
 	t.Cleanup(f.stored.CloseClientConnections)
-	f.ports = freePorts(t, fmt.Sprintf("127.0.%d.1", network))
+	f.ports = reservePorts(t, fmt.Sprintf("127.0.%d.1", network))
 	route := func(prefix string, resume bool) platformtest.Route {
 		return platformtest.Route{Prefix: prefix, Kind: "streaming", Service: "llm", Attempts: 2, Resume: resume, Timeout: 5 * time.Second}
 	}
@@ -72,14 +72,13 @@
 	return f
 }
 
-// freePorts returns ports that are free on the address.
-func freePorts(t testing.TB, ip string) (ports [4]int) {
+// reservePorts reserves a port on ip for each of a router's listeners.
+func reservePorts(t testing.TB, ip string) (ports [4]int) {
 	t.Helper()
 	for i := range ports {
-		ln, err := net.Listen("tcp4", ip+":0")
+		port, err := loopback.ReservePort(ip)
 		assert.NilError(t, err)
-		ports[i] = ln.Addr().(*net.TCPAddr).Port
-		defer func() { _ = ln.Close() }()
+		ports[i] = port
 	}
 	return ports
 }
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -19,6 +19,7 @@
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/platform"
 	"github.com/windscale/windscale/platform/platformtest"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 // router is the part of a router that talks to others.
@@ -54,16 +55,14 @@
 // noWait is the wait for the processor of a host that has time.
 func noWait() time.Duration { return 0 }
 
-// ports returns two ports that are free on the first address.
+// ports reserves a control port and a UDP port on 127.0.0.31.
 func ports(t *testing.T) (control, udp int) {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.31:0")
+	control, err := loopback.ReservePort("127.0.0.31")
 	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.0.0.31")})
+	udp, err = loopback.ReservePort("127.0.0.31")
 	assert.NilError(t, err)
-	defer func() { _ = conn.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.UDPAddr).Port
+	return control, udp
 }
 
 // A router that the store turns away takes the view of one that it serves, and
--- a/internal/link/fleet_test.go
+++ b/internal/link/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/fleetcert"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 const (
@@ -125,6 +126,14 @@
 	return l
 }
 
+// reserveAddr reserves an address that a link can listen on again after a restart.
+func reserveAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := loopback.ReserveAddr()
+	assert.NilError(t, err)
+	return addr
+}
+
 // until waits for a condition; how long it takes is not judged.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/internal/load/move_test.go
+++ b/internal/load/move_test.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,14 +11,14 @@
 	"github.com/windscale/windscale/internal/problem"
 	"github.com/windscale/windscale/internal/standin/answer"
 	"github.com/windscale/windscale/internal/standin/backend"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 // A caller goes past routers that are gone or not ready, as the platform's
 // balancer would, and loses nothing by it.
 func TestRequestsMoveOnFromUnreadyAndGoneRouters(t *testing.T) {
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	gone, err := loopback.ReserveAddr()
 	assert.NilError(t, err)
-	assert.NilError(t, gone.Close())
 	unready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/problem+json")
 		w.Header().Set("Windscale-Run", "no")
@@ -34,7 +33,7 @@
 	defer live.Close()
 	sections := []Section{{
 		Name: "s", Kind: Status, Subject: "dispatch", Workers: 1, Count: 3, Weight: 1,
-		Targets: []string{"http://" + gone.Addr().String(), unready.URL, live.URL},
+		Targets: []string{"http://" + gone, unready.URL, live.URL},
 	}}
 	report, err := Run(t.Context(), sections, Options{Duration: time.Minute, Grace: time.Minute, Seed: 1, MaxOutstanding: 1})
 	assert.NilError(t, err)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/windscale/windscale/platform/platformtest"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 const (
@@ -96,7 +96,7 @@
 	f := &fleet{binary: binary, dir: dir, store: platformtest.NewStore(), verdicts: v}
 	f.store.SetEra(1)
 	f.storeHTTP = httptest.NewServer(f.store)
-	if err := f.freePorts(); err != nil {
+	if err := f.reservePorts(); err != nil {
 		return nil, err
 	}
 	for range engines {
@@ -126,15 +126,11 @@
 	return f, nil
 }
 
-// freePorts finds ports that are free on the first loopback address.
-func (f *fleet) freePorts() error {
+// reservePorts reserves the ports that every router listens on at its own address. Only the first
+// router's address is checked for ports in use.
+func (f *fleet) reservePorts() (err error) {
 	for i := range f.ports {
-		ln, err := net.Listen("tcp4", "127.0.0.10:0")
-		if err != nil {
-			return err
-		}
-		f.ports[i] = ln.Addr().(*net.TCPAddr).Port
-		if err := ln.Close(); err != nil {
+		if f.ports[i], err = loopback.ReservePort("127.0.0.10"); err != nil {
 			return err
 		}
 	}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/platform"
+	"github.com/windscale/windscale/test/loopback"
 )
 
 const (
@@ -99,7 +100,9 @@
 	if err := os.MkdirAll(f.Dir, 0o755); err != nil {
 		return fail(err, "make the working folder")
 	}
-	f.plan()
+	if err := f.plan(); err != nil {
+		return fail(err, "reserve addresses")
+	}
 	steps := []func(context.Context) error{
 		f.writeFiles, f.issueCertificates, f.startStandins, f.startRouters, f.applySettings, f.WaitReady,
 	}
@@ -112,14 +115,21 @@
 }
 
 // plan gives every process its addresses.
-func (f *Fleet) plan() {
-	p := newPorts()
-	f.URL = "http://" + p.addr()
+func (f *Fleet) plan() error {
+	var reserveErr error
+	addr := func() string {
+		a, err := loopback.ReserveAddr()
+		if err != nil {
+			reserveErr = err
+		}
+		return a
+	}
+	f.URL = "http://" + addr()
 	for i := range f.Config.Routers {
 		r := &Router{
 			ID:         fmt.Sprintf("r%d", i+1),
 			DataCentre: fmt.Sprintf("dc%d", i%f.DataCentres+1),
-			Entry:      p.addr(), Link: p.addr(), Admin: p.addr(),
+			Entry:      addr(), Link: addr(), Admin: addr(),
 		}
 		f.Routers = append(f.Routers, r)
 		f.hosts = append(f.hosts, platform.Host{
@@ -128,13 +138,14 @@
 		})
 	}
 	for _, s := range f.Servers {
-		b := &Backend{Server: s, Addr: p.addr()}
+		b := &Backend{Server: s, Addr: addr()}
 		f.Backends = append(f.Backends, b)
 		f.hosts = append(f.hosts, platform.Host{
 			ID: s.ID, Role: platform.RoleServer, Addr: b.Addr,
 			DataCentre: s.DataCentre, State: platform.HostLive,
 		})
 	}
+	return reserveErr
 }
 
 // start runs a program and keeps it for Close.
@@ -168,7 +179,7 @@
 		return err
 	}
 	for _, r := range f.Routers {
-		err := f.run(ctx, "cert", "windscale-cert", "router", "--ca", dir, "--id", r.ID, "--ip", loopback, "--out", dir)
+		err := f.run(ctx, "cert", "windscale-cert", "router", "--ca", dir, "--id", r.ID, "--ip", loopback.IP, "--out", dir)
 		if err != nil {
 			return err
 		}
--- a/test/operating/certificates_test.go
+++ b/test/operating/certificates_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/windscale/windscale/test/loopback"
 )
 
 const (
@@ -39,7 +40,7 @@
 }
 
 func newHost(t *testing.T) *host {
-	h := &host{t: t, dir: t.TempDir(), url: "http://" + freeAddr(t)}
+	h := &host{t: t, dir: t.TempDir(), url: "http://" + reserveAddr(t)}
 	out, err := exec.Command("go", "build", "-o", h.path("bin")+"/", "../../cmd/...").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	h.write("token", "0123456789abcdef")
@@ -52,11 +53,11 @@
 	assert.NilError(h.t, os.WriteFile(h.path(name), []byte(text), 0o600))
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func reserveAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := loopback.ReserveAddr()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // start runs a program until the test ends; its log is NAME.log.
@@ -112,8 +113,8 @@
 
 // configure writes a router's file and returns its row of the host list.
 func (h *host) configure(id string) string {
-	link, admin := freeAddr(h.t), freeAddr(h.t)
-	h.write(id+".ini", fmt.Sprintf(ini, id, freeAddr(h.t), link, admin, h.url))
+	link, admin := reserveAddr(h.t), reserveAddr(h.t)
+	h.write(id+".ini", fmt.Sprintf(ini, id, reserveAddr(h.t), link, admin, h.url))
 	return fmt.Sprintf(`{"id":%q,"role":"router","addr":%q,"admin":%q,"dataCentre":"dc1","state":"live"}`, id, link, admin)
 }
 
