pick: a choice and a tick look at few servers, whatever their number

Cause: a choice went through all servers of a service for the homes of a prompt, each tick through all servers for sums, medians and suspicions, and each change of one server rebuilt all lists.

Change: servers stand in lists in the order of hashes, kept as they change. Homes are sought by rendezvous hashing within the window of at least 128 servers whose hashes begin with the same bits as the prompt's, so lists of up to 255 are as before. Ticks go through the servers in use. A router keeps to eight plain servers of its data centre where there are more.

--- a/internal/core/pick/cache.go
+++ b/internal/core/pick/cache.go
@@ -103,6 +103,10 @@
 
 // noteSent notes that parts were sent to the server.
 func (p *Picker) noteSent(s *server, keys []uint32, now time.Time) {
+	if s.cache == nil {
+		s.cache = cache{}
+	}
+	p.caching[s] = true
 	for _, key := range keys {
 		s.cache[key] = now
 		h := p.holders[key]
@@ -125,12 +129,20 @@
 		if now.Sub(s.advertised[key]) < learnt.life/advertiseAgain || p.pendingCount >= pendingMost {
 			continue
 		}
-		s.advertised[key] = now
+		s.advertise(key, now)
 		p.pending[s.key] = append(p.pending[s.key], key)
 		p.pendingCount++
 	}
 }
 
+// advertise notes that the routers were told that the server keeps a part.
+func (s *server) advertise(key uint32, now time.Time) {
+	if s.advertised == nil {
+		s.advertised = map[uint32]time.Time{}
+	}
+	s.advertised[key] = now
+}
+
 // TakePending returns what the other routers are to be told of parts sent to servers,
 // once.
 func (p *Picker) TakePending() Sent {
@@ -149,14 +161,14 @@
 		}
 		p.noteSent(s, keys, now)
 		for _, key := range keys {
-			s.advertised[key] = now
+			s.advertise(key, now)
 		}
 	}
 }
 
 // forgetParts drops what no server keeps any more.
 func (p *Picker) forgetParts(now time.Time) {
-	for _, s := range p.servers {
+	for s := range p.caching {
 		life := p.rate(s.Service).life
 		for key, at := range s.cache {
 			if now.Sub(at) > life {
@@ -168,6 +180,9 @@
 				delete(s.advertised, key)
 			}
 		}
+		if len(s.cache)+len(s.advertised) == 0 {
+			delete(p.caching, s)
+		}
 	}
 	for key, h := range p.holders {
 		if h[0].s == nil || now.Sub(h[0].at) > mostLife {
@@ -191,11 +206,7 @@
 	w := min(float64(dt)/float64(lifeOver), 1)
 	r.fill += w * (r.filled/dt.Seconds() - r.fill)
 	r.filled = 0
-	own, all := 0, 0
-	for _, s := range list {
-		own += s.own.Running
-		all += s.own.Running + s.peers.Running
-	}
+	own, all := p.running(list[0].Service)
 	r.ownRunning += w * (float64(own) - r.ownRunning)
 	r.allRunning += w * (float64(all) - r.allRunning)
 	fill := r.fill * max(r.allRunning, 1) / max(r.ownRunning, 0.1)
@@ -206,3 +217,22 @@
 	seconds := float64(list[0].engine.CacheTokens) * float64(len(list)) / fill
 	r.life = min(max(time.Duration(min(seconds, mostLife.Seconds())*float64(time.Second)), leastLife), mostLife)
 }
+
+// running returns how many requests of this router, and of all, run at the service's servers.
+func (p *Picker) running(service string) (own, all int) {
+	for _, s := range p.busy {
+		if s.takes && s.Service == service {
+			own += s.own.Running
+		}
+	}
+	all = own
+	for s := range p.loaded {
+		if s.takes && s.Service == service {
+			all += s.peers.Running
+		}
+	}
+	for _, report := range p.peers {
+		all += report.light[service]
+	}
+	return own, all
+}
--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,6 +15,9 @@
 		p.sumPeers(now)
 	}
 	list := p.services[req.Service]
+	if len(list) > 0 && list[0].engine == nil {
+		return p.choosePlain(list, req, now)
+	}
 	p.keys = keys(p.keys[:0], req.Prompt)
 	at := p.homes(req, list, now)
 	if few := p.draw(list, at, now); len(few) > 0 {
@@ -26,17 +30,56 @@
 			return best, true
 		}
 	}
+	if len(list) > scanMost {
+		best, ok = p.least(p.drawMore(nil, list, sampled), req, at, now)
+		if ok && best.rank == rankGood {
+			return best, true
+		}
+	}
 	return p.least(list, req, at, now)
 }
 
-// draw returns the homes and a few others, none if the list is too short for it
-// or of a plain service.
+// choosePlain returns the least loaded of the plain servers that this router prefers. If none
+// of them is good and has a free slot it looks at those of its data centre, and then at all.
+func (p *Picker) choosePlain(list []*server, req Request, now time.Time) (best Choice, ok bool) {
+	if len(list) <= apertureSize {
+		return p.least(list, req, homes{}, now)
+	}
+	for _, few := range [][]*server{p.aperture(list, req.Service), p.nearby[req.Service]} {
+		if len(few) == 0 {
+			continue
+		}
+		best, ok = p.least(few, req, homes{}, now)
+		if ok && best.rank == rankGood && best.Wait == 0 {
+			return best, true
+		}
+	}
+	return p.least(list, req, homes{}, now)
+}
+
+// aperture returns the plain servers that this router prefers, drawn by rendezvous hashing.
+func (p *Picker) aperture(list []*server, service string) []*server {
+	if few := p.apertures[service]; few != nil {
+		return few
+	}
+	from := p.nearby[service]
+	if len(from) == 0 {
+		from = list
+	}
+	few := slices.Clone(from)
+	slices.SortFunc(few, func(a, b *server) int { return cmp.Compare(mix(p.place, a.hash), mix(p.place, b.hash)) })
+	few = few[:min(apertureSize, len(few))]
+	p.apertures[service] = few
+	return few
+}
+
+// draw returns the homes and a few others, none if the list is too short for it.
 func (p *Picker) draw(list []*server, at homes, now time.Time) []*server {
-	if len(list) <= othersDrawn || list[0].engine == nil {
+	if len(list) <= othersDrawn {
 		return nil
 	}
 	few := at.each()
-	return p.drawCold(p.drawMore(few, list, othersDrawn), list, now)
+	return p.drawCold(p.drawMore(few, list, othersDrawn), list[0].Service, now)
 }
 
 // drawMore adds up to n servers drawn at random.
--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -70,7 +70,11 @@
 // mark notes that the server is cold. What was sent to it a moment ago, when it was taken for
 // warm, counts against its bound.
 func (p *Picker) mark(s *server, by slowstart.Source, until, now time.Time) {
-	if !s.cold.Mark(by, until, now) {
+	fresh := s.cold.Mark(by, until, now)
+	if s.cold.Is(now) {
+		p.cold[s] = true
+	}
+	if !fresh {
 		return
 	}
 	if now.Sub(s.sent) < slowstart.Window {
@@ -149,17 +153,25 @@
 // noteUnreached marks the servers that routers can't reach: when they answer again they may
 // be cold, and no entry has said so yet.
 func (p *Picker) noteUnreached(now time.Time) {
-	for _, list := range p.services {
-		var unreached []*server
-		for _, s := range list {
-			if s.bounded && s.peers.Unreached+s.unreachedBy(now) >= unreachedMost {
-				unreached = append(unreached, s)
-			}
+	unreached := map[string][]*server{}
+	note := func(s *server) {
+		if s.takes && s.bounded && s.peers.Unreached+s.unreachedBy(now) >= unreachedMost {
+			unreached[s.Service] = append(unreached[s.Service], s)
+		}
+	}
+	for s := range p.loaded {
+		note(s)
+	}
+	for _, s := range p.busy {
+		if !p.loaded[s] {
+			note(s)
 		}
-		if float64(len(unreached)) > unreachedPart*float64(len(list)) {
+	}
+	for service, list := range unreached {
+		if float64(len(list)) > unreachedPart*float64(len(p.services[service])) {
 			continue
 		}
-		for _, s := range unreached {
+		for _, s := range list {
 			p.mark(s, slowstart.BySuspicion, now.Add(p.specs[s.Service].SlowStart.For+unreachedMore), now)
 		}
 	}
@@ -227,16 +239,13 @@
 
 // drawCold adds cold servers that this router has a free permit for: no other router may use
 // it, so that they would idle.
-func (p *Picker) drawCold(few, list []*server, now time.Time) []*server {
-	drawn := 0
-	for _, s := range list {
-		if drawn == coldDrawn {
-			break
-		}
-		if s.onPermits(now) && !p.bearsNone(s, now) && !s.inBackoff(now) && !slices.Contains(few, s) {
-			few = append(few, s)
-			drawn++
+func (p *Picker) drawCold(few []*server, service string, now time.Time) []*server {
+	var free []*server
+	for s := range p.cold {
+		if s.takes && s.Service == service && s.onPermits(now) && !p.bearsNone(s, now) && !s.inBackoff(now) && !slices.Contains(few, s) {
+			free = append(free, s)
 		}
 	}
-	return few
+	slices.SortFunc(free, byHash)
+	return append(few, free[:min(coldDrawn, len(free))]...)
 }
--- a/internal/core/pick/expect.go
+++ b/internal/core/pick/expect.go
@@ -17,7 +17,7 @@
 		return 0
 	case s.engine == nil:
 		return otherCentrePlainMs
-	case !p.near[req.Service]:
+	case !p.hasNearHomes(req.Service):
 		return otherCentreMs
 	}
 	return nearMs + perKBMs*float64(req.Bytes+answerPerToken*req.Out)/1024
@@ -169,7 +169,7 @@
 		n.fetched = lack
 		n.perMs = float64(time.Millisecond) / float64(s.engine.FetchPerToken)
 		n.fetchAt = from.Addr
-		n.stays = s == at.first && p.near[req.Service]
+		n.stays = s == at.first && p.hasNearHomes(req.Service)
 		if s.DataCentre != from.DataCentre {
 			n.perMs /= otherCentreFetchX
 		}
@@ -210,34 +210,52 @@
 		return h
 	}
 	key := xxhash.Sum64String(prompt[len(prompt)-2].ID)
-	own := p.near[req.Service]
-	var first, second, far uint64
-	for _, s := range list {
-		if p.rankOf(s, now) != rankGood || !req.Homes.Allow(s.region) || s.onPermits(now) || s.inBackoff(now) {
-			continue
+	far, next := p.topTwo(list, key, req, now)
+	h.first, h.second = far, next
+	if p.hasNearHomes(req.Service) {
+		h.first, h.second = p.topTwo(p.nearby[req.Service], key, req, now)
+		if h.first == nil {
+			h.first = far
 		}
-		score := mix(key, s.hash)
-		if h.far == nil || score > far {
-			h.far, far = s, score
+		if h.first != far {
+			h.far = far
 		}
-		if own && s.DataCentre != p.dataCentre {
+	}
+	return h
+}
+
+// topTwo returns the two servers of a list with the highest scores for a key, among those that
+// may keep it for long. Only where none of the key's window may, all of the list count.
+func (p *Picker) topTwo(list []*server, key uint64, req Request, now time.Time) (first, second *server) {
+	near := window(list, key)
+	first, second = p.topTwoOf(near, key, req, now)
+	if first == nil && len(near) < len(list) {
+		return p.topTwoOf(list, key, req, now)
+	}
+	return first, second
+}
+
+func (p *Picker) topTwoOf(list []*server, key uint64, req Request, now time.Time) (first, second *server) {
+	var most, next uint64
+	for _, s := range list {
+		score := mix(key, s.hash)
+		if second != nil && score <= next || !p.mayKeep(s, req, now) {
 			continue
 		}
 		switch {
-		case h.first == nil || score > first:
-			h.second, second = h.first, first
-			h.first, first = s, score
-		case h.second == nil || score > second:
-			h.second, second = s, score
+		case first == nil || score > most:
+			second, next = first, most
+			first, most = s, score
+		case second == nil || score > next:
+			second, next = s, score
 		}
 	}
-	if h.first == nil {
-		h.first = h.far
-	}
-	if h.first == h.far {
-		h.far = nil
-	}
-	return h
+	return first, second
+}
+
+// mayKeep reports whether the server may be a home of the request's prompt.
+func (p *Picker) mayKeep(s *server, req Request, now time.Time) bool {
+	return p.rankOf(s, now) == rankGood && req.Homes.Allow(s.region) && !s.onPermits(now) && !s.inBackoff(now)
 }
 
 // mix hashes two hashes into one.
--- a/internal/core/pick/health.go
+++ b/internal/core/pick/health.go
@@ -91,19 +91,23 @@
 
 // judgeReports decides which servers are passed over for what other routers report.
 func (p *Picker) judgeReports() {
-	for _, list := range p.services {
-		count := 0
-		for _, s := range list {
-			s.shunned = s.peers.Suspects >= suspectedBy
-			if s.shunned {
-				count++
-			}
+	for _, s := range p.shunned {
+		s.shunned = false
+	}
+	p.shunned = p.shunned[:0]
+	suspected := map[string][]*server{}
+	for s := range p.loaded {
+		if s.takes && s.peers.Suspects >= suspectedBy {
+			suspected[s.Service] = append(suspected[s.Service], s)
 		}
-		if float64(count) <= suspectedPart*float64(len(list)) {
+	}
+	for service, list := range suspected {
+		if float64(len(list)) > suspectedPart*float64(len(p.services[service])) {
 			continue
 		}
 		for _, s := range list {
-			s.shunned = false
+			s.shunned = true
 		}
+		p.shunned = append(p.shunned, list...)
 	}
 }
--- a/internal/core/pick/identity_test.go
+++ b/internal/core/pick/identity_test.go
@@ -81,7 +81,7 @@
 	p.sumPeers(at(0))
 	s := p.servers["i-003"]
 	assert.Equal(t, s.peers.Waiting, int64(3000))
-	s.cache[partKey("x")] = at(0)
+	p.noteSent(s, []uint32{partKey("x")}, at(0))
 	reborn(p, "i-003", 5000)
 	assert.Equal(t, p.servers["i-003"], s)
 	assert.Equal(t, len(s.cache), 1)
@@ -91,7 +91,7 @@
 func TestWithoutAStartTheIDIsTheServer(t *testing.T) {
 	p := picker(9)
 	s := p.servers["i-003"]
-	s.cache[partKey("x")] = at(0)
+	p.noteSent(s, []uint32{partKey("x")}, at(0))
 	p.SetServers(listOf(p), start)
 	assert.Equal(t, p.servers["i-003"], s)
 	assert.Equal(t, routing.Identity{ID: "i-003"}.Key(), s.key)
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -101,6 +101,11 @@
 	s := j.s
 	s.slow += learn * (min(ratio, slowest)*s.slow - s.slow)
 	s.slow = min(max(s.slow, 1), slowest)
+	if s.slow > 1 && !s.unlisted {
+		p.slowed[s] = true
+	} else {
+		delete(p.slowed, s)
+	}
 }
 
 // unwait takes the job out of those that wait for their first token.
@@ -137,7 +142,11 @@
 	s := j.s
 	s.own.Running--
 	s.own.Memory -= j.memory
-	return p.judge(s, o, now)
+	verdict := p.judge(s, o, now)
+	if s.unlisted && s.own.Running == 0 && p.servers[s.ID] == s {
+		p.forgetServer(s)
+	}
+	return verdict
 }
 
 // judge takes the outcome into the server's health.
--- a/internal/core/pick/loads.go
+++ b/internal/core/pick/loads.go
@@ -39,25 +39,47 @@
 	}
 }
 
+// lightPart is the part of an engine's slots and memory, one in so many, below which its load
+// changes no choice: a request that goes there finds no queue.
+const lightPart = 8
+
+// Light reports whether the load, of a whole data centre or more, changes no choice of the server,
+// and of which service that is.
+func (p *Picker) Light(key routing.ServerKey, l Load) (service string, light bool) {
+	s := p.keyed[key]
+	if s == nil || s.engine == nil || l.Waiting > 0 || l.Suspects+l.Unreached > 0 {
+		return "", false
+	}
+	return s.Service, l.Running < max(s.engine.Slots/lightPart, 1) && l.Memory < s.engine.CacheTokens/lightPart
+}
+
 // peerLoad is the last report of another router.
 type peerLoad struct {
 	at    time.Time
 	loads map[routing.ServerKey]Load
+	light map[string]int // requests at servers whose loads are not among these, by service
 }
 
 // PeerLoad takes another router's report of its load. It is added up when the next
 // server is chosen: a reporter takes in 1,000 reports a second and chooses 20 times.
 func (p *Picker) PeerLoad(peer string, loads map[routing.ServerKey]Load, now time.Time) {
-	p.peers[peer] = peerLoad{at: now, loads: loads}
+	p.PeerLoads(peer, loads, nil, now)
+}
+
+// PeerLoads takes the same of several routers, which leaves out servers with light loads and tells
+// how many requests these have together, by service.
+func (p *Picker) PeerLoads(peer string, loads map[routing.ServerKey]Load, light map[string]int, now time.Time) {
+	p.peers[peer] = peerLoad{at: now, loads: loads, light: light}
 	p.stale = true
 }
 
 // sumPeers adds up what the other routers said, leaving out old reports.
 func (p *Picker) sumPeers(now time.Time) {
 	p.stale = false
-	for _, s := range p.servers {
+	for s := range p.loaded {
 		s.peers = Load{}
 	}
+	clear(p.loaded)
 	for peer, report := range p.peers {
 		if now.Sub(report.at) > peerStale {
 			delete(p.peers, peer)
@@ -66,6 +88,7 @@
 		for key, l := range report.loads {
 			if s := p.keyed[key]; s != nil {
 				s.peers = s.peers.Plus(l)
+				p.loaded[s] = true
 			}
 		}
 	}
--- a/internal/core/pick/notice_test.go
+++ b/internal/core/pick/notice_test.go
@@ -268,12 +268,11 @@
 func TestColdServerInBackoffIsNotDrawn(t *testing.T) {
 	p := warming(0, 1, 6)
 	p.SetServers(enginesOf(6, 3, 3*time.Second), at(0))
-	list := p.services["llm"]
-	assert.Equal(t, len(p.drawCold(nil, list, at(0))), coldDrawn)
-	for _, s := range list[:2] {
-		p.NoteBackoff(s.Identity(), time.Second, at(0))
+	assert.Equal(t, len(p.drawCold(nil, "llm", at(0))), coldDrawn)
+	for _, id := range []string{"i-000", "i-001"} {
+		p.NoteBackoff(routing.Identity{ID: id}, time.Second, at(0))
 	}
-	drawn := p.drawCold(nil, list, at(0))
+	drawn := p.drawCold(nil, "llm", at(0))
 	assert.Equal(t, len(drawn), 1)
 	assert.Equal(t, drawn[0].ID, "i-002")
 }
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -13,8 +13,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/slowstart"
 )
@@ -131,6 +129,7 @@
 	takes      bool    // listed as one that takes new requests, not leaving, in no evacuated data centre
 	notice     *notice // its entry in Picker.notices; nil: none
 	unlisted   bool
+	round      uint32    // of SetServers, in which it was listed last
 	readySince time.Time // since when it has been listed as ready without a gap
 	region     string
 	cold       slowstart.Cold
@@ -149,8 +148,16 @@
 	servers      map[string]*server
 	keyed        map[routing.ServerKey]*server
 	busy         map[routing.ServerKey]*server // those with requests of this router, and those that it suspects
-	services     map[string][]*server
-	near         map[string]bool // services of which this data centre has homes of its own
+	loaded       map[*server]bool              // those of which other routers reported something
+	shunned      []*server                     // those passed over for what other routers report
+	slowed       map[*server]bool              // those that answer more slowly than expected
+	caching      map[*server]bool              // those of which parts are known
+	cold         map[*server]bool              // those that have been cold since the last tick
+	services     map[string][]*server          // those that take requests, in the order of hashes
+	nearby       map[string][]*server          // those of this data centre
+	apertures    map[string][]*server          // of plain services, those that this router prefers
+	place        uint64                        // draws this router's apertures
+	round        uint32                        // counts the calls of SetServers
 	specs        map[string]*routing.Service
 	peers        map[string]peerLoad
 	stale        bool               // a peer's load has come since the sums were made
@@ -200,8 +207,14 @@
 		servers:    map[string]*server{},
 		keyed:      map[routing.ServerKey]*server{},
 		busy:       map[routing.ServerKey]*server{},
+		loaded:     map[*server]bool{},
+		slowed:     map[*server]bool{},
+		caching:    map[*server]bool{},
+		cold:       map[*server]bool{},
 		services:   map[string][]*server{},
-		near:       map[string]bool{},
+		nearby:     map[string][]*server{},
+		apertures:  map[string][]*server{},
+		place:      rng.Uint64(),
 		specs:      map[string]*routing.Service{},
 		peers:      map[string]peerLoad{},
 		rates:      map[string]*speed{},
@@ -240,88 +253,6 @@
 		return
 	}
 	s.engine = spec.Engine
-	if s.cache == nil {
-		s.cache = cache{}
-		s.advertised = map[uint32]time.Time{}
-	}
-}
-
-// SetServers takes the list of servers that may get requests. What is known of
-// servers that stay is kept. One that has started again under its ID is another server: its
-// memory is empty, nothing runs there, and what was believed of it, held against it or reported of it was of the
-// life before. Only its homes stay, which go by the ID: they are where other routers look too.
-func (p *Picker) SetServers(list []routing.Server, now time.Time) {
-	named := make(map[string]bool, len(list))
-	clear(p.services)
-	for _, entry := range list {
-		named[entry.ID] = true
-		s := p.servers[entry.ID]
-		if s != nil && s.Identity() != entry.Identity() {
-			s.takes = false
-			p.forgetServer(s) // its requests end by themselves, and are counted no more
-			s = nil
-		}
-		if s == nil {
-			s = &server{slow: 1, key: entry.Identity().Key(), hash: xxhash.Sum64String(entry.ID), notice: p.notices[entry.Identity()]}
-			p.servers[entry.ID] = s
-			p.keyed[s.key] = s
-		}
-		before := s.Server
-		s.Server = entry
-		if entry.EntryVersion == 0 && before.Identity() == entry.Identity() {
-			s.EntryVersion = before.EntryVersion // from a router of an earlier release
-		}
-		p.clearIfReadyAgain(s, before)
-		if s.unlisted || !before.Takes() || before.Identity() != entry.Identity() {
-			s.readySince = now
-		}
-		s.unlisted = false
-		s.takes = entry.Takes() && !p.evacuated[entry.DataCentre] && !p.isLeaving(entry.Identity())
-		s.region = p.regions[entry.DataCentre]
-		p.describe(s)
-		p.readWarmup(s, before, now)
-		if s.takes {
-			p.services[entry.Service] = append(p.services[entry.Service], s)
-		}
-	}
-	for id, s := range p.servers {
-		if named[id] {
-			continue
-		}
-		s.takes = false
-		s.unlisted = true
-		if s.own.Running == 0 {
-			p.forgetServer(s)
-		}
-	}
-	for service, list := range p.services {
-		p.near[service] = p.countNear(list) >= nearLeast
-		slices.SortFunc(list, func(a, b *server) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
-	}
-}
-
-// countNear is how many of the servers are engines of this router's data centre.
-func (p *Picker) countNear(list []*server) (n int) {
-	for _, s := range list {
-		if s.engine != nil && s.DataCentre == p.dataCentre {
-			n++
-		}
-	}
-	return n
-}
-
-// forgetServer drops a server that is not listed any more.
-func (p *Picker) forgetServer(s *server) {
-	delete(p.servers, s.ID)
-	delete(p.busy, s.key)
-	if p.keyed[s.key] == s {
-		delete(p.keyed, s.key)
-	}
 }
 
 // rate returns what is known of the service's speed.
@@ -339,9 +270,14 @@
 	p.sumPeers(now)
 	for name, list := range p.services {
 		r := p.rate(name)
-		r.slow = median(list)
+		r.slow = p.median(list)
 		p.learnLife(r, list, now)
 	}
+	for s := range p.cold {
+		if !s.cold.Is(now) {
+			delete(p.cold, s)
+		}
+	}
 	if now.Sub(p.forgot) > forgetEvery {
 		p.forgot = now
 		p.forgetParts(now)
@@ -349,18 +285,24 @@
 	}
 }
 
-// median returns the median of how much slower than expected the servers are:
-// what all of them have in common says nothing of one.
-func median(list []*server) float64 {
+// median returns the median of how much slower than expected the servers of a service are: what
+// all of them have in common says nothing of one. Those that are not known to be slow count as 1.
+func (p *Picker) median(list []*server) float64 {
 	if len(list) == 0 {
 		return 1
 	}
-	all := make([]float64, 0, len(list))
-	for _, s := range list {
-		all = append(all, s.slow)
+	var slow []float64
+	for s := range p.slowed {
+		if s.takes && s.Service == list[0].Service {
+			slow = append(slow, s.slow)
+		}
+	}
+	at := len(list)/2 - (len(list) - len(slow))
+	if at < 0 {
+		return 1
 	}
-	slices.Sort(all)
-	return max(all[len(all)/2], 1)
+	slices.Sort(slow)
+	return slow[at]
 }
 
 // ConnLimit is how many connections the server of the ID takes from all
--- a/internal/core/pick/pick_test.go
+++ b/internal/core/pick/pick_test.go
@@ -144,11 +144,11 @@
 		p.End(j, Worked, at(now+took))
 		p.Tick(at(now))
 	}
-	assert.Assert(t, p.servers[slow].slow > 1.5*median(p.services["llm"]), "%g", p.servers[slow].slow)
+	assert.Assert(t, p.servers[slow].slow > 1.5*p.median(p.services["llm"]), "%g", p.servers[slow].slow)
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, size := range []struct{ routers, servers int }{{8, 18}, {64, 90}, {410, 600}} {
+	for _, size := range []struct{ routers, servers int }{{8, 18}, {64, 90}, {410, 600}, {986, 10000}, {2000, 20000}} {
 		b.Run(fmt.Sprintf("routers=%d/servers=%d", size.routers, size.servers), func(b *testing.B) {
 			p := picker(size.servers)
 			for i := range min(size.routers, 12) {
