roster: what has changed of the list since a stamp

Cause: routers told each other whole lists.

Change: a list remembers its latest changes with the stamps at which they were made, and gives those since a stamp as a delta. A whole list that is read anew leaves a gap of stamps, and is told by its differences to those who are on neither side of it. A delta that does not follow on a list is refused, and the whole list is needed.

--- a/internal/core/roster/returned.go
+++ b/internal/core/roster/returned.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/windscale/windscale/internal/core/routing"
@@ -104,33 +103,36 @@
 
 // hold keeps an entry of the store from being used for a while.
 func (r *Roster) hold(s routing.Server, until time.Time) {
-	delete(r.servers, s.ID)
+	r.take(s.ID)
 	delete(r.doubtful, s.ID)
 	r.back.held[s.ID] = held{s, until}
 }
 
 // keepHeld drops what was held back and is not in the store's list: it has left for good.
 func (r *Roster) keepHeld(list []routing.Server) {
+	if len(r.back.held) == 0 {
+		return
+	}
+	named := namedBy(list)
 	maps.DeleteFunc(r.back.held, func(id string, _ held) bool {
-		return !slices.ContainsFunc(list, func(s routing.Server) bool { return s.ID == id })
+		if !named[id] {
+			r.note(id)
+		}
+		return !named[id]
 	})
 }
 
-// release lists the entries that were held back and are still there, forgets old leavers,
-// and reports whether the list has changed.
-func (r *Roster) release(now time.Time) (changed bool) {
-	for id, l := range r.back.leavers {
-		if now.Sub(l.at) > leaversFor {
-			delete(r.back.leavers, id)
-		}
-	}
-	for id, h := range r.back.held {
-		if now.Before(h.until) {
-			continue
+// forgetLeavers forgets which servers left long ago.
+func (b *returned) forgetLeavers(now time.Time) {
+	maps.DeleteFunc(b.leavers, func(_ string, l leaver) bool { return now.Sub(l.at) > leaversFor })
+}
+
+// due returns the entries that were held back for long enough and are still there.
+func (b *returned) due(now time.Time) (ids []string) {
+	for id, h := range b.held {
+		if !now.Before(h.until) {
+			ids = append(ids, id)
 		}
-		delete(r.back.held, id)
-		r.set(h.server)
-		changed = true
 	}
-	return changed
+	return ids
 }
--- a/internal/core/roster/returned_test.go
+++ b/internal/core/roster/returned_test.go
@@ -173,8 +173,8 @@
 	r.heard(w.stamp, now)
 	r.StoreBack(now)
 	if r.at.Era != w.stamp.Era {
-		r.Replace(w.list(), false, now)
 		r.SetStamp(w.stamp)
+		r.Replace(w.list(), false, now)
 		r.at = w.stamp
 		return
 	}
@@ -182,12 +182,12 @@
 		if !c.at.After(r.at) {
 			continue
 		}
+		r.SetStamp(c.at)
 		if c.live {
 			r.Apply([]routing.Server{ready(c.id)}, nil, now)
 		} else {
 			r.Apply(nil, []string{c.id}, now)
 		}
-		r.SetStamp(c.at)
 	}
 	r.at = w.stamp
 }
@@ -200,15 +200,20 @@
 	r.era = max(r.era, s.Era)
 }
 
-// tell has a router take another's list, if it is newer.
-func (w *world) tell(from, to *router) {
+// tell has a router take another's list, if it is newer: what has changed where the other knows
+// that and it is asked for, else the whole list.
+func (w *world) tell(from, to *router, changes bool) {
 	if !from.Stamp().After(to.Stamp()) {
 		return
 	}
+	now := at(w.now)
 	to.NotFollowed()
-	to.heard(from.Stamp(), at(w.now))
-	to.ReplaceTold(from.Told(at(w.now)), at(w.now))
+	to.heard(from.Stamp(), now)
+	if d, ok := from.Since(to.Stamp(), now); ok && changes && to.ApplyDelta(d, now) {
+		return
+	}
 	to.SetStamp(from.Stamp())
+	to.ReplaceTold(from.Told(now), now)
 }
 
 // restart has a router forget all.
@@ -231,7 +236,7 @@
 	case 5, 6:
 		w.read(w.routers[r])
 	case 7:
-		w.tell(w.routers[r], w.routers[other])
+		w.tell(w.routers[r], w.routers[other], b < 128)
 	case 8:
 		w.restart(r)
 	case 9:
@@ -254,7 +259,7 @@
 		}
 		for i := range w.routers {
 			if i >= 2 {
-				w.tell(w.routers[i%2], w.routers[i])
+				w.tell(w.routers[i%2], w.routers[i], true)
 			}
 		}
 		w.now += 200
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -32,7 +32,13 @@
 	blindAt  time.Time // when the store was lost last
 	since    time.Time // the store is followed without a gap since then; zero: it is not
 	stamp    Stamp
+	was      Stamp    // before SetStamp was called last
 	back     returned // what is remembered of a return of the store from a copy
+	log      changeLog
+	touched  map[string]bool // since Changed was called last
+	anew     bool            // the list was empty since then
+	filling  bool            // it is empty, and is being taken
+	counts   map[counted]int
 }
 
 // doubt is that about a server whose entry is missing.
@@ -59,12 +65,24 @@
 // Stamp returns the list's.
 func (r *Roster) Stamp() Stamp { return r.stamp }
 
-// SetStamp notes that the list is as of the stamp.
-func (r *Roster) SetStamp(s Stamp) { r.stamp = s }
+// SetStamp notes that the list, with what is told next, is as of the stamp.
+func (r *Roster) SetStamp(s Stamp) {
+	if s.Era != r.stamp.Era {
+		r.log.reset(s)
+	}
+	r.was = r.stamp
+	r.stamp = s
+}
 
 // New returns an empty list.
 func New() *Roster {
-	return &Roster{servers: map[string]routing.Server{}, doubtful: map[string]doubt{}, back: newReturned()}
+	return &Roster{
+		servers:  map[string]routing.Server{},
+		doubtful: map[string]doubt{},
+		back:     newReturned(),
+		touched:  map[string]bool{},
+		counts:   map[counted]int{},
+	}
 }
 
 // StoreDown notes that the store does not answer.
@@ -95,14 +113,15 @@
 	if len(r.doubtful) == 0 || followed <= now.Sub(r.blindAt) || r.back.within(ReturnGrace, now) {
 		return false
 	}
+	r.edited()
 	for id := range r.doubtful {
+		r.note(id)
 		r.forget(id, now)
 	}
-	r.edited()
 	return true
 }
 
-// edited notes that the list was changed without the store's answer. Only who follows the
+// edited notes that the list is being changed without the store's answer. Only who follows the
 // store counts that in the stamp: a router that is told by others would count its own changes
 // as if they were theirs, and take a later list of theirs for one that it has.
 func (r *Roster) edited() {
@@ -134,16 +153,28 @@
 // Apply takes changed and removed entries.
 func (r *Roster) Apply(changed []routing.Server, gone []string, now time.Time) {
 	for _, s := range changed {
+		r.note(s.ID)
 		r.set(s)
 	}
 	for _, id := range gone {
+		r.note(id)
 		r.lose(id, now)
 	}
 }
 
+// differs reports whether the entry changes the list.
+func (r *Roster) differs(s routing.Server) bool {
+	known, listed := r.servers[s.ID]
+	_, doubted := r.doubtful[s.ID]
+	_, held := r.back.held[s.ID]
+	return !listed || known != s || doubted || held
+}
+
 // set takes an entry.
 func (r *Roster) set(s routing.Server) {
-	r.servers[s.ID] = s
+	if r.differs(s) {
+		r.put(s)
+	}
 	delete(r.doubtful, s.ID)
 	r.back.written(s.ID)
 }
@@ -153,6 +184,15 @@
 // that of a router which can. For a while after the store's return from a copy
 // no list is believed so far: see merge.
 func (r *Roster) Replace(list []routing.Server, sure bool, now time.Time) {
+	if len(r.servers) == 0 {
+		r.begin(len(list))
+	}
+	defer func() { r.filling = false }()
+	if r.filling || r.back.within(heldFor, now) {
+		r.log.reset(r.stamp)
+	} else {
+		r.log.skip(Gap{r.was, r.stamp})
+	}
 	if r.back.within(heldFor, now) {
 		r.merge(list, now)
 		return
@@ -162,9 +202,13 @@
 		if h, ok := r.back.held[s.ID]; ok && !sure && h.server.Identity() == s.Identity() {
 			continue
 		}
+		if r.differs(s) {
+			r.note(s.ID)
+		}
 		r.set(s)
 	}
 	for _, id := range r.missing(list) {
+		r.note(id)
 		if sure {
 			r.forget(id, now)
 			continue
@@ -175,10 +219,10 @@
 
 // missing returns the IDs of the servers that the list lacks.
 func (r *Roster) missing(list []routing.Server) (ids []string) {
-	named := make(map[string]bool, len(list))
-	for _, s := range list {
-		named[s.ID] = true
+	if r.filling && len(r.servers) == len(list) {
+		return nil
 	}
+	named := namedBy(list)
 	for id := range r.servers {
 		if !named[id] {
 			ids = append(ids, id)
@@ -187,17 +231,27 @@
 	return ids
 }
 
+// namedBy returns the IDs of the servers of a list.
+func namedBy(list []routing.Server) map[string]bool {
+	named := make(map[string]bool, len(list))
+	for _, s := range list {
+		named[s.ID] = true
+	}
+	return named
+}
+
 // Forget drops a server whose entry has become unusable, without doubt: the entry is there and
 // says so, as of a version of the store. It reports whether the server was listed.
 func (r *Roster) Forget(id string, as Stamp, now time.Time) bool {
 	if _, known := r.servers[id]; !known {
 		return false
 	}
-	r.forget(id, now)
-	r.stamp.Edits++ // other routers fetch the list without it
+	r.stamp.Edits++ // other routers take the list without it
 	if as.After(r.stamp) {
 		r.stamp = as
 	}
+	r.note(id)
+	r.forget(id, now)
 	return true
 }
 
@@ -206,7 +260,7 @@
 	if s, known := r.servers[id]; known {
 		r.back.leaves(s, now)
 	}
-	delete(r.servers, id)
+	r.take(id)
 	delete(r.doubtful, id)
 }
 
@@ -227,27 +281,37 @@
 func (r *Roster) doubt(id string, now time.Time) {
 	if _, already := r.doubtful[id]; !already {
 		r.doubtful[id] = doubt{since: now}
+		r.touch(id)
 	}
 }
 
 // Tick forgets the doubtful entries whose time is over, and reports whether
 // there were any. While the store is down nothing is forgotten that this router doubts.
 func (r *Roster) Tick(now time.Time) bool {
-	changed := false
+	r.back.forgetLeavers(now)
+	var release []string
 	if r.downAt.IsZero() {
-		changed = r.release(now)
+		release = r.back.due(now)
 	}
+	var over []string
 	for id := range r.doubtful {
-		if r.doubtLeft(id, now) > 0 {
-			continue
+		if r.doubtLeft(id, now) <= 0 {
+			over = append(over, id)
 		}
-		r.forget(id, now)
-		changed = true
 	}
-	if changed {
-		r.edited()
+	if len(release)+len(over) == 0 {
+		return false
+	}
+	r.edited()
+	for _, id := range release {
+		r.note(id)
+		r.set(r.back.held[id].server)
 	}
-	return changed
+	for _, id := range over {
+		r.note(id)
+		r.forget(id, now)
+	}
+	return true
 }
 
 // doubtLeft is for how much longer a missing server counts as one that lives.
--- a/internal/core/roster/told.go
+++ b/internal/core/roster/told.go
@@ -28,24 +28,33 @@
 func (r *Roster) Told(now time.Time) Told {
 	t := Told{Servers: make([]routing.Server, 0, len(r.servers))}
 	for id, s := range r.servers {
-		if _, doubted := r.doubtful[id]; doubted {
-			t.Doubtful = append(t.Doubtful, Doubtful{s, r.doubtLeft(id, now)})
-			continue
+		if _, doubted := r.doubtful[id]; !doubted {
+			t.Servers = append(t.Servers, s)
 		}
-		t.Servers = append(t.Servers, s)
 	}
-	for id, h := range r.back.held {
+	for _, h := range r.back.held {
 		t.Servers = append(t.Servers, h.server)
-		if t.Held == nil {
-			t.Held = map[string]time.Duration{}
-		}
-		t.Held[id] = h.until.Sub(now)
 	}
+	t.Held, t.Doubtful = r.unsure(now)
 	slices.SortFunc(t.Servers, func(a, b routing.Server) int { return strings.Compare(a.ID, b.ID) })
-	slices.SortFunc(t.Doubtful, func(a, b Doubtful) int { return strings.Compare(a.Server.ID, b.Server.ID) })
 	return t
 }
 
+// unsure returns what this router believes beyond the store's entries.
+func (r *Roster) unsure(now time.Time) (held map[string]time.Duration, doubtful []Doubtful) {
+	for id, h := range r.back.held {
+		if held == nil {
+			held = map[string]time.Duration{}
+		}
+		held[id] = h.until.Sub(now)
+	}
+	for id := range r.doubtful {
+		doubtful = append(doubtful, Doubtful{r.servers[id], r.doubtLeft(id, now)})
+	}
+	slices.SortFunc(doubtful, func(a, b Doubtful) int { return strings.Compare(a.Server.ID, b.Server.ID) })
+	return held, doubtful
+}
+
 // ReplaceTold takes another router's list. What that router holds back or doubts is held back
 // or doubted here for as long; what it does not list has left.
 func (r *Roster) ReplaceTold(t Told, now time.Time) {
@@ -55,12 +64,17 @@
 			r.hold(s, now.Add(min(left, heldFor)))
 		}
 	}
-	for _, d := range t.Doubtful {
+	r.takeDoubtful(t.Doubtful, now)
+}
+
+// takeDoubtful lists the servers that another router has in doubt and this one does not know.
+func (r *Roster) takeDoubtful(list []Doubtful, now time.Time) {
+	for _, d := range list {
 		if _, known := r.servers[d.Server.ID]; known || d.Left <= 0 {
 			continue
 		}
 		delete(r.back.leavers, d.Server.ID) // it was forgotten for its absence a moment ago
-		r.servers[d.Server.ID] = d.Server
+		r.put(d.Server)
 		r.doubtful[d.Server.ID] = doubt{since: now, until: now.Add(min(d.Left, ReturnGrace))}
 	}
 }
