state: a change of one server changes that one only

Cause: each changed entry had the picker take the whole list, and the share of the engines that stand in evacuated data centres was counted over all servers.

Change: the list says which servers have changed; the picker takes these. Servers are counted by service and data centre as they come and go.

--- a/internal/edge/state/evacuation.go
+++ b/internal/edge/state/evacuation.go
@@ -67,11 +67,11 @@
 	e.Set = without(after, before)
 	e.TakenBack = without(before, after)
 	s.setServers(now)
-	for _, server := range s.roster.List() {
-		if s.evacuated.In(server.DataCentre) {
-			e.Servers++
+	s.roster.EachCount(func(_, dataCentre string, n int) {
+		if s.evacuated.In(dataCentre) {
+			e.Servers += n
 		}
-	}
+	})
 	return e
 }
 
--- a/internal/edge/state/notice.go
+++ b/internal/edge/state/notice.go
@@ -16,7 +16,9 @@
 	if !s.picker.NoteLeaving(id, now) {
 		return false
 	}
-	s.setServers(now)
+	if entry, listed := s.roster.Get(id.ID); listed {
+		s.picker.ChangeServers([]routing.Server{entry}, nil, now)
+	}
 	return true
 }
 
--- a/internal/edge/state/report.go
+++ b/internal/edge/state/report.go
@@ -14,11 +14,14 @@
 	Sent   pick.Sent                   // parts of prompts sent since the last report
 	Firsts map[string]pick.FirstTokens // first tokens seen since the last report, by service
 	Ends   []poison.Record             // contents under which servers ended since the last report
+	// Light are the requests at servers whose loads are left out, since they change no choice, by
+	// service.
+	Light map[string]int
 }
 
 // NewReport returns one that tells nothing yet.
 func NewReport() Report {
-	return Report{Loads: map[routing.ServerKey]pick.Load{}, Rates: map[string]fair.Rates{}}
+	return Report{Loads: map[routing.ServerKey]pick.Load{}, Rates: map[string]fair.Rates{}, Light: map[string]int{}}
 }
 
 // Add adds the loads and rates of o.
@@ -29,6 +32,21 @@
 	for name, rates := range o.Rates {
 		r.Rates[name] = r.Rates[name].Plus(rates)
 	}
+	for service, n := range o.Light {
+		r.Light[service] += n
+	}
+}
+
+// LeaveOutLight takes the loads out of a report of several routers that change no choice.
+func (s *State) LeaveOutLight(r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, l := range r.Loads {
+		if service, light := s.picker.Light(key, l); light {
+			delete(r.Loads, key)
+			r.Light[service] += l.Running
+		}
+	}
 }
 
 // Report returns this router's load, its customers' rates, and what it has sent
@@ -87,7 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.picker.PeerLoad(peer, r.Loads, now)
+	s.picker.PeerLoads(peer, r.Loads, r.Light, now)
 	if len(r.Rates) > 0 {
 		s.meter.Peer(peer, r.Rates, now)
 	}
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -19,7 +19,7 @@
 	s.roster.SetStamp(stamp)
 	s.roster.Replace(list, sure, s.now())
 	s.listed = true
-	s.setServers(s.now())
+	s.updateServers(s.now())
 	return true
 }
 
@@ -33,10 +33,32 @@
 	s.roster.SetStamp(stamp)
 	s.roster.ReplaceTold(list, s.now())
 	s.listed = true
-	s.setServers(s.now())
+	s.updateServers(s.now())
 	return true
 }
 
+// ServersChangedBy takes another router's changes of the list, and reports whether they follow
+// on the list in force.
+func (s *State) ServersChangedBy(d roster.Delta) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed || !s.roster.ApplyDelta(d, s.now()) {
+		return false
+	}
+	s.updateServers(s.now())
+	return true
+}
+
+// ServersSince returns what has changed of the list since the stamp, if that is known.
+func (s *State) ServersSince(from roster.Stamp) (roster.Delta, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		return roster.Delta{}, false
+	}
+	return s.roster.Since(from, s.now())
+}
+
 // ServersChanged takes changed and removed entries, as of a version of the store.
 func (s *State) ServersChanged(changed []routing.Server, gone []string, as roster.Stamp) {
 	s.mu.Lock()
@@ -51,7 +73,7 @@
 		}
 	}
 	s.roster.Apply(changed, gone, s.now())
-	s.setServers(s.now())
+	s.updateServers(s.now())
 }
 
 // ServerUnusable notes that, as of a version of the store, the entry of the ID names no
@@ -60,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.roster.Forget(id, as, s.now()) {
-		s.setServers(s.now())
+		s.updateServers(s.now())
 	}
 }
 
@@ -82,7 +104,7 @@
 func (s *State) ServerCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.roster.List())
+	return s.roster.Len()
 }
 
 // Stamp returns the stamp of the list of servers.
@@ -92,6 +114,15 @@
 	return s.roster.Stamp()
 }
 
+// Listed returns the stamp of the list of servers, and whether there is a list of the store's
+// present era that can be followed from there.
+func (s *State) Listed() (roster.Stamp, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	as := s.roster.Stamp()
+	return as, s.listed && as.Era == s.era
+}
+
 // Era returns the store's era, the highest that an answer or another router told.
 func (s *State) Era() uint64 {
 	s.mu.Lock()
@@ -161,7 +192,7 @@
 	if !s.roster.Settle(followed, now) {
 		return false
 	}
-	s.setServers(now)
+	s.updateServers(now)
 	return true
 }
 
@@ -189,12 +220,35 @@
 
 // setServers has the picker take the list in force.
 func (s *State) setServers(now time.Time) {
+	s.roster.Changed() // the whole list has it
 	s.picker.SetEvacuated(s.evacuated.All())
-	s.picker.SetServers(s.roster.List(), now)
+	list := make([]routing.Server, 0, s.roster.Len())
+	s.roster.Each(func(server routing.Server) { list = append(list, server) })
+	s.picker.SetServers(list, now)
+	s.noteTakenBack(now)
+	s.setCapacity()
+}
+
+// updateServers has the picker take what has changed of the list.
+func (s *State) updateServers(now time.Time) {
+	changed, gone, whole := s.roster.Changed()
+	if whole {
+		s.setServers(now)
+		return
+	}
+	if len(changed)+len(gone) == 0 {
+		return
+	}
+	s.picker.ChangeServers(changed, gone, now)
+	s.noteTakenBack(now)
+	s.setCapacity()
+}
+
+// noteTakenBack tells the picker which evacuations ended lately.
+func (s *State) noteTakenBack(now time.Time) {
 	for dc, at := range s.evacuated.Ended() {
 		s.picker.TakenBack(dc, at, now)
 	}
-	s.setCapacity()
 }
 
 // setCapacity says what the engines make that may be asked: of what all make together, the
@@ -204,15 +258,15 @@
 		return
 	}
 	all, open := 0, 0
-	for _, server := range s.roster.List() {
-		if !s.table.Engine(server.Service) {
-			continue
+	s.roster.EachCount(func(service, dataCentre string, n int) {
+		if !s.table.Engine(service) {
+			return
 		}
-		all++
-		if !s.evacuated.In(server.DataCentre) {
-			open++
+		all += n
+		if !s.evacuated.In(dataCentre) {
+			open += n
 		}
-	}
+	})
 	part := 1.0
 	if all > 0 {
 		part = float64(open) / float64(all)
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -165,10 +165,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	changed := s.evacuated.Tick(now)
-	if s.roster.Tick(now) || changed {
+	if s.evacuated.Tick(now) {
 		s.setServers(now)
 	}
+	if s.roster.Tick(now) {
+		s.updateServers(now)
+	}
 	s.clearStaleLeaving(s.roster.Followed(now), now)
 	s.undoOverdue(now)
 	s.picker.Tick(now)
