pressure: an idle host measures its wait five times a second

Cause: each measurement wakes the process twice, 100 times a second at each of 986 hosts which see 1.4 requests a second.

Change: 200 ms between measurements, 20 ms for a second after four requests were let in between two of them.

--- a/internal/edge/pressure/pressure.go
+++ b/internal/edge/pressure/pressure.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// probeEvery is how often the wait is measured.
+	// probeEvery is how often the wait is measured while the host has work, and idleEvery while it
+	// has hardly any: each measurement wakes the process twice. quickFor is how long it is measured
+	// often after quickAt requests have been let in between two measurements.
 	probeEvery = 20 * time.Millisecond
+	idleEvery  = 200 * time.Millisecond
+	quickFor   = time.Second
+	quickAt    = 4
 	// Busy is the wait from which a host refuses the customer that fills it: a request
 	// waits some five times on its way to a server, and one that is refused is at another
 	// host soon.
@@ -36,7 +41,9 @@
 	begin  atomic.Int64 // when a measurement in progress began, ns since base; 0: none
 	last   atomic.Int64 // the last wait measured, ns
 	let    atomic.Int64 // work let in that no measurement has waited behind yet, ns of this host
-	cost   int64        // of a request, ns of this host
+	count  atomic.Int64 // requests let in since the last measurement began
+	soon   chan struct{}
+	cost   int64 // of a request, ns of this host
 	base   time.Time
 	now    func() time.Time
 	launch func(func())
@@ -49,12 +56,22 @@
 		now:    now,
 		launch: func(f func()) { f() },
 		cost:   int64(float64(serveCost) / cores),
+		soon:   make(chan struct{}, 1),
 	}
 }
 
 // LetIn notes that a request was let in: until a measurement has waited behind it, its
 // work is expected to make others wait.
-func (p *Probe) LetIn() { p.let.Add(p.cost) }
+func (p *Probe) LetIn() {
+	p.let.Add(p.cost)
+	if p.count.Add(1) != quickAt {
+		return
+	}
+	select {
+	case p.soon <- struct{}{}:
+	default: // it is known already
+	}
+}
 
 // Expected returns the wait with the work let in since it was measured. A measurement is
 // 20 ms old or more, and a flood brings a second's work in that time.
@@ -113,15 +130,23 @@
 	}
 	defer poll.close()
 	p.launch = poll.launch
-	t := time.NewTicker(probeEvery)
+	t := time.NewTicker(idleEvery)
 	defer t.Stop()
+	var quick time.Time // until when it is measured often
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-t.C:
-			p.measure()
+		case <-p.soon:
+			quick = p.now().Add(quickFor)
+			t.Reset(probeEvery)
+		case now := <-t.C:
+			if !quick.IsZero() && now.After(quick) {
+				quick = time.Time{}
+				t.Reset(idleEvery)
+			}
 		}
+		p.measure()
 	}
 }
 
@@ -132,6 +157,7 @@
 		return
 	}
 	before := p.let.Load()
+	p.count.Store(0)
 	p.launch(func() {
 		p.last.Store(int64(p.now().Sub(p.base)) - begin)
 		p.let.Add(-before)
--- a/internal/edge/pressure/pressure_test.go
+++ b/internal/edge/pressure/pressure_test.go
@@ -82,3 +82,21 @@
 	queued[1]()
 	assert.Equal(t, p.Expected(), time.Duration(0))
 }
+
+// Requests that come faster than an idle host measures have the wait measured at once, and a flood
+// does not wait for the next turn of an idle host.
+func TestRequestsAreMeasuredBehindAtOnce(t *testing.T) {
+	p := New(0.2, time.Now)
+	for range quickAt - 1 {
+		p.LetIn()
+	}
+	assert.Equal(t, len(p.soon), 0)
+	p.LetIn()
+	assert.Equal(t, len(p.soon), 1)
+	p.measure() // as if at once
+	assert.Equal(t, p.Expected(), p.Wait(), "what was let in has been waited behind")
+	for range quickAt {
+		p.LetIn()
+	}
+	assert.Equal(t, len(p.soon), 1, "one is enough")
+}
