--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -1,17 +1,19 @@
-// Package spread decides which routers tell which others of their load, so that
-// everyone knows the fleet's total at a bounded cost. In a small fleet each
-// tells each. In a larger one the routers of a data centre tell two reporters,
-// the ones with the most processor time; reporters tell the sum to the reporters of
-// the other data centres, and the total to the routers of their own. Nobody is
-// elected: all rank the routers that they hear of alike, and while their views
-// differ some reports come twice or from two senders, which does no harm.
+// Package spread keeps which routers there are, and decides which of them tell which others of
+// their load, so that everyone knows the fleet's total at a bounded cost. In a small fleet each
+// tells each. In a larger one the routers of a data centre tell two reporters, the ones with the
+// most processor time; reporters tell the sum to the reporters of the other data centres, and the
+// total to the routers of their own. Nobody is elected: all rank the routers that they hear of
+// alike, and while their views differ some reports come twice or from two senders, which does no
+// harm.
+//
+// A reporter hears the routers of its data centre itself. All others have the list of a data
+// centre from its reporters: changes as they come, and a digest by which a difference shows.
 //
 // The package has no input or output; time comes in as an argument.
 package spread
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,46 +22,37 @@
 const (
 	// meshMost is the largest fleet in which each router tells each: above it
 	// the datagrams, which grow with the square, cost more than a reporter's
-	// delay. 58 routers in a mesh sent 1 GB between data centres in 48 s.
+	// delay.
 	meshMost = 12
-	// reportersEach is how many reporters a data centre has: one may be lost
-	// without a report missing.
-	reportersEach = 2
-	// readersMost is how many routers of a large fleet follow the store for the
-	// rest: calls are priced, and one or two readers may be lost without a report
-	// missing. Two in each of 5 data centres made calls worth 3.2% of
-	// what 64 routers earned in a quiet minute, three in all 1.4%.
-	readersMost = 3
-	// standInFirst is how many routers of a data centre follow the store for it as soon as
-	// the readers' answers are old, and standInDoubles the time in which these become
-	// twice as many: while the store serves none, each that asks costs calls.
-	standInFirst   = 2
-	standInDoubles = 2 * time.Second
-	// fullPaceMost is the largest fleet whose routers tell at each tick. Above it
-	// what a reporter sends and all take in would grow with the fleet: each doubling
-	// halves the pace.
+	// fullPaceMost is the largest fleet whose routers tell at each tick. Above it each doubling
+	// halves the pace, down to one in paceMost ticks: what a reporter takes in grows with its
+	// data centre from there on.
 	fullPaceMost = 96
-	// LiveFor is how long a router counts as live after the last report of it,
-	// its own or a reporter's.
+	paceMost     = 16
+	// LiveFor is how long a router counts as live after the last report of it, where it is to be
+	// heard by this router itself or the fleet is a mesh.
 	LiveFor = 2 * time.Second
-	// probeEvery is how often a silent router is told: it may be back.
-	probeEvery = 2 * time.Second
+	// vouchedFor is the same for a router that others vouch for: their digests renew it with each
+	// report, and when both reporters of a data centre end at once its routers have to find the
+	// next ones among those that they know.
+	vouchedFor = 20 * time.Second
+	// muteAfter is how long a reporter may leave this router without an answer before the next
+	// one in the ranking is told too.
+	muteAfter = time.Second
 	// forgetAfter is when a silent router is forgotten, unless it is a seed.
 	forgetAfter = 90 * time.Second
-	// maxDoublings keeps a number of routers within an int.
-	maxDoublings = 16
 )
 
 // Member is a router.
 type Member struct {
 	Addr       string  // its control address, IP:port: its name in the fleet
 	DataCentre string  // empty: not known yet
-	Cores      float64 // processor time that it has, in cores; 0: not known yet
+	Cores      float32 // processor time that it has, in cores; 0: not known yet
 }
 
 // before orders members by how well they can report: the most processor time
 // first, then the lowest address. A reporter takes in the reports of its whole
-// data centre, some 1,000 a second in a fleet of 58, which a small host can't.
+// data centre, which a small host can't.
 func (m Member) before(o Member) int {
 	if c := cmp.Compare(o.Cores, m.Cores); c != 0 {
 		return c
@@ -70,56 +63,72 @@
 // entry is what is known of another router.
 type entry struct {
 	Member
-	heard  time.Time // last report of it
+	heard  time.Time // last report of it, its own or another's
+	direct time.Time // last report of its own
+	since  time.Time // when it became live
+	asked  time.Time // since when it has been told without an answer; zero: it is not told
 	probed time.Time // last probe
 	seed   bool
 	live   bool
+	mute   bool
 }
 
 // Spread is one router's view of the fleet. It is not safe for concurrent use.
 type Spread struct {
-	self  Member
-	known map[string]*entry
-	// ranked is derived from known and is worked out anew when it is nil.
-	ranked *ranking
-}
-
-// ranking is the live routers in order.
-type ranking struct {
-	live      []Member            // the others, by address
-	reporters map[string][]string // of each data centre, this router counted
-	readers   []string            // of the store
-	place     int                 // of this router in its data centre
+	self    Member
+	known   map[string]*entry
+	centres map[string]*centre
+	live    int // of known
+	// fleet is how many routers another one said that there are, for who knows few yet.
+	fleet         int
+	reporterSince time.Time // zero: this router is no reporter
+	directAt      time.Time // when any router was heard itself
+	changes       Changes   // since TakeChanges was called last
+	probeAfter    string    // the address up to which silent routers were probed in turn
 }
 
 // New returns the view of a router that knows no other.
-func New(self Member) *Spread { return &Spread{self: self, known: map[string]*entry{}} }
+func New(self Member) *Spread {
+	s := &Spread{self: self, known: map[string]*entry{}, centres: map[string]*centre{}}
+	s.centre(self.DataCentre)
+	return s
+}
 
 // Add makes a router known without a report of it.
 func (s *Spread) Add(m Member, seed bool, now time.Time) {
-	if m.Addr == s.self.Addr {
+	if m.Addr == s.self.Addr || m.Addr == "" {
 		return
 	}
 	e := s.known[m.Addr]
 	if e == nil {
-		e = &entry{Member: m, heard: now.Add(-LiveFor)}
+		e = &entry{Member: m, heard: now.Add(-vouchedFor)}
 		s.known[m.Addr] = e
 	}
-	if m.DataCentre != "" && m.DataCentre != e.DataCentre {
+	if m.DataCentre != "" && m.DataCentre != e.DataCentre || m.Cores > 0 && m.Cores != e.Cores {
+		s.describe(e, m)
+	}
+	e.seed = e.seed || seed
+}
+
+// describe takes over what a report says of a router.
+func (s *Spread) describe(e *entry, m Member) {
+	live := e.live
+	s.silence(e)
+	if m.DataCentre != "" {
 		e.DataCentre = m.DataCentre
-		s.ranked = nil
 	}
-	if m.Cores > 0 && m.Cores != e.Cores {
+	if m.Cores > 0 {
 		e.Cores = m.Cores
-		s.ranked = nil
 	}
-	e.seed = e.seed || seed
+	if live {
+		s.raise(e, e.since)
+	}
 }
 
-// Heard notes a report of a router, its own or one by which a reporter vouches
-// for it, age ago. It reports whether the router was silent before.
+// Heard notes a report of a router, its own or one by which another vouches for it, age ago. It
+// reports whether the router was silent before.
 func (s *Spread) Heard(m Member, age time.Duration, now time.Time) bool {
-	if m.Addr == s.self.Addr {
+	if m.Addr == s.self.Addr || m.Addr == "" {
 		return false
 	}
 	s.Add(m, false, now)
@@ -130,22 +139,73 @@
 	if e.live || now.Sub(e.heard) >= LiveFor {
 		return false
 	}
-	e.live = true
-	s.ranked = nil
+	s.raise(e, now)
 	return true
 }
 
-// Tick drops routers that have been silent for long, and returns those that
-// have fallen silent.
+// HeardFrom notes a report of the router's own, and reports whether it was silent before.
+func (s *Spread) HeardFrom(m Member, now time.Time) bool {
+	found := s.Heard(m, 0, now)
+	if e := s.known[m.Addr]; e != nil {
+		s.directAt = now
+		e.direct = now
+		e.asked = time.Time{}
+		s.setMute(e, false)
+	}
+	return found
+}
+
+// raise makes a router live, and silence ends that.
+func (s *Spread) raise(e *entry, now time.Time) {
+	e.live = true
+	e.since = now
+	if s.directAt.IsZero() {
+		s.directAt = now
+	}
+	s.live++
+	s.centre(e.DataCentre).add(e)
+	s.changes.joined(e.Member)
+}
+
+func (s *Spread) silence(e *entry) {
+	if !e.live {
+		return
+	}
+	e.live = false
+	e.asked = time.Time{}
+	s.live--
+	s.centre(e.DataCentre).remove(e)
+	s.changes.left(e.Member)
+}
+
+// setMute notes whether a router leaves this one without an answer.
+func (s *Spread) setMute(e *entry, mute bool) {
+	if e.mute == mute {
+		return
+	}
+	e.mute = mute
+	s.centre(e.DataCentre).unrank()
+}
+
+// Tick drops routers that have been silent for long, and returns those that have fallen silent
+// or leave this one without an answer.
 func (s *Spread) Tick(now time.Time) (lost []string) {
+	switch reporter := s.Reporter() && !s.Mesh(); {
+	case !reporter:
+		s.reporterSince = time.Time{}
+	case s.reporterSince.IsZero():
+		s.reporterSince = now
+	}
 	for addr, e := range s.known {
-		silent := now.Sub(e.heard)
-		if e.live && silent >= LiveFor {
-			e.live = false
-			s.ranked = nil
+		if e.live && s.isSilent(e, now) {
+			s.silence(e)
 			lost = append(lost, addr)
 		}
-		if silent > forgetAfter && !e.seed {
+		if !e.mute && !e.asked.IsZero() && now.Sub(later(e.direct, e.asked)) >= muteAfter {
+			s.setMute(e, true)
+			lost = append(lost, addr)
+		}
+		if !e.live && now.Sub(e.heard) > forgetAfter && !e.seed {
 			delete(s.known, addr)
 		}
 	}
@@ -153,51 +213,44 @@
 	return lost
 }
 
-// rank returns the live routers in order.
-func (s *Spread) rank() *ranking {
-	if s.ranked != nil {
-		return s.ranked
-	}
-	r := &ranking{reporters: map[string][]string{}}
-	for _, e := range s.known {
-		if e.live {
-			r.live = append(r.live, e.Member)
-		}
+// isSilent reports whether a live router has not been heard of for too long.
+func (s *Spread) isSilent(e *entry, now time.Time) bool {
+	switch {
+	case s.Mesh():
+		return now.Sub(e.heard) >= LiveFor
+	case !s.reporterSince.IsZero() && e.DataCentre == s.self.DataCentre:
+		return now.Sub(later(later(e.direct, e.since), s.reporterSince)) >= LiveFor
 	}
-	all := append([]Member{s.self}, r.live...)
-	slices.SortFunc(all, Member.before)
-	for _, m := range all {
-		if m.DataCentre == s.self.DataCentre && m.before(s.self) < 0 {
-			r.place++
-		}
-		if list := r.reporters[m.DataCentre]; len(list) < reportersEach {
-			r.reporters[m.DataCentre] = append(list, m.Addr)
-		}
+	return now.Sub(later(e.heard, s.centre(e.DataCentre).confirmed)) >= vouchedFor
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	slices.SortFunc(r.live, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
-	r.readers = readers(r.reporters)
-	s.ranked = r
-	return r
+	return a
 }
 
-// readers returns the first reporters of the data centres in the order of their
-// names, then the second ones, up to readersMost. Routers whose data centre is
-// not known yet are left out.
-func readers(reporters map[string][]string) (list []string) {
-	centres := slices.Sorted(maps.Keys(reporters))
-	for place := range reportersEach {
-		for _, centre := range centres {
-			if centre != "" && place < len(reporters[centre]) && len(list) < readersMost {
-				list = append(list, reporters[centre][place])
-			}
+// Live returns the other routers that count as live, in the order of their addresses.
+func (s *Spread) Live() []Member {
+	list := make([]Member, 0, s.live)
+	for _, e := range s.known {
+		if e.live {
+			list = append(list, e.Member)
 		}
 	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
 	return list
 }
 
-// Live returns the other routers of which a report came lately, in the order of
-// their addresses. The list is not to be changed.
-func (s *Spread) Live() []Member { return s.rank().live }
+// LiveCount returns how many others count as live.
+func (s *Spread) LiveCount() int { return s.live }
+
+// IsLive reports whether the router counts as live.
+func (s *Spread) IsLive(addr string) bool {
+	e := s.known[addr]
+	return e != nil && e.live
+}
 
 // Age returns how long ago the last report of a router came.
 func (s *Spread) Age(addr string, now time.Time) time.Duration {
@@ -207,9 +260,12 @@
 	return forgetAfter
 }
 
-// Count returns how many routers there are, this one and those that have been
-// silent for a short time included.
-func (s *Spread) Count() int { return len(s.known) + 1 }
+// SetFleet takes how many routers there are, as another one counts them.
+func (s *Spread) SetFleet(n int) { s.fleet = n }
+
+// Count returns how many routers there are, this one and those that have been silent for a short
+// time included.
+func (s *Spread) Count() int { return max(len(s.known)+1, s.fleet) }
 
 // Fleet returns the addresses of the other routers that were ever heard of and are not
 // forgotten, and whether most of them are live.
@@ -219,112 +275,21 @@
 			others = append(others, addr)
 		}
 	}
-	return others, 2*(len(s.Live())+1) > len(others)+1
+	return others, 2*(s.live+1) > max(len(others)+1, s.fleet)
 }
 
-// Pace is in how many ticks routers tell each other, a power of two: 1 in a
-// fleet of today's sizes, 8 at 410 routers.
+// Pace is in how many ticks routers tell each other, a power of two.
 func (s *Spread) Pace() int {
 	pace := 1
-	for s.Count() > fullPaceMost*pace {
+	for s.Count() > fullPaceMost*pace && pace < paceMost {
 		pace *= 2
 	}
 	return pace
 }
 
 // Mesh reports whether each router tells each.
-func (s *Spread) Mesh() bool { return len(s.Live())+1 <= meshMost }
-
-// Reporters returns the reporters of a data centre. The list is not to be
-// changed.
-func (s *Spread) Reporters(dataCentre string) []string { return s.rank().reporters[dataCentre] }
-
-// Reporter reports whether this router is a reporter.
-func (s *Spread) Reporter() bool {
-	return slices.Contains(s.Reporters(s.self.DataCentre), s.self.Addr)
-}
-
-// FirstReporter reports whether this router is the first reporter of its data centre.
-func (s *Spread) FirstReporter() bool {
-	reporters := s.Reporters(s.self.DataCentre)
-	return len(reporters) > 0 && reporters[0] == s.self.Addr
-}
-
-// Reader reports whether this router follows the store for others.
-func (s *Spread) Reader() bool { return slices.Contains(s.rank().readers, s.self.Addr) }
-
-// StandsIn reports whether this router follows the store for its data centre when the
-// answers that the readers report are late by so much. All routers of a data centre
-// rank each other alike.
-func (s *Spread) StandsIn(late time.Duration) bool {
-	if late < 0 {
-		return false
-	}
-	doublings := min(int(late/standInDoubles), maxDoublings)
-	return s.rank().place < standInFirst<<doublings
-}
+func (s *Spread) Mesh() bool { return s.live+1 <= meshMost }
 
-// Targets are the routers to tell something.
-type Targets struct {
-	Own   []string // this router's own load
-	Sum   []string // the sum of this data centre
-	Total []string // the sum of the fleet
-}
-
-// Targets returns whom to tell at the moment. Silent routers are probed now and then with this
-// router's own load. turn counts the times at which the sum of this data centre is told: it
-// goes to one reporter of each other data centre, another each time, while this centre's other
-// reporter tells the other one.
-func (s *Spread) Targets(now time.Time, turn int) Targets {
-	var t Targets
-	live := s.Live()
-	switch {
-	case s.Mesh():
-		for _, m := range live {
-			t.Own = append(t.Own, m.Addr)
-		}
-	case s.Reporter():
-		t = s.reporterTargets(live, turn)
-	default:
-		t.Own = slices.Clone(s.Reporters(s.self.DataCentre))
-	}
-	t.Own = append(t.Own, s.probes(now)...)
-	return t
-}
-
-// reporterTargets returns whom a reporter tells.
-func (s *Spread) reporterTargets(live []Member, turn int) Targets {
-	var t Targets
-	mine := s.Reporters(s.self.DataCentre)
-	place := slices.Index(mine, s.self.Addr)
-	others := map[string]bool{}
-	for _, m := range live {
-		switch {
-		case m.DataCentre != s.self.DataCentre:
-			if !others[m.DataCentre] {
-				others[m.DataCentre] = true
-				theirs := s.Reporters(m.DataCentre)
-				t.Sum = append(t.Sum, theirs[(turn+place)%len(theirs)])
-			}
-		case slices.Contains(mine, m.Addr):
-			t.Own = append(t.Own, m.Addr) // the other reporter sums up too
-		default:
-			t.Total = append(t.Total, m.Addr)
-		}
-	}
-	return t
-}
-
-// probes returns silent routers whose turn it is.
-func (s *Spread) probes(now time.Time) []string {
-	var list []string
-	for addr, e := range s.known {
-		if e.live || now.Sub(e.probed) < probeEvery {
-			continue
-		}
-		e.probed = now
-		list = append(list, addr)
-	}
-	slices.Sort(list)
-	return list
-}
+// Alone reports whether this router has heard no other one for so long that it has to do
+// without them.
+func (s *Spread) Alone(now time.Time) bool { return !s.Mesh() && now.Sub(s.directAt) >= LiveFor }
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -94,6 +94,8 @@
 	down   func()
 	back   func()
 	idle   func() // the source is not followed
+	// held returns up to where the source is known from other routers, if it is; nil: never.
+	held func() (roster.Stamp, bool)
 }
 
 // Config follows the configuration until ctx ends.
@@ -119,6 +121,7 @@
 		down:   f.State.StoreDown,
 		back:   f.State.StoreBack,
 		idle:   f.State.StoreNotFollowed,
+		held:   f.State.Listed,
 	})
 }
 
@@ -182,6 +185,7 @@
 func (f *Follower) run(ctx context.Context, s source) error {
 	var at cursor
 	lost := false
+	dropped := false // the store does not have the history that is needed
 	bad := map[string]bool{}
 	pause := backoffLeast
 	f.Joined(ctx)
@@ -197,6 +201,11 @@
 			sleep(ctx, idlePoll)
 			continue
 		}
+		if !at.known && s.held != nil && !dropped {
+			// A list that another router gave is followed from its stamp on: reading it whole takes a
+			// call for each 200 servers.
+			at.at, at.known = s.held()
+		}
 		began := f.Now()
 		c, err := f.next(ctx, s, role, at)
 		if ctx.Err() != nil {
@@ -207,6 +216,7 @@
 			if kind(err) == platform.KindHistory {
 				events.StoreHistory.Log(ctx, f.Log, slog.LevelInfo, "what", s.name, "after", at.at.Version)
 				at.known = false
+				dropped = true // it is read whole
 				sleep(ctx, backoffLeast)
 				continue
 			}
@@ -237,6 +247,7 @@
 		at.at = c.At
 		if !at.known {
 			at.known = true
+			dropped = false
 			sleep(ctx, settle) // until it shows whether others follow the store for this router
 		}
 	}
--- a/internal/edge/follow/follow_test.go
+++ b/internal/edge/follow/follow_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/edgetest"
 	"github.com/windscale/windscale/internal/edge/follow"
@@ -30,9 +31,16 @@
 }
 
 func start(t *testing.T, role follow.Role) *followed {
+	t.Helper()
+	return startKnowing(t, role, func(*followed) {})
+}
+
+// startKnowing starts one that knows something already.
+func startKnowing(t *testing.T, role follow.Role, know func(*followed)) *followed {
 	t.Helper()
 	f := &followed{store: platformtest.NewStore(), state: state.New("dc", 0.2, 80, time.Now), role: role, log: &edgetest.Lines{}}
 	f.store.SetEra(1) // before it is followed: a later one is that of a return
+	know(f)
 	server := httptest.NewServer(f.store)
 	f.client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	follower := &follow.Follower{
@@ -152,3 +160,22 @@
 	assert.Assert(t, takes("b"))
 	assert.Equal(t, strings.Count(f.log.String(), "can't be read"), 1)
 }
+
+// The pattern: the readers of a fleet with 10,000 servers are cut off, and others follow the store
+// in their place. Each had read the whole list anew, a call for each 200 servers; it has a list from
+// the readers and goes on from there.
+func TestAListThatOthersGaveIsFollowedFromItsStamp(t *testing.T) {
+	f := startKnowing(t, follow.Reader, func(f *followed) {
+		f.put(1)
+		f.store.Put("servers", "a", platformtest.Entry("app", "127.0.0.1:1", "ready"))
+		f.state.TakeEra(1)
+		f.state.ServersToldBy(roster.Told{Servers: []routing.Server{{ID: "a", Service: "app", State: routing.ServerReady}}}, roster.Stamp{Era: 1, Version: 2})
+		f.state.EndsRead()
+	})
+	f.store.Put("servers", "b", platformtest.Entry("app", "127.0.0.1:2", "ready"))
+	edgetest.Until(t, "the change", func() bool { return f.listed() == 2 && f.state.Version() == 1 })
+	assert.Equal(t, f.store.Calls("/v1/rows-get"), 1, "the configuration's")
+	f.store.Forget()
+	f.store.Put("servers", "c", platformtest.Entry("app", "127.0.0.1:3", "ready"))
+	edgetest.Until(t, "the list read whole", func() bool { return f.listed() == 3 })
+}
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -80,6 +80,11 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
+// Counter adds a count that is read when the page is, one of several with different labels.
+func (m *Meter) Counter(name, help string, labels map[string]string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, value))
+}
+
 // Handler serves the page.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -155,7 +154,7 @@
 	n.peers = peers.New(n.state, n.log, spread.Member{
 		Addr:       n.settings.Control,
 		DataCentre: n.settings.DataCentre,
-		Cores:      n.settings.Cores,
+		Cores:      float32(n.settings.Cores),
 	}, conn, platform.DecodeConfig, n.probe.Wait, n.clock.Now)
 	n.peers.Add(true, n.settings.Seeds...)
 	n.limiter = newLimiter(n.callersL, n.handler, n.settings.MemoryMB)
@@ -183,11 +182,7 @@
 		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Joined: n.peers.Joined, Now: n.clock.Now,
 		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany,
 	}
-	n.loop(g, func(ctx context.Context) error {
-		n.peers.Join(ctx, n.settings.Seeds, n.settings.FirstStart)
-		<-ctx.Done()
-		return ctx.Err()
-	})
+	n.peers.Join(n.settings.Seeds, n.settings.FirstStart)
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
 	n.loop(g, f.Ends)
@@ -207,39 +202,6 @@
 	n.accept(g)
 }
 
-// metricsServer shows the metrics, as text and as expvar.
-func (n *Node) metricsServer() *http.Server {
-	n.meter.Gauge("running", "Requests in progress.", func() float64 { return float64(n.handler.Running()) })
-	n.meter.Gauge("configuration_version", "Version of the configuration in force; 0: none.", func() float64 { return float64(n.state.Version()) })
-	n.meter.Gauge("ready", "1 if this router takes connections.", func() float64 {
-		if n.ready() {
-			return 1
-		}
-		return 0
-	})
-	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
-	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
-	n.meter.Gauge("data_centres_evacuated", "Data centres to whose servers nothing is sent.", func() float64 { return float64(n.state.EvacuatedCount()) })
-	n.meter.Gauge("servers_cold", "Backend servers that count as cold.", func() float64 { return float64(n.state.ColdCount()) })
-	n.meter.Gauge("servers_leaving", "Backend servers that said in an answer that they are leaving.", func() float64 { return float64(n.state.LeavingCount()) })
-	n.meter.Gauge("servers_backoff", "Backend servers that asked for no requests for a time that is not over.", func() float64 { return float64(n.state.BackoffCount()) })
-	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
-	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
-	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
-		_, age := n.state.Table()
-		return min(age, time.Hour).Seconds()
-	})
-	n.meter.Gauge("processor_wait_seconds", "For how long what could run waits for the processor.", func() float64 { return n.probe.Wait().Seconds() })
-	n.meter.Gauge("callers_connections", "Connections of callers.", func() float64 { return float64(n.limiter.open.Load()) })
-	n.meter.Gauge("callers_turned_away", "Connections of callers closed without an answer since the start: too many, or no descriptor left.", func() float64 { return float64(n.limiter.closed.Load()) })
-	n.meter.Gauge("callers_refused", "Connections of callers whose request was refused since the start for being too many.", func() float64 { return float64(n.limiter.refused.Load()) })
-	n.meter.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(n.dropped()) })
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", n.meter.Handler())
-	mux.Handle("/debug/vars", expvar.Handler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-}
-
 // accept serves callers. Its listener closes before the rest ends, which is no
 // failure; that it ends otherwise is one: a router that says that it is ready and
 // takes no connection is worse than one that starts again.
--- a/internal/edge/peers/ends.go
+++ b/internal/edge/peers/ends.go
@@ -82,6 +82,6 @@
 func (p *Peers) MissesMany() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := len(p.spread.Live())
+	live := p.spread.LiveCount()
 	return live == 0 || 2*(live+1) < p.spread.Count()
 }
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -1,13 +1,19 @@
 package peers
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/windscale/windscale/internal/core/evacuation"
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
@@ -15,11 +21,16 @@
 type kind int
 
 const (
-	kindOwn   kind = iota // the sender's
-	kindSum               // of the sender's data centre
-	kindTotal             // of the fleet
+	kindOwn    kind = iota // the sender's
+	kindSum                // of the sender's data centre
+	kindTotal              // of the fleet
+	kindUpdate             // none: it tells what has changed of the sender's view
+	kinds
 )
 
+// String returns the kind's name, for metrics.
+func (k kind) String() string { return [...]string{"own", "sum", "total", "update"}[k] }
+
 // What loads and rates are rounded to on their way, tokens and tokens a second: three
 // bytes for each in place of five.
 const (
@@ -28,6 +39,18 @@
 	rateUnit    = 16
 )
 
+// Bounds of a heartbeat's parts, so that it fits into a datagram at any size of the fleet. What is
+// left out is counted.
+const (
+	loadsMost = 1024 // servers, 14 bytes each: those with the longest queues
+	ratesMost = 512  // customers, 16 bytes each: those that ask for most
+	sentParts = 1024 // parts of prompts, 5 bytes each and a server's key
+	headsMost = 64   // routers, 40 bytes each
+)
+
+// protocol is told by each release that knows updates and digests; releases before it tell none.
+const protocol = 1
+
 // heartbeat is a datagram. Servers go by their keys: 14 bytes for each with its load,
 // 24 by their IDs and to the token.
 type heartbeat struct {
@@ -55,6 +78,17 @@
 	EvacKept  map[string]int64          `cbor:"21,keyasint,omitempty"` // others that count as such for so long, ms
 	EvacEnded map[string]int64          `cbor:"22,keyasint,omitempty"` // how long ago each was taken back, ms
 	Unreached map[routing.ServerKey]int `cbor:"23,keyasint,omitempty"` // routers that can't connect to a server
+
+	Protocol int                      `cbor:"24,keyasint,omitempty"`
+	Fleet    int                      `cbor:"25,keyasint,omitempty"` // how many routers the sender knows of
+	Digests  map[string]spread.Digest `cbor:"26,keyasint,omitempty"` // of the live routers of data centres
+	Joined   []knownRouter            `cbor:"27,keyasint,omitempty"` // of these, those that are new
+	Left     []knownRouter            `cbor:"28,keyasint,omitempty"`
+	Changes  cbor.RawMessage          `cbor:"29,keyasint,omitempty"` // of the list of servers: listChange
+	Joining  bool                     `cbor:"30,keyasint,omitempty"` // the sender looks for its first view
+	Answer   bool                     `cbor:"31,keyasint,omitempty"` // to a heartbeat
+	Sources  []string                 `cbor:"32,keyasint,omitempty"` // routers that give their view to the receiver
+	Light    map[string]int           `cbor:"33,keyasint,omitempty"` // requests at servers that are left out, by service
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -66,6 +100,30 @@
 	Cores      float32
 }
 
+// member returns the router.
+func (k knownRouter) member() spread.Member {
+	return spread.Member{Addr: k.Addr, DataCentre: k.DataCentre, Cores: k.Cores}
+}
+
+// age is how long ago the last report of it was.
+func (k knownRouter) age() time.Duration { return time.Duration(k.AgeMs) * time.Millisecond }
+
+// membersOf returns the routers.
+func membersOf(list []knownRouter) (members []spread.Member) {
+	for _, k := range list {
+		members = append(members, k.member())
+	}
+	return members
+}
+
+// knownOf is the other way.
+func knownOf(members []spread.Member) (list []knownRouter) {
+	for _, m := range members {
+		list = append(list, knownRouter{Addr: m.Addr, DataCentre: m.DataCentre, Cores: m.Cores})
+	}
+	return list
+}
+
 // heardReport is what a report said of loads.
 type heardReport struct {
 	at     time.Time
@@ -81,7 +139,6 @@
 		return "sum of " + w.DataCentre
 	case kindTotal:
 		return "total"
-	case kindOwn:
 	}
 	return w.Control
 }
@@ -91,6 +148,11 @@
 	return roster.Stamp{Era: w.Era, Version: w.List, Edits: w.Edits}
 }
 
+// sender returns the router that sent it.
+func (w heartbeat) sender() spread.Member {
+	return spread.Member{Addr: w.Control, DataCentre: w.DataCentre, Cores: float32(w.Cores)}
+}
+
 // evacuations are the sender's, as they were when the heartbeat came.
 func (w heartbeat) evacuations(waited time.Duration) (evacuation.Told, roster.Stamp) {
 	t := evacuation.Told{Rows: w.Evacuated, Kept: ofMillis(w.EvacKept, 0), Ended: ofMillis(w.EvacEnded, waited)}
@@ -149,6 +211,9 @@
 		r.Rates[name] = fair.Rates{Asked: float64(v[0] * rateUnit), Served: float64(v[1] * rateUnit)}
 	}
 	r.Sent = w.Sent
+	if w.Light != nil {
+		r.Light = w.Light
+	}
 	r.Ends = readEnds(w.Ends, waited)
 	if len(w.Firsts) > 0 {
 		r.Firsts = make(map[string]pick.FirstTokens, len(w.Firsts))
@@ -169,7 +234,7 @@
 	w := heartbeat{
 		Control:    p.Self.Addr,
 		DataCentre: p.Self.DataCentre,
-		Cores:      p.Self.Cores,
+		Cores:      float64(p.Self.Cores),
 		FollowedMs: p.State.Followed().Milliseconds(),
 		Kind:       k,
 		Version:    p.State.Version(),
@@ -177,13 +242,15 @@
 		Edits:      stamp.Edits,
 		Era:        stamp.Era,
 		AgeMs:      min(age, time.Hour).Milliseconds(),
-		Known:      known,
-		Sent:       r.Sent,
+		Known:      known[:min(len(known), max(headsMost, p.knownMost()))],
 		Ends:       wireEnds(r.Ends),
+		Light:      r.Light,
+		Protocol:   protocol,
 	}
 	w.setEvacuations(p.State.EvacuationsTold())
-	w.setLoads(r.Loads)
-	w.setRates(r.Rates)
+	w.setSent(r.Sent, &p.Stats)
+	w.setLoads(r.Loads, &p.Stats)
+	w.setRates(r.Rates, &p.Stats)
 	if len(r.Firsts) > 0 {
 		w.Firsts = make(map[string][5]float32, len(r.Firsts))
 	}
@@ -193,9 +260,48 @@
 	return w
 }
 
-func (w *heartbeat) setLoads(loads map[routing.ServerKey]pick.Load) {
-	w.Loads = make(map[routing.ServerKey][3]int64, len(loads))
-	for key, l := range loads {
+// setSent tells parts sent to servers, as many as there is room for.
+func (w *heartbeat) setSent(sent pick.Sent, stats *Stats) {
+	parts := 0
+	for _, keys := range sent {
+		parts += len(keys)
+	}
+	if parts <= sentParts {
+		w.Sent = sent
+		return
+	}
+	w.Sent = pick.Sent{}
+	told := 0
+	for _, server := range slices.Sorted(maps.Keys(sent)) {
+		keys := sent[server]
+		if told+len(keys) <= sentParts {
+			w.Sent[server] = keys
+			told += len(keys)
+		}
+	}
+	stats.leaveOut(partParts, parts-told)
+}
+
+// setLoads tells servers' loads, those with the longest queues if there are more than there is
+// room for; that routers suspect a server or can't reach it is told first.
+func (w *heartbeat) setLoads(loads map[routing.ServerKey]pick.Load, stats *Stats) {
+	keys := slices.Collect(maps.Keys(loads))
+	if len(keys) > loadsMost {
+		slices.SortFunc(keys, func(a, b routing.ServerKey) int {
+			x, y := loads[a], loads[b]
+			return cmp.Or(
+				cmp.Compare(y.Suspects+y.Unreached, x.Suspects+x.Unreached),
+				cmp.Compare(y.Waiting, x.Waiting),
+				cmp.Compare(y.Running, x.Running),
+				cmp.Compare(a, b),
+			)
+		})
+		stats.leaveOut(partLoads, len(keys)-loadsMost)
+		keys = keys[:loadsMost]
+	}
+	w.Loads = make(map[routing.ServerKey][3]int64, len(keys))
+	for _, key := range keys {
+		l := loads[key]
 		if l.Waiting != 0 || l.Memory != 0 || l.Running != 0 {
 			w.Loads[key] = [3]int64{units(l.Waiting, waitingUnit), units(l.Memory, memoryUnit), int64(l.Running)}
 		}
@@ -216,9 +322,20 @@
 	return counts
 }
 
-func (w *heartbeat) setRates(rates map[string]fair.Rates) {
-	w.Rates = make(map[string][2]int64, len(rates))
-	for name, v := range rates {
+// setRates tells customers' rates, those that ask for most if there are more than there is room
+// for.
+func (w *heartbeat) setRates(rates map[string]fair.Rates, stats *Stats) {
+	names := slices.Collect(maps.Keys(rates))
+	if len(names) > ratesMost {
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Or(cmp.Compare(rates[b].Asked, rates[a].Asked), cmp.Compare(a, b))
+		})
+		stats.leaveOut(partRates, len(names)-ratesMost)
+		names = names[:ratesMost]
+	}
+	w.Rates = make(map[string][2]int64, len(names))
+	for _, name := range names {
+		v := rates[name]
 		w.Rates[name] = [2]int64{units(int64(v.Asked), rateUnit), units(int64(v.Served), rateUnit)}
 	}
 }
--- a/internal/edge/peers/pull.go
+++ b/internal/edge/peers/pull.go
@@ -2,58 +2,90 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/edge/follow"
 	"github.com/windscale/windscale/internal/events"
 )
 
+const (
+	// differAfter is how long a list of routers may differ from that of who tells it before it is
+	// fetched: changes are told twice.
+	differAfter = 1500 * time.Millisecond
+	// routersEvery is the least time between two such fetches from the same router.
+	routersEvery = time.Second
+)
+
 // fetch is one kind of fetches, of which one at most is in progress.
 type fetch struct {
 	busy atomic.Bool
 	last time.Time // when the last one began
 }
 
-// begin runs f unless an earlier one is in progress.
-func (g *fetch) begin(now time.Time, f func()) {
-	if !g.busy.CompareAndSwap(false, true) {
+// fetch begins to get a path of a peer, unless an earlier fetch of the kind is in progress.
+func (p *Peers) fetch(f *fetch, now time.Time, from, path string, take func([]byte, error)) {
+	if !f.busy.CompareAndSwap(false, true) {
 		return
 	}
-	g.last = now
-	go func() {
-		defer g.busy.Store(false)
-		f()
-	}()
+	f.last = now
+	p.Net.Fetch(from, path, func(text []byte, err error) {
+		defer f.busy.Store(false)
+		p.Stats.fetched.add(1, len(text))
+		take(text, err)
+	})
+}
+
+// pullFailed notes that a fetch brought nothing.
+func (p *Peers) pullFailed(from, what string, err error) {
+	events.PeerPullFailed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", from, "what", what, "err", err)
 }
 
 // pullNewer begins to fetch the configuration of a peer that is ahead.
-func (p *Peers) pullNewer(ctx context.Context, now time.Time) {
+func (p *Peers) pullNewer(now time.Time) {
 	if p.configs.busy.Load() {
 		return
 	}
 	if from := p.ahead(now); from != "" {
-		p.configs.begin(now, func() { p.pullConfig(ctx, from) })
+		p.fetch(&p.configs, now, from, pathConfig, func(text []byte, err error) { p.takeConfig(from, text, err) })
 	}
 }
 
-// pullList begins to fetch the list of servers of a peer that is ahead.
-func (p *Peers) pullList(ctx context.Context, now time.Time) {
+// pullList begins to fetch the list of servers of a peer that is ahead, or what has changed of it.
+func (p *Peers) pullList(now time.Time) {
 	if p.servers.busy.Load() || now.Sub(p.servers.last) < p.serversPause() {
 		return
 	}
 	if from := p.newerServers(now); from != "" {
-		p.servers.begin(now, func() { p.pullServers(ctx, from) })
+		p.fetch(&p.servers, now, from, changesPath(p.State.Stamp()), func(text []byte, err error) { p.takeList(from, text, err) })
+	}
+}
+
+// pullMembers begins to fetch lists of routers that differ.
+func (p *Peers) pullMembers(now time.Time) {
+	if p.routers.busy.Load() {
+		return
 	}
+	p.mu.Lock()
+	from, centres := p.members.due(now)
+	p.mu.Unlock()
+	if from == "" {
+		return
+	}
+	query := url.Values{"dc": {strings.Join(centres, ",")}}
+	p.fetch(&p.routers, now, from, pathRouters+"?"+query.Encode(), func(text []byte, err error) { p.takeMembers(from, text, err) })
 }
 
-// ahead returns a peer whose configuration is newer, of several the one heard
-// last: at once where this router is told by others, after a while where it
+// ahead returns a peer whose configuration is newer, of several one of this data centre, and of
+// those the one heard last: at once where this router is told by others, after a while where it
 // follows the store itself.
 func (p *Peers) ahead(now time.Time) string {
 	role := p.Role()
@@ -69,7 +101,7 @@
 		if role != follow.Informed && now.Sub(q.newer) <= pullAfter {
 			continue
 		}
-		if best == "" || q.heard.After(p.views[best].heard) {
+		if best == "" || p.before(q, p.views[best]) {
 			best = control
 		}
 	}
@@ -79,6 +111,16 @@
 	return best
 }
 
+// before reports whether a peer is the better one to fetch from: one of this data centre, then the
+// one that was heard last.
+func (p *Peers) before(q, o *peer) bool {
+	near, other := q.dataCentre == p.Self.DataCentre, o.dataCentre == p.Self.DataCentre
+	if near != other {
+		return near
+	}
+	return q.heard.After(o.heard)
+}
+
 // serversPause is the least time between two fetches of the servers.
 func (p *Peers) serversPause() time.Duration {
 	if p.Role() == follow.Informed {
@@ -88,8 +130,8 @@
 }
 
 // newerServers returns a live peer whose list of servers is newer and whose report
-// of the store is fresh. A router that follows the store asks only when its own
-// view is old: its feed tells the same.
+// of the store is fresh, one of this data centre if there is any. A router that follows the store
+// asks only when its own view is old: its feed tells the same.
 func (p *Peers) newerServers(now time.Time) string {
 	_, age := p.State.Table()
 	stamp := p.State.Stamp()
@@ -98,106 +140,102 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := ""
+	best, bestNear := "", false
 	freshest := min(age, viewOld)
-	for _, m := range p.spread.Live() {
-		q := p.views[m.Addr]
-		if q == nil || !q.stamp.After(stamp) {
+	for addr, q := range p.views {
+		old := now.Sub(q.asOf)
+		if !q.stamp.After(stamp) || old > min(age, viewOld) || !p.spread.IsLive(addr) {
 			continue
 		}
-		if old := now.Sub(q.asOf); old <= freshest {
-			best = m.Addr
-			freshest = old
+		near := q.dataCentre == p.Self.DataCentre
+		if !near && now.Sub(q.ahead) < pullAfter && p.State.Ready() && !p.spread.Mesh() {
+			continue // it may be on its way
+		}
+		if best == "" || near && !bestNear || near == bestNear && old <= freshest {
+			best, bestNear, freshest = addr, near, old
 		}
 	}
 	return best
 }
 
-// pullConfig fetches a peer's configuration.
-func (p *Peers) pullConfig(ctx context.Context, from string) {
-	raw, err := p.get(ctx, from, pathConfig)
+// takeConfig takes a peer's configuration.
+func (p *Peers) takeConfig(from string, raw []byte, err error) {
 	if err != nil {
-		events.PeerPullFailed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "what", "configuration", "err", err)
+		p.pullFailed(from, "configuration", err)
 		return
 	}
 	c, err := p.Decode(raw)
 	if err != nil {
-		events.ConfigRefused.Log(ctx, p.Log, slog.LevelError, "peer", from, "err", err)
+		events.ConfigRefused.Log(context.Background(), p.Log, slog.LevelError, "peer", from, "err", err)
 		return
 	}
 	if p.State.TakeConfig(c, raw) {
-		events.ConfigInForce.Log(ctx, p.Log, slog.LevelInfo, "version", c.Version, "from", from)
+		events.ConfigInForce.Log(context.Background(), p.Log, slog.LevelInfo, "version", c.Version, "from", from)
 	}
 }
 
-// view is a peer's list of servers.
-type view struct {
-	Stamp roster.Stamp
-	roster.Told
+// changesPath asks for what has changed of the list since the stamp.
+func changesPath(since roster.Stamp) string {
+	return fmt.Sprintf("%s?era=%d&ver=%d&edits=%d", pathChanges, since.Era, since.Version, since.Edits)
 }
 
-// pullServers fetches a peer's list of servers.
-func (p *Peers) pullServers(ctx context.Context, from string) {
-	text, err := p.get(ctx, from, pathServers)
-	if err != nil {
-		events.PeerPullFailed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "what", "servers", "err", err)
+// takeList takes a peer's list of servers, or what has changed of it.
+func (p *Peers) takeList(from string, text []byte, err error) {
+	if isMissing(err) {
+		p.fetchOlderList(from)
 		return
 	}
-	var v view
-	if err := json.Unmarshal(text, &v); err != nil {
-		events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "peer", from, "err", err)
+	if err != nil {
+		p.pullFailed(from, "servers", err)
 		return
 	}
-	if len(v.Servers)+len(v.Doubtful) > 0 && p.State.ServersToldBy(v.Told, v.Stamp) {
-		events.ServersChanged.Log(ctx, p.Log, slog.LevelInfo, "from", from, "servers", len(v.Servers), "held", len(v.Held),
-			"doubtful", len(v.Doubtful), "era", v.Stamp.Era, "ver", v.Stamp.Version, "edits", v.Stamp.Edits)
+	var c listChange
+	if err := cbor.Unmarshal(text, &c); err != nil {
+		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", from, "err", err)
+		return
 	}
+	p.takeListChange(from, c)
 }
 
-// StatusError is a peer's refusal.
-type StatusError struct{ Status string }
+// takeListChange puts a list, or changes, in force.
+func (p *Peers) takeListChange(from string, c listChange) {
+	taken := false
+	if c.Whole {
+		t := c.told()
+		taken = len(t.Servers)+len(t.Doubtful) > 0 && p.State.ServersToldBy(t, c.As)
+	} else {
+		taken = p.State.ServersChangedBy(c.delta())
+	}
+	if taken {
+		p.logList(from, c)
+	}
+}
 
-// Error implements error.
-func (e *StatusError) Error() string { return "peer answered " + e.Status }
+// isMissing reports whether a peer does not know what it was asked for.
+func isMissing(err error) bool {
+	refused, ok := err.(*StatusError)
+	return ok && refused.Status == http.StatusNotFound
+}
 
-// get fetches one thing from a peer.
-func (p *Peers) get(ctx context.Context, from, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+path, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := p.http.Do(req)
+// takeMembers takes lists of routers.
+func (p *Peers) takeMembers(from string, text []byte, err error) {
 	if err != nil {
-		return nil, err
+		p.pullFailed(from, "routers", err)
+		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: resp.Status}
+	var lists []memberList
+	if err := cbor.Unmarshal(text, &lists); err != nil {
+		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", from, "err", err)
+		return
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxView))
-}
-
-// Handler serves this router's view to its peers.
-func (p *Peers) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathView, p.serveView)
-	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
-		raw := p.State.Raw()
-		if raw == nil {
-			http.Error(w, "none yet", http.StatusServiceUnavailable)
-			return
-		}
-		// A peer that has gone asks another router.
-		_, _ = w.Write(raw)
-	})
-	mux.HandleFunc("GET "+pathServers, func(w http.ResponseWriter, _ *http.Request) {
-		list, stamp := p.State.ServersTold()
-		text, err := json.Marshal(view{Stamp: stamp, Told: list})
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(text)
-	})
-	return mux
+	var centres []string
+	p.mu.Lock()
+	for _, l := range lists {
+		p.spread.SetMembers(l.DataCentre, l.unpack(), p.Now())
+		delete(p.members.differ, l.DataCentre)
+		centres = append(centres, l.DataCentre)
+	}
+	live := p.spread.LiveCount()
+	p.mu.Unlock()
+	events.RoutersFetched.Log(context.Background(), p.Log, slog.LevelInfo, "peer", from, "dataCentres", centres, "routers", live)
 }
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -13,6 +13,9 @@
 	"github.com/windscale/windscale/internal/events"
 )
 
+// answerEvery is the least time between two answers to the same router.
+const answerEvery = 500 * time.Millisecond
+
 // Receive takes the peers' datagrams until ctx ends, and closes the socket then: a router
 // that hears no other would wait for a datagram and never end.
 func (p *Peers) Receive(ctx context.Context) error {
@@ -28,13 +31,18 @@
 			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
 			continue
 		}
-		var w heartbeat
-		if err := cbor.Unmarshal(buf[:n], &w); err != nil {
-			events.PeerMalformed.Log(ctx, p.Log, slog.LevelWarn, "err", err)
-			continue
-		}
-		p.take(w, p.Now())
+		p.Take(buf[:n])
+	}
+}
+
+// Take takes a datagram. The text may be changed afterwards.
+func (p *Peers) Take(text []byte) {
+	var w heartbeat
+	if err := cbor.Unmarshal(text, &w); err != nil {
+		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "err", err)
+		return
 	}
+	p.take(w, p.Now())
 }
 
 // take takes a peer's report.
@@ -42,18 +50,22 @@
 	if w.Control == p.Self.Addr || w.Control == "" {
 		return
 	}
+	if w.Joining {
+		p.takeHello(w, now)
+		return
+	}
 	p.takeEra(w.Control, w.Era)
 	evacuated, as := w.evacuations(p.Wait())
 	p.State.EvacuationsToldBy(evacuated, as).Log(p.Log, w.Control, as)
-	version := p.State.Version()
+	p.takeChanges(w)
+	version, stamp := p.State.Version(), p.State.Stamp()
 	p.mu.Lock()
-	found := p.spread.Heard(spread.Member{Addr: w.Control, DataCentre: w.DataCentre, Cores: w.Cores}, 0, now)
-	for _, k := range w.Known {
-		p.spread.Heard(spread.Member{Addr: k.Addr, DataCentre: k.DataCentre, Cores: float64(k.Cores)}, time.Duration(k.AgeMs)*time.Millisecond, now)
-	}
-	p.view(w, version, now)
+	found := p.spread.HeardFrom(w.sender(), now)
+	p.takeRouters(w, now)
+	p.view(w, version, stamp.After(w.stamp()) || stamp == w.stamp(), now)
 	use := p.use(w)
 	vouches := p.vouches(w)
+	answer := p.owesAnswer(w, now)
 	report := w.report(p.Wait())
 	if use == useOther {
 		if len(report.Rates) == 0 {
@@ -65,6 +77,12 @@
 	if found {
 		events.PeerFound.Log(context.Background(), p.Log, slog.LevelInfo, "peer", w.Control, "version", w.Version)
 	}
+	if answer {
+		p.answer(w.Control, nil)
+	}
+	if w.Answer {
+		p.takeOffer(w, now)
+	}
 	p.takeUpdates(w, report)
 	switch use {
 	case useOther:
@@ -81,6 +99,97 @@
 	}
 }
 
+// takeChanges takes what a heartbeat tells of changes of the list of servers. Changes that don't
+// follow on this router's list are left: what lies between is fetched.
+func (p *Peers) takeChanges(w heartbeat) {
+	if len(w.Changes) == 0 {
+		return
+	}
+	var c listChange
+	if err := cbor.Unmarshal(w.Changes, &c); err != nil || c.Whole {
+		events.PeerMalformed.Log(context.Background(), p.Log, slog.LevelWarn, "peer", w.Control, "what", "changes", "err", err)
+		return
+	}
+	if p.State.ServersChangedBy(c.delta()) {
+		p.logList(w.Control, c)
+	}
+}
+
+// logList notes that another router's list, or changes, were taken.
+func (p *Peers) logList(from string, c listChange) {
+	events.ServersChanged.Log(context.Background(), p.Log, slog.LevelInfo, "from", from, "whole", c.Whole, "servers", len(c.Servers.Servers),
+		"gone", len(c.Gone), "held", len(c.Held), "doubtful", len(c.Left), "era", c.As.Era, "ver", c.As.Version, "edits", c.As.Edits)
+}
+
+// takeRouters takes what a heartbeat tells of other routers; the lock is held.
+func (p *Peers) takeRouters(w heartbeat, now time.Time) {
+	if w.Protocol < protocol {
+		p.older = now
+	}
+	for _, k := range w.Known {
+		p.spread.Heard(k.member(), k.age(), now)
+	}
+	if !p.leads(w) {
+		return
+	}
+	if w.Kind == kindTotal {
+		p.spread.SetFleet(w.Fleet)
+	}
+	p.spread.TakeTold(spread.Changes{Joined: membersOf(w.Joined), Left: membersOf(w.Left)}, now)
+	p.members.compare(w.Control, w.Digests, p.spread.Digests(), p.spread.Compare(w.Digests, now), now)
+}
+
+// leads reports whether the heartbeat's sender is the one whose lists of routers this router
+// follows: the first of its data centre's reporters that it hears, or for a reporter the first one
+// of the other data centre. The lock is held.
+func (p *Peers) leads(w heartbeat) bool {
+	if p.spread.Mesh() || len(w.Digests) == 0 {
+		return false
+	}
+	reporter := p.spread.Reporter()
+	switch {
+	case w.Kind == kindTotal && (reporter || w.DataCentre != p.Self.DataCentre):
+		return false
+	case w.Kind == kindSum && (!reporter || w.DataCentre == p.Self.DataCentre):
+		return false
+	case w.Kind != kindTotal && w.Kind != kindSum:
+		return false
+	}
+	leaders := p.spread.Reporters(w.DataCentre)
+	return len(leaders) > 0 && leaders[0] == w.Control
+}
+
+// owesAnswer reports whether the sender expects to hear of this router, which would not tell it by
+// itself; the lock is held.
+func (p *Peers) owesAnswer(w heartbeat, now time.Time) bool {
+	if w.Kind != kindOwn || w.Answer || p.spread.Mesh() || w.Protocol < protocol {
+		return false
+	}
+	near := w.DataCentre == p.Self.DataCentre
+	if near && (p.spread.Reporter() || contains(p.spread.Reporters(w.DataCentre), w.Control)) {
+		return false
+	}
+	q := p.views[w.Control]
+	if q == nil || now.Sub(q.answered) < answerEvery {
+		return false
+	}
+	q.answered = now
+	return true
+}
+
+// answer tells a router of this one, and of routers that give their views.
+func (p *Peers) answer(to string, sources []string) {
+	p.mu.Lock()
+	heads := p.heads(p.Now())
+	count := p.spread.Count()
+	p.mu.Unlock()
+	w := p.heartbeat(kindOwn, state.NewReport(), heads)
+	w.Answer = true
+	w.Fleet = count
+	w.Sources = sources
+	p.send([]string{to}, w)
+}
+
 // takeEra takes the store's era of another router's list of servers.
 func (p *Peers) takeEra(from string, era uint64) {
 	before, returned := p.State.TakeEra(era)
@@ -124,16 +233,19 @@
 	if w.FollowedMs > 0 {
 		return true
 	}
-	return w.Kind == kindTotal && !p.spread.Reporter()
+	told := w.Kind == kindTotal || w.Kind == kindUpdate && w.DataCentre == p.Self.DataCentre
+	return told && !p.spread.Reporter()
 }
 
-// view notes what the peer says of its view; the lock is held.
-func (p *Peers) view(w heartbeat, version int64, now time.Time) {
+// view notes what the peer says of its view, and whether this router's list is as new; the lock is
+// held.
+func (p *Peers) view(w heartbeat, version int64, listed bool, now time.Time) {
 	q := p.views[w.Control]
 	if q == nil {
 		q = &peer{}
 		p.views[w.Control] = q
 	}
+	q.dataCentre = w.DataCentre
 	q.version = w.Version
 	q.stamp = w.stamp()
 	q.heard = now
@@ -141,6 +253,12 @@
 	if w.Version > version && q.newer.IsZero() {
 		q.newer = now
 	}
+	switch {
+	case listed:
+		q.ahead = time.Time{}
+	case q.ahead.IsZero():
+		q.ahead = now
+	}
 }
 
 // age is how old the store's answer is on which the view of w rests. The datagram
@@ -160,6 +278,9 @@
 
 // use says how a report counts, so that no load counts twice; the lock is held.
 func (p *Peers) use(w heartbeat) usage {
+	if w.Answer {
+		return useNone
+	}
 	mesh := p.spread.Mesh()
 	reporter := p.spread.Reporter()
 	switch w.Kind {
@@ -175,6 +296,7 @@
 		if !mesh && !reporter {
 			return useTotal
 		}
+	case kindUpdate, kinds:
 	}
 	return useNone
 }
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -41,6 +41,8 @@
 	PeerMalformed  = Event{532, "router's message malformed"}
 	PeerPullFailed = Event{533, "router gave no view"}
 	ViewFound      = Event{534, "first view from another router"}
+	HeartbeatCut   = Event{535, "entries left out of heartbeats"}
+	RoutersFetched = Event{536, "list of routers fetched"}
 	StoreLost      = Event{720, "platform's store lost"}
 	StoreRegained  = Event{721, "platform's store back"}
 	StoreRowBad    = Event{722, "row of the platform's store can't be read"}
