rollout: a service's traffic is moved to a new version, and back

Cause: nothing in the product knew the operator's orders for roll-outs; its servers of all versions got requests alike, and the operator was told nothing.

Change: internal/core/rollout (phases, permission that passes, evidence, a sequential test, the decision), orders and kept phases in platform/, the duty of followers of the store in follow/rollouts.go, phases and evidence in heartbeats and first views, two lists of servers of a service while an order lasts. docs/design/rollouts.md weighs the ways.

--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -14,7 +14,13 @@
 	if p.stale {
 		p.sumPeers(now)
 	}
-	list := p.services[req.Service]
+	list := p.services[req.list()]
+	if req.NewPart > 0 {
+		// As many of them as have the load of the others.
+		few := list[:int(math.Ceil(min(req.NewPart, 1)*float64(len(list))))]
+		p.keys = keys(p.keys[:0], req.Prompt)
+		return p.least(few, req, homes{}, now)
+	}
 	if len(list) > 0 && list[0].engine == nil {
 		return p.choosePlain(list, req, now)
 	}
@@ -117,7 +123,7 @@
 		candidates++
 		c := p.expect(s, req, at, now)
 		cost := float64(c.Wait)/float64(time.Millisecond) + c.work + p.distance(s, req)
-		if r < best.rank || cost < least {
+		if r < best.rank || cost < least || cost == least && s.ID < best.Server.ID {
 			least = cost
 			best = c
 			best.rank = r
--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/slowstart"
 )
@@ -25,6 +26,10 @@
 // SetFleet takes what is known of the routers among which permits are shared out.
 func (p *Picker) SetFleet(f *slowstart.Fleet) { p.fleet = f }
 
+// SetRollouts takes the roll-outs by which servers get requests or none. What changes there is in
+// force with the next list of servers.
+func (p *Picker) SetRollouts(l *rollout.List) { p.groups = l }
+
 // SetBound takes by how much what cold servers bear may be exceeded.
 func (p *Picker) SetBound(b slowstart.Bound) {
 	p.bound = b
@@ -100,6 +105,26 @@
 	return n
 }
 
+// WarmingUp reports whether the server is slower than it will be: it has just started.
+func (p *Picker) WarmingUp(id routing.Identity, now time.Time) bool {
+	return p.Known(id) && p.servers[id.ID].cold.Is(now)
+}
+
+// Versions returns how many requests run at the service's servers of other versions than to, and
+// how many servers of that one take requests or could.
+func (p *Picker) Versions(service, to string) (old, servers int) {
+	for _, s := range p.servers {
+		switch {
+		case s.Service != service:
+		case s.Version != to:
+			old += s.own.Running + s.peers.Running
+		case s.Server.Takes() && !s.unlisted && !p.evacuated[s.DataCentre]:
+			servers++
+		}
+	}
+	return old, servers
+}
+
 // onPermits reports whether requests go to the server on permits only.
 func (s *server) onPermits(now time.Time) bool { return s.bounded && s.cold.Is(now) }
 
--- a/internal/core/pick/index.go
+++ b/internal/core/pick/index.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -86,7 +87,7 @@
 		s := p.update(entry, now)
 		s.round = p.round
 		if s.takes {
-			p.services[s.Service] = append(p.services[s.Service], s)
+			p.services[s.list] = append(p.services[s.list], s)
 		}
 	}
 	for _, s := range p.servers {
@@ -126,18 +127,30 @@
 
 // index adds a server that takes requests to the lists of its service.
 func (p *Picker) index(s *server) {
-	delete(p.apertures, s.Service)
-	p.services[s.Service] = insert(p.services[s.Service], s)
+	delete(p.apertures, s.list)
+	p.services[s.list] = insert(p.services[s.list], s)
 	if p.isNear(s) {
-		p.nearby[s.Service] = insert(p.nearby[s.Service], s)
+		p.nearby[s.list] = insert(p.nearby[s.list], s)
 	}
 }
 
 // unindex takes a server off them.
 func (p *Picker) unindex(s *server) {
-	delete(p.apertures, s.Service)
-	p.services[s.Service] = remove(p.services[s.Service], s)
-	p.nearby[s.Service] = remove(p.nearby[s.Service], s)
+	delete(p.apertures, s.list)
+	p.services[s.list] = remove(p.services[s.list], s)
+	p.nearby[s.list] = remove(p.nearby[s.list], s)
+}
+
+// newList begins the name of the list of a service's servers that run a version to which its traffic
+// is being moved.
+const newList = "new "
+
+// listName returns the name of a list of servers.
+func listName(service string, fresh bool) string {
+	if fresh {
+		return newList + service
+	}
+	return service
 }
 
 // isNear reports whether the server stands in this router's data centre.
@@ -174,7 +187,9 @@
 		s.readySince = now
 	}
 	s.unlisted = false
-	s.takes = entry.Takes() && !p.evacuated[entry.DataCentre] && !p.isLeaving(entry.Identity())
+	group := p.groups.Group(entry.Service, entry.Version)
+	s.list = listName(entry.Service, group == rollout.New)
+	s.takes = entry.Takes() && !p.evacuated[entry.DataCentre] && !p.isLeaving(entry.Identity()) && group != rollout.None
 	s.region = p.regions[entry.DataCentre]
 	p.describe(s)
 	p.readWarmup(s, before, now)
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -44,6 +44,12 @@
 	ended   bool
 }
 
+// Slowness is how long the first event or the answer took that came then, against what was expected.
+func (j *Job) Slowness(first time.Time) float64 {
+	took := float64(first.Sub(j.began)) / float64(time.Millisecond)
+	return (took + reactMs) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
+}
+
 // Started reports whether a first event or an end has been noted.
 func (j *Job) Started() bool { return j.started }
 
@@ -94,7 +100,7 @@
 	}
 	p.unwait(j, now)
 	took := float64(now.Sub(j.began)) / float64(time.Millisecond)
-	ratio := (took + reactMs) / (float64(j.expect)/float64(time.Millisecond) + reactMs)
+	ratio := j.Slowness(now)
 	if j.s.engine != nil && j.ahead >= 0 {
 		p.seeFirst(j.service, j.ahead, took, now)
 	}
--- a/internal/core/pick/loads.go
+++ b/internal/core/pick/loads.go
@@ -47,8 +47,8 @@
 // and of which service that is.
 func (p *Picker) Light(key routing.ServerKey, l Load) (service string, light bool) {
 	s := p.keyed[key]
-	if s == nil || s.engine == nil || l.Waiting > 0 || l.Suspects+l.Unreached > 0 {
-		return "", false
+	if s == nil || s.engine == nil || l.Waiting > 0 || l.Suspects+l.Unreached > 0 || !s.takes {
+		return "", false // of one that takes nothing it is waited for what runs there
 	}
 	return s.Service, l.Running < max(s.engine.Slots/lightPart, 1) && l.Memory < s.engine.CacheTokens/lightPart
 }
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/slowstart"
 )
@@ -89,8 +90,14 @@
 	Bytes int // of its body
 	// Target is when its first token is to come; 0: not told.
 	Target time.Duration
+	// NewPart has it go to one of the servers that run a version to which the service's traffic is
+	// being moved, so large a part of them; 0: to one of the others.
+	NewPart float64
 }
 
+// list returns the name of the list of servers among which the request's is sought.
+func (r Request) list() string { return listName(r.Service, r.NewPart > 0) }
+
 // Choice is a server with what led to it.
 type Choice struct {
 	Server  routing.Server
@@ -130,6 +137,7 @@
 	notice     *notice // its entry in Picker.notices; nil: none
 	unlisted   bool
 	round      uint32    // of SetServers, in which it was listed last
+	list       string    // the list in which it stands while it takes requests
 	readySince time.Time // since when it has been listed as ready without a gap
 	region     string
 	cold       slowstart.Cold
@@ -171,6 +179,7 @@
 	evacuated    map[string]bool        // data centres
 	regions      map[string]string      // by data centre
 	fleet        *slowstart.Fleet
+	groups       *rollout.List
 	bound        slowstart.Bound
 	warmups      []Warmup // what changed since it was taken last
 	notices      map[routing.Identity]*notice
@@ -223,6 +232,7 @@
 		firsts:     map[string]FirstTokens{},
 		evacuated:  map[string]bool{},
 		fleet:      slowstart.NewFleet(""),
+		groups:     rollout.NewList(),
 		notices:    map[routing.Identity]*notice{},
 	}
 }
@@ -269,6 +279,9 @@
 func (p *Picker) Tick(now time.Time) {
 	p.sumPeers(now)
 	for name, list := range p.services {
+		if len(list) == 0 || name != list[0].Service {
+			continue
+		}
 		r := p.rate(name)
 		r.slow = p.median(list)
 		p.learnLife(r, list, now)
--- /dev/null
+++ b/internal/core/rollout/verdict.go
@@ -0,0 +1,177 @@
+package rollout
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+const (
+	// falseAlarm bounds the chance that a version that answers as the old one does is ever taken
+	// for bad by one comparison, however often it is looked at: the test stays valid at each look
+	// (M. Lindon, C. Sanden, V. Shirikian, Rapid Regression Detection in Software Deployments
+	// through Sequential Testing, KDD 2022).
+	falseAlarm = 2e-5
+	// doubtful is the same for a version that is not taken for good: it gets no more requests than it
+	// has until it is clear.
+	doubtful = 1e-2
+	// slowFrom is how many classes above the old version's median an answer counts as slow: from
+	// 3.4 times on.
+	slowFrom = 3
+	// slowPace is the time between two events, in seconds, below which none is slow.
+	slowPace = 0.015
+	// surplusMost is how many more failures the new version may have answered than the old one
+	// would have before it is bad without a test, unless that many are within surplusTimes their
+	// standard deviation.
+	surplusMost  = 25
+	surplusTimes = 4.5
+	// enough is how many answers of the new version on a route tell that it is as good as the old
+	// one: one that fails or is slow in a fifth of its answers would have shown before. A route with
+	// few requests has to show enoughPart of what its part of them would be, and fewest at least.
+	enough     = 60
+	enoughAll  = 150 // of all routes: one that fails in a tenth would have shown
+	enoughPart = 0.6
+	fewest     = 8
+	// minorRoute is the part of a service's answers below which a route need not have shown.
+	minorRoute = 0.02
+)
+
+// Verdict is what the evidence says of a version.
+type Verdict int
+
+// The verdicts.
+const (
+	Unknown Verdict = iota // not enough was seen
+	Good
+	Bad
+)
+
+// String returns the verdict's name.
+func (v Verdict) String() string { return [...]string{"unknown", "good", "bad"}[v] }
+
+// Finding is a verdict with what decided it.
+type Finding struct {
+	Verdict
+	Route string
+	// Sign is what is compared: failures, first answers, pace.
+	Sign string
+	// New and Old are how many answers of each version showed the sign, of so many.
+	New, Old, OfNew, OfOld float64
+}
+
+// Judge compares the new version, which gets the part of the requests, with the old one on each
+// route.
+func Judge(e Evidence, part float64) Finding {
+	answers, ofNew := 0.0, 0.0
+	routes := map[string]bool{}
+	for key, s := range e {
+		answers += float64(s.Answers)
+		routes[key.Route] = true
+		if key.New {
+			ofNew += float64(s.Answers)
+		}
+	}
+	f := Finding{Verdict: Good}
+	if ofNew < enoughAll {
+		f = Finding{Verdict: Unknown, Sign: "too few answers", OfNew: ofNew, OfOld: answers - ofNew}
+	}
+	for _, route := range slices.Sorted(maps.Keys(routes)) {
+		fresh, old := e.route(route)
+		for _, c := range comparisons(fresh, old) {
+			found := Finding{Verdict: Bad, Route: route, Sign: c.sign, New: c.fresh, Old: c.old, OfNew: c.ofFresh, OfOld: c.ofOld}
+			switch weight := c.weight(); {
+			case weight >= -math.Log(falseAlarm):
+				return found
+			case weight >= -math.Log(doubtful) && f.Verdict == Good:
+				found.Verdict = Unknown
+				f = found
+			}
+		}
+		all := float64(fresh.Answers + old.Answers)
+		needed := max(min(enough, enoughPart*part*all), fewest)
+		told := float64(fresh.Failures) + fresh.First.total() // those of servers that warm up tell little
+		if told < needed && all >= minorRoute*answers && f.Verdict == Good {
+			f = Finding{Verdict: Unknown, Route: route, Sign: "too few answers", OfNew: told, OfOld: float64(old.Answers)}
+		}
+	}
+	return f
+}
+
+// route returns the samples of a route, of both versions.
+func (e Evidence) route(name string) (fresh, old Sample) {
+	for key, s := range e {
+		switch {
+		case key.Route != name:
+		case key.New:
+			fresh = fresh.Plus(s)
+		default:
+			old = old.Plus(s)
+		}
+	}
+	return fresh, old
+}
+
+// comparison is of one sign.
+type comparison struct {
+	sign                       string
+	fresh, old, ofFresh, ofOld float64
+	hard                       bool // a surplus decides without a test
+}
+
+// comparisons are those of a route.
+func comparisons(fresh, old Sample) []comparison {
+	return []comparison{
+		{"failures", float64(fresh.Failures), float64(old.Failures), float64(fresh.Answers), float64(old.Answers), true},
+		slower("first answers", fresh.First, old.First, 0),
+		slower("pace", fresh.Pace, old.Pace, bucket(slowPace/paceUnit)),
+	}
+}
+
+// slower compares how many answers are far slower than the old version's median, and of the least
+// class at least.
+func slower(sign string, fresh, old Counts, least int) comparison {
+	from := max(old.median()+slowFrom, least)
+	return comparison{sign, fresh.from(from), old.from(from), fresh.total(), old.total(), false}
+}
+
+// weight is the logarithm of the weight of the evidence that the new version shows the sign more
+// often than the old one.
+//
+// If both show it equally often, each answer that does is one of the new version with the
+// probability of its part of all answers. The weight of the evidence against that is the ratio of
+// what was seen under an unknown probability, uniform between that one and 1, to what was seen under
+// it; by Ville's inequality it ever passes 1/falseAlarm with the probability falseAlarm at most.
+func (c comparison) weight() float64 {
+	if c.fresh == 0 || c.ofFresh == 0 || c.ofOld == 0 {
+		return 0 // there is nothing to compare
+	}
+	surplus := c.fresh - c.old*c.ofFresh/c.ofOld
+	switch {
+	case surplus <= 0:
+		return 0
+	case c.hard && surplus >= max(surplusMost, surplusTimes*math.Sqrt(c.fresh)):
+		return math.Inf(1)
+	}
+	part := c.ofFresh / (c.ofFresh + c.ofOld)
+	return logBetween(c.fresh, c.old, part) - (c.fresh*math.Log(part) + c.old*math.Log1p(-part))
+}
+
+// steps is in how many steps the probabilities between a part and 1 are averaged.
+const steps = 64
+
+// logBetween returns the logarithm of the mean probability of a new and b old answers over all
+// probabilities between the part and 1.
+func logBetween(a, b, part float64) float64 {
+	most := math.Inf(-1)
+	logs := make([]float64, steps)
+	for i := range logs {
+		p := part + (1-part)*(float64(i)+0.5)/steps
+		logs[i] = a*math.Log(p) + b*math.Log1p(-p)
+		most = max(most, logs[i])
+	}
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - most)
+	}
+	return most + math.Log(sum/steps)
+}
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -47,6 +47,7 @@
 	Warmup     time.Duration // how much longer it is slow after its start
 	// EntryVersion is the version of the store at which the entry was written; 0: unknown.
 	EntryVersion uint64
+	Version      string // of its software; empty: not told
 }
 
 // Identity returns the server's.
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/meter"
@@ -50,6 +51,8 @@
 	ReadServers(ctx context.Context) (platform.Change, error)
 	FollowServers(ctx context.Context, after roster.Stamp, wait time.Duration) (platform.Change, error)
 	ReadBlocked(ctx context.Context) ([]poison.Record, []platform.BadRow, error)
+	ReadRollout(ctx context.Context, service string) (platform.StoredRollout, error)
+	WriteRollout(ctx context.Context, r rollout.Record, ver uint64) (uint64, error)
 	WriteBlocked(ctx context.Context, write []poison.Record, remove []routing.Content) ([]poison.Record, []routing.Content, error)
 }
 
@@ -69,6 +72,8 @@
 	Registers func() bool
 	// MissesMany says whether this router hears too few others to know what they know.
 	MissesMany func() bool
+	// Bounds are what a bad version of a service's servers may get.
+	Bounds rollout.Bounds
 
 	// held is the version of the configuration that the store holds; 0: it holds none, or it
 	// was not read yet. Config uses it.
@@ -129,6 +134,7 @@
 // an older one than that in force, its answers say nothing of whether that is the newest.
 func (f *Follower) takeConfig(c platform.Change, whole bool, age time.Duration) bool {
 	f.takeEvacuations(c, whole) // before the first configuration makes this router ready
+	f.takeOrders(c)
 	switch {
 	case c.Config != nil:
 		f.held = c.Config.Version
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -205,6 +205,7 @@
 		x.header(a, 0, false)
 	}
 	a.Done()
+	x.placed.Events = count
 	x.end(pick.Worked, "")
 	x.answeredLine(a.Status, count)
 	return done
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -156,6 +156,7 @@
 func (x *exchange) answered(a *upstream.Answer) verdict {
 	q := x.q
 	x.recordNotice(a)
+	x.placed.Status = a.Status
 	notRun, other, _ := q.h.Headers.Answer(a.Status, a.Header)
 	if notRun {
 		return x.refused(a, other)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/time/rate"
 
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/slowstart"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/clock"
@@ -90,6 +91,7 @@
 	n.state.SetSelf(s.Control)
 	n.state.SetSlowStart(slowstart.Bound{Over: s.ColdOver, Slack: s.ColdSlack})
 	n.state.SetRegions(s.Regions)
+	n.state.SetRolloutBounds(rolloutBounds(s))
 	n.store = platform.NewStore(s.Store)
 	n.pool = upstream.NewPool(n.clock.Now)
 	n.handler = front.New(front.Config{
@@ -122,6 +124,11 @@
 	return n, nil
 }
 
+// rolloutBounds are what a bad version may get.
+func rolloutBounds(s *settings.Settings) rollout.Bounds {
+	return rollout.Bounds{Share: s.ExposeShare, Slack: s.ExposeSlack}
+}
+
 // listen opens the sockets.
 func (n *Node) listen() error {
 	for _, l := range []struct {
@@ -180,12 +187,13 @@
 func (n *Node) Actors(g *run.Group, hup, term <-chan os.Signal) {
 	f := &follow.Follower{
 		State: n.state, Store: n.store, Log: n.log, Meter: n.meter, Joined: n.peers.Joined, Now: n.clock.Now,
-		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany,
+		Role: n.peers.Role, Registers: n.peers.Registers, MissesMany: n.peers.MissesMany, Bounds: rolloutBounds(n.settings),
 	}
 	n.peers.Join(n.settings.Seeds, n.settings.FirstStart)
 	n.loop(g, f.Config)
 	n.loop(g, f.Servers)
 	n.loop(g, f.Ends)
+	n.loop(g, f.Rollouts)
 	n.loop(g, n.peers.Run)
 	n.loop(g, n.peers.Receive)
 	n.loop(g, n.tick)
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -89,6 +89,12 @@
 	Answer   bool                     `cbor:"31,keyasint,omitempty"` // to a heartbeat
 	Sources  []string                 `cbor:"32,keyasint,omitempty"` // routers that give their view to the receiver
 	Light    map[string]int           `cbor:"33,keyasint,omitempty"` // requests at servers that are left out, by service
+
+	Rollouts []wireRollout `cbor:"34,keyasint,omitempty"`
+	// Evidence on new versions is of the sender, or of its data centre; EvidenceFar, that a reporter
+	// tells the other one, of other data centres.
+	Evidence    []wireSample `cbor:"35,keyasint,omitempty"`
+	EvidenceFar []wireSample `cbor:"36,keyasint,omitempty"`
 }
 
 // knownRouter is a live router that the sender vouches for.
@@ -215,6 +221,7 @@
 		r.Light = w.Light
 	}
 	r.Ends = readEnds(w.Ends, waited)
+	r.Evidence = evidenceOf(w.Evidence)
 	if len(w.Firsts) > 0 {
 		r.Firsts = make(map[string]pick.FirstTokens, len(w.Firsts))
 	}
@@ -248,6 +255,8 @@
 		Protocol:   protocol,
 	}
 	w.setEvacuations(p.State.EvacuationsTold())
+	w.Rollouts = wireRollouts(p.State.Rollouts())
+	w.Evidence = wireEvidence(r.Evidence)
 	w.setSent(r.Sent, &p.Stats)
 	w.setLoads(r.Loads, &p.Stats)
 	w.setRates(r.Rates, &p.Stats)
--- a/internal/edge/peers/join.go
+++ b/internal/edge/peers/join.go
@@ -54,6 +54,7 @@
 	// Evacuations are the sender's, as of the stamp.
 	Evacuations   evacuation.Told
 	EvacuationsAs roster.Stamp
+	Rollouts      []wireRollout
 }
 
 // NoViewError says that a router has no view that is young enough to be given.
@@ -323,6 +324,7 @@
 	}
 	v.List = list
 	v.Evacuations, v.EvacuationsAs = p.State.EvacuationsTold()
+	v.Rollouts = wireRollouts(p.State.Rollouts())
 	p.mu.Lock()
 	for centre := range p.spread.Digests() {
 		v.Routers = append(v.Routers, packMembers(centre, p.spread.Members(centre)))
@@ -372,6 +374,7 @@
 		}
 	}
 	p.mu.Unlock()
+	p.takeRollouts("first view", v.Rollouts, took)
 	p.putInForce(view{
 		config: c, raw: v.Raw, servers: list.told(), as: list.As, age: time.Duration(v.AgeMs)*time.Millisecond + took,
 		evacuated: v.Evacuations, evacuatedAs: v.EvacuationsAs, ends: readEnds(v.Ends, took), allEnds: v.AllEnds,
--- a/internal/edge/peers/lists.go
+++ b/internal/edge/peers/lists.go
@@ -13,7 +13,7 @@
 // share stand in a table, and numbers are told by what they lie above the least.
 type serverList struct {
 	_       struct{} `cbor:",toarray"`
-	Names   []string // of services and data centres
+	Names   []string // of services, data centres and versions
 	Born    int64    // the least of all, but for 0
 	Entry   uint64
 	Servers []listedServer
@@ -31,6 +31,7 @@
 	WarmupMs   int64
 	Born       int64  // above the least, plus 1; 0: not told
 	Entry      uint64 // the same
+	Version    int    // in Names
 }
 
 // packServers puts servers into a list.
@@ -63,6 +64,7 @@
 			Slots:      s.Slots,
 			State:      s.State,
 			WarmupMs:   s.Warmup.Milliseconds(),
+			Version:    place(s.Version),
 		}
 		if s.Born != 0 {
 			w.Born = s.Born - l.Born + 1
@@ -95,6 +97,7 @@
 			Slots:      w.Slots,
 			State:      w.State,
 			Warmup:     time.Duration(w.WarmupMs) * time.Millisecond,
+			Version:    l.name(w.Version),
 		}
 		if w.Born != 0 {
 			s.Born = l.Born + w.Born - 1
--- a/internal/edge/peers/pending.go
+++ b/internal/edge/peers/pending.go
@@ -5,6 +5,7 @@
 
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
@@ -19,17 +20,21 @@
 	sent   pick.Sent
 	firsts map[string]pick.FirstTokens
 	ends   []poison.Record
+	// evidence is on new versions of servers.
+	evidence rollout.Evidence
 }
 
 func newUpdates() updates {
-	return updates{sent: pick.Sent{}, firsts: map[string]pick.FirstTokens{}}
+	return updates{sent: pick.Sent{}, firsts: map[string]pick.FirstTokens{}, evidence: rollout.Evidence{}}
 }
 
 // updatesOf are those of a report.
-func updatesOf(r state.Report) updates { return updates{sent: r.Sent, firsts: r.Firsts, ends: r.Ends} }
+func updatesOf(r state.Report) updates {
+	return updates{sent: r.Sent, firsts: r.Firsts, ends: r.Ends, evidence: r.Evidence}
+}
 
 // empty reports whether there is nothing to tell.
-func (u updates) empty() bool { return len(u.sent)+len(u.firsts)+len(u.ends) == 0 }
+func (u updates) empty() bool { return len(u.sent)+len(u.firsts)+len(u.ends)+len(u.evidence) == 0 }
 
 // addEnds adds contents that are not there yet, as many as a report tells of. A content that
 // stands there is told more of in the next report of its router.
@@ -62,9 +67,14 @@
 type pending struct {
 	outward updates // to the other data centres: what was told in this one
 	inward  updates // to the routers of this data centre: what was told in any
+	// fellow is evidence of other data centres, which each tell one reporter of this one: it is
+	// for the other reporter.
+	fellow rollout.Evidence
 }
 
-func newPending() pending { return pending{outward: newUpdates(), inward: newUpdates()} }
+func newPending() pending {
+	return pending{outward: newUpdates(), inward: newUpdates(), fellow: rollout.Evidence{}}
+}
 
 // keep keeps what a report of the kind told. Both reporters of a data centre hear all
 // its routers: parts are told by both, since one datagram may be lost; first tokens
@@ -76,9 +86,15 @@
 	}
 	n.inward.addSent(u.sent)
 	n.inward.addEnds(u.ends)
+	if k == kindSum {
+		n.fellow.Add(u.evidence)
+	}
 	if k == kindOwn && !first {
 		return
 	}
+	if k == kindOwn {
+		n.outward.evidence.Add(u.evidence)
+	}
 	if k == kindOwn {
 		n.outward.addFirsts(u.firsts)
 	}
@@ -97,6 +113,15 @@
 	}
 }
 
+// takeFellow returns the evidence that is for the other reporter of this data centre, once.
+func (p *Peers) takeFellow() rollout.Evidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fellow := p.pending.fellow
+	p.pending.fellow = rollout.Evidence{}
+	return fellow
+}
+
 // takePending adds this router's own updates to those kept and empties those that are
 // told now.
 func (p *Peers) takePending(own updates, out, in bool) (outward, inward updates) {
--- a/internal/edge/peers/publish.go
+++ b/internal/edge/peers/publish.go
@@ -57,7 +57,9 @@
 	if r.repeat {
 		own.Ends = append(own.Ends, p.State.RepeatEnds()...)
 	}
-	p.send(r.to.Own, r.add(p.heartbeat(kindOwn, own, r.tell(r.known.own)), nil))
+	w := r.add(p.heartbeat(kindOwn, own, r.tell(r.known.own)), nil)
+	w.EvidenceFar = wireEvidence(p.takeFellow())
+	p.send(r.to.Own, w)
 	if len(r.to.Sum)+len(r.to.Total) == 0 {
 		p.keepPending(kindOwn, updatesOf(own))
 		return
@@ -71,6 +73,7 @@
 		sum.others.Rates = nil
 	}
 	sum.centre.Sent, sum.centre.Firsts, sum.centre.Ends = outward.sent, outward.firsts, outward.ends
+	sum.centre.Evidence = outward.evidence
 	p.send(r.to.Sum, r.add(p.heartbeat(kindSum, sum.centre, r.tell(r.known.centre)), []string{p.Self.DataCentre}))
 	sum.others.Add(sum.centre)
 	p.State.LeaveOutLight(sum.others)
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -57,6 +57,7 @@
 	p.takeEra(w.Control, w.Era)
 	evacuated, as := w.evacuations(p.Wait())
 	p.State.EvacuationsToldBy(evacuated, as).Log(p.Log, w.Control, as)
+	p.takeRollouts(w.Control, w.Rollouts, p.Wait())
 	p.takeChanges(w)
 	version, stamp := p.State.Version(), p.State.Stamp()
 	p.mu.Lock()
@@ -212,6 +213,10 @@
 		poison.Unstored(r.Ends) // the store may have lost them since
 	}
 	p.takeEnds(w.Control, r.Ends)
+	if len(w.Evidence)+len(w.EvidenceFar) > 0 {
+		p.State.HeardEvidence(r.Evidence)
+		p.State.HeardEvidence(evidenceOf(w.EvidenceFar))
+	}
 	if w.Kind == kindSum || w.DataCentre == p.Self.DataCentre {
 		p.keepPending(w.Kind, updatesOf(r))
 	}
--- /dev/null
+++ b/internal/edge/peers/rollouts.go
@@ -0,0 +1,121 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/windscale/windscale/internal/core/rollout"
+	"github.com/windscale/windscale/internal/core/roster"
+	"github.com/windscale/windscale/internal/edge/state"
+)
+
+// wireRollout is a roll-out as a heartbeat tells it.
+type wireRollout struct {
+	_          struct{} `cbor:",toarray"`
+	Service    string
+	To         string
+	DurationMs int64
+	Era        uint64 // of the store, at which the order was written
+	Version    uint64
+	Phase      rollout.Phase
+	BeganMs    int64 // by the store's clock
+	Why        string
+	AgeMs      int64 // since it was last confirmed
+}
+
+// whyMost bounds what a heartbeat tells of a reason, in bytes.
+const whyMost = 120
+
+// wireRollouts renders roll-outs.
+func wireRollouts(told []rollout.Told) (list []wireRollout) {
+	for _, t := range told {
+		o := t.Order
+		list = append(list, wireRollout{
+			Service: o.Service, To: o.To, DurationMs: o.Duration.Milliseconds(), Era: o.As.Era, Version: o.As.Version,
+			Phase: t.Phase, BeganMs: t.Began.Milliseconds(), Why: t.Why[:min(len(t.Why), whyMost)], AgeMs: t.Age.Milliseconds(),
+		})
+	}
+	return list
+}
+
+// record returns the roll-out.
+func (w wireRollout) record() rollout.Record {
+	return rollout.Record{
+		Order: rollout.Order{
+			Service: w.Service, To: w.To, Duration: time.Duration(w.DurationMs) * time.Millisecond,
+			As: roster.Stamp{Era: w.Era, Version: w.Version},
+		},
+		Phase: max(rollout.Ordered, min(w.Phase, rollout.Completed)),
+		Began: time.Duration(w.BeganMs) * time.Millisecond,
+		Why:   w.Why,
+	}
+}
+
+// takeRollouts takes what another router tells of roll-outs. What it tells may have waited here for
+// so long.
+func (p *Peers) takeRollouts(from string, list []wireRollout, waited time.Duration) {
+	for _, w := range list {
+		r := w.record()
+		if r.Order.Check() != nil {
+			continue
+		}
+		if p.State.TakeRollout(r, time.Duration(w.AgeMs)*time.Millisecond+waited) {
+			state.LogRollout(p.Log, r, from)
+		}
+	}
+}
+
+// wireSample is evidence on one route on its way: the classes that have answers, and how many.
+type wireSample struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	To       string
+	Route    string
+	New      bool
+	Answers  uint32
+	Failures uint32
+	First    map[uint8]uint32
+	Pace     map[uint8]uint32
+}
+
+// wireEvidence renders evidence.
+func wireEvidence(e rollout.Evidence) (list []wireSample) {
+	for key, s := range e {
+		list = append(list, wireSample{
+			Service: key.Service, To: key.To, Route: key.Route, New: key.New,
+			Answers: s.Answers, Failures: s.Failures, First: sparse(s.First), Pace: sparse(s.Pace),
+		})
+	}
+	return list
+}
+
+// evidenceOf is the other way.
+func evidenceOf(list []wireSample) rollout.Evidence {
+	e := rollout.Evidence{}
+	for _, w := range list {
+		key := rollout.Key{Service: w.Service, To: w.To, Route: w.Route, New: w.New}
+		e.Add(rollout.Evidence{key: {Answers: w.Answers, Failures: w.Failures, First: dense(w.First), Pace: dense(w.Pace)}})
+	}
+	return e
+}
+
+func sparse(c rollout.Counts) map[uint8]uint32 {
+	var m map[uint8]uint32
+	for i, n := range c {
+		if n > 0 {
+			if m == nil {
+				m = map[uint8]uint32{}
+			}
+			m[uint8(i)] = n
+		}
+	}
+	return m
+}
+
+func dense(m map[uint8]uint32) (c rollout.Counts) {
+	for i, n := range m {
+		if int(i) < len(c) {
+			c[i] = n
+		}
+	}
+	return c
+}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -35,9 +35,13 @@
 	RetrySlack float64 // of the fleet: retries beside, in a window
 	// ColdOver and ColdSlack say how much more than it bears a cold server may get: times, and
 	// requests a second beside.
-	ColdOver     float64
-	ColdSlack    float64
-	Regions      map[string]string // of data centres
+	ColdOver  float64
+	ColdSlack float64
+	Regions   map[string]string // of data centres
+	// ExposeShare and ExposeSlack say what a bad version may get of the requests for its service:
+	// the part, and requests beside.
+	ExposeShare  float64
+	ExposeSlack  float64
 	Grace        time.Duration
 	LogLevel     slog.Level
 	LogOneInThis int // routine lines are kept of one request in so many
@@ -96,6 +100,8 @@
 		ColdOver:     r.optional("slow_start", "over", 0, 1e3, defaultColdOver),
 		ColdSlack:    r.optional("slow_start", "slack", 0, 1e6, 0),
 		Regions:      r.table("regions"),
+		ExposeShare:  r.optional("rollout", "share", 0, 1, defaultExposeShare),
+		ExposeSlack:  r.optional("rollout", "slack", 0, 1e6, 0),
 		Grace:        r.seconds("bounds", "grace_s"),
 		LogLevel:     r.level("log", "level"),
 		LogOneInThis: int(r.number("log", "one_in", 1, 1e6, defaultOneIn)),
@@ -109,6 +115,9 @@
 // defaultColdOver is what a server bears, no more.
 const defaultColdOver = 1
 
+// defaultExposeShare is a careful one.
+const defaultExposeShare = 0.05
+
 // defaultCores is a whole core: a file that says nothing of it is one for trials.
 const defaultCores = 1
 
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -98,6 +98,11 @@
 	counted *counted
 	Conns   int       // connections that this router may open to the server
 	at      time.Time // when it was placed
+	service string
+	route   string
+	first   time.Time // when the server's first event or answer came; zero: it has not
+	Status  int       // of the server's answer; 0: there was none
+	Events  int       // of the server's answer
 	Why     Why
 	Back    time.Duration // when a refused caller may come back
 	Rates   fair.Rates    // of the customer, at all routers; refusals only
@@ -217,7 +222,12 @@
 		s.ask(n, now)
 	}
 	req := pick.Request{Service: n.Service, Prompt: n.Ask.Prompt, Out: n.Ask.TokensOut, Tried: n.Tried, Homes: n.Homes, Bytes: n.Bytes, Target: n.Route.Target}
+	req.NewPart = s.newPart(n, now)
 	c, ok := s.picker.Choose(req, now)
+	if !ok && req.NewPart > 0 {
+		req.NewPart = 0
+		c, ok = s.picker.Choose(req, now)
+	}
 	if !ok {
 		return s.lacking(req, now)
 	}
@@ -234,6 +244,8 @@
 		counted: s.serve(n.Customer, tokens, c, now),
 		Choice:  c,
 		at:      now,
+		service: n.Service,
+		route:   n.Route.Name,
 		Conns:   max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
 	}
 }
@@ -340,6 +352,7 @@
 		s.meter.Served(p.counted.customer, p.counted.tokens, now)
 	}
 	p.counted.began = true
+	p.first = now
 	s.picker.First(p.Job, now)
 }
 
@@ -353,6 +366,7 @@
 		s.undo(p.counted, now)
 	}
 	p.counted.began = true
+	s.noteAnswer(p, o, now)
 	return s.picker.End(p.Job, o, now)
 }
 
--- a/internal/edge/state/report.go
+++ b/internal/edge/state/report.go
@@ -4,6 +4,7 @@
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -16,7 +17,8 @@
 	Ends   []poison.Record             // contents under which servers ended since the last report
 	// Light are the requests at servers whose loads are left out, since they change no choice, by
 	// service.
-	Light map[string]int
+	Light    map[string]int
+	Evidence rollout.Evidence // on new versions since the last report
 }
 
 // NewReport returns one that tells nothing yet.
@@ -61,6 +63,8 @@
 		Sent:   s.picker.TakePending(),
 		Firsts: s.picker.TakeFirsts(),
 		Ends:   s.poison.TakeFresh(now),
+
+		Evidence: s.takeEvidence(),
 	}
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -14,6 +14,7 @@
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/core/slowstart"
@@ -53,8 +54,13 @@
 	poison    *poison.Table
 	evacuated *evacuation.List
 	fleet     *slowstart.Fleet
-	endsRead  bool // the store's list of blocked contents was read once
-	askStore  bool // a server has ended under a request of this router since
+	rollouts  *rollout.List
+	evidence  rollout.Evidence // of new versions, of all routers
+	// ownEvidence is that of this router since it was told last.
+	ownEvidence   rollout.Evidence
+	rolloutBounds rollout.Bounds
+	endsRead      bool // the store's list of blocked contents was read once
+	askStore      bool // a server has ended under a request of this router since
 }
 
 // New returns the state of a router that knows nothing yet.
@@ -79,7 +85,12 @@
 		poison:   poison.New(),
 
 		evacuated: evacuation.New(),
+		rollouts:  rollout.NewList(),
+		evidence:  rollout.Evidence{},
+
+		ownEvidence: rollout.Evidence{},
 	}
+	s.picker.SetRollouts(s.rollouts)
 	s.SetSelf("")
 	return s
 }
