--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -120,7 +120,7 @@
 func (m *Meter) Served(customer string, tokens float64, now time.Time) {
 	r := m.get(customer, now)
 	r.served += tokens * perSecond
-	if m.outdone {
+	if _, counts := m.rationing(now); counts {
 		r.ration.take(tokens)
 	}
 }
@@ -129,7 +129,7 @@
 func (m *Meter) Undo(customer string, tokens float64, now time.Time) {
 	r := m.get(customer, now)
 	r.served = max(0, r.served-tokens*perSecond)
-	if m.outdone {
+	if _, counts := m.rationing(now); counts {
 		r.ration.take(-tokens)
 	}
 }
--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -1,6 +1,9 @@
 package fair
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// rationPart is what customers that ask for more than their share can have of it while another
@@ -19,6 +22,26 @@
 	rationBoost = 1.5
 )
 
+// After a shortage rations grow, by e in each relaxOver, until they bound nothing any more after
+// relaxFor. Were they lifted at once, a customer that asks for many times its share by all routers
+// had several seconds' worth of it before any of them knew.
+const (
+	relaxOver = 500 * time.Millisecond
+	relaxFor  = 4 * relaxOver
+)
+
+// rationing reports whether rations count, and by what they are multiplied.
+func (m *Meter) rationing(now time.Time) (growth float64, ok bool) {
+	if m.outdone {
+		return 1, true
+	}
+	since := now.Sub(m.shortAt)
+	if m.shortAt.IsZero() || since >= relaxFor {
+		return 0, false
+	}
+	return math.Exp(float64(since) / float64(relaxOver)), true
+}
+
 // episodeGap is how long nobody may have been short for a shortage to be another one.
 const episodeGap = 2 * time.Second
 
@@ -37,7 +60,8 @@
 	sum := m.sums[customer]
 	own := m.get(customer, now)
 	r := &own.ration
-	if !m.outdone || sum.Asked <= rationFrom*m.due {
+	growth, counts := m.rationing(now)
+	if !counts || sum.Asked <= rationFrom*m.due {
 		*r = ration{}
 		return false
 	}
@@ -50,11 +74,11 @@
 	}
 	earned := own.area / sum.Asked
 	own.area = 0
-	if farOver(sum, m.level) {
+	if m.outdone && farOver(sum, m.level) {
 		return true // it had that before the shortage began; nothing is kept for it meanwhile
 	}
 	boost := min(max(m.level/max(sum.Served, 1), 1), rationBoost)
-	rate := m.level * rationPart * boost
+	rate := m.level * rationPart * boost * growth
 	most := max(tokens, rate*rationDepth.Seconds()*own.asked/sum.Asked)
 	r.left = min(r.left+rate*earned, most)
 	return r.left <= 0
--- a/internal/core/spread/ranking.go
+++ b/internal/core/spread/ranking.go
@@ -31,6 +31,7 @@
 
 // centre is what is known of the routers of a data centre. This router itself is not among them.
 type centre struct {
+	spread    *Spread
 	members   map[string]*entry // live ones
 	heads     []*entry          // the first ones in the ranking; nil: to be worked out
 	digest    Digest
@@ -41,7 +42,7 @@
 func (s *Spread) centre(name string) *centre {
 	c := s.centres[name]
 	if c == nil {
-		c = &centre{members: map[string]*entry{}}
+		c = &centre{spread: s, members: map[string]*entry{}}
 		s.centres[name] = c
 	}
 	return c
@@ -64,8 +65,11 @@
 	c.unrank()
 }
 
-// unrank has the heads worked out anew.
-func (c *centre) unrank() { c.heads = nil }
+// unrank has the heads worked out anew, and who follows the store.
+func (c *centre) unrank() {
+	c.heads = nil
+	c.spread.readers = nil
+}
 
 // rank returns the first routers in the ranking, of those that answer.
 func (c *centre) rank() []*entry {
@@ -125,15 +129,19 @@
 // FirstReporter reports whether this router is the first reporter of its data centre.
 func (s *Spread) FirstReporter() bool { return s.place() == 0 }
 
-// Readers returns the routers that follow the store: the first reporters of the data centres in
+// Readers returns the routers that follow the store, not to be changed: the first reporters of the data centres in
 // the order of their names, then the second ones, up to readersMost. Routers whose data centre
 // is not known yet are left out.
 func (s *Spread) Readers() []string {
+	if s.readers != nil {
+		return s.readers
+	}
 	reporters := map[string][]string{}
 	for name := range s.centres {
 		reporters[name] = s.Reporters(name)
 	}
-	return readers(reporters)
+	s.readers = readers(reporters)
+	return s.readers
 }
 
 func readers(reporters map[string][]string) (list []string) {
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -39,6 +39,8 @@
 	// muteAfter is how long a reporter may leave this router without an answer before the next
 	// one in the ranking is told too.
 	muteAfter = time.Second
+	// tickEvery is how often it is looked through all routers for those that are silent.
+	tickEvery = 100 * time.Millisecond
 	// forgetAfter is when a silent router is forgotten, unless it is a seed.
 	forgetAfter = 90 * time.Second
 )
@@ -81,6 +83,8 @@
 	live    int // of known
 	// fleet is how many routers another one said that there are, for who knows few yet.
 	fleet         int
+	readers       []string  // nil: to be worked out
+	ticked        time.Time // when Tick last looked through all
 	reporterSince time.Time // zero: this router is no reporter
 	directAt      time.Time // when any router was heard itself
 	changes       Changes   // since TakeChanges was called last
@@ -190,6 +194,10 @@
 // Tick drops routers that have been silent for long, and returns those that have fallen silent
 // or leave this one without an answer.
 func (s *Spread) Tick(now time.Time) (lost []string) {
+	if now.Sub(s.ticked) < tickEvery {
+		return nil
+	}
+	s.ticked = now
 	switch reporter := s.Reporter() && !s.Mesh(); {
 	case !reporter:
 		s.reporterSince = time.Time{}
