--- a/internal/ctl/edge.go
+++ b/internal/ctl/edge.go
@@ -5,9 +5,11 @@
 	"io"
 	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 )
@@ -26,6 +28,7 @@
 	gaugeProcessorWait        = "windscale_edge_processor_wait_seconds"
 	gaugeCallersConnections   = "windscale_edge_callers_connections"
 	gaugeLinesDropped         = "windscale_edge_log_lines_dropped"
+	gaugeRollouts             = "windscale_edge_rollouts"
 )
 
 // edgeStatus is what a windscale-edge says of itself by its metrics.
@@ -40,8 +43,20 @@
 	ProcessorWaitMs float64 `json:"processorWaitMs"`
 	Connections     int     `json:"callersConnections"`
 	LinesDropped    int64   `json:"logLinesDropped"`
+	// Rollouts are the roll-outs that the router knows of.
+	Rollouts []edgeRollout `json:"rollouts,omitempty"`
 }
 
+// edgeRollout is a roll-out as a windscale-edge knows it.
+type edgeRollout struct {
+	Service string `json:"service"`
+	To      string `json:"to"` // the new version
+	Phase   string `json:"phase"`
+}
+
+// String returns it as the table shows it.
+func (r edgeRollout) String() string { return r.Service + ">" + r.To + ":" + r.Phase }
+
 // edges shows routers on the users' platform.
 func (c *statusCommand) edges(ctx context.Context, a *app) error {
 	list := make([]edgeStatus, len(c.Edge))
@@ -50,26 +65,39 @@
 		all.Go(func() { list[i] = a.edge(ctx, addr) })
 	}
 	all.Wait()
-	return a.show(list, "ROUTER READY SETTINGS VIEW-AGE HEARS RUNNING PROCESSOR-WAIT CONNECTIONS LINES-DROPPED", func(add func(...any)) {
+	return a.show(list, "ROUTER READY SETTINGS VIEW-AGE HEARS RUNNING PROCESSOR-WAIT CONNECTIONS LINES-DROPPED ROLL-OUTS", func(add func(...any)) {
 		for _, s := range list {
 			if s.Error != "" {
-				add(s.Addr, "no answer: "+s.Error, "?", "?", "?", "?", "?", "?", "?")
+				add(s.Addr, "no answer: "+s.Error, "?", "?", "?", "?", "?", "?", "?", "?")
 				continue
 			}
 			add(s.Addr, s.Ready, s.Settings, oneDigit(s.ViewAgeSeconds)+"s", s.Routers, s.Running,
-				oneDigit(s.ProcessorWaitMs)+"ms", s.Connections, s.LinesDropped)
+				oneDigit(s.ProcessorWaitMs)+"ms", s.Connections, s.LinesDropped, s.rollouts())
 		}
 	})
 }
 
+// rollouts lists the roll-outs for a cell of the table.
+func (s *edgeStatus) rollouts() string {
+	if len(s.Rollouts) == 0 {
+		return "-"
+	}
+	shown := make([]string, len(s.Rollouts))
+	for i, r := range s.Rollouts {
+		shown[i] = r.String()
+	}
+	return strings.Join(shown, ",")
+}
+
 // edge reads one router's metrics.
 func (a *app) edge(ctx context.Context, addr string) edgeStatus {
 	s := edgeStatus{Addr: addr}
-	values, err := a.edgeGauges(ctx, addr)
+	families, err := a.edgeMetrics(ctx, addr)
 	if err != nil {
 		s.Error = err.Error()
 		return s
 	}
+	values := gauges(families)
 	s.Ready = values[gaugeReady] == 1
 	s.Settings = int64(values[gaugeConfigurationVersion])
 	s.ViewAgeSeconds = values[gaugeViewAge]
@@ -78,11 +106,31 @@
 	s.ProcessorWaitMs = values[gaugeProcessorWait] * float64(time.Second/time.Millisecond)
 	s.Connections = int(values[gaugeCallersConnections])
 	s.LinesDropped = int64(values[gaugeLinesDropped])
+	for _, m := range families[gaugeRollouts].GetMetric() {
+		labels := map[string]string{}
+		for _, l := range m.GetLabel() {
+			labels[l.GetName()] = l.GetValue()
+		}
+		s.Rollouts = append(s.Rollouts, edgeRollout{Service: labels["service"], To: labels["to"], Phase: labels["phase"]})
+	}
 	return s
 }
 
-// edgeGauges returns a router's gauges by their names.
-func (a *app) edgeGauges(ctx context.Context, addr string) (map[string]float64, error) {
+// gauges returns the gauges without labels by their names.
+func gauges(families map[string]*dto.MetricFamily) map[string]float64 {
+	values := map[string]float64{}
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			if g := m.GetGauge(); g != nil && len(m.GetLabel()) == 0 {
+				values[name] = g.GetValue()
+			}
+		}
+	}
+	return values
+}
+
+// edgeMetrics returns a router's metrics by their names.
+func (a *app) edgeMetrics(ctx context.Context, addr string) (map[string]*dto.MetricFamily, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
@@ -102,18 +150,10 @@
 	if err != nil {
 		return nil, err
 	}
-	values := map[string]float64{}
-	for name, family := range families {
-		for _, m := range family.GetMetric() {
-			if g := m.GetGauge(); g != nil && len(m.GetLabel()) == 0 {
-				values[name] = g.GetValue()
-			}
-		}
-	}
-	if v, ok := values[gaugeReady]; !ok || math.IsNaN(v) {
+	if v, ok := gauges(families)[gaugeReady]; !ok || math.IsNaN(v) {
 		return nil, &EdgeError{Status: "no windscale-edge answers there"}
 	}
-	return values, nil
+	return families, nil
 }
 
 // EdgeError is an answer that holds no router's metrics.
--- a/internal/ctl/edge_test.go
+++ b/internal/ctl/edge_test.go
@@ -26,6 +26,9 @@
 		m.Gauge(strings.TrimPrefix(name, "windscale_edge_"), "", func() float64 { return value })
 	}
 	m.Refused("ana", "no capacity: busy")
+	m.Series(strings.TrimPrefix(gaugeRollouts, "windscale_edge_"), "", []string{"service", "to", "phase"}, func(emit func(float64, ...string)) {
+		emit(1, "llm", "v2", "canary")
+	})
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", m.Handler())
 	s := httptest.NewServer(mux)
@@ -43,7 +46,7 @@
 	assert.Equal(t, code, 0, note.String())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	assert.Equal(t, len(lines), 3, out.String())
-	assert.DeepEqual(t, strings.Fields(lines[1]), []string{up, "true", "49", "0.2s", "63", "12", "30.5ms", "90", "3"})
+	assert.DeepEqual(t, strings.Fields(lines[1]), []string{up, "true", "49", "0.2s", "63", "12", "30.5ms", "90", "3", "llm>v2:canary"})
 	assert.Assert(t, strings.Contains(lines[2], wrong+"  no answer: 404"), lines[2])
 
 	out.Reset()
@@ -53,6 +56,7 @@
 	assert.DeepEqual(t, list, []edgeStatus{{
 		Addr: up, Ready: true, Settings: 49, ViewAgeSeconds: 0.25, Routers: 63, Running: 12,
 		ProcessorWaitMs: 30.5, Connections: 90, LinesDropped: 3,
+		Rollouts: []edgeRollout{{Service: "llm", To: "v2", Phase: "canary"}},
 	}})
 }
 
@@ -63,7 +67,7 @@
 	assert.NilError(t, err)
 	for _, name := range []string{
 		gaugeReady, gaugeConfigurationVersion, gaugeViewAge, gaugeRouters, gaugeRunning,
-		gaugeProcessorWait, gaugeCallersConnections, gaugeLinesDropped,
+		gaugeProcessorWait, gaugeCallersConnections, gaugeLinesDropped, gaugeRollouts,
 	} {
 		assert.Assert(t, strings.Contains(string(page), "| "+name+" |"), name)
 	}
--- a/internal/edge/front/operations_test.go
+++ b/internal/edge/front/operations_test.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/ctl"
@@ -125,3 +128,15 @@
 	said := follow(t, r, "edge-backoff", a.id)
 	assert.Assert(t, strings.Contains(said, `"forMs":60000`), said)
 }
+
+func TestOperationsRolledBack(t *testing.T) {
+	r := newRig(t)
+	order := rollout.Order{Service: "llm", To: "v2", Duration: time.Minute, As: roster.Stamp{Version: 9}}
+	for _, phase := range []rollout.Phase{rollout.Canary, rollout.Halted} {
+		record := rollout.Record{Order: order, Phase: phase, Why: "bad: failures on route \"r\""}
+		assert.Assert(t, r.state.TakeRollout(record, 0))
+		state.LogRollout(slog.New(slog.NewJSONHandler(r.log, nil)), record, "store")
+	}
+	said := follow(t, r, "edge-rollout", "")
+	assert.Assert(t, strings.Contains(said, "failures on route"), said)
+}
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -21,6 +21,11 @@
 	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
 	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
 	n.meter.Gauge("data_centres_evacuated", "Data centres to whose servers nothing is sent.", func() float64 { return float64(n.state.EvacuatedCount()) })
+	n.meter.Series("rollouts", "Roll-outs by service, version and phase.", []string{"service", "to", "phase"}, func(emit func(float64, ...string)) {
+		for _, r := range n.state.Rollouts() {
+			emit(1, r.Order.Service, r.Order.To, r.Phase.String())
+		}
+	})
 	n.meter.Gauge("servers_cold", "Backend servers that count as cold.", func() float64 { return float64(n.state.ColdCount()) })
 	n.meter.Gauge("servers_leaving", "Backend servers that said in an answer that they are leaving.", func() float64 { return float64(n.state.LeavingCount()) })
 	n.meter.Gauge("servers_backoff", "Backend servers that asked for no requests for a time that is not over.", func() float64 { return float64(n.state.BackoffCount()) })
