front: early rejections reuse their buffers

A refusal by who accepts connections allocated a write buffer of 4 KB each time. BenchmarkEarlyRejection (new, GOMAXPROCS=1): 20.6 to 16.4 us, 6,605 to 2,443 B.

--- a/internal/edge/front/earlyrejection.go
+++ b/internal/edge/front/earlyrejection.go
@@ -20,11 +20,17 @@
 	buf  []byte
 	text bytes.Reader
 	in   *bufio.Reader
+	out  *bufio.Writer
 }
 
 // NewEarlyRejecter returns one for the handler's host.
 func (h *Handler) NewEarlyRejecter() *EarlyRejecter {
-	return &EarlyRejecter{h: h, buf: make([]byte, arrivalBuffer), in: bufio.NewReaderSize(nil, arrivalBuffer)}
+	return &EarlyRejecter{
+		h:   h,
+		buf: make([]byte, arrivalBuffer),
+		in:  bufio.NewReaderSize(nil, arrivalBuffer),
+		out: bufio.NewWriterSize(nil, shedBuffer),
+	}
 }
 
 // Arrival is a connection on which a request may have arrived.
@@ -46,7 +52,8 @@
 		q := &request{h: s.h, r: r, ask: s.h.Headers.Ask(r.Header), begin: s.h.Now()}
 		if refusal := q.siftedOut(full); refusal != nil {
 			q.note(refusal)
-			_ = q.writeRefusal(c, refusal) // a caller that has left reads no answer
+			s.out.Reset(c)
+			_ = q.writeRefusal(s.out, refusal) // a caller that has left reads no answer
 			return nil, true
 		}
 	}
--- /dev/null
+++ b/internal/edge/front/earlyrejection_bench_test.go
@@ -0,0 +1,55 @@
+package front_test
+
+import (
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/edge/front"
+	"github.com/windscale/windscale/internal/edge/meter"
+	"github.com/windscale/windscale/internal/edge/pressure"
+	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/internal/upstream"
+	"github.com/windscale/windscale/platform"
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+// inMemory is a connection on which a request has arrived.
+type inMemory struct{ text string }
+
+func (m inMemory) ReadArrived(b []byte) (int, error) { return copy(b, m.text), nil }
+func (m inMemory) Write(b []byte) (int, error)       { return len(b), nil }
+
+// BenchmarkEarlyRejection is what a refusal by who accepts connections costs beside its system
+// calls: a request of 9 KB.
+func BenchmarkEarlyRejection(b *testing.B) {
+	s := state.New("dc", 0.2, 80, time.Now)
+	routes := []platformtest.Route{{Prefix: "/s/", Kind: "streaming", Service: "llm", Attempts: 2, Timeout: 6 * time.Second}}
+	text := platformtest.Config(1, routes, []string{"llm"}, nil, map[string]string{"k": "k"})
+	c, err := platform.DecodeConfig(text)
+	assert.NilError(b, err)
+	s.TakeConfig(c, text)
+	handler := front.New(front.Config{
+		State: s, Pool: upstream.NewPool(time.Now), Headers: platform.Headers{}, Log: slog.New(slog.DiscardHandler),
+		MaxHeld: 8 << 20, MaxRunning: 100, Meter: meter.New(),
+		ProcessorWait: func() time.Duration { return pressure.Saturated }, NearConnLimit: func() bool { return true },
+	})
+	header := http.Header{}
+	platformtest.Ask(header, "a1", "k", 6*time.Second, "aa:6300,bb:2890")
+	var request strings.Builder
+	request.WriteString("POST /s/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nContent-Length: 9200\r\n")
+	assert.NilError(b, header.Write(&request))
+	request.WriteString("\r\n" + strings.Repeat("x", 9200))
+	rejecter := handler.NewEarlyRejecter()
+	arrival := inMemory{request.String()}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, answered := rejecter.Reject(arrival, false); !answered {
+			b.Fatal("the request was let in")
+		}
+	}
+}
--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -39,7 +39,7 @@
 	q := &request{h: h, r: r, ask: h.Headers.Ask(r.Header), begin: h.Now()}
 	refusal := q.withoutRoom()
 	q.note(refusal)
-	if err := q.writeRefusal(c, refusal); err != nil {
+	if err := q.writeRefusal(bufio.NewWriterSize(c, shedBuffer), refusal); err != nil {
 		return // the caller has left
 	}
 	drain(c, in)
@@ -55,12 +55,11 @@
 }
 
 // writeRefusal writes a refusal that ends its connection.
-func (q *request) writeRefusal(c io.Writer, f *Refusal) error {
+func (q *request) writeRefusal(out *bufio.Writer, f *Refusal) error {
 	header := http.Header{}
 	q.refusalHeader(header, f)
 	header.Set("Content-Length", "0")
 	header.Set("Connection", "close")
-	out := bufio.NewWriterSize(c, shedBuffer)
 	if _, err := fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n", f.Status, http.StatusText(f.Status)); err != nil {
 		return err
 	}
