--- a/internal/emulator/controlplane/report.go
+++ b/internal/emulator/controlplane/report.go
@@ -18,7 +18,6 @@
 	from   time.Duration
 	spent  []spent
 	total  Cost
-	counts bool
 }
 
 // until looks again and again whether something is so, and calls done when it is.
