--- a/internal/emulator/controlplane/report.go
+++ b/internal/emulator/controlplane/report.go
@@ -15,9 +15,9 @@
 
 // watch is what is measured of the steady state.
 type watch struct {
-	from   time.Duration
-	spent  []spent
-	total  Cost
+	from  time.Duration
+	spent []spent
+	total Cost
 }
 
 // until looks again and again whether something is so, and calls done when it is.
