--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 test: lint build runbook soak
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test ./internal/emulator/controlplane # with its large sizes, which are left out above
 
 clean:
 	rm -rf bin out
