node: a request that its listener could not read counts as let in, as a failing test

A listener of a host that is behind its work also lets in what it could not read whole: a request that arrives after the look, in chunks, or in parts. These were decided on by nobody, so the host served the customer that dominates it until it was saturated and refused all.

--- a/internal/edge/node/flood_test.go
+++ b/internal/edge/node/flood_test.go
@@ -89,6 +89,45 @@
 	}
 }
 
+// Guards against a flooded host that serves whoever floods it, past its bound, since a request that
+// its listener could not read counted as let in.
+//
+// The pattern: a host is behind its work, and what has arrived on a connection of the customer that
+// dominates it is not a whole request when its listener looks. It is refused, and another
+// customer's is served.
+func TestARequestThatItsListenerCouldNotReadIsStillToBeDecidedOn(t *testing.T) {
+	const length = "Content-Length: 64\r\n"
+	body := strings.Repeat("x", 64)
+	for _, tc := range []struct {
+		name   string
+		late   bool
+		length string
+		body   []string // as it is written
+	}{
+		{"it arrives after the look", true, length, []string{body}},
+		{"its body is sent in chunks", false, "Transfer-Encoding: chunked\r\n", []string{"40\r\n" + body + "\r\n0\r\n\r\n"}},
+		{"the end of its body is on its way", false, length, []string{body[:32], body[32:]}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newBusyHost(t)
+			h.fill(t)
+			h.wait.Store(int64(100 * time.Millisecond))
+			for customer, status := range map[string]int{"flood": http.StatusServiceUnavailable, "other": http.StatusOK} {
+				c := h.open(t)
+				c.host.late = tc.late
+				c.sendAs(t, customer, tc.length, tc.body...)
+				h.backlog <- c.host
+				select {
+				case <-h.entered:
+					t.Errorf("%s: served", customer)
+				case resp := <-c.answer():
+					assert.Equal(t, resp.StatusCode, status, customer)
+				}
+			}
+		})
+	}
+}
+
 // busyHost is a host's listener and admission.
 type busyHost struct {
 	wait     atomic.Int64    // for its processor, ns
@@ -236,13 +275,35 @@
 func (c callerOf) send(t *testing.T, customer string) {
 	t.Helper()
 	const body = 64
+	c.sendAs(t, customer, "Content-Length: "+strconv.Itoa(body)+"\r\n", strings.Repeat("x", body))
+}
+
+// sendAs sends a customer's request with a header line for its length and a body, whose parts are
+// written one after the other.
+func (c callerOf) sendAs(t *testing.T, customer, length string, body ...string) {
+	t.Helper()
 	header := http.Header{}
 	platformtest.Ask(header, customer, customer, 6*time.Second, "aa:600,bb:100")
 	var text strings.Builder
-	text.WriteString("POST /s/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nContent-Length: " + strconv.Itoa(body) + "\r\n")
+	text.WriteString("POST /s/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n" + length)
 	assert.NilError(t, header.Write(&text))
-	text.WriteString("\r\n" + strings.Repeat("x", body))
-	go func() { _, _ = io.WriteString(c, text.String()) }() // the host may close without having read it
+	text.WriteString("\r\n" + body[0])
+	go func() {
+		for _, part := range append([]string{text.String()}, body[1:]...) {
+			_, _ = io.WriteString(c, part) // the host may close without having read it
+		}
+	}()
+}
+
+// answer returns the answer when it is there.
+func (c callerOf) answer() <-chan *http.Response {
+	answers := make(chan *http.Response, 1)
+	go func() {
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			answers <- resp
+		}
+	}()
+	return answers
 }
 
 // status reads the answer, and that its connection ends if it was refused.
@@ -261,11 +322,17 @@
 // countedOps counts what is done on a connection.
 type countedOps struct {
 	net.Conn
+	late                          bool // its request arrives after its listener has looked
 	reads, writes, closes, others atomic.Int64
 }
 
-// ReadArrived reads what has arrived; here that is the request, whole.
-func (c *countedOps) ReadArrived(b []byte) (int, error) { return c.Read(b) }
+// ReadArrived reads what has arrived; here that is the request, or nothing of it.
+func (c *countedOps) ReadArrived(b []byte) (int, error) {
+	if c.late {
+		return 0, nil
+	}
+	return c.Read(b)
+}
 
 func (c *countedOps) Read(b []byte) (int, error)  { c.reads.Add(1); return c.Conn.Read(b) }
 func (c *countedOps) Write(b []byte) (int, error) { c.writes.Add(1); return c.Conn.Write(b) }
