front, node: only a decision that the listener has made stands

What callers saw: on a host that is behind its work, requests of the customer that dominates it were served if they had not arrived whole when the listener looked (after the look, in chunks, in parts), until the host was saturated and refused all customers.

Cause: since each connection that is served is marked as let in for 250 ms, and the host's admission is not asked again. The mark was set where the listener had read too little to decide, too.

The early rejecter now says what it decided: let in, rejected, or undecided. Only the first is marked; what is undecided meets the host's admission once it is read, as before.

TestARequestThatItsListenerCouldNotReadIsStillToBeDecidedOn failed in its three cases before and passes; TestWhatIsNotRefusedIsLeftWhole asserts the verdict of each of its cases.

--- a/internal/edge/front/earlyrejection.go
+++ b/internal/edge/front/earlyrejection.go
@@ -39,25 +39,36 @@
 	io.Writer
 }
 
+// Verdict is what was decided on the first request of a new connection.
+type Verdict int
+
+// The verdicts.
+const (
+	Undecided Verdict = iota // it has not arrived whole
+	LetIn
+	Rejected // it was answered, or its caller has left
+)
+
 // Reject answers the connection's request, if it has arrived whole and this host has no
 // time, or no room, for it. Otherwise it returns what it has read, for who serves the
-// connection. full says that there is no room for the connection. A connection whose
-// caller has left counts as answered.
-func (s *EarlyRejecter) Reject(c Arrival, full bool) (read []byte, answered bool) {
+// connection. full says that there is no room for the connection.
+func (s *EarlyRejecter) Reject(c Arrival, full bool) (read []byte, verdict Verdict) {
 	n, err := c.ReadArrived(s.buf)
 	if err != nil {
-		return nil, true
+		return nil, Rejected
+	}
+	r := s.whole(n)
+	if r == nil {
+		return bytes.Clone(s.buf[:n]), Undecided
 	}
-	if r := s.whole(n); r != nil {
-		q := &request{h: s.h, r: r, ask: s.h.Headers.Ask(r.Header), begin: s.h.Now()}
-		if refusal := q.siftedOut(full); refusal != nil {
-			q.note(refusal)
-			s.out.Reset(c)
-			_ = q.writeRefusal(s.out, refusal) // a caller that has left reads no answer
-			return nil, true
-		}
+	q := &request{h: s.h, r: r, ask: s.h.Headers.Ask(r.Header), begin: s.h.Now()}
+	if refusal := q.siftedOut(full); refusal != nil {
+		q.note(refusal)
+		s.out.Reset(c)
+		_ = q.writeRefusal(s.out, refusal) // a caller that has left reads no answer
+		return nil, Rejected
 	}
-	return bytes.Clone(s.buf[:n]), false
+	return bytes.Clone(s.buf[:n]), LetIn
 }
 
 // whole returns the request of which n bytes have arrived; nil: there is more to come, or
--- a/internal/edge/front/earlyrejection_bench_test.go
+++ b/internal/edge/front/earlyrejection_bench_test.go
@@ -48,7 +48,7 @@
 	arrival := inMemory{request.String()}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, answered := rejecter.Reject(arrival, false); !answered {
+		if _, verdict := rejecter.Reject(arrival, false); verdict != front.Rejected {
 			b.Fatal("the request was let in")
 		}
 	}
--- a/internal/edge/front/earlyrejection_test.go
+++ b/internal/edge/front/earlyrejection_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/edge/edgetest"
+	"github.com/windscale/windscale/internal/edge/front"
 	"github.com/windscale/windscale/internal/edge/pressure"
 	"github.com/windscale/windscale/internal/peek"
 	"github.com/windscale/windscale/platform/platformtest"
@@ -24,7 +25,7 @@
 
 // rejected opens a connection on which the text has arrived, and returns what the rejecter
 // says of it, with both ends.
-func (r *rig) rejected(text string, full bool) (read []byte, answered bool, host, caller net.Conn) {
+func (r *rig) rejected(text string, full bool) (read []byte, verdict front.Verdict, host, caller net.Conn) {
 	r.t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(r.t, err)
@@ -40,8 +41,8 @@
 		assert.NilError(r.t, err)
 		arrive(r.t, host, len(text))
 	}
-	read, answered = r.handler.NewEarlyRejecter().Reject(arrived{host}, full)
-	return read, answered, host, caller
+	read, verdict = r.handler.NewEarlyRejecter().Reject(arrived{host}, full)
+	return read, verdict, host, caller
 }
 
 // arrive waits until so many bytes have arrived.
@@ -77,8 +78,8 @@
 	r := newRig(t)
 	r.configure()
 	r.wait.Store(int64(pressure.Saturated))
-	_, answered, host, caller := r.rejected(request("k", 0), false)
-	assert.Assert(t, answered)
+	_, verdict, host, caller := r.rejected(request("k", 0), false)
+	assert.Equal(t, verdict, front.Rejected)
 	assert.NilError(t, host.Close())
 	text, err := io.ReadAll(caller)
 	assert.NilError(t, err)
@@ -91,8 +92,8 @@
 func TestARequestWithoutRoomIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t)
 	r.configure()
-	_, answered, host, caller := r.rejected(request("k", 0), true)
-	assert.Assert(t, answered)
+	_, verdict, host, caller := r.rejected(request("k", 0), true)
+	assert.Equal(t, verdict, front.Rejected)
 	assert.NilError(t, host.Close())
 	text, err := io.ReadAll(caller)
 	assert.NilError(t, err)
@@ -112,11 +113,13 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.configure()
+			expected := front.LetIn
 			if name != "room" {
 				r.wait.Store(int64(pressure.Saturated))
+				expected = front.Undecided
 			}
-			read, answered, host, caller := r.rejected(sent, false)
-			assert.Assert(t, !answered)
+			read, verdict, host, caller := r.rejected(sent, false)
+			assert.Equal(t, verdict, expected)
 			const more = "and more"
 			_, err := io.WriteString(caller, more)
 			assert.NilError(t, err)
@@ -141,6 +144,6 @@
 	assert.NilError(t, err)
 	assert.NilError(t, caller.Close())
 	edgetest.Until(t, "the close has not arrived", func() bool { return peek.At(c.(syscall.Conn)) == peek.Ended })
-	_, answered := r.handler.NewEarlyRejecter().Reject(arrived{c}, false)
-	assert.Assert(t, answered)
+	_, verdict := r.handler.NewEarlyRejecter().Reject(arrived{c}, false)
+	assert.Equal(t, verdict, front.Rejected)
 }
--- a/internal/edge/node/conns.go
+++ b/internal/edge/node/conns.go
@@ -13,7 +13,7 @@
 	net.Conn
 	limiter *connLimiter
 	once    sync.Once
-	letIn   atomic.Pointer[time.Time] // nil: it was asked for
+	letIn   atomic.Pointer[time.Time] // nil: it was asked for, or nobody has decided yet
 }
 
 // TakeAdmission implements front.Admitted.
--- a/internal/edge/node/limiter.go
+++ b/internal/edge/node/limiter.go
@@ -32,7 +32,7 @@
 	shedMost int64
 	// reject answers the request that has arrived on a connection for which there is no
 	// time, or, if it is told so, no room; it returns what it has read if it did not.
-	reject func(c front.Arrival, full bool) (read []byte, answered bool)
+	reject func(c front.Arrival, full bool) (read []byte, verdict front.Verdict)
 	// letIn notes that a connection is served.
 	letIn func()
 	// lost notes that a connection that was accepted could not be opened, and was closed.
@@ -98,23 +98,20 @@
 			return nil, err
 		}
 		if c := l.take(a); c != nil {
-			now := time.Now()
-			served := &counted{Conn: c, limiter: l}
-			served.letIn.Store(&now)
-			return served, nil
+			return c, nil
 		}
 	}
 }
 
 // take returns the connection if it is served; it counts until it is closed.
-func (l *connLimiter) take(a arrival) net.Conn {
+func (l *connLimiter) take(a arrival) *counted {
 	room := l.open.Add(1) <= l.most
 	var read []byte
-	answered := false
+	verdict := front.LetIn // a host that refuses nothing need not look
 	if !room || l.refusing() {
-		read, answered = l.reject(a, !room)
+		read, verdict = l.reject(a, !room)
 	}
-	if answered {
+	if verdict == front.Rejected {
 		l.open.Add(-1)
 		l.refused.Add(1)
 		_ = a.Close() // its caller has its answer, or has left
@@ -132,13 +129,23 @@
 	}
 	if room && !l.saturated() {
 		l.letIn()
-		return c
+		return l.serve(c, verdict)
 	}
 	l.open.Add(-1)
 	l.turnAway(c)
 	return nil
 }
 
+// serve returns a connection on which the verdict, if there is one, stands.
+func (l *connLimiter) serve(c net.Conn, verdict front.Verdict) *counted {
+	served := &counted{Conn: c, limiter: l}
+	if verdict == front.LetIn {
+		now := time.Now()
+		served.letIn.Store(&now)
+	}
+	return served
+}
+
 // turnAway refuses the connection's request, or closes it unread.
 func (l *connLimiter) turnAway(c net.Conn) {
 	if l.shedding.Add(1) > l.shedMost {
--- a/internal/edge/node/limiter_test.go
+++ b/internal/edge/node/limiter_test.go
@@ -16,7 +16,7 @@
 func no() bool { return false }
 
 // passOn refuses nothing.
-func passOn(front.Arrival, bool) ([]byte, bool) { return nil, false }
+func passOn(front.Arrival, bool) ([]byte, front.Verdict) { return nil, front.LetIn }
 
 // A connection beyond the bound is closed without a byte, and there is room
 // again once another was closed (a flood took all descriptors and the memory of a
