--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -83,10 +83,10 @@
 	// capacity is what the backend servers make together, tokens a second, as the
 	// configuration says; 0: it does not.
 	capacity float64
-	// contended is whether customers lack much of their shares, and outdone whether they do
+	// contended is whether customers lack much of their shares, and lagging whether they do
 	// against the best served one.
 	contended bool
-	outdone   bool
+	lagging   bool
 	episode   time.Time // when that began last
 	shortAt   time.Time // when it was so last
 	at        time.Time
@@ -217,7 +217,7 @@
 
 // lacking sums up what customers lack that are far below what the best served one gets, and
 // what those lack that are far below that or their shares, and reports whether it is much.
-func lacking(sums map[string]Rates, level float64) (contended, outdone bool) {
+func lacking(sums map[string]Rates, level float64) (contended, lagging bool) {
 	best := 0.0
 	all := 0.0
 	for _, r := range sums {
@@ -265,7 +265,7 @@
 		m.due = level(m.sums, m.capacity)
 		m.level = max(m.level, m.due)
 	}
-	m.contended, m.outdone = lacking(m.sums, m.level)
+	m.contended, m.lagging = lacking(m.sums, m.level)
 	m.noteShortage(now)
 }
 
--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -32,7 +32,7 @@
 
 // rationing reports whether rations count, and by what they are multiplied.
 func (m *Meter) rationing(now time.Time) (growth float64, ok bool) {
-	if m.outdone {
+	if m.lagging {
 		return 1, true
 	}
 	since := now.Sub(m.shortAt)
@@ -74,7 +74,7 @@
 	}
 	earned := own.area / sum.Asked
 	own.area = 0
-	if m.outdone && farOver(sum, m.level) {
+	if m.lagging && farOver(sum, m.level) {
 		return true // it had that before the shortage began; nothing is kept for it meanwhile
 	}
 	boost := min(max(m.level/max(sum.Served, 1), 1), rationBoost)
@@ -89,7 +89,7 @@
 
 // noteShortage notes since when customers are short.
 func (m *Meter) noteShortage(now time.Time) {
-	if !m.outdone {
+	if !m.lagging {
 		return
 	}
 	if now.Sub(m.shortAt) > episodeGap {
--- a/internal/edge/front/earlyrejection.go
+++ b/internal/edge/front/earlyrejection.go
@@ -62,7 +62,7 @@
 		return bytes.Clone(s.buf[:n]), Undecided
 	}
 	q := &request{h: s.h, r: r, ask: s.h.Headers.Ask(r.Header), begin: s.h.Now()}
-	if refusal := q.siftedOut(full); refusal != nil {
+	if refusal := q.decide(full); refusal != nil {
 		q.note(refusal)
 		s.out.Reset(c)
 		_ = q.writeRefusal(s.out, refusal) // a caller that has left reads no answer
@@ -86,8 +86,8 @@
 	return r
 }
 
-// siftedOut refuses what this host has no time or no room for.
-func (q *request) siftedOut(full bool) *Refusal {
+// decide refuses what this host has no time or no room for.
+func (q *request) decide(full bool) *Refusal {
 	if full {
 		return q.withoutRoom()
 	}
