--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -136,3 +136,36 @@
 		assert.Check(t, last >= share/2, "the second has had its burst by then: %.0f", last)
 	}
 }
+
+// Guards against a customer that gets less than half of what the best served one gets, although
+// the hosts by which it comes carry its share.
+//
+// The pattern: one customer asks for twenty times its usual by two routers whose hosts can carry its
+// share and no more, another for forty times by all of 295, while the engines have time for more than
+// the shares; reports take 300 ms.
+func TestACustomerOfTwoHostsHasHalfOfWhatTheBestServedGets(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := fleet(40 + seed)
+			s.Routers = 295
+			s.Length = 14 * time.Second
+			s.ReportDelay = 300 * time.Millisecond
+			for i := range s.Customers {
+				c := &s.Customers[i]
+				c.PerSecond, c.Shared, c.Own, c.Out = 20, 600, 400, 10
+			}
+			all, few := &s.Customers[0], &s.Customers[1]
+			all.Flood, all.FloodAt, all.FloodEnd = 40, time.Second, s.Length
+			few.Flood, few.FloodAt, few.FloodEnd, few.Routers = 20, time.Second, s.Length, 2
+			few.HostTakes = 18_000
+			r := Run(s)
+			for from := 3 * time.Second; from+6*time.Second <= s.Length; from += time.Second {
+				a := r.Total(all.Name, from, from+6*time.Second)
+				f := r.Total(few.Name, from, from+6*time.Second)
+				part := (f.InTime + f.Late) / (a.InTime + a.Late)
+				assert.Check(t, part >= 0.5, "from %s: %.2f", from, part)
+			}
+		})
+	}
+}
