fair: who lags behind the best served customer is seen in time, and bounds what others get

A customer now lags also while it has had less than 0.73 of the best served one's over some five seconds and has it still. Others are then bounded by 1.4 times what it gets, if that is more than their share, in place of by their share. Below 0.6 it lags at once, as before.

--- a/internal/core/fair/fair.go
+++ b/internal/core/fair/fair.go
@@ -82,19 +82,17 @@
 	due   float64 // the level of what the servers are said to make; of what is served if nobody says
 	// capacity is what the backend servers make together, tokens a second, as the
 	// configuration says; 0: it does not.
-	capacity float64
-	// contended is whether customers lack much of their shares, and lagging whether they do
-	// against the best served one.
-	contended bool
-	lagging   bool
-	episode   time.Time // when that began last
-	shortAt   time.Time // when it was so last
+	capacity  float64
+	contended bool // customers lack much of their shares
+	lag       lag
+	episode   time.Time // when a customer began to lag last
+	lagAt     time.Time // when one lagged last
 	at        time.Time
 }
 
 // New returns an empty meter.
 func New() *Meter {
-	return &Meter{own: map[string]*rate{}, peers: map[string]report{}, sums: map[string]Rates{}}
+	return &Meter{own: map[string]*rate{}, peers: map[string]report{}, sums: map[string]Rates{}, lag: lag{sums: map[string]Rates{}}}
 }
 
 // get returns the customer's sums, brought to now.
@@ -215,23 +213,15 @@
 	return m.contended
 }
 
-// lacking sums up what customers lack that are far below what the best served one gets, and
-// what those lack that are far below that or their shares, and reports whether it is much.
-func lacking(sums map[string]Rates, level float64) (contended, lagging bool) {
-	best := 0.0
-	all := 0.0
-	for _, r := range sums {
-		best = max(best, r.Served)
-		all += r.Served
-	}
-	behind := 0.0
+// contended reports whether customers lack much of their shares, or of what the best served one
+// gets.
+func contended(sums map[string]Rates, level float64) bool {
+	best := bestOf(sums)
 	lack := 0.0
 	for _, r := range sums {
-		b := short(r, best, halfPart)
-		behind += b
-		lack += max(b, short(r, level, belowPart))
+		lack += max(short(r, best, halfPart), short(r, level, belowPart))
 	}
-	return lack > all*contendedAt, behind > all*contendedAt
+	return lack > served(sums)*contendedAt
 }
 
 // short is what a customer lacks of the rate, or of what it asks if that is less; 0 if it
@@ -265,8 +255,9 @@
 		m.due = level(m.sums, m.capacity)
 		m.level = max(m.level, m.due)
 	}
-	m.contended, m.lagging = lacking(m.sums, m.level)
-	m.noteShortage(now)
+	m.contended = contended(m.sums, m.level)
+	m.lag.update(m.sums, now)
+	m.noteLag(now)
 }
 
 // SetCapacity says what the backend servers make together, tokens a second;
--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -32,11 +32,11 @@
 
 // rationing reports whether rations count, and by what they are multiplied.
 func (m *Meter) rationing(now time.Time) (growth float64, ok bool) {
-	if m.lagging {
+	if m.lag.lagging {
 		return 1, true
 	}
-	since := now.Sub(m.shortAt)
-	if m.shortAt.IsZero() || since >= relaxFor {
+	since := now.Sub(m.lagAt)
+	if m.lagAt.IsZero() || since >= relaxFor {
 		return 0, false
 	}
 	return math.Exp(float64(since) / float64(relaxOver)), true
@@ -74,11 +74,12 @@
 	}
 	earned := own.area / sum.Asked
 	own.area = 0
-	if m.lagging && farOver(sum, m.level) {
+	limit := max(m.level, m.lag.least*leadPart/rationPart)
+	if m.lag.lagging && farOver(sum, limit) {
 		return true // it had that before the shortage began; nothing is kept for it meanwhile
 	}
-	boost := min(max(m.level/max(sum.Served, 1), 1), rationBoost)
-	rate := m.level * rationPart * boost * growth
+	boost := min(max(limit/max(sum.Served, 1), 1), rationBoost)
+	rate := limit * rationPart * boost * growth
 	most := max(tokens, rate*rationDepth.Seconds()*own.asked/sum.Asked)
 	r.left = min(r.left+rate*earned, most)
 	return r.left <= 0
@@ -87,13 +88,13 @@
 // take notes what the customer was given here.
 func (r *ration) take(tokens float64) { r.left -= tokens }
 
-// noteShortage notes since when customers are short.
-func (m *Meter) noteShortage(now time.Time) {
-	if !m.lagging {
+// noteLag notes since when customers are short.
+func (m *Meter) noteLag(now time.Time) {
+	if !m.lag.lagging {
 		return
 	}
-	if now.Sub(m.shortAt) > episodeGap {
+	if now.Sub(m.lagAt) > episodeGap {
 		m.episode = now
 	}
-	m.shortAt = now
+	m.lagAt = now
 }
