--- a/internal/core/fair/lag.go
+++ b/internal/core/fair/lag.go
@@ -7,10 +7,11 @@
 
 const (
 	// lagPart is the part of what the best served customer gets below which one that asks for as
-	// much lags: the rule of fair shares is broken at half, and rates are known 0.3 s late.
+	// much lags if it has less for some time: the rule of fair shares is broken at half, and
+	// rates are known 0.3 s late.
 	lagPart = 0.73
-	// lagMemory is the time over which a customer has to lag: as long as the rule looks at. By
-	// chance one of many customers that ask for the same has less for a second or two.
+	// lagMemory is that time. Of many customers that ask for the same, one has less for a second
+	// or two by chance.
 	lagMemory = 5 * time.Second
 	// leadPart is how many times what the customer gets that lags most others may have, if that
 	// is more than their share.
@@ -27,28 +28,34 @@
 	least float64
 }
 
-// update takes the sums of all routers. A customer lags while it did on average and does still.
+// update takes the sums of all routers.
 func (l *lag) update(sums map[string]Rates, now time.Time) {
 	l.average(sums, now)
-	best, all := bestOf(sums), served(sums)
-	bestLong := bestOf(l.sums)
+	best, bestLong := bestOf(sums), bestOf(l.sums)
 	lack := 0.0
-	l.least = math.Inf(1)
+	least := math.Inf(1)
 	for name, r := range sums {
 		long := l.sums[name]
-		lacks := short(r, best, halfPart)
-		if short(long, bestLong, lagPart) > 0 {
-			lacks = short(r, best, lagPart)
-		}
+		lacks := lacksOf(r, long, best, bestLong)
 		lack += lacks
 		if lacks > 0 && long.Asked >= bestLong*lagPart {
-			l.least = min(l.least, max(long.Served, r.Served))
+			least = min(least, max(long.Served, r.Served))
 		}
 	}
-	if math.IsInf(l.least, 1) {
-		l.least = 0
+	l.lagging = lack > served(sums)*contendedAt
+	l.least = 0
+	if !math.IsInf(least, 1) {
+		l.least = least
+	}
+}
+
+// lacksOf is what a customer lags by: one that has far less than the best served one now, or less
+// both now and on average.
+func lacksOf(r, long Rates, best, bestLong float64) float64 {
+	if short(long, bestLong, lagPart) > 0 {
+		return short(r, best, lagPart)
 	}
-	l.lagging = lack > all*contendedAt
+	return short(r, best, halfPart)
 }
 
 // average brings the averages up to date.
