--- a/internal/core/fair/ration.go
+++ b/internal/core/fair/ration.go
@@ -52,8 +52,8 @@
 }
 
 // Rationed reports whether the customer, which asks for far more than its share while others
-// have far less than the best served one, has had its part of that at this router: that of what
-// is asked there. draw (0 to 1) is how much of a request counts as had when a shortage begins, so
+// lag, has had its ration at this router: the part of its limit that is asked there. The limit is
+// its share, or a multiple of what the one gets that lags most. draw (0 to 1) is how much of a request counts as had when a shortage begins, so
 // that hundreds of routers do not let one in each at once.
 func (m *Meter) Rationed(customer string, tokens, draw float64, now time.Time) bool {
 	m.update(now)
@@ -88,7 +88,7 @@
 // take notes what the customer was given here.
 func (r *ration) take(tokens float64) { r.left -= tokens }
 
-// noteLag notes since when customers are short.
+// noteLag notes since when customers lag.
 func (m *Meter) noteLag(now time.Time) {
 	if !m.lag.lagging {
 		return
