entry: the shutdown test asks for a connection, not for an answer

Cause: the test's own race. Its check sends a request, and its handler holds each until the end of the test; one that is accepted before the shutdown has begun holds the check itself. Shown by 50 ms before the call of Shutdown: the test fails with the same message, and passes with this change. The check is as strict: a new connection has to be refused, from which it follows that no request is served.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -254,9 +254,11 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(context.Background()) }()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if <-get(url) == "error" {
+		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
 			return poll.Success()
 		}
+		_ = c.Close() // a request would be held until the others are let go
 		return poll.Continue("still accepting")
 	})
 	assert.Equal(t, len(done), 0)
