front: the lines of attempts name the server's software version and the attempt that a stream resumes

Which of the two ways joined two versions in a stream, inside one response or at a caller's next attempt, could not be read from the lines: 341, 342, 343 and 347 now tell the version, and 343 is written for every stream that a caller resumes.

--- a/internal/core/routing/request.go
+++ b/internal/core/routing/request.go
@@ -19,6 +19,9 @@
 	TokensIn       int // size of the prompt
 	TokensOut      int // maximum size of the answer
 	LastEventID    string
+	// Resumes is the ID of the attempt that brought the first event of the stream that this request
+	// resumes; empty if it begins a new one.
+	Resumes string
 }
 
 // PromptSize returns the size of a prompt, summed over its parts.
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -224,7 +224,7 @@
 		return resultCut
 	}
 	if q.headerSent && q.mayRetry() {
-		q.log(slog.LevelInfo, events.EdgeResumed, "server", x.server.ID, "last", q.lastEventID)
+		q.log(slog.LevelInfo, events.EdgeResumed, "server", x.server.ID, "version", x.server.Version, "last", q.lastEventID)
 	}
 	return resultRetry
 }
@@ -242,7 +242,7 @@
 	q := x.q
 	x.recordSuccess(status)
 	q.h.Meter.Answered(q.service, status, q.age())
-	if q.logRoutine || status >= http.StatusInternalServerError || len(q.triedServers) > 1 {
-		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "status", status, "size", size, "tries", len(q.triedServers))
+	if q.logRoutine || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
+		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "tries", len(q.triedServers))
 	}
 }
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -111,7 +111,7 @@
 	if !x.firstEventAt.IsZero() {
 		runMs = x.q.h.Now().Sub(x.firstEventAt).Milliseconds()
 	}
-	attrs := []any{"server", x.server.ID, "content", x.q.hashContent().String(), "runMs", runMs, "late", x.timedOut.isSet()}
+	attrs := []any{"server", x.server.ID, "version", x.server.Version, "content", x.q.hashContent().String(), "runMs", runMs, "late", x.timedOut.isSet()}
 	x.q.log(slog.LevelInfo, events.EdgeFailed, append(attrs, args...)...)
 }
 
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -158,7 +158,7 @@
 	x.startWatchdog(q.silenceLimit(placement.Choice))
 	defer x.stopWatchdog()
 	if q.logRoutine {
-		q.log(slog.LevelInfo, events.EdgeSent, "server", server.ID, "waitMs", placement.Choice.Wait.Milliseconds(),
+		q.log(slog.LevelInfo, events.EdgeSent, "server", server.ID, "version", server.Version, "resumes", q.meta.Resumes, "waitMs", placement.Choice.Wait.Milliseconds(),
 			"ownMs", placement.Choice.Processing.Milliseconds(), "missing", placement.Choice.UncachedTokens, "fetchAt", placement.Choice.FetchFrom, "candidates", placement.Choice.Candidates)
 	}
 	q.h.Meter.Sent(q.service, len(q.triedServers) > 1, placement.Choice.FetchFrom != "")
