pick, front: a stream that broke off goes on only at the software version that began it

Callers got one response with events of two versions: the choice of the server that continues a stream knew the service and the servers tried, but not what wrote the events so far.

The picker keeps a list of servers for each version, so that the choice stays as cheap as before. A pinned stream isn't part of the comparison of a roll-out, and gets the new version only while that may receive requests.

TestStreamResumesAtTheVersionThatBeganIt failed at the first of 20 streams and passes 20 of 20; TestStreamIsCutWithoutServersOfItsVersion failed and passes. TestRequestWithoutEventsIsRetriedAtAnyVersion passed before and passes: a request without events is still free. The test's retry budget was too small for 20 retries, which only shows once all of them go on.

--- a/internal/core/pick/choose.go
+++ b/internal/core/pick/choose.go
@@ -15,6 +15,9 @@
 	if p.peerSumsStale {
 		p.sumPeerLoads(now)
 	}
+	if req.Pinned {
+		return p.choosePinned(req, now)
+	}
 	list := p.services[req.listName()]
 	if req.NewVersionShare > 0 {
 		// Limit the number of servers so that each gets as much load as one of the other version.
@@ -52,6 +55,20 @@
 	return p.cheapest(list, req, promptHomes, now)
 }
 
+// choosePinned returns the server with the lowest expected cost among those of the request's version.
+func (p *Picker) choosePinned(req Request, now time.Time) (best Choice, ok bool) {
+	list := p.versions[serviceVersion{req.Service, req.Version}]
+	p.promptKeys = appendPartKeys(p.promptKeys[:0], req.Prompt)
+	promptHomes := p.homes(req, p.services[req.Service], now)
+	if len(list) > maxFullScan {
+		best, ok = p.cheapest(p.addRandom(nil, list, sampleSize), req, promptHomes, now)
+		if ok && best.rank == rankGood {
+			return best, true
+		}
+	}
+	return p.cheapest(list, req, promptHomes, now)
+}
+
 // choosePlain returns the least loaded plain server of this router's aperture. If none of them is
 // healthy with a free slot, it considers the servers of its data centre, and then all.
 func (p *Picker) choosePlain(list []*server, req Request, now time.Time) (best Choice, ok bool) {
--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -207,11 +207,12 @@
 type UnavailableReason int
 
 const (
-	NoServers    UnavailableReason = iota // none is listed, or all were tried
-	AllEvacuated                          // all are in evacuated data centres
-	AllCold                               // all candidates are cold and at their rate limit
-	NoneInRegion                          // none is in a region in which the request may be served
-	AllInBackoff                          // all candidates are in backoff or cold, and a backoff ends first
+	NoServers     UnavailableReason = iota // none is listed, or all were tried
+	AllEvacuated                           // all are in evacuated data centres
+	AllCold                                // all candidates are cold and at their rate limit
+	NoneInRegion                           // none is in a region in which the request may be served
+	NoneOfVersion                          // no server of the version that the request is pinned to
+	AllInBackoff                           // all candidates are in backoff or cold, and a backoff ends first
 )
 
 // WhyUnavailable returns why there is no server for a request, and how long until there may be
@@ -224,6 +225,9 @@
 		if s.Service != req.Service || !s.Server.AcceptsRequests() || p.isLeaving(s.Identity()) {
 			continue
 		}
+		if req.Pinned && s.Version != req.Version {
+			continue
+		}
 		listed++
 		if !req.AllowedRegions.Allows(s.region) {
 			continue
@@ -239,6 +243,8 @@
 		}
 	}
 	switch {
+	case listed == 0 && req.Pinned:
+		return NoneOfVersion, 0
 	case listed == 0:
 		return NoServers, 0
 	case inRegion == 0:
--- a/internal/core/pick/index.go
+++ b/internal/core/pick/index.go
@@ -79,6 +79,7 @@
 func (p *Picker) SetServers(list []routing.Server, now time.Time) {
 	clear(p.services)
 	clear(p.nearby)
+	clear(p.versions)
 	p.generation++
 	if len(p.servers) == 0 {
 		p.servers = make(map[string]*server, len(list))
@@ -89,6 +90,7 @@
 		s.generation = p.generation
 		if s.accepts {
 			p.services[s.listName] = append(p.services[s.listName], s)
+			p.versions[s.serviceVersion()] = append(p.versions[s.serviceVersion()], s)
 		}
 	}
 	for _, s := range p.servers {
@@ -104,6 +106,9 @@
 			}
 		}
 	}
+	for _, list := range p.versions {
+		slices.SortFunc(list, byHash)
+	}
 	clear(p.apertures)
 }
 
@@ -129,6 +134,7 @@
 func (p *Picker) index(s *server) {
 	delete(p.apertures, s.listName)
 	p.services[s.listName] = insert(p.services[s.listName], s)
+	p.versions[s.serviceVersion()] = insert(p.versions[s.serviceVersion()], s)
 	if p.isLocal(s) {
 		p.nearby[s.listName] = insert(p.nearby[s.listName], s)
 	}
@@ -139,8 +145,18 @@
 	delete(p.apertures, s.listName)
 	p.services[s.listName] = remove(p.services[s.listName], s)
 	p.nearby[s.listName] = remove(p.nearby[s.listName], s)
+	key := s.serviceVersion()
+	p.versions[key] = remove(p.versions[key], s)
+	if len(p.versions[key]) == 0 {
+		delete(p.versions, key)
+	}
 }
 
+// serviceVersion identifies the servers of a service that run one software version.
+type serviceVersion struct{ service, version string }
+
+func (s *server) serviceVersion() serviceVersion { return serviceVersion{s.Service, s.Version} }
+
 // newVersionPrefix begins the name of the list of servers that run the version to which the
 // traffic of their service is being moved.
 const newVersionPrefix = "new "
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -96,6 +96,10 @@
 	// service's traffic is being moved, limited to this share of them; 0: to one of the other
 	// servers.
 	NewVersionShare float64
+	// Pinned restricts the request to servers that run Version, because a server of that version has
+	// begun its answer. NewVersionShare is ignored.
+	Pinned  bool
+	Version string
 	// Isolated sends the request to a random healthy server instead of the homes of its prompt,
 	// where requests that share parts with it run.
 	Isolated bool
@@ -170,6 +174,7 @@
 	cold               map[*server]bool              // servers that were cold at the last tick or became cold since
 	services           map[string][]*server          // by list name, servers that accept requests, sorted by hash
 	nearby             map[string][]*server          // the same for this data centre only
+	versions           map[serviceVersion][]*server  // servers that accept requests, sorted by hash
 	apertures          map[string][]*server          // by list name, the plain servers that this router prefers
 	seed               uint64                        // selects the apertures of this router
 	generation         uint32                        // number of calls of SetServers
@@ -229,6 +234,7 @@
 		cold:               map[*server]bool{},
 		services:           map[string][]*server{},
 		nearby:             map[string][]*server{},
+		versions:           map[serviceVersion][]*server{},
 		apertures:          map[string][]*server{},
 		seed:               rng.Uint64(),
 		specs:              map[string]*routing.Service{},
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -146,6 +146,10 @@
 	isolate       bool // it must not share a server with requests that share its prompt
 	headerSent    bool // the response header has been sent to the caller
 	lastEventID   string
+	// pinned means that a server of the software version has begun the stream, which may go on at
+	// servers of that version only.
+	pinned  bool
+	version string
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -104,6 +104,8 @@
 		Admitted:       len(q.triedServers) > 0,
 		Retry:          q.sentCount > 0 && !q.retryReserved,
 		Isolated:       q.isolate,
+		Pinned:         q.pinned,
+		Version:        q.version,
 	}
 }
 
--- a/internal/edge/front/version_test.go
+++ b/internal/edge/front/version_test.go
@@ -50,6 +50,7 @@
 	r.configure()
 	engines, _ := r.servers(6)
 	r.setVersions(engines, "v1", "v1", "v2", "v2", "v3", "v3")
+	r.state.SetRetryBudget(0.2, 800) // enough for a retry of each request
 	truncateFirstRuns(engines)
 	for range 20 {
 		a := r.call(context.Background(), "POST", "/s/x", "k", "")
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/windscale/windscale/internal/core/fair"
 	"github.com/windscale/windscale/internal/core/pick"
+	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -18,6 +19,9 @@
 	// maxWaitBelowShare is the limit of a customer far below its share, and the upper bound for
 	// all customers while the capacity meets the demand.
 	maxWaitBelowShare = 500 * time.Millisecond
+	// maxWaitPinned is the limit of a request that resumes a stream: it may use only the servers of one
+	// version, and its caller already has a part of the answer.
+	maxWaitPinned = 500 * time.Millisecond
 	// contentionPeriod is how long customers far above their share get nothing after this router
 	// has refused one at or below its share, even if no customer in the fleet falls far short.
 	contentionPeriod = time.Second
@@ -52,6 +56,8 @@
 	Admitted       bool // it was placed before; admission is not decided again
 	Retry          bool // it has reached a server; another attempt uses the retry budget
 	Isolated       bool // see pick.Request
+	Pinned         bool // see pick.Request
+	Version        string
 }
 
 // RefusalReason states why a request got no server.
@@ -69,15 +75,18 @@
 	ReasonCold                         // its servers are warming up and at their rate limit
 	ReasonNoneInRegion                 // no server is in a region in which the request may be served
 	ReasonBackoff                      // its servers are in backoff or warming up, and a backoff ends first
+	ReasonNoneOfVersion                // no server runs the version that began its stream
 )
 
 var reasonNames = [...]string{
 	"none", "no server", "over share", "busy", "budget spent", "unknown service", "data centres evacuated", "servers warm up", "no server in its regions", "servers in backoff",
+	"no server of the stream's version",
 }
 
 // unavailableReasons maps the picker's reasons to those of this package.
 var unavailableReasons = map[pick.UnavailableReason]RefusalReason{
 	pick.NoServers: ReasonNoServer, pick.AllEvacuated: ReasonEvacuated, pick.AllCold: ReasonCold, pick.NoneInRegion: ReasonNoneInRegion, pick.AllInBackoff: ReasonBackoff,
+	pick.NoneOfVersion: ReasonNoneOfVersion,
 }
 
 const (
@@ -103,8 +112,9 @@
 	service    string
 	route      string
 	firstAt    time.Time // time of the server's first event or answer; zero: none yet
-	Status     int       // status of the server's answer; 0: no answer
-	Events     int       // number of events in the server's answer
+	pinned     bool
+	Status     int // status of the server's answer; 0: no answer
+	Events     int // number of events in the server's answer
 	Reason     RefusalReason
 	RetryAfter time.Duration // when a refused caller may retry
 	Rates      fair.Rates    // of the customer, at all routers; refusals only
@@ -223,7 +233,10 @@
 	if !req.Admitted {
 		s.recordRequest(req, now)
 	}
-	pickReq := pick.Request{Service: req.Service, Prompt: req.Meta.Prompt, MaxOutput: req.Meta.TokensOut, Tried: req.Tried, AllowedRegions: req.AllowedRegions, BodyBytes: req.BodyBytes, FirstTokenTarget: req.Route.Target, Isolated: req.Isolated}
+	pickReq := pick.Request{Service: req.Service, Prompt: req.Meta.Prompt, MaxOutput: req.Meta.TokensOut, Tried: req.Tried, AllowedRegions: req.AllowedRegions, BodyBytes: req.BodyBytes, FirstTokenTarget: req.Route.Target, Isolated: req.Isolated, Pinned: req.Pinned, Version: req.Version}
+	if req.Pinned && s.rollouts.Group(req.Service, req.Version) == rollout.GroupCanary && !s.rollouts.CanaryAllowed(req.Service, now) {
+		return Placement{Reason: ReasonNoneOfVersion, RetryAfter: maxRetryAfter}
+	}
 	pickReq.NewVersionShare = s.newVersionShare(req, now)
 	c, ok := s.picker.Choose(pickReq, now)
 	if !ok && pickReq.NewVersionShare > 0 {
@@ -248,6 +261,7 @@
 		placedAt: now,
 		service:  req.Service,
 		route:    req.Route.Name,
+		pinned:   req.Pinned,
 		MaxConns: max(1, s.picker.ConnLimit(c.Server.ID)/s.routers),
 	}
 }
@@ -284,6 +298,12 @@
 	if req.Admitted {
 		return ReasonNone
 	}
+	if req.Pinned {
+		if c.Wait <= maxWaitPinned {
+			return ReasonNone
+		}
+		return ReasonBusy
+	}
 	if !s.table.HasEngines(req.Service) {
 		if c.Wait > time.Duration(float64(req.Route.Target)*plainWaitFraction) {
 			return ReasonBusy
--- a/internal/edge/state/rollout.go
+++ b/internal/edge/state/rollout.go
@@ -94,7 +94,7 @@
 // it must use the old version. Only first attempts use the new version: a request that has failed
 // once is not sent to a version that may be bad.
 func (s *State) newVersionShare(req Request, now time.Time) float64 {
-	if req.Admitted || !s.rollouts.CanaryAllowed(req.Service, now) {
+	if req.Admitted || req.Pinned || !s.rollouts.CanaryAllowed(req.Service, now) {
 		return 0
 	}
 	share := s.rolloutBounds.CanaryShare(s.rollouts.PhaseAge(req.Service, now))
@@ -104,10 +104,11 @@
 	return share
 }
 
-// observeAnswer adds a server's answer to the evidence on its version.
+// observeAnswer adds a server's answer to the evidence on its version. Streams that are resumed are
+// left out: they did not get their version at random, and are as long as what was missing.
 func (s *State) observeAnswer(p *Placement, o pick.Outcome, now time.Time) {
 	to, running := s.rollouts.InProgress(p.service)
-	if !running || p.Status == 0 || o == pick.Full || o == pick.ServerGone || o == pick.Abandoned {
+	if !running || p.pinned || p.Status == 0 || o == pick.Full || o == pick.ServerGone || o == pick.Abandoned {
 		return
 	}
 	a := rollout.Answer{Failed: p.Status >= http.StatusInternalServerError}
