affinity, peers, front: a caller resumes its stream only at the version that began it, at any router

A caller whose router failed came back to another one with Last-Event-Id.

Before the first event of a stream goes out, the router records its service and software version at three others, chosen by rendezvous hashing of customer, route and attempt. A router that gets a request with Resumes looks in its own table, else asks four: the three and whichever of them is itself the one that recorded. It pins the request to what it finds. What it can't find out it refuses with 503 before anything is sent: at once if all four say that they don't know, after 250 ms if one doesn't answer. Records live as long as the caller waits, a minute at most; a table holds 32,768.

Ruled out: reports of each stream to all routers (28 KB/s at 1,400 streams a second), the store (its rates), only streams that broke (a killed router reports nothing), a version by hash of the attempt (lists of servers differ).

TestCallerResumesAtTheVersionThatBeganItsStream failed in all four cases at the first stream and passes, 30 streams each, also after the first router was killed; TestUnknownStreamsAreNotResumed failed and passes. TestStreamIsFoundWhileOneHolderLives: 8 routers, the first and any two others killed, found at each router that is left.

--- a/internal/core/slowstart/fleet.go
+++ b/internal/core/slowstart/fleet.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/windscale/windscale/internal/core/rendezvous"
 )
 
 // Fleet is one router's view of the routers that share the permits. Routers that stopped
@@ -51,23 +53,12 @@
 
 // Rank returns the rank of this router for a hash; the first one has rank 0.
 func (f *Fleet) Rank(hash uint64) int {
-	own := score(f.self, hash)
+	own := rendezvous.Score(f.self, hash)
 	rank := 0
 	for _, r := range f.routers {
-		if score(r, hash) > own {
+		if rendezvous.Score(r, hash) > own {
 			rank++
 		}
 	}
 	return rank
 }
-
-// score returns the rendezvous score of a router for a server; the highest score ranks first. The
-// finaliser is that of the 64-bit variant of MurmurHash3.
-func score(router, server uint64) uint64 {
-	h := router ^ server*0x9e3779b97f4a7c15
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		if !q.headerSent {
-			q.pinned, q.version = true, x.server.Version
+			q.pin(x.server.Version)
 			x.writeHeader(a, 0, false)
 		}
 		if err := x.writeEvent(control, event); err != nil {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
+	"github.com/windscale/windscale/internal/core/affinity"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/meter"
 	"github.com/windscale/windscale/internal/edge/pressure"
@@ -41,11 +42,21 @@
 	SetAttempt(h http.Header, attempt string)
 }
 
+// StreamDirectory remembers where streams began, so that they can be resumed at any router. It is
+// implemented by peers.Peers.
+type StreamDirectory interface {
+	// RecordStream is called before the first event of a stream is sent to its caller. It must not block.
+	RecordStream(k affinity.Key, o affinity.Origin, ttl time.Duration)
+	// FindStream returns where a stream began, or why that can't be found out.
+	FindStream(ctx context.Context, k affinity.Key) (affinity.Origin, *affinity.UnknownError)
+}
+
 // Config holds the dependencies and limits of a Handler.
 type Config struct {
 	State            *state.State
 	Pool             *upstream.Pool
 	Headers          Headers
+	Streams          StreamDirectory // nil: no caller can resume a stream
 	Log              *slog.Logger
 	LogSampling      int   // routine log lines are written for one request in this many
 	MaxBufferedBytes int64 // limit on the bytes of request bodies in memory
@@ -83,6 +94,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Streams == nil {
+		c.Streams = noStreams{}
+	}
 	if c.ExpectedWait == nil {
 		c.ExpectedWait = c.ProcessorWait
 	}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/core/affinity"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/edgetest"
@@ -34,6 +35,7 @@
 	state         *state.State
 	handler       *front.Handler
 	server        *httptest.Server
+	streams       *localStreams
 	log           *edgetest.LogBuffer
 	processorWait atomic.Int64 // in ns
 	attempts      int
@@ -42,11 +44,12 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	r := &rig{t: t, log: &edgetest.LogBuffer{}, state: state.New("dc", 0.2, 80, time.Now)}
+	r := &rig{t: t, log: &edgetest.LogBuffer{}, streams: &localStreams{table: affinity.New()}, state: state.New("dc", 0.2, 80, time.Now)}
 	r.handler = front.New(front.Config{
 		State:            r.state,
 		Pool:             upstream.NewPool(time.Now),
 		Headers:          platform.Headers{},
+		Streams:          r.streams,
 		Log:              slog.New(slog.NewJSONHandler(r.log, nil)),
 		LogSampling:      1,
 		MaxBufferedBytes: 8 << 20,
@@ -65,7 +68,12 @@
 
 // configure installs the routes of all tests: /s/ resumable streams, /o/ streams that can't be
 // resumed, /u/ unsafe requests, /r/ safe requests.
-func (r *rig) configure() {
+func (r *rig) configure() { r.configureFor(map[string]string{"k": "ana"}) }
+
+// configureResume is configure with a second customer.
+func (r *rig) configureResume() { r.configureFor(map[string]string{"k": "ana", "k2": "bea"}) }
+
+func (r *rig) configureFor(keys map[string]string) {
 	r.configVersion++
 	route := func(prefix, kind, service string, attempts int, resume bool) platformtest.Route {
 		return platformtest.Route{Prefix: prefix, Kind: kind, Service: service, MaxAttempts: attempts, Resumable: resume, Timeout: 2 * time.Second}
@@ -75,7 +83,7 @@
 		route("/o/", "streaming", "llm", 2, false),
 		route("/u/", "unsafe", "app", 2, false),
 		route("/r/", "safe", "app", 2, false),
-	}, []string{"llm"}, []string{"app"}, map[string]string{"k": "ana"})
+	}, []string{"llm"}, []string{"app"}, keys)
 	c, err := platform.DecodeConfig(text)
 	assert.NilError(r.t, err)
 	assert.Assert(r.t, r.state.ApplyConfig(c, text))
--- a/internal/edge/front/run.go
+++ b/internal/edge/front/run.go
@@ -57,6 +57,9 @@
 	}
 	defer q.endTrial()
 	f := q.checkContent()
+	if f == nil {
+		f = q.findOrigin(ctx)
+	}
 	for f == nil {
 		placement := q.place()
 		q.retryReserved = false
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -30,6 +30,7 @@
 	n.meter.Gauge("servers_leaving", "Backend servers that said in an answer that they are leaving.", func() float64 { return float64(n.state.LeavingCount()) })
 	n.meter.Gauge("servers_backoff", "Backend servers that asked for no requests for a time that is not over.", func() float64 { return float64(n.state.BackoffCount()) })
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
+	n.meter.Gauge("streams_known", "Streams of which this router remembers the software version that began them.", func() float64 { return float64(n.peers.StreamCount()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
 		_, age := n.state.Table()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/time/rate"
 
+	"github.com/windscale/windscale/internal/core/affinity"
 	"github.com/windscale/windscale/internal/core/rollout"
 	"github.com/windscale/windscale/internal/core/slowstart"
 	"github.com/windscale/windscale/internal/core/spread"
@@ -100,6 +101,7 @@
 		State:            n.state,
 		Pool:             n.pool,
 		Headers:          platform.Headers{},
+		Streams:          streamDirectory{n},
 		Log:              log,
 		Meter:            n.meter,
 		Now:              n.clock.Now,
@@ -344,3 +346,14 @@
 		n.peers.Add(false, addrs...)
 	}
 }
+
+// streamDirectory is the directory of streams of a node, whose peers are created after its handler.
+type streamDirectory struct{ node *Node }
+
+func (d streamDirectory) RecordStream(k affinity.Key, o affinity.Origin, ttl time.Duration) {
+	d.node.peers.RecordStream(k, o, ttl)
+}
+
+func (d streamDirectory) FindStream(ctx context.Context, k affinity.Key) (affinity.Origin, *affinity.UnknownError) {
+	return d.node.peers.FindStream(ctx, k)
+}
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -21,15 +21,16 @@
 type kind int
 
 const (
-	kindOwn    kind = iota // the sender's
-	kindSum                // that of the sender's data centre
-	kindTotal              // that of the fleet
-	kindUpdate             // none; the report contains changes of the sender's view
+	kindOwn     kind = iota // the sender's
+	kindSum                 // that of the sender's data centre
+	kindTotal               // that of the fleet
+	kindUpdate              // none; the report contains changes of the sender's view
+	kindStreams             // none; the heartbeat contains a streamMessage
 	kindCount
 )
 
 // String returns the name of the kind for metrics.
-func (k kind) String() string { return [...]string{"own", "sum", "total", "update"}[k] }
+func (k kind) String() string { return [...]string{"own", "sum", "total", "update", "streams"}[k] }
 
 // Loads are sent in multiples of these units (tokens), rates in multiples of rateUnit (tokens per
 // second). A value takes three bytes instead of five.
@@ -95,6 +96,8 @@
 	// that of other data centres, which a reporter sends to the other reporter.
 	Evidence       []wireSample `cbor:"35,keyasint,omitempty"`
 	RemoteEvidence []wireSample `cbor:"36,keyasint,omitempty"`
+
+	Streams *streamMessage `cbor:"37,keyasint,omitempty"`
 }
 
 // knownRouter is a router that the sender reports as live.
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -105,6 +105,7 @@
 	sumRounds         int       // number of sums of this data centre that were sent
 	pending           pending   // what a reporter has yet to relay
 	members           memberSync
+	streams           *streamDirectory // has a lock of its own
 	pushed            pushState
 	serving           viewServing
 	olderReleaseHeard time.Time     // when a router of an earlier release was last heard
@@ -144,6 +145,7 @@
 		reports:       map[string]receivedReport{},
 		pending:       newPending(),
 		members:       newMemberSync(),
+		streams:       newStreamDirectory(),
 		serving:       newViewServing(),
 		joined:        make(chan struct{}),
 	}
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -47,6 +47,10 @@
 
 // handleHeartbeat handles a heartbeat of a peer.
 func (p *Peers) handleHeartbeat(w heartbeat, now time.Time) {
+	if w.Streams != nil {
+		p.handleStreams(*w.Streams)
+		return
+	}
 	if w.ControlAddr == p.Self.Addr || w.ControlAddr == "" {
 		return
 	}
@@ -301,7 +305,7 @@
 		if !isMesh && !isReporter {
 			return useTotal
 		}
-	case kindUpdate, kindCount:
+	case kindUpdate, kindStreams, kindCount:
 	}
 	return useNone
 }
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -40,12 +40,14 @@
 	EvacuationSet       = Event{424, "data centre evacuated, nothing is sent to its servers"}
 	EvacuationTakenBack = Event{425, "evacuation of a data centre taken back"}
 
-	PeerFound      = Event{530, "router found"}
-	PeerLost       = Event{531, "router silent"}
-	PeerMalformed  = Event{532, "router's message malformed"}
-	PeerPullFailed = Event{533, "router gave no view"}
-	ViewFound      = Event{534, "first view from another router"}
-	HeartbeatCut   = Event{535, "entries left out of heartbeats"}
+	PeerFound         = Event{530, "router found"}
+	PeerLost          = Event{531, "router silent"}
+	PeerMalformed     = Event{532, "router's message malformed"}
+	PeerPullFailed    = Event{533, "router gave no view"}
+	ViewFound         = Event{534, "first view from another router"}
+	HeartbeatCut      = Event{535, "entries left out of heartbeats"}
+	StreamNotRecorded = Event{537, "stream not recorded, it can't be resumed at another router"}
+
 	RoutersFetched = Event{536, "list of routers fetched"}
 	StoreLost      = Event{720, "platform's store lost"}
 	StoreRegained  = Event{721, "platform's store back"}
