front, pick: callers that don't name the attempt resume their stream while the service has one version

A request that names its attempt gets no such assumption.

TestSoleVersionAgreesWithTheHistoryOfTheList compares with the list's whole history, ten streams of 400 changes. TestUnnamedAttemptIsResumedAtTheSoleVersion.

--- a/internal/core/pick/index.go
+++ b/internal/core/pick/index.go
@@ -95,7 +95,7 @@
 	}
 	for _, s := range p.servers {
 		if s.generation != p.generation {
-			p.unlist(s)
+			p.unlist(s, now)
 		}
 	}
 	for service, list := range p.services {
@@ -117,7 +117,7 @@
 	for _, id := range gone {
 		if s := p.servers[id]; s != nil {
 			p.unindex(s)
-			p.unlist(s)
+			p.unlist(s, now)
 		}
 	}
 	for _, entry := range changed {
@@ -152,11 +152,6 @@
 	}
 }
 
-// serviceVersion identifies the servers of a service that run one software version.
-type serviceVersion struct{ service, version string }
-
-func (s *server) serviceVersion() serviceVersion { return serviceVersion{s.Service, s.Version} }
-
 // newVersionPrefix begins the name of the list of servers that run the version to which the
 // traffic of their service is being moved.
 const newVersionPrefix = "new "
@@ -185,6 +180,9 @@
 // too.
 func (p *Picker) update(entry routing.Server, now time.Time) *server {
 	s := p.servers[entry.ID]
+	if s != nil && !s.unlisted {
+		p.listedVersions.remove(s.serviceVersion(), now)
+	}
 	if s != nil && s.Identity() != entry.Identity() {
 		s.accepts = false
 		p.forgetServer(s) // requests that are still running end without being counted
@@ -205,6 +203,7 @@
 		s.readySince = now
 	}
 	s.unlisted = false
+	p.listedVersions.add(s.serviceVersion())
 	group := p.rollouts.Group(entry.Service, entry.Version)
 	s.listName = listName(entry.Service, group == rollout.GroupCanary)
 	s.accepts = entry.AcceptsRequests() && !p.evacuated[entry.DataCentre] && !p.isLeaving(entry.Identity()) && group != rollout.GroupExcluded
@@ -216,7 +215,10 @@
 
 // unlist marks the server as no longer listed. It is removed once no requests of this router run
 // there.
-func (p *Picker) unlist(s *server) {
+func (p *Picker) unlist(s *server, now time.Time) {
+	if !s.unlisted {
+		p.listedVersions.remove(s.serviceVersion(), now)
+	}
 	s.accepts = false
 	s.unlisted = true
 	if s.ownLoad.Running == 0 {
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -175,9 +175,10 @@
 	services           map[string][]*server          // by list name, servers that accept requests, sorted by hash
 	nearby             map[string][]*server          // the same for this data centre only
 	versions           map[serviceVersion][]*server  // servers that accept requests, sorted by hash
-	apertures          map[string][]*server          // by list name, the plain servers that this router prefers
-	seed               uint64                        // selects the apertures of this router
-	generation         uint32                        // number of calls of SetServers
+	listedVersions     versionHistory
+	apertures          map[string][]*server // by list name, the plain servers that this router prefers
+	seed               uint64               // selects the apertures of this router
+	generation         uint32               // number of calls of SetServers
 	specs              map[string]*routing.Service
 	peerLoads          map[string]peerLoad
 	peerSumsStale      bool               // a load report has arrived since the sums were computed
@@ -235,6 +236,7 @@
 		services:           map[string][]*server{},
 		nearby:             map[string][]*server{},
 		versions:           map[serviceVersion][]*server{},
+		listedVersions:     newVersionHistory(),
 		apertures:          map[string][]*server{},
 		seed:               rng.Uint64(),
 		specs:              map[string]*routing.Service{},
@@ -307,6 +309,7 @@
 	if now.Sub(p.lastExpiry) > expiryInterval {
 		p.lastExpiry = now
 		p.expireParts(now)
+		p.listedVersions.expire(now)
 		p.forgetNotices(now)
 	}
 }
--- a/internal/core/pick/version_test.go
+++ b/internal/core/pick/version_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/core/affinity"
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
@@ -71,3 +73,60 @@
 	}
 	assert.Equal(t, len(p.versions), 2, "one list for each service")
 }
+
+// The sole version is reported exactly if one version is listed and none other was within the longest
+// lifetime of a stream, compared with a history of the whole list.
+func TestSoleVersionAgreesWithTheHistoryOfTheList(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		p := newSeededPicker(0, seed)
+		list := map[string]routing.Server{}
+		goneAt := map[string]time.Time{}
+		now := start
+		known := 0
+		for step := range 400 {
+			now = now.Add(time.Duration(rng.IntN(16)) * time.Second)
+			s := versionServers(4, "v1")[rng.IntN(4)]
+			s.Version = fmt.Sprintf("v%d", 1+rng.IntN(1+rng.IntN(2)*rng.IntN(2)))
+			s.Born = int64(step)
+			before := versionsOf(list)
+			switch rng.IntN(4) {
+			case 0:
+				p.ChangeServers(nil, []string{s.ID}, now)
+				delete(list, s.ID)
+			case 1:
+				list = map[string]routing.Server{s.ID: s}
+				p.SetServers([]routing.Server{s}, now)
+			default:
+				list[s.ID] = s
+				p.ChangeServers([]routing.Server{s}, nil, now)
+			}
+			p.Tick(now)
+			after := versionsOf(list)
+			for v := range before {
+				if !after[v] {
+					goneAt[v] = now
+				}
+			}
+			want := len(after) == 1
+			for v, at := range goneAt {
+				want = want && (after[v] || now.Sub(at) >= affinity.MaxTTL)
+			}
+			version, ok := p.SoleVersion("llm", now)
+			assert.Equal(t, ok, want, "seed %d step %d: %v, %v", seed, step, after, goneAt)
+			if ok {
+				known++
+				assert.Assert(t, after[version])
+			}
+		}
+		assert.Assert(t, known > 0, "seed %d", seed)
+	}
+}
+
+func versionsOf(list map[string]routing.Server) map[string]bool {
+	versions := map[string]bool{}
+	for _, s := range list {
+		versions[s.Version] = true
+	}
+	return versions
+}
--- a/internal/edge/front/resume.go
+++ b/internal/edge/front/resume.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if q.meta.Resumes == "" {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: its first attempt is not named", RetryAfter: unknownStreamRetryAfter}
+		return q.assumeSoleVersion()
 	}
 	origin, unknown := q.h.Streams.FindStream(ctx, q.streamKey(q.meta.Resumes))
 	if unknown != nil {
@@ -63,6 +63,18 @@
 	return nil
 }
 
+// assumeSoleVersion pins a request that resumes a stream without naming the attempt that began it, as
+// callers of the earlier protocol do, to the version of all servers of its service. It is refused if
+// they run several.
+func (q *request) assumeSoleVersion() *Refusal {
+	version, ok := q.h.State.SoleVersion(q.service)
+	if !ok {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: its first attempt is not named", RetryAfter: unknownStreamRetryAfter}
+	}
+	q.pinned, q.version = true, version
+	return nil
+}
+
 // pin restricts the rest of the stream to servers of the version, and records its origin. It is called
 // before the first event is sent to the caller, who may come back to any router from then on.
 func (q *request) pin(version string) {
