soak: engines of two software versions, and callers that resume their streams at other routers

Checked from what the servers ran: what continues a stream runs at the version that wrote its first event; and from what callers got: resumed streams go on at routers that were undisturbed for 3 s while two servers of the version serve.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -32,6 +31,12 @@
 	router        *router
 	status        int
 	promised      bool // the answer said that it has not run
+
+	resumes   string // the attempt whose stream it resumes; empty: none
+	after     int    // the last event that the caller had before
+	lastEvent int    // the last event that the caller has
+	whole     bool   // the caller has the whole answer
+	eligible  bool   // if it is refused, that counts
 }
 
 // callers send requests and check what they see.
@@ -71,18 +76,19 @@
 // caller keeps a connection to each router until the router ends it.
 func (c *callers) caller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(c.seed, uint64(n)+100))
+	resumeRNG := rand.New(rand.NewPCG(c.seed, uint64(n)+10000))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		r := c.fleet.routers[rng.IntN(len(c.fleet.routers))]
-		c.one(ctx, client, r, rng)
+		c.one(ctx, client, r, rng, resumeRNG)
 		time.Sleep(callerPause)
 	}
 }
 
 // draw makes a request.
 func (c *callers) draw(rng *rand.Rand) *sent {
-	s := &sent{id: fmt.Sprintf("%x-%d", c.seed, c.ids.Add(1))}
+	s := &sent{}
 	for key := range keys {
 		s.key = key
 		if rng.IntN(2) == 0 {
@@ -100,37 +106,62 @@
 		s.path = "/r/x"
 	}
 	s.body = strings.Repeat("b", rng.IntN(30000))
+	return c.add(s)
+}
+
+// add gives an attempt its ID.
+func (c *callers) add(s *sent) *sent {
+	s.id = fmt.Sprintf("%x-%d", c.seed, c.ids.Add(1))
 	c.mu.Lock()
 	c.sent[s.id] = s
 	c.mu.Unlock()
 	return s
 }
 
-// one sends one request and checks its answer.
-func (c *callers) one(ctx context.Context, client *http.Client, r *router, rng *rand.Rand) {
+// one sends one request and checks its answer. A stream that may be resumed and breaks off, or that
+// the caller drops, is resumed.
+func (c *callers) one(ctx context.Context, client *http.Client, r *router, rng, resumeRNG *rand.Rand) {
 	s := c.draw(rng)
 	method := http.MethodPost
 	if s.path == "/r/x" {
 		method, s.body = http.MethodGet, ""
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*routeTimeout)
+	requestCtx, cancel := context.WithTimeout(ctx, 2*routeTimeout)
 	defer cancel()
-	if rng.IntN(30) == 0 { // a caller that leaves
+	leaves := rng.IntN(30) == 0
+	if leaves {
 		time.AfterFunc(time.Duration(rng.IntN(40))*time.Millisecond, cancel)
 	}
+	prompt := ""
+	if s.path[1] == 's' || s.path[1] == 'o' {
+		prompt = fmt.Sprintf("p:200,s%d:3000,o%s:500", rng.IntN(20), s.id)
+	}
+	forges := rng.IntN(10) == 0 // a caller that says what is not for it to say
+	limit := 0
+	if s.path == "/s/x" && resumeRNG.IntN(dropOneIn) == 0 {
+		limit = 1 + resumeRNG.IntN(events-1)
+	}
+	c.exchange(requestCtx, client, r, s, method, prompt, limit, func(h http.Header) {
+		if forges {
+			platformtest.SetForgedHeaders(h)
+		}
+	})
+	if s.path == "/s/x" && !leaves {
+		c.resume(ctx, client, s, prompt, resumeRNG)
+	}
+}
+
+// exchange makes one attempt and checks its answer. It reads the limit of events at most, 0: all.
+func (c *callers) exchange(ctx context.Context, client *http.Client, r *router, s *sent, method, prompt string, limit int, setHeaders func(http.Header)) {
+	ctx, cancel := context.WithTimeout(ctx, 2*routeTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.fleet.callers(r)+s.path, strings.NewReader(s.body))
 	if err != nil {
 		panic(err) // fixed text
 	}
 	req.Host = platformtest.Host
-	prompt := ""
-	if s.path[1] == 's' || s.path[1] == 'o' {
-		prompt = fmt.Sprintf("p:200,s%d:3000,o%s:500", rng.IntN(20), s.id)
-	}
 	platformtest.SetRequestHeaders(req.Header, s.id, s.key, routeTimeout, prompt)
-	if rng.IntN(10) == 0 { // a caller that says what is not for it to say
-		platformtest.SetForgedHeaders(req.Header)
-	}
+	setHeaders(req.Header)
 	c.all.Add(1)
 	begin := time.Now()
 	c.mu.Lock()
@@ -141,10 +172,10 @@
 		c.late(s, r, begin)
 		return
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := readStream(resp.Body, limit)
 	_ = resp.Body.Close()
 	c.late(s, r, begin)
-	c.check(s, r, resp, string(body), err)
+	c.check(s, r, resp, body, err)
 }
 
 // late checks that a request had its final answer in time, unless its router
@@ -200,9 +231,11 @@
 // checkStream checks that what came is the stream's beginning, or all of it.
 func (c *callers) checkStream(s *sent, r *router, body string, err error) {
 	var whole strings.Builder
-	for n := 1; n <= events; n++ {
+	for n := s.after + 1; n <= events; n++ {
 		whole.WriteString(platformtest.Event(s.id, n))
 	}
+	s.lastEvent = s.after + strings.Count(body, eventEnd)
+	s.whole = err == nil
 	switch {
 	case err == nil && body == whole.String():
 		c.ok.Add(1)
--- a/soak/check.go
+++ b/soak/check.go
@@ -95,24 +95,24 @@
 
 // checkRuns compares what the servers ran with what the callers sent and saw.
 func (f *fleet) checkRuns(c *callers) (arrivals int) {
-	count := map[string]int{}
+	runs := map[string]int{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range f.servers {
-		runs := s.Runs()
-		f.checkCold(s, runs)
+		ofServer := s.Runs()
+		f.checkCold(s, ofServer)
 		f.checkNotices(c, s)
-		for _, run := range runs {
+		for _, run := range ofServer {
 			f.checkEvacuated(s, run)
 			sent := c.sent[run.Attempt]
 			if sent == nil {
 				continue // asks of the checks themselves
 			}
-			count[run.Attempt]++
+			runs[run.Attempt]++
 			f.checkRun(s, run, sent)
 		}
 	}
-	for id, n := range count {
+	for id, n := range runs {
 		s := c.sent[id]
 		arrivals += n - 1
 		if s.once && n > 1 {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -155,6 +155,9 @@
 		return nil, err
 	}
 	s.ListedAddr = p.addr()
+	if service == "llm" {
+		s.Version = fmt.Sprintf("v%d", 1+f.born/centres%2) // both versions in each data centre
+	}
 	s.CrashOn = isGuilty
 	out := &server{Server: s, proxy: p}
 	s.OnCrash = func() { f.ended(out) }
--- a/soak/main.go
+++ b/soak/main.go
@@ -163,9 +163,10 @@
 	cancel()
 	<-done
 	again := f.checkRuns(c)
+	resumed, goneOn := c.checkVersions()
 	if budget := 0.2*float64(c.all.Load()) + retrySlack; float64(again) > budget {
 		v.report(withinBudget, "%d sent again, %.0f allowed", again, budget)
 	}
-	return v.all(), fmt.Sprintf("%d faults, %d requests, %d succeeded, %d sent again, %d promises broken",
-		len(list), c.all.Load(), c.ok.Load(), again, len(v.all()))
+	return v.all(), fmt.Sprintf("%d faults, %d requests, %d succeeded, %d sent again, %d of %d resumed streams went on, %d promises broken",
+		len(list), c.all.Load(), c.ok.Load(), again, goneOn, resumed, len(v.all()))
 }
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -13,6 +13,8 @@
 const (
 	ownWholeAnswer promise = "a success is the caller's own whole answer"
 	wholeStream    promise = "a stream skips and doubles no event, and ends whole or visibly cut"
+	oneVersion     promise = "a stream holds events of one software version"
+	resumesGoOn    promise = "a stream that its caller resumes goes on while two servers of its version serve"
 	notTwice       promise = "a request that must not run twice runs at most once"
 	trueNotRun     promise = "a refusal that says not run is true"
 	rightCustomer  promise = "a server is told the customer that holds the key, and never the key"
