front: the lines of failed attempts name the parts of the prompt, those of answers how their end was marked

No line told which part the requests under which servers crash have in common, nor what the sound requests beside them share; nor whether an answer that counts as complete had neither a length nor chunks.

--- a/internal/core/routing/request.go
+++ b/internal/core/routing/request.go
@@ -1,6 +1,11 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // PromptPart is one part of a prompt, in prompt order. Requests may share leading parts; the last
 // part belongs to the request or its session.
@@ -24,6 +29,26 @@
 	Resumes string
 }
 
+// maxSharedParts bounds the parts of a prompt that are considered. A header of the usual maximum length
+// holds fewer.
+const maxSharedParts = 512
+
+// SharedParts returns the hashes of the parts of a prompt that other requests may have too, each one
+// once. The last part belongs to the request or its session and is not one of them.
+func SharedParts(prompt []PromptPart) []ContentHash {
+	if len(prompt) < 2 {
+		return nil
+	}
+	shared := prompt[:min(len(prompt)-1, maxSharedParts)]
+	hashes := make([]ContentHash, 0, len(shared))
+	for _, part := range shared {
+		if h := ContentHash(xxhash.Sum64String(part.ID)); !slices.Contains(hashes, h) {
+			hashes = append(hashes, h)
+		}
+	}
+	return hashes
+}
+
 // PromptSize returns the size of a prompt, summed over its parts.
 func PromptSize(prompt []PromptPart) int {
 	total := 0
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -78,7 +78,7 @@
 	}
 	a.Finish()
 	x.finish(outcomeForStatus(a.Status), "status "+strconv.Itoa(a.Status))
-	x.recordAnswered(a.Status, len(body))
+	x.recordAnswered(a, len(body))
 	return resultAnswered
 }
 
@@ -207,7 +207,7 @@
 	a.Finish()
 	x.placement.Events = count
 	x.finish(pick.Succeeded, "")
-	x.recordAnswered(a.Status, count)
+	x.recordAnswered(a, count)
 	return resultAnswered
 }
 
@@ -239,11 +239,12 @@
 }
 
 // recordAnswered counts and logs a request that a server answered.
-func (x *exchange) recordAnswered(status, size int) {
+func (x *exchange) recordAnswered(a *upstream.Response, size int) {
+	status := a.Status
 	q := x.q
 	x.recordSuccess(status)
 	q.h.Meter.Answered(q.service, status, q.age())
 	if q.logRoutine || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
-		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "tries", len(q.triedServers))
+		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "closeDelimited", a.CloseDelimited, "tries", len(q.triedServers))
 	}
 }
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -111,10 +111,19 @@
 	if !x.firstEventAt.IsZero() {
 		runMs = x.q.h.Now().Sub(x.firstEventAt).Milliseconds()
 	}
-	attrs := []any{"server", x.server.ID, "version", x.server.Version, "content", x.q.hashContent().String(), "runMs", runMs, "late", x.timedOut.isSet()}
+	attrs := []any{"server", x.server.ID, "version", x.server.Version, "content", x.q.hashContent().String(), "parts", hashNames(x.q.sharedParts()), "runMs", runMs, "late", x.timedOut.isSet()}
 	x.q.log(slog.LevelInfo, events.EdgeFailed, append(attrs, args...)...)
 }
 
+// hashNames returns the hashes as they appear in other log lines.
+func hashNames(hashes []routing.ContentHash) []string {
+	names := make([]string, len(hashes))
+	for i, h := range hashes {
+		names[i] = h.String()
+	}
+	return names
+}
+
 // requestOver reports whether the request itself has ended because its caller disconnected or its
 // deadline passed. Neither counts as a failure of the server.
 func (x *exchange) requestOver() attemptResult {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -151,6 +151,7 @@
 	logRoutine     bool                // routine log lines are written
 	preAdmitted    bool                // the listener has already admitted the request
 	contentHash    routing.ContentHash // 0: not computed yet
+	partHashes     []routing.ContentHash
 
 	triedServers  []string
 	sentCount     int  // number of servers that the request may have reached
@@ -211,6 +212,15 @@
 	return q.contentHash
 }
 
+// sharedParts returns the hashes of the parts of the prompt that other requests may have too. They are
+// computed on first use, like hashContent.
+func (q *request) sharedParts() []routing.ContentHash {
+	if q.partHashes == nil {
+		q.partHashes = routing.SharedParts(q.meta.Prompt)
+	}
+	return q.partHashes
+}
+
 // age returns the time since the request was received.
 func (q *request) age() time.Duration { return q.h.Now().Sub(q.received) }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -48,7 +48,10 @@
 	Header http.Header // end-to-end headers
 	Length int64       // -1: unknown
 	Reused bool        // the connection had carried an exchange before
-	Body   io.Reader   // returns io.EOF only at the end of the response
+	// CloseDelimited means that only the end of the connection marks the end of the response. The
+	// crash of its server looks the same.
+	CloseDelimited bool
+	Body           io.Reader // returns io.EOF only at the end of the response
 
 	exchange *exchange
 	resp     *http.Response
@@ -96,13 +99,15 @@
 		return nil, failure
 	}
 	return &Response{
-		Status:   resp.StatusCode,
-		Header:   resp.Header,
-		Length:   resp.ContentLength,
-		Reused:   reused,
-		Body:     resp.Body,
-		exchange: e,
-		resp:     resp,
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Length: resp.ContentLength,
+		Reused: reused,
+
+		CloseDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Body:           resp.Body,
+		exchange:       e,
+		resp:           resp,
 	}, nil
 }
 
