--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -163,12 +163,17 @@
 // send sends one request as an attempt of its own, whose ID begins with attemptPrefix, and
 // returns the status of the answer; 0 if there is none.
 func (m *member) send(path, attemptPrefix, body string) int {
+	id := m.fleet.attemptCount.Add(1)
+	prompt := fmt.Sprintf("aa%d:600,bb:100", id%max(m.fleet.promptPrefixes, 1))
+	return m.sendRequest(path, fmt.Sprintf("%s-%d", attemptPrefix, id), body, prompt)
+}
+
+// sendRequest sends one request and returns the status of the answer; 0 if there is none.
+func (m *member) sendRequest(path, attempt, body, prompt string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+m.addr(0)+path, strings.NewReader(body))
 	assert.NilError(m.fleet.t, err)
 	req.Host = platformtest.Host
-	id := m.fleet.attemptCount.Add(1)
-	prompt := fmt.Sprintf("aa%d:600,bb:100", id%max(m.fleet.promptPrefixes, 1))
-	platformtest.SetRequestHeaders(req.Header, fmt.Sprintf("%s-%d", attemptPrefix, id), "k", 5*time.Second, prompt)
+	platformtest.SetRequestHeaders(req.Header, attempt, "k", 5*time.Second, prompt)
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
