poison: a part of prompts under which servers crash is blocked at all routers

A second table counts crashes by each part of a prompt but the last, with the reports, the store and the trials that contents have. A crash counts against a part only where the answer had just begun (250 ms after its first event at most): most requests that lose their server by chance are in the middle of theirs. A complete response clears all its parts. Three crashes at which no other suspect was, or five at which none with more crashes was, block a part for ten minutes, once so many other requests were answered meanwhile that chance is below 0.001: if all servers fail, the part that a whole route shares is at every crash. A block that one router reports holds at all; a router that starts gets it with its first view, one that hears too few others reads the store every 1.5 s. Earlier releases neither send nor read any of it: new fields, a new table, an extended view on request.

Ruled out: parts in the table of contents (each copy's own content explains its crashes), a block of the request's other parts or customer, holding parts back while in doubt (a whole route waits), a part that was answered once as free for ever.

--- a/internal/core/poison/classify.go
+++ b/internal/core/poison/classify.go
@@ -61,6 +61,10 @@
 	t.classesStale = false
 	for i, r := range t.blockable() {
 		r.class = ambiguous
+		if t.kind == Parts && i < maxCompared {
+			t.classifyPart(r)
+			continue
+		}
 		if i < maxCompared && len(t.withoutOtherSuspects(r, r.counted)) >= CrashesToBlock {
 			r.class = poisonous
 			r.conclusive = len(t.withoutOtherSuspects(r, r.confirmed)) >= CrashesToBlock
@@ -74,7 +78,7 @@
 	for c, r := range t.suspects {
 		r.class = belowThreshold
 		r.confirmed = t.confirmedCrashes(r)
-		if len(r.counted) >= CrashesToBlock {
+		if len(r.counted) >= CrashesToBlock || r.reportedBlocked {
 			contents = append(contents, c)
 		}
 	}
@@ -90,9 +94,14 @@
 
 // withoutOtherSuspects returns those of the given crashes at which no other suspect was running.
 func (t *Table) withoutOtherSuspects(r *record, crashes []Crash) []Crash {
+	return t.withoutSuspects(crashes, func(other *record) bool { return other != r })
+}
+
+// withoutSuspects returns those of the given crashes at which none of the matching suspects was running.
+func (t *Table) withoutSuspects(crashes []Crash, matches func(*record) bool) []Crash {
 	left := slices.Clone(crashes)
 	for _, other := range t.suspects {
-		if other == r {
+		if !matches(other) {
 			continue
 		}
 		if left = slices.DeleteFunc(left, other.presentAt); len(left) == 0 {
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -8,6 +8,9 @@
 // at those servers (Blocked). Otherwise it is delayed for seconds and then tried on its own (Admit):
 // a response clears it, and a further crash distinguishes it from the contents that ran beside it.
 //
+// Requests that are never alike may share a part of their prompts that crashes servers. A second table
+// holds such parts (NewParts), by the same records and reports: see parts.go.
+//
 // The package performs no I/O; time is passed in as an argument. Merging is commutative and
 // idempotent.
 package poison
@@ -52,7 +55,7 @@
 	// maxContents bounds the number of contents in the table: 100 engines that crash with 40
 	// requests each. A record takes about 300 bytes.
 	maxContents = 4096
-	// maxCrashesPerContent bounds the crashes kept for one content; the newest are kept.
+	// maxCrashesPerContent bounds the crashes kept for one content.
 	maxCrashesPerContent = 8
 	// maxReportDelay is how long after a crash reports from other routers may still show that
 	// another content is a suspect and explains the crash. Until then no caller is told to wait for
@@ -73,6 +76,8 @@
 	LastAnswered time.Time
 	// Accepted reports whether the server had accepted a new connection for the request and read it.
 	Accepted bool
+	// Answering is how long the server had been sending events of the response; 0 if it had sent none.
+	Answering time.Duration
 }
 
 // Change describes the effect of one crash.
@@ -100,16 +105,20 @@
 	counted      []Crash
 	confirmed    []Crash
 	class        class
-	conclusive   bool      // the class is based on confirmed crashes alone
-	trialRunning bool      // a trial request is running at this router
-	sawCrash     bool      // this router itself observed one of the crashes
-	wasBlocked   bool      // the content was blocked at the last update
-	stored       bool      // the store has this record
-	storeAt      time.Time // when this router writes the record to the store
+	conclusive   bool // the class is based on confirmed crashes alone
+	trialRunning bool // a trial request is running at this router
+	sawCrash     bool // this router itself observed one of the crashes
+	wasBlocked   bool // the content was blocked at the last update
+	stored       bool // the store has this record
+	// corroborated means that servers answered other requests while they crashed under this key. It is
+	// required of parts only. reportedBlocked means that another router has blocked the part.
+	corroborated, reportedBlocked bool
+	storeAt                       time.Time // when this router writes the record to the store
 }
 
 // Table is one router's view of crash-related contents. It is not safe for concurrent use.
 type Table struct {
+	kind           Kind
 	records        map[routing.ContentHash]*record
 	insertionOrder []routing.ContentHash // keys of records, oldest first
 	// suspects holds the contents with at least crashesToSuspect crashes. If classesStale is set,
@@ -120,6 +129,9 @@
 	crashedAt map[routing.ServerKey]time.Time
 	dirty     map[routing.ContentHash]bool // records to report to other routers
 	unblocked map[routing.ContentHash]bool // contents to remove from the store
+	// answered and broken hold when the last requests of this router got a complete response, and when
+	// the last ones lost their server.
+	answered, broken recentTimes
 }
 
 // New returns an empty table.
@@ -139,6 +151,9 @@
 
 // Crashed records that a server crashed while running one of this router's own requests.
 func (t *Table) Crashed(c routing.ContentHash, crash Crash) Change {
+	if t.kind == Parts && crash.Answering > beginOfAnswer {
+		return Change{}
+	}
 	crash.Server = t.startKey(crash)
 	r := t.recordFor(c)
 	if !t.addCrash(r, crash) {
@@ -190,8 +205,14 @@
 		}
 		return Admission{Wait: wait, Ambiguous: r.class == ambiguous}
 	}
+	return r.admitTrial(rank(c), now)
+}
+
+// admitTrial decides whether a request may be sent as a trial after a block has ended. The router of
+// the given rank waits until the trials of those before it are known.
+func (r *record) admitTrial(rank int, now time.Time) Admission {
 	step := trialInterval + r.longestRun()
-	if turn := r.blockedUntil().Add(time.Duration(rank(c)) * step); r.trialRunning || now.Before(turn) {
+	if turn := r.blockedUntil().Add(time.Duration(rank) * step); r.trialRunning || now.Before(turn) {
 		return Admission{Wait: step, Ambiguous: true}
 	}
 	r.trialRunning = true
@@ -210,7 +231,7 @@
 	n := 0
 	t.classify()
 	for _, r := range t.suspects {
-		if now.Before(r.blockedUntil()) {
+		if t.kind == Parts && t.isBlocked(r, now) || t.kind == Contents && now.Before(r.blockedUntil()) {
 			n++
 		}
 	}
@@ -240,8 +261,11 @@
 // crashesChanged updates the derived state of a content after a new crash or complete response.
 func (t *Table) crashesChanged(c routing.ContentHash, r *record) {
 	r.counted = r.countedCrashes()
+	if len(r.counted) == 0 {
+		r.corroborated, r.reportedBlocked = false, false
+	}
 	_, wasSuspect := t.suspects[c]
-	isSuspect := len(r.counted) >= crashesToSuspect
+	isSuspect := len(r.counted) >= crashesToSuspect || r.reportedBlocked
 	if isSuspect {
 		t.suspects[c] = r
 	}
@@ -261,7 +285,11 @@
 func (t *Table) updateBlocked(now time.Time) (blocked []routing.ContentHash) {
 	t.classify()
 	for c, r := range t.suspects {
-		switch isBlocked := r.blocked(now); {
+		if t.kind == Parts && r.class == poisonous && !r.corroborated && t.corroborates(r) {
+			r.corroborated = true
+			t.dirty[c] = true
+		}
+		switch isBlocked := t.isBlocked(r, now); {
 		case isBlocked && !r.wasBlocked:
 			r.wasBlocked = true
 			r.storeAt = now
@@ -274,6 +302,11 @@
 	return blocked
 }
 
+// isBlocked reports whether requests with the key of the record are blocked.
+func (t *Table) isBlocked(r *record, now time.Time) bool {
+	return r.blocked(now) && (t.kind != Parts || r.corroborated)
+}
+
 // unblock records that a content is no longer blocked and schedules its removal from the store.
 func (t *Table) unblock(c routing.ContentHash, r *record) {
 	r.wasBlocked = false
@@ -329,12 +362,20 @@
 	}
 	at, _ := slices.BinarySearchFunc(r.crashes, crash, func(a, b Crash) int { return a.At.Compare(b.At) })
 	r.crashes = slices.Insert(r.crashes, at, crash)
-	if len(r.crashes) > maxCrashesPerContent {
+	if len(r.crashes) > t.maxCrashes() {
 		r.crashes = r.crashes[1:]
 	}
 	return true
 }
 
+// maxCrashes returns how many crashes are kept for one key; the newest are kept.
+func (t *Table) maxCrashes() int {
+	if t.kind == Parts {
+		return maxCrashesPerPart
+	}
+	return maxCrashesPerContent
+}
+
 // lastCrash returns the time of the latest crash, or the zero time if there is none.
 func (r *record) lastCrash() time.Time {
 	if len(r.crashes) == 0 {
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,12 +25,19 @@
 	storeWriteDelay = 2 * time.Second
 )
 
+// maxPartUpdates bounds the parts in one report of updates. Each crash changes the records of all parts
+// that the server's requests have.
+const maxPartUpdates = 48
+
 // Record is the state of one content as exchanged between routers.
 type Record struct {
 	Content      routing.ContentHash
 	Crashes      []CrashAge
 	SucceededAge time.Duration // time since the last complete response; 0 if there was none
 	Stored       bool          // the store has this record
+	// Blocked means that the sender has blocked the part, not only by unconfirmed crashes. It is not set
+	// for contents, which each router classifies by the crashes alone.
+	Blocked bool
 }
 
 // CrashAge is a crash with relative instead of absolute times.
@@ -41,7 +49,7 @@
 
 // toRecord returns the exchangeable form of the record.
 func (r *record) toRecord(c routing.ContentHash, now time.Time) Record {
-	out := Record{Content: c, Stored: r.stored}
+	out := Record{Content: c, Stored: r.stored, Blocked: r.corroborated && r.conclusive}
 	if !r.succeededAt.IsZero() {
 		out.SucceededAge = max(now.Sub(r.succeededAt), 1)
 	}
@@ -93,16 +101,26 @@
 		}
 	}
 	r.stored = r.stored || reported.Stored
+	if reported.Blocked {
+		r.corroborated, r.reportedBlocked = true, true
+	}
 }
 
 // TakeUpdates returns the records that have not been reported to other routers yet and marks them as
 // reported.
 func (t *Table) TakeUpdates(now time.Time) []Record {
+	keys := slices.Collect(maps.Keys(t.dirty))
+	if t.kind == Parts && len(keys) > maxPartUpdates {
+		slices.SortFunc(keys, func(a, b routing.ContentHash) int {
+			return cmp.Or(cmp.Compare(len(t.records[b].counted), len(t.records[a].counted)), cmp.Compare(a, b))
+		})
+		keys = keys[:maxPartUpdates]
+	}
 	var list []Record
-	for c := range t.dirty {
+	for _, c := range keys {
 		list = append(list, t.records[c].toRecord(c, now))
+		delete(t.dirty, c)
 	}
-	clear(t.dirty)
 	return list
 }
 
@@ -111,7 +129,7 @@
 func (t *Table) RecordsToRepeat(limit int, now time.Time) []Record {
 	var list []Record
 	for c, r := range t.records {
-		if len(r.crashes) < crashesToRepeat || !now.Before(r.blockedUntil()) && now.Sub(r.lastCrash()) > repeatDuration {
+		if len(r.crashes) < crashesToRepeat || t.kind == Parts && len(r.counted) < crashesToRepeat || !now.Before(r.blockedUntil()) && now.Sub(r.lastCrash()) > repeatDuration {
 			continue
 		}
 		list = append(list, r.toRecord(c, now))
--- a/internal/edge/follow/crashes_test.go
+++ b/internal/edge/follow/crashes_test.go
@@ -30,7 +30,7 @@
 	assert.Assert(t, !f.state.HasReadCrashes())
 	record := poison.Record{Content: 7, Crashes: []poison.CrashAge{{Server: 1, Age: 2 * time.Second}, {Server: 2, Age: time.Second}, {Server: 3}}}
 	f.store.SetFault(nil)
-	_, _, err := f.client.WriteBlocked(context.Background(), []poison.Record{record}, nil)
+	_, _, err := f.client.WriteBlocked(context.Background(), poison.Contents, []poison.Record{record}, nil)
 	assert.NilError(t, err)
 	edgetest.Until(t, "the content is blocked", func() bool { return f.state.AdmitContent(7).Wait > 0 })
 }
--- a/internal/edge/follow/follow.go
+++ b/internal/edge/follow/follow.go
@@ -50,10 +50,10 @@
 	FollowConfig(ctx context.Context, after roster.Stamp, wait time.Duration) (platform.Change, error)
 	ReadServers(ctx context.Context) (platform.Change, error)
 	FollowServers(ctx context.Context, after roster.Stamp, wait time.Duration) (platform.Change, error)
-	ReadBlocked(ctx context.Context) ([]poison.Record, []platform.MalformedRow, error)
+	ReadBlocked(ctx context.Context, kind poison.Kind) ([]poison.Record, []platform.MalformedRow, error)
 	ReadRollout(ctx context.Context, service string) (platform.StoredRollout, error)
 	WriteRollout(ctx context.Context, r rollout.Record, ver uint64) (uint64, error)
-	WriteBlocked(ctx context.Context, write []poison.Record, remove []routing.ContentHash) ([]poison.Record, []routing.ContentHash, error)
+	WriteBlocked(ctx context.Context, kind poison.Kind, write []poison.Record, remove []routing.ContentHash) ([]poison.Record, []routing.ContentHash, error)
 }
 
 // Follower follows the store.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -154,12 +154,13 @@
 	partHashes     []routing.ContentHash
 
 	triedServers  []string
-	sentCount     int  // number of servers that the request may have reached
-	mayHaveRun    bool // a server may have run it
-	retryReserved bool // the next retry has already been taken from the retry budget
-	isTrial       bool // it is the only request with its content that may run, as a trial
-	isolate       bool // it must not share a server with requests that share its prompt
-	headerSent    bool // the response header has been sent to the caller
+	sentCount     int                   // number of servers that the request may have reached
+	mayHaveRun    bool                  // a server may have run it
+	retryReserved bool                  // the next retry has already been taken from the retry budget
+	isTrial       bool                  // it is the only request with its content that may run, as a trial
+	trialParts    []routing.ContentHash // parts of which it is the only request that may run, as a trial
+	isolate       bool                  // it must not share a server with requests that share its prompt
+	headerSent    bool                  // the response header has been sent to the caller
 	lastEventID   string
 	// pinned means that a server of the software version has begun the stream, which may go on at
 	// servers of that version only.
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/edge/peers"
 )
 
@@ -18,7 +19,8 @@
 		}
 		return 0
 	})
-	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount()) })
+	n.meter.Gauge("contents_blocked", "Contents that are sent to no server, since servers end under them.", func() float64 { return float64(n.state.BlockedCount(poison.Contents)) })
+	n.meter.Gauge("parts_blocked", "Parts of prompts that are sent to no server, since servers crash under them.", func() float64 { return float64(n.state.BlockedCount(poison.Parts)) })
 	n.meter.Gauge("store_era", "How often the platform's store has come back from a copy, as far as it says.", func() float64 { return float64(n.state.Era()) })
 	n.meter.Gauge("data_centres_evacuated", "Data centres to whose servers nothing is sent.", func() float64 { return float64(n.state.EvacuatedCount()) })
 	n.meter.LabelledGauge("rollouts", "Roll-outs by service, version and phase.", []string{"service", "to", "phase"}, func(emit func(float64, ...string)) {
--- a/internal/edge/peers/crashes.go
+++ b/internal/edge/peers/crashes.go
@@ -20,6 +20,13 @@
 	Stored         bool
 }
 
+// partCrashes reports the server crashes under a part of prompts.
+type partCrashes struct {
+	_       struct{} `cbor:",toarray"`
+	Crashes contentCrashes
+	Blocked bool // the sender has blocked the part
+}
+
 // serverCrash is a crash of a server while it ran a content.
 type serverCrash struct {
 	_      struct{} `cbor:",toarray"`
@@ -64,12 +71,30 @@
 	return records
 }
 
+// partCrashesToWire encodes records of parts for a report, up to maxCrashRecords.
+func partCrashesToWire(records []poison.Record) (list []partCrashes) {
+	for i, w := range crashesToWire(records) {
+		list = append(list, partCrashes{Crashes: w, Blocked: records[i].Blocked})
+	}
+	return list
+}
+
+// partCrashesFromWire is the inverse of partCrashesToWire for a report that has waited on this host.
+func partCrashesFromWire(list []partCrashes, waited time.Duration) (records []poison.Record) {
+	for _, w := range list {
+		r := crashesFromWire([]contentCrashes{w.Crashes}, waited)[0]
+		r.Blocked = w.Blocked
+		records = append(records, r)
+	}
+	return records
+}
+
 // applyCrashes merges the crashes of a report.
-func (p *Peers) applyCrashes(from string, records []poison.Record) {
+func (p *Peers) applyCrashes(from string, kind poison.Kind, records []poison.Record) {
 	if len(records) == 0 {
 		return
 	}
-	p.State.MergeCrashes(records).Log(p.Log, from)
+	p.State.MergeCrashes(kind, records).Log(p.Log, from)
 }
 
 // HearsMinority reports whether this router hears fewer than half of the recently known routers, or
--- a/internal/edge/peers/crashes_test.go
+++ b/internal/edge/peers/crashes_test.go
@@ -9,8 +9,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/poison"
+	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/state"
+	"github.com/windscale/windscale/internal/golden"
 )
 
 // crashesUnder returns the report of a content under which n servers crashed, one per second.
@@ -41,7 +43,7 @@
 	assert.DeepEqual(t, contents(remote.crashes), []string{"1:1", "1:2"})
 	assert.DeepEqual(t, contents(local.crashes), []string{"1:1", "1:2", "2:1"})
 	p.handleHeartbeat(heartbeat{ControlAddr: "127.0.0.61:1", DataCentre: "far", Kind: kindSum, Crashes: crashesUnder(3, poison.CrashesToBlock)}, now)
-	assert.Equal(t, p.State.BlockedCount(), 1)
+	assert.Equal(t, p.State.BlockedCount(poison.Contents), 1)
 }
 
 // The figures: an engine crashes with 40 requests, of which one router runs at most eight, and a
@@ -85,3 +87,38 @@
 	r.Crashes = records
 	return r
 }
+
+// A reporter relays the crashes under parts of prompts like those under contents, with whether their
+// sender has blocked the part, and a joining router gets them with its first view.
+func TestPartCrashesReachOtherRouters(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newReporter(t, now, 9)
+	blocked := []partCrashes{{Crashes: crashesUnder(7, poison.CrashesToBlock)[0], Blocked: true}}
+	p.handleHeartbeat(heartbeat{ControlAddr: "127.0.0.60:1", DataCentre: "dc", Kind: kindOwn, PartCrashes: blocked}, now)
+	assert.Equal(t, p.State.BlockedCount(poison.Parts), 1)
+	assert.Equal(t, p.State.BlockedCount(poison.Contents), 0)
+	remote, local := p.takePending(updates{}, true, true)
+	assert.Assert(t, len(remote.partCrashes) == 1 && remote.partCrashes[0].Blocked)
+	assert.Assert(t, len(local.partCrashes) == 1 && local.partCrashes[0].Blocked)
+
+	assert.Assert(t, p.State.ApplyConfig(&routing.Config{Version: 5}, []byte(`{"version":5}`)))
+	p.State.ReplaceServers([]routing.Server{{ID: "i", State: routing.ServerReady}}, roster.Stamp{Era: 1, Version: 50}, false)
+	p.State.ConfirmConfig(0)
+	decode := func([]byte) (*routing.Config, error) { return &routing.Config{Version: 5}, nil }
+	for _, extended := range []bool{true, false} {
+		data, err := p.encodeView(extended)
+		assert.NilError(t, err)
+		joining := isolatedPeers(t, func() time.Time { return now }, noWait)
+		joining.Decode = decode
+		assert.NilError(t, joining.applyView(data, time.Millisecond))
+		assert.Equal(t, joining.State.BlockedCount(poison.Parts) == 1, extended, "earlier releases ask for no extended view")
+	}
+}
+
+// The record of a part in a heartbeat keeps its bytes.
+func TestEncodedPartCrashesStay(t *testing.T) {
+	golden.Check(t, "part-crashes.cbor", cbor.Marshal, cbor.Unmarshal, partCrashes{
+		Crashes: contentCrashes{Content: 1, Crashes: []serverCrash{{Server: 2, RanMs: 3, AgeMs: 4}}, SucceededAgeMs: 5, Stored: true},
+		Blocked: true,
+	})
+}
--- a/internal/edge/peers/era_test.go
+++ b/internal/edge/peers/era_test.go
@@ -84,7 +84,7 @@
 	stored[0].Stored = true
 	p.handleHeartbeat(heartbeat{ControlAddr: "127.0.0.40:1", DataCentre: "dc", Kind: kindOwn, ConfigVersion: 5, ListEra: 1, ListVersion: 90, Crashes: stored}, clock)
 	due := func() int {
-		write, _ := p.State.CrashesToStore()
+		write, _ := p.State.CrashesToStore(poison.Contents)
 		return len(write)
 	}
 	clock = clock.Add(time.Minute)
--- a/internal/edge/peers/evacuation_test.go
+++ b/internal/edge/peers/evacuation_test.go
@@ -40,7 +40,7 @@
 	assert.Assert(t, a.State.ApplyConfig(&routing.Config{Version: 5}, []byte(`{"version":5}`)))
 	a.State.ReplaceServers([]routing.Server{{ID: "i", DataCentre: "y", State: routing.ServerReady}}, roster.Stamp{Era: 3, Version: 50}, false)
 	a.State.ConfirmConfig(0)
-	data, err := a.encodeView()
+	data, err := a.encodeView(true)
 	assert.NilError(t, err)
 	fresh := isolatedPeers(t, clock, noWait)
 	assert.NilError(t, fresh.applyView(data, 10*time.Millisecond))
--- a/internal/edge/peers/heartbeat.go
+++ b/internal/edge/peers/heartbeat.go
@@ -98,6 +98,8 @@
 	RemoteEvidence []wireSample `cbor:"36,keyasint,omitempty"`
 
 	Streams *streamMessage `cbor:"37,keyasint,omitempty"`
+
+	PartCrashes []partCrashes `cbor:"38,keyasint,omitempty"` // parts of prompts under which servers crashed
 }
 
 // knownRouter is a router that the sender reports as live.
@@ -221,6 +223,7 @@
 		r.LightRequests = w.Light
 	}
 	r.Crashes = crashesFromWire(w.Crashes, waited)
+	r.PartCrashes = partCrashesFromWire(w.PartCrashes, waited)
 	r.Evidence = evidenceFromWire(w.Evidence)
 	if len(w.FirstTokens) > 0 {
 		r.FirstTokens = make(map[string]pick.FirstTokenSums, len(w.FirstTokens))
@@ -251,6 +254,7 @@
 		ViewAgeMs:     min(age, time.Hour).Milliseconds(),
 		Known:         known[:min(len(known), max(maxTopRanked, p.maxKnownRouters()))],
 		Crashes:       crashesToWire(r.Crashes),
+		PartCrashes:   partCrashesToWire(r.PartCrashes),
 		Light:         r.LightRequests,
 		Protocol:      protocolVersion,
 	}
--- a/internal/edge/peers/join.go
+++ b/internal/edge/peers/join.go
@@ -60,6 +60,16 @@
 	Rollouts         []wireRollout
 }
 
+// extendedView is the view for routers that ask for queryExtended. Earlier releases get and send a
+// joinView alone, which can't have more fields.
+type extendedView struct {
+	View        cbor.RawMessage `cbor:"1,keyasint"` // a joinView
+	PartCrashes []partCrashes   `cbor:"2,keyasint,omitempty"`
+}
+
+// queryExtended is the query parameter with which a joining router asks for an extendedView.
+const queryExtended = "extended"
+
 // NoViewError means that a router has no view, or one that is too old to be served.
 type NoViewError struct{ AgeMs int64 }
 
@@ -176,7 +186,7 @@
 // fetchView fetches the view of a router.
 func (p *Peers) fetchView(from string) {
 	began := p.Now()
-	query := url.Values{"dc": {p.Self.DataCentre}, "addr": {p.Self.Addr}}
+	query := url.Values{"dc": {p.Self.DataCentre}, "addr": {p.Self.Addr}, queryExtended: {"1"}}
 	p.Net.Fetch(from, pathJoin+"?"+query.Encode(), func(data []byte, err error) {
 		if isNotFound(err) { // a router of the previous release
 			p.Net.Fetch(from, pathView, func(data []byte, err error) {
@@ -306,7 +316,7 @@
 	}
 	p.serving.active++
 	p.mu.Unlock()
-	resp := p.bodyResponse(p.encodeView())
+	resp := p.bodyResponse(p.encodeView(query.Has(queryExtended)))
 	resp.onWritten = func() { p.viewServed(dataCentre, addr) }
 	return resp
 }
@@ -319,10 +329,19 @@
 	p.serving.addSource(dataCentre, addr, p.Now())
 }
 
-// encodeView encodes this router's view.
-func (p *Peers) encodeView() ([]byte, error) {
+// encodeView encodes this router's view, as an extendedView or a joinView.
+func (p *Peers) encodeView(extended bool) ([]byte, error) {
+	view, err := p.encodeJoinView()
+	if err != nil || !extended {
+		return view, err
+	}
+	return cbor.Marshal(extendedView{View: view, PartCrashes: partCrashesToWire(p.State.CrashesToRepeat(poison.Parts))})
+}
+
+// encodeJoinView encodes this router's view as a joinView.
+func (p *Peers) encodeJoinView() ([]byte, error) {
 	_, age := p.State.Table()
-	v := joinView{Raw: p.State.Raw(), AgeMs: age.Milliseconds(), Crashes: crashesToWire(p.State.CrashesToRepeat()), AllCrashes: p.State.HasReadCrashes()}
+	v := joinView{Raw: p.State.Raw(), AgeMs: age.Milliseconds(), Crashes: crashesToWire(p.State.CrashesToRepeat(poison.Contents)), AllCrashes: p.State.HasReadCrashes()}
 	list, err := p.encodeServerList()
 	if err != nil {
 		return nil, err
@@ -360,8 +379,12 @@
 
 // applyView applies another router's view, which took the elapsed time to arrive.
 func (p *Peers) applyView(data []byte, elapsed time.Duration) error {
+	var extended extendedView
+	if cbor.Unmarshal(data, &extended) != nil {
+		extended = extendedView{View: data} // from an earlier release
+	}
 	var v joinView
-	if err := cbor.Unmarshal(data, &v); err != nil {
+	if err := cbor.Unmarshal(extended.View, &v); err != nil {
 		return err
 	}
 	var list listChange
@@ -384,6 +407,7 @@
 	p.applyFirstView(decodedView{
 		config: c, raw: v.Raw, servers: list.snapshot(), stamp: list.To, age: time.Duration(v.AgeMs)*time.Millisecond + elapsed,
 		evacuated: v.Evacuations, evacuatedStamp: v.EvacuationsStamp, crashes: crashesFromWire(v.Crashes, elapsed), allCrashes: v.AllCrashes,
+		partCrashes: partCrashesFromWire(extended.PartCrashes, elapsed),
 	})
 	return nil
 }
@@ -398,6 +422,7 @@
 	evacuated      evacuation.Snapshot
 	evacuatedStamp roster.Stamp
 	crashes        []poison.Record
+	partCrashes    []poison.Record
 	allCrashes     bool
 }
 
@@ -409,7 +434,8 @@
 	p.State.MergeEvacuations(v.evacuated, v.evacuatedStamp).Log(p.Log, from, v.evacuatedStamp)
 	p.State.ReplaceServersFromPeer(v.servers, v.stamp)
 	p.State.ConfirmConfig(v.age)
-	p.applyCrashes(from, v.crashes)
+	p.applyCrashes(from, poison.Contents, v.crashes)
+	p.applyCrashes(from, poison.Parts, v.partCrashes)
 	if v.allCrashes {
 		p.State.MarkCrashesRead()
 	}
--- a/internal/edge/peers/older.go
+++ b/internal/edge/peers/older.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/windscale/windscale/internal/core/evacuation"
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/events"
@@ -48,7 +49,7 @@
 	}
 	now := p.Now()
 	_, age := p.State.Table()
-	v := olderView{Raw: p.State.Raw(), AgeMs: age.Milliseconds(), Ends: crashesToWire(p.State.CrashesToRepeat()), AllEnds: p.State.HasReadCrashes()}
+	v := olderView{Raw: p.State.Raw(), AgeMs: age.Milliseconds(), Ends: crashesToWire(p.State.CrashesToRepeat(poison.Contents)), AllEnds: p.State.HasReadCrashes()}
 	v.Snapshot, v.Stamp = p.State.ServerSnapshot()
 	v.Evacuations, v.EvacuationsAs = p.State.EvacuationSnapshot()
 	p.mu.Lock()
--- a/internal/edge/peers/pending.go
+++ b/internal/edge/peers/pending.go
@@ -21,6 +21,8 @@
 	firsts   map[string]pick.FirstTokenSums
 	crashes  []poison.Record
 	evidence rollout.Evidence // on new versions of servers
+
+	partCrashes []poison.Record
 }
 
 func newUpdates() updates {
@@ -29,20 +31,35 @@
 
 // updatesOf returns the updates in a report.
 func updatesOf(r state.Report) updates {
-	return updates{sent: r.SentParts, firsts: r.FirstTokens, crashes: r.Crashes, evidence: r.Evidence}
+	return updates{sent: r.SentParts, firsts: r.FirstTokens, crashes: r.Crashes, partCrashes: r.PartCrashes, evidence: r.Evidence}
 }
 
-func (u updates) isEmpty() bool { return len(u.sent)+len(u.firsts)+len(u.crashes)+len(u.evidence) == 0 }
+func (u updates) isEmpty() bool {
+	return len(u.sent)+len(u.firsts)+len(u.crashes)+len(u.partCrashes)+len(u.evidence) == 0
+}
 
-// addCrashes adds contents that are not known yet, up to maxCrashRecords. More crashes of a known
-// content are added with the next report of their router.
-func (u *updates) addCrashes(crashes []poison.Record) {
+// addCrashes adds records that say something new to a list of up to maxCrashRecords. Routers that saw
+// different crashes of one content or part have different records of it.
+func addCrashes(list *[]poison.Record, crashes []poison.Record) {
 	for _, r := range crashes {
-		known := slices.ContainsFunc(u.crashes, func(k poison.Record) bool { return k.Content == r.Content && len(k.Crashes) >= len(r.Crashes) })
-		if !known && len(u.crashes) < maxCrashRecords {
-			u.crashes = append(u.crashes, r)
+		covered := slices.ContainsFunc(*list, func(known poison.Record) bool { return covers(known, r) })
+		if !covered && len(*list) < maxCrashRecords {
+			*list = append(*list, r)
+		}
+	}
+}
+
+// covers reports whether a record says everything that another one says.
+func covers(known, r poison.Record) bool {
+	if known.Content != r.Content || r.Blocked && !known.Blocked || r.SucceededAge > 0 && known.SucceededAge == 0 {
+		return false
+	}
+	for _, crash := range r.Crashes {
+		if !slices.ContainsFunc(known.Crashes, func(k poison.CrashAge) bool { return k.Server == crash.Server }) {
+			return false
 		}
 	}
+	return true
 }
 
 // addSent adds parts, up to maxSentPerServer for each server.
@@ -80,10 +97,12 @@
 func (n *pending) add(k kind, u updates, first bool) {
 	if k == kindOwn {
 		n.remote.addSent(u.sent)
-		n.remote.addCrashes(u.crashes)
+		addCrashes(&n.remote.crashes, u.crashes)
+		addCrashes(&n.remote.partCrashes, u.partCrashes)
 	}
 	n.local.addSent(u.sent)
-	n.local.addCrashes(u.crashes)
+	addCrashes(&n.local.crashes, u.crashes)
+	addCrashes(&n.local.partCrashes, u.partCrashes)
 	if k == kindSum {
 		n.otherReporter.Add(u.evidence)
 	}
--- a/internal/edge/peers/publish.go
+++ b/internal/edge/peers/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/windscale/windscale/internal/core/poison"
 	"github.com/windscale/windscale/internal/core/spread"
 	"github.com/windscale/windscale/internal/edge/state"
 	"github.com/windscale/windscale/internal/events"
@@ -56,7 +57,8 @@
 		own.Rates = nil
 	}
 	if r.repeat {
-		own.Crashes = append(own.Crashes, p.State.CrashesToRepeat()...)
+		own.Crashes = append(own.Crashes, p.State.CrashesToRepeat(poison.Contents)...)
+		own.PartCrashes = append(own.PartCrashes, p.State.CrashesToRepeat(poison.Parts)...)
 	}
 	w := r.withDigests(p.newHeartbeat(kindOwn, own, r.namedRouters(r.known.direct)), nil)
 	w.RemoteEvidence = evidenceToWire(p.takeOtherReporterEvidence())
@@ -74,11 +76,13 @@
 		loads.others.Rates = nil
 	}
 	loads.dataCentre.SentParts, loads.dataCentre.FirstTokens, loads.dataCentre.Crashes = remote.sent, remote.firsts, remote.crashes
+	loads.dataCentre.PartCrashes = remote.partCrashes
 	loads.dataCentre.Evidence = remote.evidence
 	p.send(r.targets.Sum, r.withDigests(p.newHeartbeat(kindSum, loads.dataCentre, r.namedRouters(r.known.dataCentre)), []string{p.Self.DataCentre}))
 	loads.others.Add(loads.dataCentre)
 	p.State.OmitLightLoads(loads.others)
 	loads.others.SentParts, loads.others.FirstTokens, loads.others.Crashes = local.sent, local.firsts, local.crashes
+	loads.others.PartCrashes = local.partCrashes
 	p.send(r.targets.Total, r.withDigests(p.newHeartbeat(kindTotal, loads.others, r.namedRouters(r.known.all)), r.dataCentres()))
 }
 
--- a/internal/edge/peers/receive.go
+++ b/internal/edge/peers/receive.go
@@ -215,8 +215,10 @@
 	}
 	if w.ListEra < p.State.Era() {
 		poison.ClearStored(r.Crashes) // the store may have lost them when it was restored
+		poison.ClearStored(r.PartCrashes)
 	}
-	p.applyCrashes(w.ControlAddr, r.Crashes)
+	p.applyCrashes(w.ControlAddr, poison.Contents, r.Crashes)
+	p.applyCrashes(w.ControlAddr, poison.Parts, r.PartCrashes)
 	if len(w.Evidence)+len(w.RemoteEvidence) > 0 {
 		p.State.MergeEvidence(r.Evidence)
 		p.State.MergeEvidence(evidenceFromWire(w.RemoteEvidence))
--- a/internal/edge/state/poison.go
+++ b/internal/edge/state/poison.go
@@ -13,14 +13,17 @@
 // maxRepeatedRecords limits the records that a report repeats; they take about 1 KB.
 const maxRepeatedRecords = 16
 
-// BlockedContents lists contents that have just become blocked.
-type BlockedContents []routing.ContentHash
+// Blocked lists the contents and the parts of prompts that have just become blocked.
+type Blocked [poison.KindCount][]routing.ContentHash
 
-// Log logs the contents, if there are any, and the source of the information.
-func (b BlockedContents) Log(log *slog.Logger, from string) {
-	for _, c := range b {
+// Log logs what has become blocked, if anything has, and the source of the information.
+func (b Blocked) Log(log *slog.Logger, from string) {
+	for _, c := range b[poison.Contents] {
 		events.ContentBlocked.Log(context.Background(), log, slog.LevelWarn, "content", c.String(), "from", from)
 	}
+	for _, c := range b[poison.Parts] {
+		events.PartBlocked.Log(context.Background(), log, slog.LevelWarn, "part", c.String(), "from", from)
+	}
 }
 
 // HasCrashes reports whether servers have recently crashed while they ran requests. Otherwise no
@@ -28,82 +31,140 @@
 func (s *State) HasCrashes() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.poison.Empty()
+	return !s.poison[poison.Contents].Empty() || !s.poison[poison.Parts].Empty()
+}
+
+// CrashedRequest is a request of this router whose server crashed.
+type CrashedRequest struct {
+	Content  routing.ContentHash
+	Parts    []routing.ContentHash // of its prompt, see routing.SharedParts
+	Server   routing.Identity
+	Sent     time.Time
+	FirstAt  time.Time // when its first event arrived; zero: none did
+	Accepted bool      // the server had accepted a new connection for it
 }
 
-// RecordCrash records that the server crashed while it ran a request of this router that was sent
-// at the given time. accepted reports whether it had accepted a new connection for the request.
-func (s *State) RecordCrash(c routing.ContentHash, server routing.Identity, sent time.Time, accepted bool) poison.Change {
+// RecordCrash records that a server crashed while it ran the request. It returns the effect on the
+// content, and the parts of the prompt that become blocked.
+func (s *State) RecordCrash(r CrashedRequest) (poison.Change, Blocked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	crash := poison.Crash{Server: server.Key(), Sent: sent, At: s.now(), LastAnswered: s.picker.LastAnswer(server), Accepted: accepted}
-	change := s.poison.Crashed(c, crash)
+	now := s.now()
+	crash := poison.Crash{Server: r.Server.Key(), Sent: r.Sent, At: now, LastAnswered: s.picker.LastAnswer(r.Server), Accepted: r.Accepted}
+	if !r.FirstAt.IsZero() {
+		crash.Answering = now.Sub(r.FirstAt)
+	}
+	change := s.poison[poison.Contents].Crashed(r.Content, crash)
 	s.crashedSinceRead = true
-	return change
+	var blocked Blocked
+	if len(r.Parts) > 0 {
+		s.poison[poison.Parts].NoteBroken(crash.Answering, now)
+	}
+	for _, part := range r.Parts {
+		if s.poison[poison.Parts].Crashed(part, crash).Blocked {
+			blocked[poison.Parts] = append(blocked[poison.Parts], part)
+		}
+	}
+	return change, blocked
 }
 
-// RecordSuccess records a complete response to a request with the content. It reports whether that
-// clears the content of its crashes, and returns the contents that become blocked as a result.
-func (s *State) RecordSuccess(c routing.ContentHash) (cleared bool, blocked BlockedContents) {
+// RecordSuccess records a complete response to a request. It reports whether that clears its content of
+// crashes, and returns what becomes blocked as a result.
+func (s *State) RecordSuccess(c routing.ContentHash, parts []routing.ContentHash) (cleared bool, blocked Blocked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.Succeeded(c, s.now())
+	now := s.now()
+	cleared, blocked[poison.Contents] = s.poison[poison.Contents].Succeeded(c, now)
+	if len(parts) > 0 {
+		s.poison[poison.Parts].NoteAnswered(now)
+	}
+	for _, part := range parts {
+		_, more := s.poison[poison.Parts].Succeeded(part, now)
+		blocked[poison.Parts] = append(blocked[poison.Parts], more...)
+	}
+	return cleared, blocked
 }
 
 // AdmitContent decides whether a request with the content may be sent.
 func (s *State) AdmitContent(c routing.ContentHash) poison.Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rank := func(c routing.ContentHash) int { return s.fleet.Rank(uint64(c)) }
-	return s.poison.Admit(c, rank, s.now())
+	return s.poison[poison.Contents].Admit(c, s.rankFor, s.now())
 }
 
-// EndTrial records that this router's trial of the content is over.
-func (s *State) EndTrial(c routing.ContentHash) {
+// AdmitParts decides whether a request may be sent whose prompt has the parts. If it may not, blocked is
+// a part for which that is so. trials are the parts for which it is a trial.
+func (s *State) AdmitParts(parts []routing.ContentHash) (a poison.Admission, blocked routing.ContentHash, trials []routing.ContentHash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison.EndTrial(c)
+	now := s.now()
+	for _, part := range parts {
+		a := s.poison[poison.Parts].AdmitPart(part, s.rankFor, now)
+		if a.Wait > 0 {
+			s.endTrials(poison.Parts, trials)
+			return a, part, nil
+		}
+		if a.Trial {
+			trials = append(trials, part)
+		}
+	}
+	return poison.Admission{Trial: len(trials) > 0, Isolate: len(trials) > 0}, 0, trials
 }
 
-// BlockedCount returns how many contents are blocked.
-func (s *State) BlockedCount() int {
+// rankFor returns this router's rank among those that may try a content or part.
+func (s *State) rankFor(c routing.ContentHash) int { return s.fleet.Rank(uint64(c)) }
+
+// EndTrials records that this router's trials are over.
+func (s *State) EndTrials(kind poison.Kind, hashes []routing.ContentHash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.BlockedCount(s.now())
+	s.endTrials(kind, hashes)
 }
 
-// MergeCrashes merges records from another router or the store and returns the contents that
-// become blocked.
-func (s *State) MergeCrashes(records []poison.Record) BlockedContents {
+func (s *State) endTrials(kind poison.Kind, hashes []routing.ContentHash) {
+	for _, c := range hashes {
+		s.poison[kind].EndTrial(c)
+	}
+}
+
+// BlockedCount returns how many contents or parts are blocked.
+func (s *State) BlockedCount(kind poison.Kind) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.Merge(records, s.rng, s.now())
+	return s.poison[kind].BlockedCount(s.now())
 }
 
-// CrashesToRepeat returns the records that are sent to other routers repeatedly.
-func (s *State) CrashesToRepeat() []poison.Record {
+// MergeCrashes merges records from another router or the store and returns what becomes blocked.
+func (s *State) MergeCrashes(kind poison.Kind, records []poison.Record) (blocked Blocked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.RecordsToRepeat(maxRepeatedRecords, s.now())
+	blocked[kind] = s.poison[kind].Merge(records, s.rng, s.now())
+	return blocked
 }
 
-// CrashesToStore returns the records that this router must write to the store, and the contents
-// that it must remove from it.
-func (s *State) CrashesToStore() (write []poison.Record, remove []routing.ContentHash) {
+// CrashesToRepeat returns the records that are sent to other routers repeatedly.
+func (s *State) CrashesToRepeat(kind poison.Kind) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.StoreChanges(s.now())
+	return s.poison[kind].RecordsToRepeat(maxRepeatedRecords, s.now())
 }
 
-// MarkCrashesStored records which records the store now holds and which contents were removed
+// CrashesToStore returns the records that this router must write to the store, and what it must remove
 // from it.
-func (s *State) MarkCrashesStored(written []poison.Record, removed []routing.ContentHash) {
+func (s *State) CrashesToStore(kind poison.Kind) (write []poison.Record, remove []routing.ContentHash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison[kind].StoreChanges(s.now())
+}
+
+// MarkCrashesStored records which records the store now holds and which were removed from it.
+func (s *State) MarkCrashesStored(kind poison.Kind, written []poison.Record, removed []routing.ContentHash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison.MarkStored(written, removed)
+	s.poison[kind].MarkStored(written, removed)
 }
 
-// MarkCrashesRead records that the store's list of blocked contents was read, by this router or by
+// MarkCrashesRead records that the store's lists of blocked contents and parts were read, by this router or by
 // the one from which it got its first view.
 func (s *State) MarkCrashesRead() {
 	s.mu.Lock()
--- a/internal/edge/state/report.go
+++ b/internal/edge/state/report.go
@@ -15,6 +15,7 @@
 	SentParts   pick.SentParts                 // parts of prompts sent since the last report
 	FirstTokens map[string]pick.FirstTokenSums // first tokens seen since the last report, by service
 	Crashes     []poison.Record                // contents under which servers crashed since the last report
+	PartCrashes []poison.Record                // the same for parts of prompts
 	// LightRequests counts, by service, the requests at servers whose loads are omitted because
 	// they don't affect the choice of a server.
 	LightRequests map[string]int
@@ -63,7 +64,8 @@
 		Rates:       s.meter.OwnRates(now),
 		SentParts:   s.picker.TakePendingParts(),
 		FirstTokens: s.picker.TakeFirstTokens(),
-		Crashes:     s.poison.TakeUpdates(now),
+		Crashes:     s.poison[poison.Contents].TakeUpdates(now),
+		PartCrashes: s.poison[poison.Parts].TakeUpdates(now),
 
 		Evidence: s.takeEvidence(),
 	}
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -149,7 +149,9 @@
 	}
 	now := s.now()
 	s.roster.StoreRestored(now)
-	s.poison.MarkAllUnstored(s.rng, now)
+	for _, table := range s.poison {
+		table.MarkAllUnstored(s.rng, now)
+	}
 	return before, true
 }
 
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -52,7 +52,7 @@
 	retryRatio float64
 	retrySlack float64
 	routers    int
-	poison     *poison.Table
+	poison     [poison.KindCount]*poison.Table
 	evacuated  *evacuation.List
 	fleet      *slowstart.Fleet
 	rollouts   *rollout.List
@@ -60,7 +60,7 @@
 	// unreportedEvidence is this router's evidence since its last report.
 	unreportedEvidence rollout.Evidence
 	rolloutBounds      rollout.Bounds
-	crashesRead        bool // the store's list of blocked contents has been read
+	crashesRead        bool // the store's lists of blocked contents and parts have been read
 	crashedSinceRead   bool // a server has crashed during a request of this router since that list was read
 }
 
@@ -83,7 +83,7 @@
 		retryRatio: retryRatio,
 		retrySlack: retrySlack,
 		routers:    minRouters,
-		poison:     poison.New(),
+		poison:     [poison.KindCount]*poison.Table{poison.Contents: poison.New(), poison.Parts: poison.NewParts()},
 
 		evacuated: evacuation.New(),
 		rollouts:  rollout.NewList(),
@@ -173,8 +173,8 @@
 	}
 }
 
-// Tick expires outdated state and returns the contents that became blocked as a result.
-func (s *State) Tick() BlockedContents {
+// Tick expires outdated state and returns what became blocked as a result.
+func (s *State) Tick() (blocked Blocked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -187,7 +187,10 @@
 	s.clearStaleLeaving(s.roster.FollowedFor(now), now)
 	s.revertOverdue(now)
 	s.picker.Tick(now)
-	return s.poison.Tick(s.rng, now)
+	for kind, table := range s.poison {
+		blocked[kind] = table.Tick(s.rng, now)
+	}
+	return blocked
 }
 
 // SetRouterCount sets how many routers share the retry budget.
--- a/internal/events/edge.go
+++ b/internal/events/edge.go
@@ -18,6 +18,7 @@
 	CallerLost      = Event{352, "caller's connection could not be opened"}
 	ContentDoubted  = Event{353, "request held back, servers end under it and others"}
 	ContentTried    = Event{354, "held back request tried alone"}
+	PartBlocked     = Event{355, "part of prompts blocked, servers crash under it"}
 )
 
 // The events of what windscale-edge believes.
