upstream: a connection that is closed at once doesn't show that a server runs

The connection now has to stay open for 10 ms. The stand-in begins an event before the pause that precedes its rest, as the platform has it: a stream that its server broke off ends inside an event. The fault CrashBetweenEvents still ends one between two.

--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -9,8 +9,13 @@
 	"github.com/windscale/windscale/internal/core/routing"
 )
 
-// aliveTimeout bounds the check of a server: its answer is complete and waits.
-const aliveTimeout = 100 * time.Millisecond
+const (
+	// aliveTimeout bounds the check of a server: its answer is complete and waits.
+	aliveTimeout = 100 * time.Millisecond
+	// settleTime is how long the connection has to stay open: something in front of the server may
+	// accept it.
+	settleTime = 10 * time.Millisecond
+)
 
 // Liveness is whether a server still accepts connections.
 type Liveness int
@@ -30,6 +35,11 @@
 	c, err := p.get(ctx, id, addr, maxConns, false)
 	switch {
 	case err == nil:
+		time.Sleep(settleTime)
+		if !c.noInput() {
+			p.discard(id, c)
+			return Gone
+		}
 		p.putIdle(id, c, 0)
 		return Alive
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
