poison: crashes of a part that were dropped explain others nevertheless

Of the crashing part only the latest 16 crashes are kept, so that the earlier ones of the sound part seemed to be its own. A record from which crashes were dropped now counts as present at earlier ones, and has more crashes than one that is complete.

TestPartIsNotBlockedForCrashesThatWereDropped failed after 25 crashes (before, and with either half taken out) and passes.

--- a/internal/core/poison/classify.go
+++ b/internal/core/poison/classify.go
@@ -104,13 +104,22 @@
 		if !matches(other) {
 			continue
 		}
-		if left = slices.DeleteFunc(left, other.presentAt); len(left) == 0 {
+		present := other.presentAt
+		if t.kind == Parts {
+			present = other.mayBePresentAt
+		}
+		if left = slices.DeleteFunc(left, present); len(left) == 0 {
 			return nil
 		}
 	}
 	return left
 }
 
+// mayBePresentAt is presentAt, but also true for crashes that are too long ago to be known.
+func (r *record) mayBePresentAt(crash Crash) bool {
+	return r.truncated && crash.At.Before(r.crashes[0].At) || r.presentAt(crash)
+}
+
 // presentAt reports whether the content was running at the crash, by the server or by the time: a
 // request and those that ran beside it may be reported under different starts of one server.
 func (r *record) presentAt(crash Crash) bool {
--- a/internal/core/poison/parts.go
+++ b/internal/core/poison/parts.go
@@ -100,7 +100,16 @@
 // withoutLargerSuspects returns those of the given crashes at which no suspect with more crashes was
 // running.
 func (t *Table) withoutLargerSuspects(r *record, crashes []Crash) []Crash {
-	return t.withoutSuspects(crashes, func(other *record) bool { return len(other.counted) > len(r.counted) })
+	return t.withoutSuspects(crashes, func(other *record) bool { return other.hasMoreCrashesThan(r) })
+}
+
+// hasMoreCrashesThan compares the numbers of counted crashes. Of two records from which crashes were
+// dropped, the one whose latest crashes took less time has more.
+func (r *record) hasMoreCrashesThan(o *record) bool {
+	if r.truncated && o.truncated {
+		return r.crashes[0].At.After(o.crashes[0].At)
+	}
+	return r.truncated && !o.truncated || len(r.counted) > len(o.counted)
 }
 
 // corroborates reports whether so many of this router's requests were answered between the first and
--- a/internal/core/poison/parts_test.go
+++ b/internal/core/poison/parts_test.go
@@ -293,6 +293,28 @@
 	assert.Assert(t, table.AdmitPart(crashingPart, rank0, now).Wait > 0)
 }
 
+// Guards against blocking a part that some of the requests with the crashing part have too: of the
+// crashing part only the latest crashes are kept, and the earlier ones seemed to be the other part's own.
+func TestPartIsNotBlockedForCrashesThatWereDropped(t *testing.T) {
+	const other = firstOther
+	table := NewParts()
+	now := start
+	for n := range 4 * maxCrashesPerPart {
+		now = now.Add(200 * time.Millisecond)
+		for range 20 {
+			table.NoteAnswered(now)
+		}
+		crash := Crash{Server: routing.ServerKey(n + 1), Sent: now.Add(-50 * time.Millisecond), At: now}
+		table.Crashed(crashingPart, crash)
+		if n%4 == 0 {
+			table.Crashed(other, crash)
+		}
+		table.Tick(rng(), now)
+		assert.Equal(t, table.AdmitPart(other, rank0, now).Wait, time.Duration(0), "after %d crashes", n+1)
+	}
+	assert.Assert(t, table.AdmitPart(crashingPart, rank0, now).Wait > 0)
+}
+
 // Two parts that come together only in requests that crash servers are both blocked by the fifth crash.
 func TestPartsThatComeTogetherAreBlocked(t *testing.T) {
 	table := NewParts()
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -104,6 +104,7 @@
 	// confirmed is the subset whose server start has been seen running.
 	counted      []Crash
 	confirmed    []Crash
+	truncated    bool // earlier crashes than the first one were dropped
 	class        class
 	conclusive   bool // the class is based on confirmed crashes alone
 	trialRunning bool // a trial request is running at this router
@@ -364,6 +365,7 @@
 	r.crashes = slices.Insert(r.crashes, at, crash)
 	if len(r.crashes) > t.maxCrashes() {
 		r.crashes = r.crashes[1:]
+		r.truncated = true
 	}
 	return true
 }
