soak: prompt parts that crash servers, and close-delimited streams

One poison fault in four sends requests, no two alike, whose prompts share a part that crashes each server which answers one; what else they have is shared with sound callers.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -204,7 +204,7 @@
 	if resp.StatusCode == 401 || resp.StatusCode == 404 {
 		c.fleet.verdicts.report(inForce, "%s: %d at %s for a route and key of every version", s.id, resp.StatusCode, r.name)
 	}
-	heldBack := strings.Contains(body, "servers end") || strings.Contains(body, "servers may end")
+	heldBack := strings.Contains(body, "servers end") || strings.Contains(body, "servers may end") || strings.Contains(body, "servers crash")
 	if resp.StatusCode == 503 && heldBack {
 		c.fleet.verdicts.report(innocentServed, "%s at %s: %s", s.id, r.name, strings.TrimSpace(body))
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -89,6 +89,7 @@
 	linkFaults  []linkFault
 	poisons     sync.Mutex   // one guilty request at a time
 	poisoned    atomic.Int64 // servers that ended under a guilty request
+	crashedAt   []time.Time  // when they did
 }
 
 // newFleet starts the stand-ins and n routers.
@@ -159,6 +160,8 @@
 		s.Version = fmt.Sprintf("v%d", 1+f.born/centres%2) // both versions in each data centre
 	}
 	s.CrashOn = isGuilty
+	s.CrashOnPart = isDeadPart
+	s.CloseDelimited = f.born%4 == 0
 	out := &server{Server: s, proxy: p}
 	s.OnCrash = func() { f.ended(out) }
 	f.servers = append(f.servers, out)
--- a/soak/lives.go
+++ b/soak/lives.go
@@ -33,6 +33,9 @@
 // ended starts a server that crashed under a request again, under its ID.
 func (f *fleet) ended(s *server) {
 	f.poisoned.Add(1)
+	f.mu.Lock()
+	f.crashedAt = append(f.crashedAt, time.Now())
+	f.mu.Unlock()
 	time.AfterFunc(backAfter, func() { f.revive(s) })
 }
 
@@ -66,11 +69,15 @@
 	f.revive(s)
 }
 
-// poison sends copies of a request that crashes each server to one router after the other.
-// One such fault at a time: their ends are counted together.
+// poison sends copies of a request that crashes each server to one router after the other, or
+// requests with a part that does. One such fault at a time: their ends are counted together.
 func (f *fleet) poison(x fault) {
 	f.poisons.Lock()
 	defer f.poisons.Unlock()
+	if x.How%4 == 1 {
+		f.deadParts(x)
+		return
+	}
 	before := f.poisoned.Load()
 	begin := time.Now()
 	for n := 0; time.Since(begin) < x.For+copiesFor; n++ {
@@ -87,17 +94,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	r := f.routers[(x.Who+n)%len(f.routers)]
-	f.send(ctx, r, fmt.Sprintf("%s%d-%d", guilty, x.At, n), "key-a", fmt.Sprintf("crashes servers %d", x.At))
+	f.send(ctx, r, "/o/x", fmt.Sprintf("%s%d-%d", guilty, x.At, n), "key-a", fmt.Sprintf("crashes servers %d", x.At), "aa:3000,bb:500")
 }
 
 // send sends a request of a fault's own. What its caller gets does not matter.
-func (f *fleet) send(ctx context.Context, r *router, attempt, key, body string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/o/x", f.callers(r)), strings.NewReader(body))
+func (f *fleet) send(ctx context.Context, r *router, path, attempt, key, body, prompt string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s", f.callers(r), path), strings.NewReader(body))
 	if err != nil {
 		return // the address is our own
 	}
 	req.Host = platformtest.Host
-	platformtest.SetRequestHeaders(req.Header, attempt, key, time.Second, "aa:3000,bb:500")
+	platformtest.SetRequestHeaders(req.Header, attempt, key, time.Second, prompt)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return
@@ -184,7 +191,7 @@
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				attempt := fmt.Sprintf("flood-%d-%d-%d", x.At, i, n)
-				f.send(ctx, r, attempt, "key-c", attempt)
+				f.send(ctx, r, "/o/x", attempt, "key-c", attempt, "aa:3000,bb:500")
 			}
 		})
 	}
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -30,6 +30,7 @@
 	endsInTime     promise = "every request has its final answer in its route's time"
 	noUnaskedExit  promise = "no process ends by itself"
 	poisonStops    promise = "a request that crashes servers is soon sent to none"
+	partStops      promise = "requests with a prompt part that crashes servers are soon sent to none"
 	innocentServed promise = "a request that crashes no server is not blocked"
 	foreignUnused  promise = "nothing is sent to an entry that names no server"
 	claimsStay     promise = "what a caller says in the fleet's own headers reaches no server"
--- a/test/targets.mk
+++ b/test/targets.mk
@@ -31,7 +31,7 @@
 	go test -run xxx -bench Grant ./internal/core/share
 
 .PHONY: soak
-SEEDS ?= 1,2,8006
+SEEDS ?= 1,2,4,8006
 
 soak: fleet-programs ## windscale-edge as processes under seeded faults; every promise is checked
 	go build -o bin/ ./soak
