--- a/internal/core/pick/cold.go
+++ b/internal/core/pick/cold.go
@@ -211,13 +211,17 @@
 	AllEvacuated                           // all are in evacuated data centres
 	AllCold                                // all candidates are cold and at their rate limit
 	NoneInRegion                           // none is in a region in which the request may be served
-	NoneOfVersion                          // no server of the version that the request is pinned to
+	NoneOfVersion                          // no server of the version that the request is pinned to, or all were tried
 	AllInBackoff                           // all candidates are in backoff or cold, and a backoff ends first
 )
 
 // WhyUnavailable returns why there is no server for a request, and how long until there may be
 // one; 0 if unknown.
 func (p *Picker) WhyUnavailable(req Request, now time.Time) (reason UnavailableReason, wait time.Duration) {
+	none := NoServers
+	if req.Pinned {
+		none = NoneOfVersion
+	}
 	listed, evacuated, inRegion := 0, 0, 0
 	var soonest time.Time
 	reason = NoServers
@@ -243,10 +247,8 @@
 		}
 	}
 	switch {
-	case listed == 0 && req.Pinned:
-		return NoneOfVersion, 0
 	case listed == 0:
-		return NoServers, 0
+		return none, 0
 	case inRegion == 0:
 		return NoneInRegion, 0
 	case evacuated == inRegion:
@@ -254,7 +256,7 @@
 	case !soonest.IsZero():
 		return reason, soonest.Sub(now)
 	}
-	return NoServers, 0
+	return none, 0
 }
 
 // blockedUntil returns when a listed server accepts requests without limit, and what blocks it
