poison: a success of another router takes back what a part's block rested on

Found by TestPartInvariants: after a complete response between two crashes a part kept the mark that chance is excluded, and three new crashes would have blocked it without that check. The mark now goes with the crashes that it rested on. The test failed within 3,000 checks and passes 20,000.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -263,8 +263,9 @@
 func (t *Table) crashesChanged(c routing.ContentHash, r *record) {
 	r.counted = r.countedCrashes()
 	if len(r.counted) == 0 {
-		r.corroborated, r.reportedBlocked = false, false
+		r.reportedBlocked = false
 	}
+	r.corroborated = r.corroborated && (r.reportedBlocked || len(r.counted) >= CrashesToBlock)
 	_, wasSuspect := t.suspects[c]
 	isSuspect := len(r.counted) >= crashesToSuspect || r.reportedBlocked
 	if isSuspect {
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -98,6 +98,7 @@
 	if reported.SucceededAge > 0 {
 		if at := now.Add(-reported.SucceededAge); at.Sub(r.succeededAt) > reportTimeTolerance {
 			r.succeededAt = at
+			r.corroborated, r.reportedBlocked = false, false
 		}
 	}
 	r.stored = r.stored || reported.Stored
