--- a/internal/edge/node/resume_test.go
+++ b/internal/edge/node/resume_test.go
@@ -39,6 +39,14 @@
 	return id
 }
 
+// beginStreams begins resumedStreams streams and returns their attempts' IDs.
+func (m *member) beginStreams() (began []string) {
+	for range resumedStreams {
+		began = append(began, m.begin())
+	}
+	return began
+}
+
 // resume resumes the stream that the attempt began, and returns the status and its own attempt's ID.
 func (m *member) resume(began string) (status int, attempt string) {
 	attempt = fmt.Sprintf("resume-%d", m.fleet.attemptCount.Add(1))
@@ -107,10 +115,7 @@
 		a := f.start("127.0.51.1")
 		b := f.start("127.0.51.2", a)
 		awaitEachOther(t, a, b)
-		var began []string
-		for range resumedStreams {
-			began = append(began, a.begin())
-		}
+		began := a.beginStreams()
 		assertResumed(t, b, began)
 	})
 	t.Run("after the first router was killed", func(t *testing.T) {
@@ -121,10 +126,7 @@
 		c := f.start("127.0.52.3", a)
 		d := f.start("127.0.52.4", a)
 		awaitEachOther(t, a, b, c, d)
-		var began []string
-		for range resumedStreams {
-			began = append(began, a.begin())
-		}
+		began := a.beginStreams()
 		a.kill()
 		assertResumed(t, c, began)
 	})
@@ -146,10 +148,7 @@
 		a := f.start("127.0.54.1")
 		b := f.start("127.0.54.2", a)
 		awaitEachOther(t, a, b)
-		var began []string
-		for range resumedStreams {
-			began = append(began, a.begin())
-		}
+		began := a.beginStreams()
 		c := f.start("127.0.54.3", a)
 		awaitEachOther(t, a, b, c)
 		assertResumed(t, c, began)
