--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Plays the case: three routers, three backend servers, one of which sends additional bytes after 3 in
-# 100 of its answers. Exit code 1: a request was answered as not run although it ran; 0: none; 2: the
-# case could not run. TROUBLE=0 leaves the additional bytes out. It takes 87 seconds.
+# Plays the case: four routers, and four backend servers as processes, whose answers have no length and
+# end with their connections. One server at a time is killed and started again. Exit code 1: a client got
+# a success with part of the server's body; 0: none did; 2: the case could not run. TROUBLE=0 kills no
+# server. It takes 85 seconds.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-stage --case extra --trouble=$trouble --record "review/1/record.txt"
+exec target/review-stage --case unframed --trouble=$trouble --record "review/1/record.txt"
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,8 @@
 	"extra": playExtra,
 	"grey":  playGrey,
 	"relay": playRelay,
+
+	"unframed": playUnframed,
 }
 
 func main() { os.Exit(play()) }
@@ -32,7 +34,12 @@
 	record := flag.String("record", "", "the file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "play the disruption too")
 	router := flag.String("router", "target/windscale-edge", "the program of the deploy file")
+	serve := flag.String("serve", "", "be a backend server with this ID, whose answers end with their connections")
+	addr := flag.String("addr", "", "the address of that server")
 	flag.Parse()
+	if *serve != "" {
+		return serveUnframed(*serve, *addr)
+	}
 	f, known := cases[*name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -18,7 +18,20 @@
 	"github.com/windscale/windscale/test/loopback"
 )
 
-// Values of the deployment Head Office Routing for Franchise Dispatch.
+// deployment is what the settings of a deployment's machines have in common.
+type deployment struct {
+	zones    []string
+	region   string
+	memoryMB int
+	slack    int
+}
+
+// The small deployments, as their sheets give them.
+var (
+	tpaHQ   = deployment{zones: []string{"ba-norte", "ba-centro", "ba-sur"}, region: "ba", memoryMB: 134, slack: 52}
+	quetzal = deployment{zones: []string{"mixco-a", "villa-nueva-b", "zona-doce", "amatitlan-c"}, region: "gt-central", memoryMB: 284, slack: 56}
+)
+
 const settingsFile = `[router]
 name = %[1]s
 data_centre = %[2]s
@@ -39,11 +52,11 @@
 
 [limits]
 cores = 0.4
-memory_mb = 134
+memory_mb = %[11]d
 
 [retries]
 ratio = 0.2
-slack = 52
+slack = %[12]d
 
 [slow_start]
 over =
@@ -58,10 +71,7 @@
 room = 25
 
 [regions]
-ba-norte = ba
-ba-centro = ba
-ba-sur = ba
-
+%[13]s
 [bounds]
 grace_s = 8
 
@@ -83,6 +93,7 @@
 	dir     string
 	began   time.Time
 	store   *platformtest.Store
+	site    deployment
 
 	mu      sync.Mutex
 	record  *bufio.Writer
@@ -111,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stage{program: program, dir: dir, began: time.Now(), store: platformtest.NewStore(), record: bufio.NewWriter(f), file: f}, nil
+	return &stage{program: program, dir: dir, began: time.Now(), store: platformtest.NewStore(), site: tpaHQ, record: bufio.NewWriter(f), file: f}, nil
 }
 
 // note writes one line of the record, with the seconds since the start.
@@ -164,7 +175,12 @@
 
 func (st *stage) startRouter(r *router, store, seeds string) error {
 	file := filepath.Join(st.dir, r.name+".ini")
-	text := fmt.Sprintf(settingsFile, r.name, r.zone, r.ip, r.ports[0], r.ports[1], r.ports[2], r.ports[3], r.ports[4], store, seeds)
+	var regions strings.Builder
+	for _, zone := range st.site.zones {
+		fmt.Fprintf(&regions, "%s = %s\n", zone, st.site.region)
+	}
+	text := fmt.Sprintf(settingsFile, r.name, r.zone, r.ip, r.ports[0], r.ports[1], r.ports[2], r.ports[3], r.ports[4], store, seeds,
+		st.site.memoryMB, st.site.slack, regions.String())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
