--- a/review/stage/extra.go
+++ b/review/stage/extra.go
@@ -13,15 +13,11 @@
 	host = platformtest.Host
 	key  = "asnmgkcuyj8pjbvk9m68"
 
-	// One of the three servers is disturbed, in spells. The site file's largest doses are, of `garble`,
-	// `extra late`: 0.6 of the servers, 0.03 of the answers, 5 s; of `srv_grey`: all servers, 0.45 of the
-	// requests, 4 s.
+	// One of the three servers is disturbed, in spells. The site file's largest dose of `garble`, `extra
+	// late` is 0.6 of the servers, 0.03 of their answers and 5 s.
 	extraShare = 0.03
 	extraFor   = 5 * time.Second
 	extraPause = 2 * time.Second
-	greyShare  = 0.45
-	greyFor    = 4 * time.Second
-	greyPause  = 6 * time.Second
 	playFor    = 80 * time.Second
 	warmup     = 2 * time.Second
 	// appCallers together send the deployment's 25.6 confirmations a second.
@@ -87,28 +83,6 @@
 // playExtra has a backend server send additional bytes after complete responses. It reports whether a
 // request that isn't idempotent was answered as not run although it ran.
 func playExtra(st *stage, trouble bool) (bool, error) {
-	return playConfirmations(st, func(s *server, on bool) {
-		s.setExtraShare(0)
-		if on && trouble {
-			s.setExtraShare(extraShare)
-		}
-	}, extraFor, extraPause)
-}
-
-// playGrey has a backend server fail part of its requests with 503 after it has run them. It reports
-// whether a request that isn't idempotent was answered as not run although it ran.
-func playGrey(st *stage, trouble bool) (bool, error) {
-	return playConfirmations(st, func(s *server, on bool) {
-		s.setFailShare(0)
-		if on && trouble {
-			s.setFailShare(greyShare)
-		}
-	}, greyFor, greyPause)
-}
-
-// playConfirmations plays clients that confirm stops at three servers, while one of these is disturbed in
-// spells.
-func playConfirmations(st *stage, disturb func(s *server, on bool), spell, pause time.Duration) (bool, error) {
 	l := newLedger()
 	zones := []string{"ba-norte", "ba-centro", "ba-sur"}
 	var servers []*server
@@ -136,10 +110,12 @@
 	}
 	time.Sleep(warmup)
 	for end := time.Now().Add(playFor); time.Now().Before(end); {
-		disturb(servers[0], true)
-		time.Sleep(spell)
-		disturb(servers[0], false)
-		time.Sleep(pause)
+		if trouble {
+			servers[0].setExtraShare(extraShare)
+		}
+		time.Sleep(extraFor)
+		servers[0].setExtraShare(0)
+		time.Sleep(extraPause)
 	}
 	stop.Store(true)
 	wg.Wait()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -21,8 +21,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(st *stage, trouble bool) (broken bool, err error){
 	"extra": playExtra,
-	"grey":  playGrey,
-	"relay": playRelay,
+	"junk":  playJunk,
 
 	"unframed": playUnframed,
 }
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -59,8 +59,6 @@
 	// response on the connection is expected.
 	extraShare float64
 	extras     int
-	// failShare is the share of requests that the server runs and then answers with a failure of its own.
-	failShare float64
 }
 
 // newServer starts a server and writes its entry.
@@ -83,18 +81,6 @@
 	return s, nil
 }
 
-func (s *server) setFailShare(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failShare = share
-}
-
-func (s *server) drawFailure() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return rand.Float64() < s.failShare
-}
-
 func (s *server) setExtraShare(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,23 +94,34 @@
 	return rand.Float64() < s.extraShare
 }
 
+// requests reads the requests of a connection.
+type requests struct{ in *bufio.Reader }
+
+func newRequests(c net.Conn) requests { return requests{bufio.NewReader(c)} }
+
+// next returns the next request and its body.
+func (q requests) next() (*http.Request, string, error) {
+	r, err := http.ReadRequest(q.in)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
 func (s *server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
+	in := newRequests(c)
 	extraDue := false
 	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(r.Body)
+		r, body, err := in.next()
 		if err != nil {
 			return
 		}
 		if extraDue {
 			s.sendExtra(c, r.Header.Get("X-Windscale-Attempt-Id"))
 		}
-		if !s.answer(c, r, string(body)) {
+		if !s.answer(c, r, body) {
 			return
 		}
 		extraDue = s.drawExtra()
@@ -151,11 +148,6 @@
 	s.ledger.add(run{attempt, s.id, s.service, sent, time.Now()})
 	time.Sleep(s.work)
 	body := fmt.Sprintf("%s by %s", attempt, s.service)
-	status := "200 OK"
-	if s.drawFailure() {
-		status = "503 Service Unavailable"
-		s.st.note("server %s has run %s and fails it with 503, without X-Windscale-Not-Executed", s.id, attempt)
-	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Windscale-Attempt-Id: %s\r\nX-Windscale-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", status, attempt, s.id, attempt, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Windscale-Attempt-Id: %s\r\nX-Windscale-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", attempt, s.id, attempt, len(body), body)
 	return err == nil
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -154,16 +154,13 @@
 		}
 		ports[i] = port
 	}
-	var seeds []string
-	for i := range min(3, len(zones)) {
-		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", 41+i, ports[2]))
-	}
 	for i, zone := range zones {
-		r := &router{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.0.0.%d", 41+i), ports: ports}
-		if err := st.startRouter(r, stores[i], strings.Join(seeds, ",")); err != nil {
+		st.routers = append(st.routers, &router{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.0.0.%d", 41+i), ports: ports})
+	}
+	for i, r := range st.routers {
+		if err := st.startRouter(r, stores[i], st.seeds()); err != nil {
 			return err
 		}
-		st.routers = append(st.routers, r)
 	}
 	for _, r := range st.routers {
 		if !r.becomesReady() {
@@ -173,6 +170,15 @@
 	return nil
 }
 
+// seeds returns the control addresses of the first three routers.
+func (st *stage) seeds() string {
+	var list []string
+	for _, r := range st.routers[:min(3, len(st.routers))] {
+		list = append(list, fmt.Sprintf("%s:%d", r.ip, r.ports[2]))
+	}
+	return strings.Join(list, ",")
+}
+
 func (st *stage) startRouter(r *router, store, seeds string) error {
 	file := filepath.Join(st.dir, r.name+".ini")
 	var regions strings.Builder
@@ -184,7 +190,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(st.dir, r.name+".log"))
+	out, err := os.OpenFile(filepath.Join(st.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -236,8 +242,10 @@
 // close ends all processes and stand-ins that the stage has started.
 func (st *stage) close() {
 	for _, r := range st.routers {
-		_ = r.cmd.Process.Kill()
-		<-r.ended
+		if r.ended != nil {
+			_ = r.cmd.Process.Kill()
+			<-r.ended
+		}
 	}
 	st.store.SetFault(nil)
 	for _, f := range st.closers {
