--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,6 +5,7 @@
 # server. It takes 85 seconds.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-stage ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 exec target/review-stage --case unframed --trouble=$trouble --record "review/1/record.txt"
--- a/review/stage/junk.go
+++ b/review/stage/junk.go
@@ -105,7 +105,7 @@
 	defer func() { _ = c.Close() }()
 	in := newRequests(c)
 	for {
-		r, body, err := in.next()
+		r, _, err := in.next()
 		if err != nil {
 			return
 		}
@@ -113,7 +113,7 @@
 		if expect := r.Header.Get("X-Windscale-Expect-Instance"); expect != "" && expect != s.id {
 			return
 		}
-		s.ledger.add(run{attempt, s.id, s.service, body, time.Now()})
+		s.st.note("server %s runs %s", s.id, attempt)
 		if rand.Int64N(10000) < s.share.Load() {
 			sent := sendJunk(c)
 			s.st.note("server %s answered %s with %d MB that are no response", s.id, attempt, sent/1000/1000)
@@ -156,7 +156,6 @@
 // playJunk has backend servers answer part of their requests with bytes that are no response. It reports
 // whether processes on two machines end three times each, since they exceed their memory.
 func playJunk(st *stage, trouble bool) (bool, error) {
-	l := newLedger()
 	zones := st.site.zones
 	var engines []*junkEngine
 	for i := range draftEngines {
@@ -164,7 +163,7 @@
 		if err != nil {
 			return false, err
 		}
-		s := &junkEngine{server: &server{id: fmt.Sprintf("i-llm-%d", i+1), service: "llm", ledger: l, st: st}}
+		s := &junkEngine{server: &server{id: fmt.Sprintf("i-llm-%d", i+1), service: "llm", st: st}}
 		engines = append(engines, s)
 		st.store.Put("servers", s.id, entry("llm", ln.Addr().String(), zones[i%len(zones)], 64))
 		go func() {
@@ -195,16 +194,15 @@
 		clients.Go(func() {
 			for n := 0; !stop.Load(); n++ {
 				r := st.routers[(i+n)%len(st.routers)]
-				a := answer{}
+				attempt := fmt.Sprintf("j%02d-%04d", i, n)
+				a := answer{attempt: attempt}
 				if c, err := dialCaller(r.front()); err == nil {
-					a = c.send(http.MethodPost, "/draft/claim", fmt.Sprintf("j%02d-%04d", i, n), key, draftTimeout, strings.Repeat("p", draftBytes))
+					a = c.send(http.MethodPost, "/draft/claim", attempt, key, draftTimeout, strings.Repeat("p", draftBytes))
 					c.close()
 				} else {
 					a.err = err
 				}
-				if a.status != http.StatusOK {
-					st.note("client %d sent to %s: status %d, err %v", i, r.name, a.status, a.err)
-				}
+				st.note("client sent %s to %s: status %d, err %v", a.attempt, r.name, a.status, a.err)
 				count, _ := statuses.LoadOrStore(a.status, new(atomic.Int64))
 				count.(*atomic.Int64).Add(1)
 				time.Sleep(draftPause/2 + rand.N(draftPause))
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -58,7 +58,6 @@
 	// extraShare is the share of answers after which additional bytes follow, late: where the next
 	// response on the connection is expected.
 	extraShare float64
-	extras     int
 }
 
 // newServer starts a server and writes its entry.
@@ -131,9 +130,6 @@
 // sendExtra sends bytes that belong to no request: a refusal as the bench's page of examples shows it
 // ("a server sheds"), once too often.
 func (s *server) sendExtra(c net.Conn, next string) {
-	s.mu.Lock()
-	s.extras++
-	s.mu.Unlock()
 	s.st.note("server %s sends additional bytes after a complete response; the connection's next request is %s", s.id, next)
 	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Windscale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
@@ -146,6 +142,7 @@
 		return err == nil
 	}
 	s.ledger.add(run{attempt, s.id, s.service, sent, time.Now()})
+	s.st.note("server %s runs %s", s.id, attempt)
 	time.Sleep(s.work)
 	body := fmt.Sprintf("%s by %s", attempt, s.service)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Windscale-Attempt-Id: %s\r\nX-Windscale-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", attempt, s.id, attempt, len(body), body)
