front: log close-delimited responses whose end is not confirmed

The logs could not tell apart a crash that is taken for the end of a response, a response that the router itself cuts short, and bytes of another exchange: event 343 is written for one request in 64, and did not say whether the server was still there.

Event 343 now has serverAfter, and comes for every close-delimited response whose server was not found alive. Plain ones are never checked so far.

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -79,7 +79,7 @@
 	a.Finish()
 	x.finish(outcomeForStatus(a.Status), "status "+strconv.Itoa(a.Status))
 	x.recordSuccess(a.Status)
-	x.recordAnswered(a, len(body))
+	x.recordAnswered(a, len(body), upstream.LivenessUnknown)
 	return resultAnswered
 }
 
@@ -218,7 +218,7 @@
 	if liveness == upstream.Alive {
 		x.recordSuccess(a.Status)
 	}
-	x.recordAnswered(a, count)
+	x.recordAnswered(a, count, liveness)
 	return resultAnswered
 }
 
@@ -256,12 +256,14 @@
 	return resultCallerGone
 }
 
-// recordAnswered counts and logs a request that a server answered.
-func (x *exchange) recordAnswered(a *upstream.Response, size int) {
+// recordAnswered counts and logs a request that a server answered. liveness is that of the server after
+// a close-delimited response.
+func (x *exchange) recordAnswered(a *upstream.Response, size int, liveness upstream.Liveness) {
 	status := a.Status
 	q := x.q
 	q.h.Meter.Answered(q.service, status, q.age())
-	if q.logRoutine || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
-		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "closeDelimited", a.CloseDelimited, "tries", len(q.triedServers))
+	unconfirmed := a.CloseDelimited && liveness != upstream.Alive
+	if q.logRoutine || unconfirmed || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
+		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "closeDelimited", a.CloseDelimited, "serverAfter", liveness.String(), "tries", len(q.triedServers))
 	}
 }
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -27,6 +27,11 @@
 	Gone
 )
 
+var livenessNames = map[Liveness]string{LivenessUnknown: "unknown", Alive: "alive", Gone: "gone"}
+
+// String returns the name of the result, which appears in logs.
+func (l Liveness) String() string { return livenessNames[l] }
+
 // CheckAlive reports whether the server still accepts connections. It keeps a connection that it opens
 // for that, which the next request to the server would have opened.
 func (p *Pool) CheckAlive(ctx context.Context, id routing.Identity, addr string, maxConns int) Liveness {
