front, upstream: a close-delimited response is complete only if its server outlives it

Cause: a response without a length or chunks ends with its connection, and the kernel ends a killed process's connection in the same way. forwardPlain took that end for the end of the response; only streams were checked. Three more faults of the same kind stood in the check of streams: if it ended without a result (100 ms over, all connections in use) the stream counted as complete, an idle connection that has gone silent counted as proof, and a server that resets connections above its limit counted as crashed, so that a complete response was lost.

Now every close-delimited response is confirmed, buffered or not, success or failure, plain or stream. internal/core/liveness decides from probes: a new connection that stays open means that the server runs; a refused one that it is gone, unless it is shutting down and another connection to it stays open; three connections reset over 30 ms that it has all the connections that it allows, since the listener of a crashed process is closed sooner. Without a result the request goes to another server after 100 ms if it may, and else the router keeps probing until the deadline; what stays unknown is not passed on as complete. The connection of a probe is kept for the next request, and the server counts as free while it is probed.

--- /dev/null
+++ b/internal/core/liveness/liveness.go
@@ -0,0 +1,85 @@
+// Package liveness decides whether a backend server outlived the end of its response. A response
+// without a length or chunks ends with its connection, and so does one whose server crashes: only what
+// the server does afterwards tells the two apart.
+package liveness
+
+import "time"
+
+// Verdict is whether a server still ran when its response ended.
+type Verdict int
+
+// The verdicts. A response is complete only if its server was Alive.
+const (
+	Unknown Verdict = iota
+	Alive
+	Gone
+)
+
+var verdictNames = map[Verdict]string{Unknown: "unknown", Alive: "alive", Gone: "gone"}
+
+// String returns the name of the verdict, which appears in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Observation is the result of one probe of a server after its response ended.
+type Observation int
+
+// The observations.
+const (
+	Accepted  Observation = iota + 1 // a new connection was accepted and stayed open
+	Rejected                         // a new connection was accepted and closed at once
+	Refused                          // nothing listens at the server's address
+	NoReply                          // no connection could be attempted, or the attempt timed out
+	Connected                        // a connection that was open when the response ended is still open
+)
+
+const (
+	// MinRejections and MinRejectedFor are how many probes a server rejects, and for how long, until it
+	// counts as running. The sockets of a process that crashes are closed one by one, so that its
+	// listener may accept a connection after the response has ended.
+	MinRejections  = 3
+	MinRejectedFor = 30 * time.Millisecond
+	// firstPause is the pause after the first undecided probe. It doubles up to maxPause.
+	firstPause = 10 * time.Millisecond
+	maxPause   = 80 * time.Millisecond
+)
+
+// Check is the check of one server after one response. Its zero value is ready for use.
+type Check struct {
+	rejections    int
+	firstRejected time.Duration
+	pause         time.Duration
+}
+
+// Observe adds an observation that was made at the time since the response's end, and returns the
+// verdict so far.
+func (c *Check) Observe(o Observation, at time.Duration) Verdict {
+	switch o {
+	case Accepted, Connected:
+		return Alive
+	case Refused:
+		return Gone
+	case Rejected:
+		return c.observeRejection(at)
+	case NoReply:
+	}
+	return Unknown
+}
+
+// observeRejection handles a connection that the server closed at once, as a server does that has all
+// the connections that it allows.
+func (c *Check) observeRejection(at time.Duration) Verdict {
+	if c.rejections == 0 {
+		c.firstRejected = at
+	}
+	c.rejections++
+	if c.rejections >= MinRejections && at-c.firstRejected >= MinRejectedFor {
+		return Alive
+	}
+	return Unknown
+}
+
+// Pause returns the time until the next probe.
+func (c *Check) Pause() time.Duration {
+	c.pause = min(max(2*c.pause, firstPause), maxPause)
+	return c.pause
+}
--- a/internal/core/pick/health_test.go
+++ b/internal/core/pick/health_test.go
@@ -93,3 +93,22 @@
 	id.Born++
 	assert.Assert(t, p.LastAnswer(id).IsZero(), "another start")
 }
+
+// A server whose response has ended has room for another request before the outcome is known, and its
+// load is counted down once.
+func TestReleasedJobIsNoLoad(t *testing.T) {
+	p := newPicker(3)
+	req := Request{Service: "llm", Prompt: prompt(1, 1)}
+	j := p.Begin(req, choose(t, p, req, 0), at(0))
+	p.NoteFirstEvent(j, at(5))
+	before := j.s.ownLoad
+	assert.Equal(t, before.Running, 1)
+	for range 2 {
+		p.Release(j)
+		assert.Equal(t, j.s.ownLoad.Running, 0)
+		assert.Equal(t, j.s.ownLoad.MemoryTokens, int64(0))
+	}
+	assert.Equal(t, p.End(j, Failed, at(20)), Suspected)
+	assert.Equal(t, j.s.ownLoad.Running, 0)
+	assert.Equal(t, j.s.ownLoad.MemoryTokens, int64(0))
+}
--- a/internal/core/pick/job.go
+++ b/internal/core/pick/job.go
@@ -37,6 +37,7 @@
 	tokensAhead    float64 // tokens processed before its first token; negative: its time does not measure the processing speed
 	medianMs       float64 // see Choice
 	started        bool
+	released       bool
 	ended          bool
 }
 
@@ -128,6 +129,16 @@
 	Cleared
 )
 
+// Release records that the server no longer runs the job, whose outcome is not known yet.
+func (p *Picker) Release(j *Job) {
+	if j.released {
+		return
+	}
+	j.released = true
+	j.s.ownLoad.Running--
+	j.s.ownLoad.MemoryTokens -= j.memoryTokens
+}
+
 // End records the outcome of the job.
 func (p *Picker) End(j *Job, o Outcome, now time.Time) HealthChange {
 	if j.ended {
@@ -139,8 +150,7 @@
 	if o == Succeeded || o == Full {
 		s.lastAnswer = now
 	}
-	s.ownLoad.Running--
-	s.ownLoad.MemoryTokens -= j.memoryTokens
+	p.Release(j)
 	change := p.updateHealth(s, o, now)
 	if s.unlisted && s.ownLoad.Running == 0 && p.servers[s.ID] == s {
 		p.forgetServer(s)
--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -52,16 +52,12 @@
 	buf := make([]byte, 0, max(min(a.Length, maxBufferedBody), 0)+1)
 	body, err := readBuffered(a.Body, buf)
 	x.timer.Stop()
+	if err == nil {
+		err = x.confirmEnd(a)
+	}
 	if err != nil && err != errBodyTooLong {
 		a.Close()
-		if v := x.requestOver(); v != 0 {
-			return v
-		}
-		x.finish(pick.Failed, "answer broken off")
-		x.recordCrash(true, err)
-		q.h.Meter.AttemptFailed(q.service, "broken off")
-		x.logFailure("status", a.Status, "stage", "body", "err", err)
-		return resultRetry
+		return x.handleBroken(a, err)
 	}
 	q.h.State.NoteFirstEvent(&x.placement)
 	q.h.Meter.FirstResponse(q.service, q.age())
@@ -71,18 +67,26 @@
 		return x.handleCallerGone(werr)
 	}
 	if err == errBodyTooLong {
-		if _, err := io.Copy(q.w, a.Body); err != nil {
+		if err := x.copyRest(a); err != nil {
 			a.Close()
-			return x.handleBroken(err)
+			return x.handleBroken(a, err)
 		}
 	}
 	a.Finish()
 	x.finish(outcomeForStatus(a.Status), "status "+strconv.Itoa(a.Status))
 	x.recordSuccess(a.Status)
-	x.recordAnswered(a, len(body), upstream.LivenessUnknown)
+	x.recordAnswered(a, len(body))
 	return resultAnswered
 }
 
+// copyRest forwards the rest of a body that is too long to be buffered.
+func (x *exchange) copyRest(a *upstream.Response) error {
+	if _, err := io.Copy(x.q.w, a.Body); err != nil {
+		return err
+	}
+	return x.confirmEnd(a)
+}
+
 // outcomeForStatus returns the outcome that a response status implies for its server.
 func outcomeForStatus(status int) pick.Outcome {
 	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
@@ -144,7 +148,7 @@
 		}
 		if err != nil {
 			a.Close()
-			return x.handleBroken(err)
+			return x.handleBroken(a, err)
 		}
 		if count == 0 {
 			x.firstEventAt = q.h.Now()
@@ -202,12 +206,9 @@
 
 // finishStream completes a stream that the server ended normally.
 func (x *exchange) finishStream(a *upstream.Response, count int) attemptResult {
-	liveness := upstream.Alive
-	if a.CloseDelimited {
-		liveness = x.checkAlive(a)
-	}
-	if liveness == upstream.Gone {
-		return x.handleBroken(upstream.ErrServerCrashed)
+	x.timer.Stop()
+	if err := x.confirmEnd(a); err != nil {
+		return x.handleBroken(a, err)
 	}
 	if !x.q.headerSent {
 		x.writeHeader(a, 0, false)
@@ -215,30 +216,25 @@
 	a.Finish()
 	x.placement.Events = count
 	x.finish(pick.Succeeded, "")
-	if liveness == upstream.Alive {
-		x.recordSuccess(a.Status)
-	}
-	x.recordAnswered(a, count, liveness)
+	x.recordSuccess(a.Status)
+	x.recordAnswered(a, count)
 	return resultAnswered
 }
 
-// checkAlive closes the connection of a close-delimited response and reports whether its server still
-// runs. If it has crashed between two events, the response ends in the same way.
-func (x *exchange) checkAlive(a *upstream.Response) upstream.Liveness {
-	a.Finish()
-	return x.q.h.Pool.CheckAlive(x.q.r.Context(), x.server.Identity(), x.server.Addr, x.placement.MaxConns)
-}
-
-// handleBroken handles a response that broke off.
-func (x *exchange) handleBroken(err error) attemptResult {
+// handleBroken handles a response that broke off, or may have.
+func (x *exchange) handleBroken(a *upstream.Response, err error) attemptResult {
 	q := x.q
 	if v := x.requestOver(); v != 0 {
 		return v
 	}
-	x.finish(pick.Failed, "answer broken off")
+	outcome := pick.Failed
+	if err == upstream.ErrEndUnconfirmed {
+		outcome = pick.Abandoned
+	}
+	x.finish(outcome, "answer broken off")
 	x.recordCrash(true, err)
 	q.h.Meter.AttemptFailed(q.service, "broken off")
-	x.logFailure("stage", "body", "last", q.lastEventID, "err", err)
+	x.logFailure("status", a.Status, "stage", "body", "last", q.lastEventID, "closeDelimited", a.CloseDelimited, "err", err)
 	if q.headerSent && q.lastEventID == "" {
 		return resultCut
 	}
@@ -256,14 +252,12 @@
 	return resultCallerGone
 }
 
-// recordAnswered counts and logs a request that a server answered. liveness is that of the server after
-// a close-delimited response.
-func (x *exchange) recordAnswered(a *upstream.Response, size int, liveness upstream.Liveness) {
+// recordAnswered counts and logs a request that a server answered.
+func (x *exchange) recordAnswered(a *upstream.Response, size int) {
 	status := a.Status
 	q := x.q
 	q.h.Meter.Answered(q.service, status, q.age())
-	unconfirmed := a.CloseDelimited && liveness != upstream.Alive
-	if q.logRoutine || unconfirmed || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
-		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "closeDelimited", a.CloseDelimited, "serverAfter", liveness.String(), "tries", len(q.triedServers))
+	if q.logRoutine || status >= http.StatusInternalServerError || len(q.triedServers) > 1 || q.meta.Resumes != "" {
+		q.log(slog.LevelInfo, events.EdgeAnswered, "server", x.server.ID, "version", x.server.Version, "resumes", q.meta.Resumes, "status", status, "size", size, "closeDelimited", a.CloseDelimited, "tries", len(q.triedServers))
 	}
 }
--- a/internal/edge/front/earlyrejection_test.go
+++ b/internal/edge/front/earlyrejection_test.go
@@ -46,7 +46,7 @@
 }
 
 // waitForBytes waits until n bytes have arrived.
-func waitForBytes(t *testing.T, c net.Conn, n int) {
+func waitForBytes(t testing.TB, c net.Conn, n int) {
 	t.Helper()
 	raw, err := c.(syscall.Conn).SyscallConn()
 	assert.NilError(t, err)
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -31,7 +31,7 @@
 
 // rig is a router's request path with test servers behind it.
 type rig struct {
-	t             *testing.T
+	t             testing.TB
 	state         *state.State
 	handler       *front.Handler
 	server        *httptest.Server
@@ -42,7 +42,7 @@
 	configVersion int
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	t.Helper()
 	r := &rig{t: t, log: &edgetest.LogBuffer{}, streams: &localStreams{table: affinity.New()}, state: state.New("dc", 0.2, 80, time.Now)}
 	r.handler = front.New(front.Config{
@@ -131,6 +131,12 @@
 		prompt = "aa:600,bb:100"
 	}
 	platformtest.SetRequestHeaders(req.Header, a.attempt, key, 2*time.Second, prompt)
+	return do(req, a.attempt)
+}
+
+// do makes a request and reads the response to its end.
+func do(req *http.Request, attempt string) answer {
+	a := answer{attempt: attempt}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		a.err = err
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -41,6 +41,7 @@
 	fetches       prometheus.Counter
 	storeFailures *prometheus.CounterVec
 	serverCrashes *prometheus.CounterVec
+	endChecks     *prometheus.CounterVec
 	badRows       *prometheus.CounterVec
 	asks          *prometheus.CounterVec
 	askSeconds    prometheus.Histogram
@@ -62,12 +63,13 @@
 		storeFailures: counter("store_failures_total", "Calls to the platform's store that failed.", "what", "kind"),
 		badRows:       counter("store_bad_rows_total", "Rows of the platform's store that became unusable.", "what"),
 		serverCrashes: counter("server_ends_total", "Servers that ended, or broke their connection, under a request.", "service"),
+		endChecks:     counter("end_checks_total", "Checks whether a server outlived its close-delimited response.", "service", "result"),
 		asks:          counter("asks_total", "Requests for which the scheduler was to decide.", "outcome"),
 		askSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "ask_seconds", Help: "From an ask to its decision, or to when it was given up.", Buckets: askBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.asks, m.askSeconds, m.serverCrashes, m.badRows, m.responses, m.refusals, m.firstResponse, m.fullResponse, m.attempts, m.failures, m.health, m.fetches, m.storeFailures)
+	m.registry.MustRegister(m.endChecks, m.asks, m.askSeconds, m.serverCrashes, m.badRows, m.responses, m.refusals, m.firstResponse, m.fullResponse, m.attempts, m.failures, m.health, m.fetches, m.storeFailures)
 	return m
 }
 
@@ -141,6 +143,11 @@
 // ServerCrashed counts a server that may have crashed while it ran a request.
 func (m *Meter) ServerCrashed(service string) { m.serverCrashes.WithLabelValues(service).Inc() }
 
+// EndChecked counts a check whether a server outlived its close-delimited response.
+func (m *Meter) EndChecked(service, result string) {
+	m.endChecks.WithLabelValues(service, result).Inc()
+}
+
 // BadRow counts a row of the platform's store that became unusable.
 func (m *Meter) BadRow(what string) { m.badRows.WithLabelValues(what).Inc() }
 
--- a/internal/edge/state/place.go
+++ b/internal/edge/state/place.go
@@ -115,6 +115,7 @@
 	service    string
 	route      string
 	firstAt    time.Time // time of the server's first event or answer; zero: none yet
+	releasedAt time.Time // when the server ended its answer; zero: it has not, or End came first
 	pinned     bool
 	Status     int // status of the server's answer; 0: no answer
 	Events     int // number of events in the server's answer
@@ -400,7 +401,7 @@
 func (s *State) NoteFirstEvent(p *Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := p.answeredAt(s.now())
 	if !p.served.started {
 		s.accounts.For(p.served.customer).Started += p.served.tokens
 	}
@@ -412,6 +413,23 @@
 	s.picker.NoteFirstEvent(p.Job, now)
 }
 
+// Release records that the server has ended its response, before it is known whether the response is
+// complete. The server can run another request meanwhile.
+func (s *State) Release(p *Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.releasedAt = s.now()
+	s.picker.Release(p.Job)
+}
+
+// answeredAt returns when the server ended its answer: now, unless it has been released before.
+func (p *Placement) answeredAt(now time.Time) time.Time {
+	if p.releasedAt.IsZero() {
+		return now
+	}
+	return p.releasedAt
+}
+
 // End records the outcome of a request at its server. A request that no server has started is not
 // counted as served.
 func (s *State) End(p *Placement, o pick.Outcome) pick.HealthChange {
@@ -422,7 +440,7 @@
 		s.revert(p.served, now)
 	}
 	p.served.started = true
-	s.observeAnswer(p, o, now)
+	s.observeAnswer(p, o, p.answeredAt(now))
 	return s.picker.End(p.Job, o, now)
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -51,4 +51,5 @@
 	ErrConnLimit        Fault = "all connections to the server are in use"
 	ErrTooLarge         Fault = "event too large"
 	ErrServerCrashed    Fault = "server crashed at the end of a close-delimited response"
+	ErrEndUnconfirmed   Fault = "end of a close-delimited response could not be confirmed"
 )
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,7 +49,7 @@
 	Length int64       // -1: unknown
 	Reused bool        // the connection had carried an exchange before
 	// CloseDelimited means that only the end of the connection marks the end of the response. The
-	// crash of its server looks the same.
+	// crash of its server looks the same: see Pool.CheckAlive.
 	CloseDelimited bool
 	Body           io.Reader // returns io.EOF only at the end of the response
 
@@ -104,7 +104,7 @@
 		Length: resp.ContentLength,
 		Reused: reused,
 
-		CloseDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		CloseDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
 		Body:           resp.Body,
 		exchange:       e,
 		resp:           resp,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,9 @@
 
 // serverConns are the connections to one start of a server.
 type serverConns struct {
-	idle []*conn // most recently used last
-	open int
+	idle  []*conn // most recently used last
+	open  int     // with those that are being opened
+	conns map[*conn]struct{}
 }
 
 // NewPool returns an empty pool that measures idle times with the clock now.
@@ -51,36 +54,80 @@
 // get returns a connection to the server: an idle one that is still usable, or a new one if
 // fewer than limit are open (0: no limit).
 func (p *Pool) get(ctx context.Context, id routing.Identity, addr string, limit int, atMostOnce bool) (*conn, error) {
+	if c := p.takeIdle(id, atMostOnce); c != nil {
+		return c, nil
+	}
+	return p.open(ctx, id, addr, limit)
+}
+
+// takeIdle returns an idle connection to the server that is still usable, or nil.
+func (p *Pool) takeIdle(id routing.Identity, atMostOnce bool) *conn {
 	now := p.now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	s := p.byServer[id]
 	if s == nil {
-		s = &serverConns{}
-		p.byServer[id] = s
+		return nil
 	}
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
 		if c.usable(now, atMostOnce) {
-			p.mu.Unlock()
-			return c, nil
+			return c
 		}
-		s.open--
-		_ = c.Close()
+		p.closeConn(id, c)
 	}
-	if limit > 0 && s.open >= limit {
-		p.mu.Unlock()
+	return nil
+}
+
+// open returns a new connection to the server. If limit (0: none) are open, an idle one is closed first.
+func (p *Pool) open(ctx context.Context, id routing.Identity, addr string, limit int) (*conn, error) {
+	if !p.reserveSlot(id, limit) {
 		return nil, ErrConnLimit
 	}
-	s.open++
-	p.dials++
-	p.mu.Unlock()
 	raw, err := p.dialer.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		p.releaseSlot(id)
 		return nil, err
 	}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c := &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferSize)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byServer[id].conns[c] = struct{}{}
+	return c, nil
+}
+
+// reserveSlot counts a connection that is being opened, unless limit are open.
+func (p *Pool) reserveSlot(id routing.Identity, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.byServer[id]
+	if s == nil {
+		s = &serverConns{conns: map[*conn]struct{}{}}
+		p.byServer[id] = s
+	}
+	if limit > 0 && s.open >= limit && len(s.idle) > 0 {
+		oldest := s.idle[0]
+		s.idle = s.idle[1:]
+		p.closeConn(id, oldest)
+	}
+	if limit > 0 && s.open >= limit {
+		return false
+	}
+	s.open++
+	p.dials++
+	return true
+}
+
+// openConns returns the connections to the server, idle or not.
+func (p *Pool) openConns(id routing.Identity) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.byServer[id]
+	if s == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(s.conns))
 }
 
 // usable reports whether an idle connection may carry another request.
@@ -127,6 +174,7 @@
 	_ = c.Close()
 	if s := p.byServer[id]; s != nil {
 		s.open--
+		delete(s.conns, c)
 	}
 }
 
@@ -156,8 +204,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		s.open--
-		_ = c.Close()
+		p.closeConn(id, c)
 	}
 	s.idle = kept
 }
@@ -182,8 +229,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			s.open--
-			_ = c.Close()
+			p.closeConn(id, c)
 		}
 		s.idle = kept
 		if !keep(id) && s.open <= 0 {
