front: a cut response resets the connection of an HTTP/1.0 caller

An HTTP/1.0 caller reads a response that is not buffered to the end of its connection. When the response broke off at its server the router closed that connection in order, which looked like the end of the response; only relayed connections were reset.

The connection is now set to be reset when it is closed. TestCutResponseOfHTTP10CallerIsReset failed (no error after half of the body) for a plain response and a stream, and passes. TestCrashIsVisibleToHTTP2Callers passed before too: HTTP/2 streams are reset.

--- a/internal/edge/front/caller.go
+++ b/internal/edge/front/caller.go
@@ -48,12 +48,31 @@
 // abort ends the request without a complete response. HTTP/1.1 callers see that from the response's
 // length or chunks; others would take the end of the connection for that of the response.
 func (q *request) abort() {
-	if c := relayedConn(q.r); c != nil && !q.r.ProtoAtLeast(1, 1) {
-		c.Abort()
+	if !q.r.ProtoAtLeast(1, 1) {
+		q.resetOnClose()
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetOnClose makes the close of the caller's connection reset it.
+func (q *request) resetOnClose() {
+	if c := relayedConn(q.r); c != nil {
+		c.Abort()
+		return
+	}
+	c, ok := q.r.Context().Value(callerConnKey{}).(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return // closed already
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed already
+		_ = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+}
+
 // callerDisconnected reports whether the caller has closed its connection. The request's context
 // is cancelled too, but later: an overloaded host reads a request and the close that follows it
 // at about the same time, and would forward the request before the context is cancelled.
--- a/internal/edge/front/closedelimited_test.go
+++ b/internal/edge/front/closedelimited_test.go
@@ -1,16 +1,22 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/edge/front"
 	"github.com/windscale/windscale/platform/platformtest"
 )
 
@@ -230,3 +236,74 @@
 	stamp.Version++
 	r.state.ReplaceServers(list, stamp, true)
 }
+
+// Guards against a cut response that looks complete to an HTTP/1.0 caller, for which the end of the
+// connection is the end of the response: the connection is reset.
+func TestCutResponseOfHTTP10CallerIsReset(t *testing.T) {
+	for _, path := range []string{"/u/x", "/o/x"} {
+		r := newRig(t)
+		r.configure()
+		engines, plain := r.servers(1)
+		plain[0].BodyRepeats = beyondBuffer
+		plain[0].SetFault(func(string) platformtest.Fault { return platformtest.CrashInBody })
+		engines[0].SetFault(func(string) platformtest.Fault { return platformtest.TruncatedResponse })
+		c := r.dialCaller()
+		_, err := fmt.Fprintf(c, "POST %s HTTP/1.0\r\nHost: %s\r\nAuthorization: Bearer k\r\n%s: old\r\nContent-Length: 4\r\n\r\nbody",
+			path, platformtest.Host, platformtest.AttemptHeader)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200)
+		_, err = io.ReadAll(resp.Body)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
+
+// dialCaller opens a caller's connection to a server with the handler, to which requests lead back.
+func (r *rig) dialCaller() net.Conn {
+	r.t.Helper()
+	s := httptest.NewUnstartedServer(r.handler)
+	s.Config.ConnContext = front.WithConn
+	s.Start()
+	r.t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// A crash is visible to HTTP/2 callers too: the stream of a response that has begun is reset.
+func TestCrashIsVisibleToHTTP2Callers(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	plain[0].SetFault(func(string) platformtest.Fault { return platformtest.CrashInBody })
+	for _, c := range []struct {
+		repeats, status int
+		cut             bool
+	}{{1, 502, false}, {beyondBuffer, 200, true}} {
+		plain[0].BodyRepeats = c.repeats
+		a := r.callHTTP2("POST", "/u/x")
+		assert.Equal(t, a.status, c.status)
+		assert.Equal(t, a.err != nil, c.cut, "%v", a.err)
+		assert.NilError(t, plain[0].Restart())
+	}
+}
+
+// callHTTP2 makes a request by HTTP/2 without TLS.
+func (r *rig) callHTTP2(method, path string) answer {
+	r.t.Helper()
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	s := httptest.NewUnstartedServer(r.handler)
+	s.Config.Protocols = &protocols
+	s.Start()
+	r.t.Cleanup(s.Close)
+	transport := &http.Transport{Protocols: &protocols}
+	r.t.Cleanup(transport.CloseIdleConnections)
+	req, err := http.NewRequest(method, s.URL+path, http.NoBody)
+	assert.NilError(r.t, err)
+	req.Host = platformtest.Host
+	platformtest.SetRequestHeaders(req.Header, "h2", "k", 2*time.Second, "")
+	return doWith(&http.Client{Transport: transport}, req, "h2")
+}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -135,9 +135,11 @@
 }
 
 // do makes a request and reads the response to its end.
-func do(req *http.Request, attempt string) answer {
+func do(req *http.Request, attempt string) answer { return doWith(http.DefaultClient, req, attempt) }
+
+func doWith(client *http.Client, req *http.Request, attempt string) answer {
 	a := answer{attempt: attempt}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		a.err = err
 		return a
