peers: an answer of a peer needs a length

A router read an answer of a peer without a length to the end of its connection, and one above 8 MB up to there, and took what it had for the whole. Both ends look the same when the peer crashes.

--- a/internal/edge/peers/network.go
+++ b/internal/edge/peers/network.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/windscale/windscale/internal/dial"
@@ -96,10 +97,19 @@
 	return body, nil
 }
 
-// readBody reads a response body, into a buffer of the exact length if that is known.
+// LengthError is a response of a peer without a length, whose end could be that of a process that
+// crashes, or with one above maxResponseSize.
+type LengthError struct{ Length int64 }
+
+// Error implements error.
+func (e *LengthError) Error() string {
+	return "length of a peer's answer: " + strconv.FormatInt(e.Length, 10)
+}
+
+// readBody reads a response body. The error is a *LengthError unless its length is given and allowed.
 func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength < 0 || resp.ContentLength > maxResponseSize {
-		return io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+		return nil, &LengthError{Length: resp.ContentLength}
 	}
 	body := make([]byte, resp.ContentLength)
 	_, err := io.ReadFull(resp.Body, body)
