upstream: after a suspension a new connection does not confirm a response

A router that was stopped or suspended reads the end of a close-delimited response late. If its server crashed and started again meanwhile, or another server has its address, the probe finds something that accepts connections, and the truncated response would be passed on as complete.

A response during which there was one is confirmed only by a connection to its server that is older than the end of the response. Otherwise a request that may be repeated goes to another server, and any other one gets 502.

The connections that are older are now taken once, when the response ends: a second round of probes counted that of the first as one of them.

TestEndNoticedAfterASuspensionIsNotConfirmed failed without Late (200 for the unsafe request) and with the second round's mistake, and passes.

--- a/internal/core/liveness/liveness.go
+++ b/internal/core/liveness/liveness.go
@@ -45,6 +45,11 @@
 
 // Check is the check of one server after one response. Its zero value is ready for use.
 type Check struct {
+	// Late means that so much time has passed since the response ended that another process may have the
+	// server's address. Only a connection from before then proves that the server runs.
+	Late bool
+
+	hopeless      bool
 	rejections    int
 	firstRejected time.Duration
 	pause         time.Duration
@@ -54,11 +59,18 @@
 // verdict so far.
 func (c *Check) Observe(o Observation, at time.Duration) Verdict {
 	switch o {
-	case Accepted, Connected:
+	case Connected:
 		return Alive
 	case Refused:
 		return Gone
-	case Rejected:
+	case Accepted, Rejected:
+		if c.Late {
+			c.hopeless = true
+			return Unknown
+		}
+		if o == Accepted {
+			return Alive
+		}
 		return c.observeRejection(at)
 	case NoReply:
 	}
@@ -78,6 +90,9 @@
 	return Unknown
 }
 
+// Hopeless reports whether further probes can't lead to a verdict.
+func (c *Check) Hopeless() bool { return c.hopeless }
+
 // Pause returns the time until the next probe.
 func (c *Check) Pause() time.Duration {
 	c.pause = min(max(2*c.pause, firstPause), maxPause)
--- a/internal/core/liveness/liveness_test.go
+++ b/internal/core/liveness/liveness_test.go
@@ -59,6 +59,19 @@
 	assert.Equal(t, check.Observe(liveness.Refused, 2*time.Millisecond), liveness.Gone)
 }
 
+// Guards against a server that crashed while this host was suspended, and whose successor accepts a
+// connection at the same address.
+func TestNewConnectionProvesNothingLate(t *testing.T) {
+	for o, want := range map[liveness.Observation]liveness.Verdict{
+		liveness.Accepted: liveness.Unknown, liveness.Rejected: liveness.Unknown, liveness.NoReply: liveness.Unknown,
+		liveness.Connected: liveness.Alive, liveness.Refused: liveness.Gone,
+	} {
+		check := liveness.Check{Late: true}
+		assert.Equal(t, check.Observe(o, 0), want)
+		assert.Equal(t, check.Hopeless(), o == liveness.Accepted || o == liveness.Rejected)
+	}
+}
+
 // A verdict other than Unknown needs an observation of the server itself, and a refusal is never read
 // as a sign of life.
 func TestVerdictNeedsProof(t *testing.T) {
--- a/internal/edge/front/closedelimited_test.go
+++ b/internal/edge/front/closedelimited_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/front"
+	"github.com/windscale/windscale/internal/upstream"
 	"github.com/windscale/windscale/platform/platformtest"
 )
 
@@ -184,6 +187,44 @@
 	}
 }
 
+// Guards against a server that crashed while this host was suspended: its successor at the address
+// accepts connections. Without an older connection nothing proves that the response is complete.
+func TestEndNoticedAfterASuspensionIsNotConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		older              bool // another request runs at the server
+		status, runs       int
+	}{
+		{"safe", "GET", "/r/x", false, 200, 2},
+		{"unsafe", "POST", "/u/x", false, 502, 1},
+		{"unsafe, with an older connection", "POST", "/u/x", true, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var suspended atomic.Int64
+			r := newRig(t)
+			r.handler.Pool = upstream.NewPool(func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) })
+			r.configure()
+			servers := 2
+			if c.older {
+				servers = 1
+			}
+			_, plain := r.servers(servers)
+			if c.older {
+				runAnother(t, r, plain[0])
+			}
+			var once sync.Once
+			for _, s := range plain {
+				s.CloseDelimited = true
+				s.BeforeEnd = func() { once.Do(func() { suspended.Store(int64(time.Second)) }) }
+			}
+			a := r.call(context.Background(), c.method, c.path, "k", "")
+			assert.Equal(t, a.status, c.status)
+			assert.Equal(t, len(runs(plain)), c.runs)
+			assert.Assert(t, !r.state.HasCrashes())
+		})
+	}
+}
+
 // holdConns keeps n further connections to the server open.
 func holdConns(t *testing.T, s *platformtest.Server, n int) {
 	for range n {
--- a/internal/edge/front/confirm.go
+++ b/internal/edge/front/confirm.go
@@ -19,11 +19,18 @@
 	if !a.CloseDelimited {
 		return nil
 	}
-	a.Finish()
+	late := a.Ended()
 	x.q.h.State.Release(&x.placement)
-	verdict := x.checkAlive(min(retryUnconfirmedAfter, x.q.remaining()))
+	check := x.q.h.Pool.NewAliveCheck(upstream.Probe{
+		Server:   x.server.Identity(),
+		Addr:     x.server.Addr,
+		MaxConns: x.placement.MaxConns,
+		Leaving:  func() bool { return !x.q.h.State.MaySend(&x.placement) },
+		Late:     late,
+	})
+	verdict := x.runCheck(check, min(retryUnconfirmedAfter, x.q.remaining()))
 	if verdict == liveness.Unknown && !x.reserveRetry() {
-		verdict = x.checkAlive(x.q.remaining())
+		verdict = x.runCheck(check, x.q.remaining())
 	}
 	x.q.h.Meter.EndChecked(x.q.service, verdict.String())
 	switch verdict {
@@ -36,16 +43,11 @@
 	return upstream.ErrEndUnconfirmed
 }
 
-// checkAlive reports, within the timeout, whether the server outlived its response.
-func (x *exchange) checkAlive(timeout time.Duration) liveness.Verdict {
+// runCheck runs the check for at most the timeout.
+func (x *exchange) runCheck(check *upstream.AliveCheck, timeout time.Duration) liveness.Verdict {
 	ctx, cancel := context.WithTimeout(x.q.r.Context(), timeout)
 	defer cancel()
-	return x.q.h.Pool.CheckAlive(ctx, upstream.Probe{
-		Server:   x.server.Identity(),
-		Addr:     x.server.Addr,
-		MaxConns: x.placement.MaxConns,
-		Leaving:  func() bool { return !x.q.h.State.MaySend(&x.placement) },
-	})
+	return check.Run(ctx)
 }
 
 // reserveRetry reports whether the request may be sent to another server, and takes a retry from the
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -24,65 +24,80 @@
 	// Leaving reports whether the server is shutting down, so that it may refuse connections while it
 	// still runs.
 	Leaving func() bool
+	// Late means that the server may have crashed and started again since the response ended, so that a
+	// new connection proves nothing.
+	Late bool
 }
 
-// CheckAlive reports whether the server outlived its response, whose connection has been closed. It
-// probes the server until that is known or ctx ends. A connection that it opens is kept for the next
-// request to the server, which would have opened one.
-func (p *Pool) CheckAlive(ctx context.Context, s Probe) liveness.Verdict {
-	ended := time.Now()
-	witnesses := p.openConns(s.Server)
-	var check liveness.Check
-	for {
-		o := p.probe(ctx, s, witnesses)
-		if v := check.Observe(o, time.Since(ended)); v != liveness.Unknown {
+// AliveCheck is the check whether a server outlived its response.
+type AliveCheck struct {
+	Probe
+	pool      *Pool
+	ended     time.Time
+	witnesses []*conn // that were open when the response ended
+	verdict   liveness.Check
+}
+
+// NewAliveCheck returns the check for a response that has just ended and whose connection is closed.
+func (p *Pool) NewAliveCheck(s Probe) *AliveCheck {
+	return &AliveCheck{Probe: s, pool: p, ended: time.Now(), witnesses: p.openConns(s.Server), verdict: liveness.Check{Late: s.Late}}
+}
+
+// Run probes the server until the verdict is known or ctx ends. It may be called again while it is
+// unknown. A connection that it opens is kept for the next request to the server, which would have
+// opened one.
+func (c *AliveCheck) Run(ctx context.Context) liveness.Verdict {
+	for ctx.Err() == nil && !c.verdict.Hopeless() {
+		v := c.verdict.Observe(c.probe(ctx), time.Since(c.ended))
+		if v != liveness.Unknown {
 			return v
 		}
-		if !sleep(ctx, check.Pause()) {
-			return liveness.Unknown
-		}
+		sleep(ctx, c.verdict.Pause())
 	}
+	return liveness.Unknown
 }
 
 // probe opens a connection to the server. It does not rely on an idle one, which may have gone silent.
-// The witnesses are the connections that were open when the response ended.
-func (p *Pool) probe(ctx context.Context, s Probe, witnesses []*conn) liveness.Observation {
-	c, err := p.open(ctx, s.Server, s.Addr, s.MaxConns)
+func (c *AliveCheck) probe(ctx context.Context) liveness.Observation {
+	opened, err := c.pool.open(ctx, c.Server, c.Addr, c.MaxConns)
 	if err == nil {
-		return p.settle(ctx, s, c, witnesses)
+		return c.settle(ctx, opened)
 	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		if s.Leaving() && stayOpen(ctx, witnesses) {
+		if c.Leaving() && stayOpen(ctx, c.witnesses) {
 			return liveness.Connected
 		}
 		return liveness.Refused
 	case errors.Is(err, syscall.ECONNRESET):
-		return rejected(ctx, witnesses)
-	case errors.Is(err, ErrConnLimit) && stayOpen(ctx, witnesses):
+		return c.rejected(ctx)
+	case errors.Is(err, ErrConnLimit) && stayOpen(ctx, c.witnesses):
 		return liveness.Connected
 	}
 	return liveness.NoReply
 }
 
 // settle reports whether a new connection stays open, and keeps it if so.
-func (p *Pool) settle(ctx context.Context, s Probe, c *conn, witnesses []*conn) liveness.Observation {
+func (c *AliveCheck) settle(ctx context.Context, opened *conn) liveness.Observation {
 	waited := sleep(ctx, settleTime)
-	if !c.noInput() {
-		p.discard(s.Server, c)
-		return rejected(ctx, witnesses)
+	if !opened.noInput() {
+		c.pool.discard(c.Server, opened)
+		return c.rejected(ctx)
 	}
-	p.putIdle(s.Server, c, 0)
-	if !waited {
+	c.pool.putIdle(c.Server, opened, 0)
+	switch {
+	case !waited:
 		return liveness.NoReply
+	case c.Late && anyOpen(c.witnesses):
+		return liveness.Connected
 	}
 	return liveness.Accepted
 }
 
 // rejected is the observation of a connection that was accepted and closed at once. A server that has
 // all the connections that it allows keeps those.
-func rejected(ctx context.Context, witnesses []*conn) liveness.Observation {
-	if stayOpen(ctx, witnesses) {
+func (c *AliveCheck) rejected(ctx context.Context) liveness.Observation {
+	if stayOpen(ctx, c.witnesses) {
 		return liveness.Connected
 	}
 	return liveness.Rejected
@@ -90,9 +105,11 @@
 
 // stayOpen reports whether one of the connections is still open after settleTime.
 func stayOpen(ctx context.Context, list []*conn) bool {
-	if len(list) == 0 || !sleep(ctx, settleTime) {
-		return false
-	}
+	return len(list) > 0 && sleep(ctx, settleTime) && anyOpen(list)
+}
+
+// anyOpen reports whether one of the connections is open.
+func anyOpen(list []*conn) bool {
 	for _, c := range list {
 		if peek.Check(c.Conn.(*net.TCPConn)) == peek.Open {
 			return true
--- a/internal/upstream/alive_test.go
+++ b/internal/upstream/alive_test.go
@@ -67,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return pool.CheckAlive(ctx, p), pool
+	return pool.NewAliveCheck(p).Run(ctx), pool
 }
 
 func TestCheckKeepsItsConnection(t *testing.T) {
@@ -87,7 +87,7 @@
 	_, pool := check(t, time.Second, p, 0)
 	assert.NilError(t, l.Close())
 	assert.Equal(t, len(pool.byServer[server].idle), 1)
-	assert.Equal(t, pool.CheckAlive(context.Background(), p), liveness.Gone)
+	assert.Equal(t, pool.NewAliveCheck(p).Run(context.Background()), liveness.Gone)
 }
 
 func TestRefusedConnectionMeansGone(t *testing.T) {
@@ -156,7 +156,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	assert.Equal(t, pool.CheckAlive(ctx, p), liveness.Gone)
+	assert.Equal(t, pool.NewAliveCheck(p).Run(ctx), liveness.Gone)
 }
 
 // A server whose queue of connections is full gets more time, and one that stays unreachable proves
@@ -169,7 +169,21 @@
 	time.AfterFunc(300*time.Millisecond, acceptAll)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	assert.Equal(t, pool.CheckAlive(ctx, p), liveness.Alive)
+	assert.Equal(t, pool.NewAliveCheck(p).Run(ctx), liveness.Alive)
+}
+
+// Once a new process may have the server's address, only an older connection is a proof.
+func TestLateCheckNeedsAnOlderConnection(t *testing.T) {
+	l := listen(t, keep)
+	p := l.probe(0, false)
+	p.Late = true
+	v, _ := check(t, time.Second, p, 0)
+	assert.Equal(t, v, liveness.Unknown)
+	v, _ = check(t, time.Second, p, 1)
+	assert.Equal(t, v, liveness.Alive)
+	assert.NilError(t, l.Close())
+	v, _ = check(t, time.Second, p, 0)
+	assert.Equal(t, v, liveness.Gone)
 }
 
 // listenWithoutQueue returns an address whose kernel drops new connections until acceptAll is called.
@@ -210,7 +224,7 @@
 	p := l.probe(1, false)
 	v, pool := check(t, time.Second, p, 0)
 	assert.Equal(t, v, liveness.Alive)
-	assert.Equal(t, pool.CheckAlive(context.Background(), p), liveness.Alive)
+	assert.Equal(t, pool.NewAliveCheck(p).Run(context.Background()), liveness.Alive)
 	assert.Equal(t, pool.byServer[server].open, 1)
 	assert.Equal(t, len(pool.byServer[server].idle), 1)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,7 +49,7 @@
 	Length int64       // -1: unknown
 	Reused bool        // the connection had carried an exchange before
 	// CloseDelimited means that only the end of the connection marks the end of the response. The
-	// crash of its server looks the same: see Pool.CheckAlive.
+	// crash of its server looks the same: see AliveCheck.
 	CloseDelimited bool
 	Body           io.Reader // returns io.EOF only at the end of the response
 
@@ -62,6 +62,7 @@
 	pool        *Pool
 	id          routing.Identity
 	conn        *conn
+	began       time.Time
 	stopWatch   func() bool   // stops watching the caller's context
 	bodyWritten chan struct{} // closed when the request is written or has failed to be
 	once        sync.Once
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
-	e := &exchange{pool: p, id: call.Server, conn: c, noMismatch: true, bodyWritten: make(chan struct{})}
+	e := &exchange{pool: p, id: call.Server, conn: c, began: p.stalls.begin(), noMismatch: true, bodyWritten: make(chan struct{})}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ctx.Err(); err != nil {
 		e.finish(false, 0)
@@ -200,6 +201,15 @@
 	}
 }
 
+// Ended ends the exchange of a close-delimited response after its body was read to its end, and reports
+// whether that may have been noticed so late that another process has the server's address.
+func (r *Response) Ended() (late bool) {
+	e := r.exchange
+	late = e.pool.stalls.stalledSince(e.began)
+	r.Finish()
+	return late
+}
+
 // Finish ends the exchange after the body was read to its end. The connection is returned to
 // the pool if it is reusable.
 func (r *Response) Finish() {
@@ -221,6 +231,7 @@
 // finish returns the connection to the pool or closes it, once.
 func (e *exchange) finish(reusable bool, idleTimeout time.Duration) {
 	e.once.Do(func() {
+		e.pool.stalls.end()
 		if !e.stopWatch() {
 			reusable = false // the context has ended, which closes the connection
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -37,6 +37,7 @@
 	mu       sync.Mutex
 	byServer map[routing.Identity]*serverConns
 	dials    int64 // connections opened, for the metrics
+	stalls   stallDetector
 }
 
 // serverConns are the connections to one start of a server.
@@ -48,7 +49,7 @@
 
 // NewPool returns an empty pool that measures idle times with the clock now.
 func NewPool(now func() time.Time) *Pool {
-	return &Pool{now: now, byServer: map[routing.Identity]*serverConns{}, dialer: dial.Dialer(dialTimeout)}
+	return &Pool{now: now, byServer: map[routing.Identity]*serverConns{}, dialer: dial.Dialer(dialTimeout), stalls: stallDetector{now: now}}
 }
 
 // get returns a connection to the server: an idle one that is still usable, or a new one if
