upstream: probes ignore the router's own limit, and resets alone tell a full server

The probe is made above the router's own limit too, and its connection replaces an idle one there. An older connection counts only where a new one can prove nothing: a server that is shutting down and refuses connections, and a router that was suspended.

TestOlderConnectionDoesNotHideACrash failed before (alive).

--- a/internal/core/liveness/liveness.go
+++ b/internal/core/liveness/liveness.go
@@ -29,7 +29,7 @@
 	Rejected                         // a new connection was accepted and closed at once
 	Refused                          // nothing listens at the server's address
 	NoReply                          // no connection could be attempted, or the attempt timed out
-	Connected                        // a connection that was open when the response ended is still open
+	Connected                        // a connection from before the response's end is still open
 )
 
 const (
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -57,24 +57,21 @@
 	return liveness.Unknown
 }
 
-// probe opens a connection to the server. It does not rely on an idle one, which may have gone silent.
+// probe opens a connection to the server, also above MaxConns. It does not rely on an idle one, which may
+// have gone silent.
 func (c *AliveCheck) probe(ctx context.Context) liveness.Observation {
-	opened, err := c.pool.open(ctx, c.Server, c.Addr, c.MaxConns)
-	if err == nil {
-		return c.settle(ctx, opened)
-	}
+	opened, err := c.pool.open(ctx, c.Server, c.Addr, 0)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		if c.Leaving() && stayOpen(ctx, c.witnesses) {
-			return liveness.Connected
-		}
-		return liveness.Refused
+	case err == nil:
+		return c.settle(ctx, opened)
 	case errors.Is(err, syscall.ECONNRESET):
-		return c.rejected(ctx)
-	case errors.Is(err, ErrConnLimit) && stayOpen(ctx, c.witnesses):
+		return liveness.Rejected
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return liveness.NoReply
+	case c.Leaving() && stayOpen(ctx, c.witnesses):
 		return liveness.Connected
 	}
-	return liveness.NoReply
+	return liveness.Refused
 }
 
 // settle reports whether a new connection stays open, and keeps it if so.
@@ -82,9 +79,9 @@
 	waited := sleep(ctx, settleTime)
 	if !opened.noInput() {
 		c.pool.discard(c.Server, opened)
-		return c.rejected(ctx)
+		return liveness.Rejected
 	}
-	c.pool.putIdle(c.Server, opened, 0)
+	c.pool.putIdleWithin(c.MaxConns, c.Server, opened)
 	switch {
 	case !waited:
 		return liveness.NoReply
@@ -94,15 +91,6 @@
 	return liveness.Accepted
 }
 
-// rejected is the observation of a connection that was accepted and closed at once. A server that has
-// all the connections that it allows keeps those.
-func (c *AliveCheck) rejected(ctx context.Context) liveness.Observation {
-	if stayOpen(ctx, c.witnesses) {
-		return liveness.Connected
-	}
-	return liveness.Rejected
-}
-
 // stayOpen reports whether one of the connections is still open after settleTime.
 func stayOpen(ctx context.Context, list []*conn) bool {
 	return len(list) > 0 && sleep(ctx, settleTime) && anyOpen(list)
--- a/internal/upstream/alive_test.go
+++ b/internal/upstream/alive_test.go
@@ -104,15 +104,20 @@
 	v, _ := check(t, time.Second, l.probe(0, false), 0)
 	assert.Equal(t, v, liveness.Alive)
 	assert.Equal(t, int(l.accepted.Load()), liveness.MinRejections)
+}
 
+// Guards against the crash of a server with a connection of which the end got lost on the way, while its
+// listener still accepts a last connection.
+func TestOlderConnectionDoesNotHideACrash(t *testing.T) {
+	var l *probed
 	l = listen(t, func(c net.Conn, n int) {
-		if n > 1 {
+		if n == 2 {
+			_ = l.Close()
 			reset(c)
 		}
 	})
-	v, _ = check(t, time.Second, l.probe(0, false), 1)
-	assert.Equal(t, v, liveness.Alive)
-	assert.Equal(t, int(l.accepted.Load()), 2)
+	v, _ := check(t, time.Second, l.probe(0, false), 1)
+	assert.Equal(t, v, liveness.Gone)
 }
 
 // The kernel may accept a connection just before it closes the listener of a process that crashes.
@@ -126,37 +131,19 @@
 	assert.Equal(t, v, liveness.Gone)
 }
 
+// The limit on the router's connections doesn't apply to the probe, whose connection is then not kept in
+// addition to them.
 func TestCheckAtTheConnectionLimitOfTheRouter(t *testing.T) {
 	l := listen(t, keep)
 	v, pool := check(t, time.Second, l.probe(2, false), 2)
 	assert.Equal(t, v, liveness.Alive)
-	assert.Equal(t, pool.Dials(), int64(2))
-}
+	assert.Equal(t, pool.byServer[server].open, 2)
 
-// The connections in use end with their server, and the next probe finds that it is gone.
-func TestCrashIsFoundAtTheConnectionLimitOfTheRouter(t *testing.T) {
-	accepted := make(chan net.Conn, 2)
-	l := listen(t, func(c net.Conn, _ int) { accepted <- c })
+	l = listen(t, keep)
 	p := l.probe(2, false)
-	pool := NewPool(time.Now)
-	var inUse []*conn
-	for range 2 {
-		c, err := pool.open(context.Background(), server, p.Addr, 0)
-		assert.NilError(t, err)
-		inUse = append(inUse, c)
-	}
 	assert.NilError(t, l.Close())
-	for range inUse {
-		assert.NilError(t, (<-accepted).Close())
-	}
-	time.AfterFunc(30*time.Millisecond, func() {
-		for _, c := range inUse {
-			pool.discard(server, c)
-		}
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	assert.Equal(t, pool.NewAliveCheck(p).Run(ctx), liveness.Gone)
+	v, _ = check(t, time.Second, p, 0)
+	assert.Equal(t, v, liveness.Gone)
 }
 
 // A server whose queue of connections is full gets more time, and one that stays unreachable proves
@@ -219,7 +206,7 @@
 	}
 }
 
-func TestIdleConnectionMakesRoomForTheCheck(t *testing.T) {
+func TestCheckReplacesAnIdleConnectionAtTheLimit(t *testing.T) {
 	l := listen(t, keep)
 	p := l.probe(1, false)
 	v, pool := check(t, time.Second, p, 0)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,7 +81,7 @@
 	return nil
 }
 
-// open returns a new connection to the server. If limit (0: none) are open, an idle one is closed first.
+// open returns a new connection to the server, unless limit (0: none) are open.
 func (p *Pool) open(ctx context.Context, id routing.Identity, addr string, limit int) (*conn, error) {
 	if !p.reserveSlot(id, limit) {
 		return nil, ErrConnLimit
@@ -107,11 +107,6 @@
 		s = &serverConns{conns: map[*conn]struct{}{}}
 		p.byServer[id] = s
 	}
-	if limit > 0 && s.open >= limit && len(s.idle) > 0 {
-		oldest := s.idle[0]
-		s.idle = s.idle[1:]
-		p.closeConn(id, oldest)
-	}
 	if limit > 0 && s.open >= limit {
 		return false
 	}
@@ -163,6 +158,25 @@
 	s.idle = append(s.idle, c)
 }
 
+// putIdleWithin is putIdle for a connection that was opened whatever the limit (0: none). Above the limit
+// it closes the oldest idle one.
+func (p *Pool) putIdleWithin(limit int, id routing.Identity, c *conn) {
+	p.putIdle(id, c, 0)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.byServer[id]; s != nil && limit > 0 && s.open > limit && len(s.idle) > 0 {
+		p.closeOldestIdle(id, s)
+	}
+}
+
+// closeOldestIdle closes the idle connection to a server that was not used for longest. The caller holds
+// the lock.
+func (p *Pool) closeOldestIdle(id routing.Identity, s *serverConns) {
+	oldest := s.idle[0]
+	s.idle = s.idle[1:]
+	p.closeConn(id, oldest)
+}
+
 // discard closes a connection that is not reusable.
 func (p *Pool) discard(id routing.Identity, c *conn) {
 	p.mu.Lock()
