soak: servers that crash in the middle of answers without a length

The plain stand-ins send close-delimited answers in two halves, and the proxy of a crashed server refuses connections as the server's address would, until it is back.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -117,11 +117,14 @@
 				one.Lock()
 				defer one.Unlock()
 			}
-			if x.Kind == schedulerKind {
+			switch x.Kind {
+			case schedulerKind:
 				f.loseScheduler(x)
-				return
+			case truncateKind:
+				f.truncate(x)
+			default:
+				kinds[x.Kind](f, x)
 			}
-			kinds[x.Kind](f, x)
 		}()
 	}
 	wg.Wait()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -38,6 +38,8 @@
 
 	spells int // of being cold, that have not ended
 
+	truncates atomic.Bool // its next crash is that of a truncated response
+
 	draining      bool        // its entry says so, and it may yet cancel its shutdown
 	interruptions []time.Time // when it restarted or cancelled its shutdown
 	cancelled     time.Time   // when it last cancelled its shutdown; zero: it has not
@@ -91,6 +93,7 @@
 	poisons     sync.Mutex   // one guilty request at a time
 	poisoned    atomic.Int64 // servers that ended under a guilty request
 	crashedAt   []time.Time  // when they did
+	truncations sync.Mutex   // held while a server sends truncated responses
 }
 
 // layout is where routers and servers stand.
@@ -189,6 +192,7 @@
 	s.CrashOnPart = isDeadPart
 	s.CloseDelimited = f.born%4 == 0
 	out := &server{Server: s, proxy: p}
+	s.BeforeCrash = p.stopListening
 	s.OnCrash = func() { f.ended(out) }
 	f.servers = append(f.servers, out)
 	f.store.PutServer(s, "ready")
--- a/soak/lives.go
+++ b/soak/lives.go
@@ -32,10 +32,12 @@
 
 // ended starts a server that crashed under a request again, under its ID.
 func (f *fleet) ended(s *server) {
-	f.poisoned.Add(1)
-	f.mu.Lock()
-	f.crashedAt = append(f.crashedAt, time.Now())
-	f.mu.Unlock()
+	if !s.truncates.Swap(false) {
+		f.poisoned.Add(1)
+		f.mu.Lock()
+		f.crashedAt = append(f.crashedAt, time.Now())
+		f.mu.Unlock()
+	}
 	time.AfterFunc(backAfter, func() { f.revive(s) })
 }
 
@@ -51,6 +53,10 @@
 		f.verdicts.report(noUnaskedExit, "server %s does not start again: %v", s.ID, err)
 		return
 	}
+	if err := s.proxy.listenAgain(); err != nil {
+		f.verdicts.report(noUnaskedExit, "the proxy of server %s does not start again: %v", s.ID, err)
+		return
+	}
 	f.mu.Lock()
 	s.interruptions = append(s.interruptions, time.Now())
 	s.draining = false
@@ -64,6 +70,7 @@
 	if s == nil {
 		return
 	}
+	s.proxy.stopListening()
 	s.Close()
 	time.Sleep(x.For / 2)
 	f.revive(s)
--- a/soak/main.go
+++ b/soak/main.go
@@ -93,6 +93,7 @@
 		names = append(slices.Clone(relayKinds), schedulerKind)
 		known = append(known, schedulerKind)
 	}
+	known = append(known, truncateKind)
 	if o.Faults != "" {
 		names = strings.Split(o.Faults, ",")
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/windscale/windscale/test/loopback"
 )
 
 // mode is how a proxy treats connections.
@@ -24,26 +26,55 @@
 
 // proxy stands between the routers and one backend server, or one router and the store.
 type proxy struct {
-	ln     net.Listener
 	target string
 
 	mu      sync.Mutex
+	ln      net.Listener
+	closed  bool
 	mode    mode
 	changed chan struct{}
 	conns   map[net.Conn]*atomic.Bool // whether what they carry is lost, of those from routers
 }
 
 func newProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]*atomic.Bool{}}
-	go p.accept()
+	go p.accept(ln)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.ln.Addr().String() }
+func (p *proxy) addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ln.Addr().String()
+}
+
+// stopListening refuses new connections, as the address of a server does that has crashed.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close()
+}
+
+// listenAgain accepts connections again after stopListening.
+func (p *proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close() // does nothing after stopListening
+	if p.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp4", p.ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.ln = ln
+	go p.accept(ln)
+	return nil
+}
 
 // set changes the mode. Connections are reset at once in mode reset.
 func (p *proxy) set(m mode) {
@@ -79,13 +110,16 @@
 }
 
 func (p *proxy) close() {
-	_ = p.ln.Close()
+	p.stopListening()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.set(reset)
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return // closed
 		}
