upstream: the connection of a probe is there for the next request

The probe keeps to the router's own limit again, the server is freed once its connection is open, and that connection may be used while it settles: a response on it is a sign of life too. Where the limit allows none, a connection in use that is still open after 300 ms is one; the end of a crashed server's connection may get lost once before.

--- a/internal/edge/front/confirm.go
+++ b/internal/edge/front/confirm.go
@@ -14,19 +14,20 @@
 
 // confirmEnd returns an error unless the response, whose body was read to its end, is complete. If only
 // the end of its connection marks that, the server has to outlive it. The server is free for other
-// requests meanwhile.
+// requests while it is probed.
 func (x *exchange) confirmEnd(a *upstream.Response) error {
 	if !a.CloseDelimited {
 		return nil
 	}
 	late := a.Ended()
-	x.q.h.State.Release(&x.placement)
 	check := x.q.h.Pool.NewAliveCheck(upstream.Probe{
 		Server:   x.server.Identity(),
 		Addr:     x.server.Addr,
 		MaxConns: x.placement.MaxConns,
 		Leaving:  func() bool { return !x.q.h.State.MaySend(&x.placement) },
 		Late:     late,
+		// Not before: the next request to the server uses the connection.
+		Dialled: func() { x.q.h.State.Release(&x.placement) },
 	})
 	verdict := x.runCheck(check, min(retryUnconfirmedAfter, x.q.remaining()))
 	if verdict == liveness.Unknown && !x.reserveRetry() {
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +16,10 @@
 // that crashes is closed within this time, as are those that something in front of it has accepted.
 const settleTime = 10 * time.Millisecond
 
+// witnessAge is how long after the response's end a connection in use has to be open to prove that its
+// server runs, where no new one is allowed. The end of one may get lost on the way once.
+const witnessAge = 300 * time.Millisecond
+
 // Probe is a server whose close-delimited response has ended.
 type Probe struct {
 	Server   routing.Identity
@@ -27,6 +31,8 @@
 	// Late means that the server may have crashed and started again since the response ended, so that a
 	// new connection proves nothing.
 	Late bool
+	// Dialled is called once, after the first attempt to open a connection.
+	Dialled func()
 }
 
 // AliveCheck is the check whether a server outlived its response.
@@ -36,6 +42,7 @@
 	ended     time.Time
 	witnesses []*conn // that were open when the response ended
 	verdict   liveness.Check
+	dialled   sync.Once
 }
 
 // NewAliveCheck returns the check for a response that has just ended and whose connection is closed.
@@ -57,15 +64,20 @@
 	return liveness.Unknown
 }
 
-// probe opens a connection to the server, also above MaxConns. It does not rely on an idle one, which may
-// have gone silent.
+// probe opens a connection to the server. It does not rely on an idle one, which may have gone silent.
 func (c *AliveCheck) probe(ctx context.Context) liveness.Observation {
-	opened, err := c.pool.open(ctx, c.Server, c.Addr, 0)
+	opened, err := c.pool.open(ctx, c.Server, c.Addr, c.MaxConns)
+	if err == nil {
+		c.pool.putIdle(c.Server, opened, 0) // a request may use it at once
+	}
+	c.dialled.Do(c.Dialled)
 	switch {
 	case err == nil:
 		return c.settle(ctx, opened)
 	case errors.Is(err, syscall.ECONNRESET):
 		return liveness.Rejected
+	case errors.Is(err, ErrConnLimit):
+		return c.observeInUse()
 	case !errors.Is(err, syscall.ECONNREFUSED):
 		return liveness.NoReply
 	case c.Leaving() && stayOpen(ctx, c.witnesses):
@@ -74,15 +86,12 @@
 	return liveness.Refused
 }
 
-// settle reports whether a new connection stays open, and keeps it if so.
+// settle reports whether a new connection stays open, or has brought the response to a request.
 func (c *AliveCheck) settle(ctx context.Context, opened *conn) liveness.Observation {
 	waited := sleep(ctx, settleTime)
-	if !opened.noInput() {
-		c.pool.discard(c.Server, opened)
-		return liveness.Rejected
-	}
-	c.pool.putIdleWithin(c.MaxConns, c.Server, opened)
 	switch {
+	case opened.state() == peek.Closed:
+		return liveness.Rejected
 	case !waited:
 		return liveness.NoReply
 	case c.Late && anyOpen(c.witnesses):
@@ -91,6 +100,14 @@
 	return liveness.Accepted
 }
 
+// observeInUse looks at the connections in use, as no more are allowed.
+func (c *AliveCheck) observeInUse() liveness.Observation {
+	if time.Since(c.ended) >= witnessAge && anyOpen(c.witnesses) {
+		return liveness.Connected
+	}
+	return liveness.NoReply
+}
+
 // stayOpen reports whether one of the connections is still open after settleTime.
 func stayOpen(ctx context.Context, list []*conn) bool {
 	return len(list) > 0 && sleep(ctx, settleTime) && anyOpen(list)
@@ -99,7 +116,7 @@
 // anyOpen reports whether one of the connections is open.
 func anyOpen(list []*conn) bool {
 	for _, c := range list {
-		if peek.Check(c.Conn.(*net.TCPConn)) == peek.Open {
+		if c.state() == peek.Open {
 			return true
 		}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,5 +22,8 @@
 // noInput reports whether nothing has arrived on an idle connection: neither its end nor bytes
 // that belong to no request.
 func (c *conn) noInput() bool {
-	return c.br.Buffered() == 0 && peek.Check(c.Conn.(*net.TCPConn)) == peek.Open
+	return c.br.Buffered() == 0 && c.state() == peek.Open
 }
+
+// state returns the state of the connection, which may be in use.
+func (c *conn) state() peek.State { return peek.Check(c.Conn.(*net.TCPConn)) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -158,25 +158,6 @@
 	s.idle = append(s.idle, c)
 }
 
-// putIdleWithin is putIdle for a connection that was opened whatever the limit (0: none). Above the limit
-// it closes the oldest idle one.
-func (p *Pool) putIdleWithin(limit int, id routing.Identity, c *conn) {
-	p.putIdle(id, c, 0)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.byServer[id]; s != nil && limit > 0 && s.open > limit && len(s.idle) > 0 {
-		p.closeOldestIdle(id, s)
-	}
-}
-
-// closeOldestIdle closes the idle connection to a server that was not used for longest. The caller holds
-// the lock.
-func (p *Pool) closeOldestIdle(id routing.Identity, s *serverConns) {
-	oldest := s.idle[0]
-	s.idle = s.idle[1:]
-	p.closeConn(id, oldest)
-}
-
 // discard closes a connection that is not reusable.
 func (p *Pool) discard(id routing.Identity, c *conn) {
 	p.mu.Lock()
