--- a/internal/core/liveness/liveness.go
+++ b/internal/core/liveness/liveness.go
@@ -49,7 +49,7 @@
 	// server's address. Only a connection from before then proves that the server runs.
 	Late bool
 
-	hopeless      bool
+	undecidable   bool
 	rejections    int
 	firstRejected time.Duration
 	pause         time.Duration
@@ -65,7 +65,7 @@
 		return Gone
 	case Accepted, Rejected:
 		if c.Late {
-			c.hopeless = true
+			c.undecidable = true
 			return Unknown
 		}
 		if o == Accepted {
@@ -90,8 +90,8 @@
 	return Unknown
 }
 
-// Hopeless reports whether further probes can't lead to a verdict.
-func (c *Check) Hopeless() bool { return c.hopeless }
+// Undecidable reports whether further probes can't lead to a verdict.
+func (c *Check) Undecidable() bool { return c.undecidable }
 
 // Pause returns the time until the next probe.
 func (c *Check) Pause() time.Duration {
--- a/internal/core/liveness/liveness_test.go
+++ b/internal/core/liveness/liveness_test.go
@@ -68,7 +68,7 @@
 	} {
 		check := liveness.Check{Late: true}
 		assert.Equal(t, check.Observe(o, 0), want)
-		assert.Equal(t, check.Hopeless(), o == liveness.Accepted || o == liveness.Rejected)
+		assert.Equal(t, check.Undecidable(), o == liveness.Accepted || o == liveness.Rejected)
 	}
 }
 
--- a/internal/edge/front/confirm.go
+++ b/internal/edge/front/confirm.go
@@ -19,14 +19,15 @@
 	if !a.CloseDelimited {
 		return nil
 	}
-	late := a.Ended()
-	check := x.q.h.Pool.NewAliveCheck(upstream.Probe{
+	late := a.FinishCloseDelimited()
+	check := x.q.h.Pool.NewAliveCheck(upstream.CheckTarget{
 		Server:   x.server.Identity(),
 		Addr:     x.server.Addr,
 		MaxConns: x.placement.MaxConns,
 		Leaving:  func() bool { return !x.q.h.State.MaySend(&x.placement) },
 		Late:     late,
-		// Not before: the next request to the server uses the connection.
+		// The next request to the server then uses the check's connection: a further one could exceed
+		// the server's limit.
 		Dialled: func() { x.q.h.State.Release(&x.placement) },
 	})
 	verdict := x.runCheck(check, min(retryUnconfirmedAfter, x.q.remaining()))
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -20,8 +20,8 @@
 // server runs, where no new one is allowed. The end of one may get lost on the way once.
 const witnessAge = 300 * time.Millisecond
 
-// Probe is a server whose close-delimited response has ended.
-type Probe struct {
+// CheckTarget is a server whose close-delimited response has ended.
+type CheckTarget struct {
 	Server   routing.Identity
 	Addr     string
 	MaxConns int // from this router to the server; 0: no limit
@@ -37,29 +37,29 @@
 
 // AliveCheck is the check whether a server outlived its response.
 type AliveCheck struct {
-	Probe
+	CheckTarget
 	pool      *Pool
 	ended     time.Time
 	witnesses []*conn // that were open when the response ended
-	verdict   liveness.Check
+	decision  liveness.Check
 	dialled   sync.Once
 }
 
 // NewAliveCheck returns the check for a response that has just ended and whose connection is closed.
-func (p *Pool) NewAliveCheck(s Probe) *AliveCheck {
-	return &AliveCheck{Probe: s, pool: p, ended: time.Now(), witnesses: p.openConns(s.Server), verdict: liveness.Check{Late: s.Late}}
+func (p *Pool) NewAliveCheck(s CheckTarget) *AliveCheck {
+	return &AliveCheck{CheckTarget: s, pool: p, ended: time.Now(), witnesses: p.openConns(s.Server), decision: liveness.Check{Late: s.Late}}
 }
 
 // Run probes the server until the verdict is known or ctx ends. It may be called again while it is
 // unknown. A connection that it opens is kept for the next request to the server, which would have
 // opened one.
 func (c *AliveCheck) Run(ctx context.Context) liveness.Verdict {
-	for ctx.Err() == nil && !c.verdict.Hopeless() {
-		v := c.verdict.Observe(c.probe(ctx), time.Since(c.ended))
+	for ctx.Err() == nil && !c.decision.Undecidable() {
+		v := c.decision.Observe(c.probe(ctx), time.Since(c.ended))
 		if v != liveness.Unknown {
 			return v
 		}
-		sleep(ctx, c.verdict.Pause())
+		sleep(ctx, c.decision.Pause())
 	}
 	return liveness.Unknown
 }
--- a/internal/upstream/alive_test.go
+++ b/internal/upstream/alive_test.go
@@ -45,8 +45,8 @@
 	return l
 }
 
-func (l *probed) probe(maxConns int, leaving bool) Probe {
-	return Probe{Server: server, Addr: l.Addr().String(), MaxConns: maxConns, Leaving: func() bool { return leaving }, Dialled: func() {}}
+func (l *probed) probe(maxConns int, leaving bool) CheckTarget {
+	return CheckTarget{Server: server, Addr: l.Addr().String(), MaxConns: maxConns, Leaving: func() bool { return leaving }, Dialled: func() {}}
 }
 
 func keep(net.Conn, int) {}
@@ -58,7 +58,7 @@
 }
 
 // check checks the listener with a pool that has n connections in use.
-func check(t *testing.T, timeout time.Duration, p Probe, n int) (liveness.Verdict, *Pool) {
+func check(t *testing.T, timeout time.Duration, p CheckTarget, n int) (liveness.Verdict, *Pool) {
 	t.Helper()
 	pool := NewPool(time.Now)
 	for range n {
@@ -171,7 +171,7 @@
 // nothing.
 func TestServerThatDoesNotAcceptIsUnknown(t *testing.T) {
 	addr, acceptAll := listenWithoutQueue(t)
-	p := Probe{Server: server, Addr: addr, Leaving: func() bool { return false }, Dialled: func() {}}
+	p := CheckTarget{Server: server, Addr: addr, Leaving: func() bool { return false }, Dialled: func() {}}
 	v, pool := check(t, 600*time.Millisecond, p, 0)
 	assert.Equal(t, v, liveness.Unknown)
 	time.AfterFunc(300*time.Millisecond, acceptAll)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -201,9 +201,9 @@
 	}
 }
 
-// Ended ends the exchange of a close-delimited response after its body was read to its end, and reports
-// whether that may have been noticed so late that another process has the server's address.
-func (r *Response) Ended() (late bool) {
+// FinishCloseDelimited is Finish for a close-delimited response. It reports whether the end may have been
+// noticed so late that another process has the server's address.
+func (r *Response) FinishCloseDelimited() (late bool) {
 	e := r.exchange
 	late = e.pool.stalls.stalledSince(e.began)
 	r.Finish()
