--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -9,6 +9,7 @@
 
 	"github.com/windscale/windscale/internal/core/liveness"
 	"github.com/windscale/windscale/internal/core/routing"
+	"github.com/windscale/windscale/internal/pause"
 	"github.com/windscale/windscale/internal/peek"
 )
 
@@ -59,7 +60,7 @@
 		if v != liveness.Unknown {
 			return v
 		}
-		sleep(ctx, c.decision.Pause())
+		pause.For(ctx, c.decision.Pause())
 	}
 	return liveness.Unknown
 }
@@ -88,7 +89,7 @@
 
 // settle reports whether a new connection stays open, or has brought the response to a request.
 func (c *AliveCheck) settle(ctx context.Context, opened *conn) liveness.Observation {
-	waited := sleep(ctx, settleTime)
+	waited := pause.For(ctx, settleTime)
 	switch {
 	case opened.state() == peek.Closed:
 		return liveness.Rejected
@@ -110,7 +111,7 @@
 
 // stayOpen reports whether one of the connections is still open after settleTime.
 func stayOpen(ctx context.Context, list []*conn) bool {
-	return len(list) > 0 && sleep(ctx, settleTime) && anyOpen(list)
+	return len(list) > 0 && pause.For(ctx, settleTime) && anyOpen(list)
 }
 
 // anyOpen reports whether one of the connections is open.
@@ -122,15 +123,3 @@
 	}
 	return false
 }
-
-// sleep waits for d and reports whether ctx has not ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
