--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -38,6 +38,7 @@
 
 	spells int // of being cold, that have not ended
 
+	downs     int         // faults that keep it down
 	truncates atomic.Bool // its next crash is that of a truncated response
 
 	draining      bool        // its entry says so, and it may yet cancel its shutdown
--- a/soak/lives.go
+++ b/soak/lives.go
@@ -32,6 +32,7 @@
 
 // ended starts a server that crashed under a request again, under its ID.
 func (f *fleet) ended(s *server) {
+	f.countDown(s)
 	if !s.truncates.Swap(false) {
 		f.poisoned.Add(1)
 		f.mu.Lock()
@@ -41,12 +42,20 @@
 	time.AfterFunc(backAfter, func() { f.revive(s) })
 }
 
-// revive starts a server that has ended again, unless it has left.
+// countDown counts that a server has ended. It starts again once it has been revived as often.
+func (f *fleet) countDown(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.downs++
+}
+
+// revive starts a server that has ended again, unless it has left or another fault keeps it down.
 func (f *fleet) revive(s *server) {
 	f.mu.Lock()
-	left := !s.left.IsZero()
+	s.downs--
+	staysDown := s.downs > 0 || !s.left.IsZero()
 	f.mu.Unlock()
-	if left {
+	if staysDown {
 		return
 	}
 	if err := s.Restart(); err != nil {
@@ -70,6 +79,7 @@
 	if s == nil {
 		return
 	}
+	f.countDown(s)
 	s.proxy.stopListening()
 	s.Close()
 	time.Sleep(x.For / 2)
