upstream: a rejected probe is followed by another one at once

A server that crashes may accept a probe just before its listener is closed, which then resets it. The router noticed that after 10 ms and probed again 10 ms later; a server that was started again at once accepted that probe, and the truncated response was passed on as complete.

The connection is looked at every millisecond, and the next probe follows the first rejection without a pause, so that it finds the address closed. TestServerThatIsStartedAgainAtOnceIsGone failed (alive) and passes.

--- a/internal/core/liveness/liveness.go
+++ b/internal/core/liveness/liveness.go
@@ -93,8 +93,12 @@
 // Undecidable reports whether further probes can't lead to a verdict.
 func (c *Check) Undecidable() bool { return c.undecidable }
 
-// Pause returns the time until the next probe.
+// Pause returns the time until the next probe. There is none after the first rejection: a server that
+// crashes refuses connections then, but may have been started again some milliseconds later.
 func (c *Check) Pause() time.Duration {
+	if c.rejections == 1 {
+		return 0
+	}
 	c.pause = min(max(2*c.pause, firstPause), maxPause)
 	return c.pause
 }
--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -17,6 +17,10 @@
 // that crashes is closed within this time, as are those that something in front of it has accepted.
 const settleTime = 10 * time.Millisecond
 
+// settleInterval is how often such a connection is looked at. A crashed server takes longer to start
+// again at its address.
+const settleInterval = time.Millisecond
+
 // witnessAge is how long after the response's end a connection in use has to be open to prove that its
 // server runs, where no new one is allowed. The end of one may get lost on the way once.
 const witnessAge = 300 * time.Millisecond
@@ -89,13 +93,15 @@
 
 // settle reports whether a new connection stays open, or has brought the response to a request.
 func (c *AliveCheck) settle(ctx context.Context, opened *conn) liveness.Observation {
-	waited := pause.For(ctx, settleTime)
-	switch {
-	case opened.state() == peek.Closed:
-		return liveness.Rejected
-	case !waited:
-		return liveness.NoReply
-	case c.Late && anyOpen(c.witnesses):
+	for range settleTime / settleInterval {
+		if !pause.For(ctx, settleInterval) {
+			return liveness.NoReply
+		}
+		if opened.state() == peek.Closed {
+			return liveness.Rejected
+		}
+	}
+	if c.Late && anyOpen(c.witnesses) {
 		return liveness.Connected
 	}
 	return liveness.Accepted
