--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -234,7 +234,7 @@
 	x.finish(outcome, "answer broken off")
 	x.recordCrash(true, err)
 	q.h.Meter.AttemptFailed(q.service, "broken off")
-	x.logFailure("status", a.Status, "stage", "body", "last", q.lastEventID, "closeDelimited", a.CloseDelimited, "err", err)
+	x.logFailure("status", a.Status, "stage", "body", "last", q.lastEventID, "received", a.Received(), "closeDelimited", a.CloseDelimited, "err", err)
 	if q.headerSent && q.lastEventID == "" {
 		return resultCut
 	}
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -100,7 +100,7 @@
 	x.finish(outcome, err.Error())
 	x.recordCrash(err.Sent, err)
 	q.h.Meter.AttemptFailed(q.service, err.Stage.String())
-	x.logFailure("stage", err.Stage.String(), "sent", err.Sent, "kept", err.Reused, "err", err.Err)
+	x.logFailure("stage", err.Stage.String(), "sent", err.Sent, "kept", err.Reused, "received", err.Received, "err", err.Err)
 	return resultRetry
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -25,7 +25,9 @@
 	Stage  Stage
 	Sent   bool // some bytes of the request may have been sent
 	Reused bool // the connection had carried an exchange before
-	Err    error
+	// Received is how many bytes the server sent.
+	Received int64
+	Err      error
 }
 
 // Error implements error.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -62,6 +62,7 @@
 	pool        *Pool
 	id          routing.Identity
 	conn        *conn
+	before      int64 // bytes that the connection had received before the exchange
 	began       time.Time
 	stopWatch   func() bool   // stops watching the caller's context
 	bodyWritten chan struct{} // closed when the request is written or has failed to be
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
-	e := &exchange{pool: p, id: call.Server, conn: c, began: p.stalls.begin(), noMismatch: true, bodyWritten: make(chan struct{})}
+	e := &exchange{pool: p, id: call.Server, conn: c, before: c.received, began: p.stalls.begin(), noMismatch: true, bodyWritten: make(chan struct{})}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ctx.Err(); err != nil {
 		e.finish(false, 0)
@@ -97,6 +98,7 @@
 	if failure != nil {
 		e.finish(false, 0)
 		failure.Reused = reused
+		failure.Received = e.received()
 		return nil, failure
 	}
 	return &Response{
@@ -112,6 +114,10 @@
 	}, nil
 }
 
+// received returns how many bytes the server has sent in the exchange. It must not be called while
+// the response is being read.
+func (e *exchange) received() int64 { return e.conn.received - e.before }
+
 // send writes the request. A long body is written concurrently with waiting for the response,
 // which may arrive first.
 func (e *exchange) send(call Call) (sent bool, _ error) {
@@ -210,6 +216,10 @@
 	return late
 }
 
+// Received returns how many bytes the server has sent, with those of the header. It must not be called
+// while Body is being read.
+func (r *Response) Received() int64 { return r.exchange.received() }
+
 // Finish ends the exchange after the body was read to its end. The connection is returned to
 // the pool if it is reusable.
 func (r *Response) Finish() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,7 +91,8 @@
 		p.releaseSlot(id)
 		return nil, err
 	}
-	c := &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferSize)}
+	c := &conn{Conn: raw}
+	c.br = bufio.NewReaderSize(c, readBufferSize)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.byServer[id].conns[c] = struct{}{}
