upstream: heads of responses are bounded

Cause: http.ReadResponse bounds neither a line nor the number of lines, and upstream calls it on the connection itself. Ruled out: bodies and events, which are bounded, and anything kept after the exchange, which never got that far.

The end of the head is now looked for in the connection's read buffer before it is parsed. The buffer grows up to 64 KiB, above 4 KiB from a budget that all exchanges share; lines and informational responses are counted, trickling bytes are timed, and what does not begin like a response is known by its first bytes. Past a bound the exchange ends with a typed error and the connection is closed. The request counts as one that may have run.

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -227,13 +227,9 @@
 	if v := x.requestOver(); v != 0 {
 		return v
 	}
-	outcome := pick.Failed
-	if err == upstream.ErrEndUnconfirmed {
-		outcome = pick.Abandoned
-	}
-	x.finish(outcome, "answer broken off")
+	x.finish(failureOutcome(err), "answer broken off")
 	x.recordCrash(true, err)
-	q.h.Meter.AttemptFailed(q.service, "broken off")
+	q.h.Meter.AttemptFailed(q.service, failureLabel(err, "broken off"))
 	x.logFailure("status", a.Status, "stage", "body", "last", q.lastEventID, "received", a.Received(), "closeDelimited", a.CloseDelimited, "err", err)
 	if q.headerSent && q.lastEventID == "" {
 		return resultCut
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/windscale/windscale/internal/bounded"
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/edge/pressure"
@@ -88,7 +90,7 @@
 	if v := x.requestOver(); v != 0 {
 		return v
 	}
-	outcome := pick.Failed
+	outcome := failureOutcome(err)
 	switch {
 	case errors.Is(err, upstream.ErrConnLimit):
 		outcome = pick.Full
@@ -99,11 +101,33 @@
 	}
 	x.finish(outcome, err.Error())
 	x.recordCrash(err.Sent, err)
-	q.h.Meter.AttemptFailed(q.service, err.Stage.String())
+	q.h.Meter.AttemptFailed(q.service, failureLabel(err, err.Stage.String()))
 	x.logFailure("stage", err.Stage.String(), "sent", err.Sent, "kept", err.Reused, "received", err.Received, "err", err.Err)
 	return resultRetry
 }
 
+// failureOutcome returns what a failed exchange says about its server.
+func failureOutcome(err error) pick.Outcome {
+	var memory *bounded.MemoryError
+	if errors.As(err, &memory) || errors.Is(err, upstream.ErrEndUnconfirmed) {
+		return pick.Abandoned
+	}
+	return pick.Failed
+}
+
+// failureLabel returns why an exchange failed, as a metric label.
+func failureLabel(err error, otherwise string) string {
+	var limit *intake.LimitError
+	var memory *bounded.MemoryError
+	switch {
+	case errors.As(err, &limit):
+		return "over a limit"
+	case errors.As(err, &memory):
+		return "no memory"
+	}
+	return otherwise
+}
+
 // logFailure logs a failed exchange with the hash of the request's content, by which copies of a
 // request are recognised, and the time for which the server had been sending events.
 func (x *exchange) logFailure(args ...any) {
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -35,6 +35,7 @@
 	n.meter.Gauge("routers", "Other routers heard lately.", func() float64 { return float64(n.peers.Live()) })
 	n.meter.Gauge("streams_known", "Streams of which this router remembers the software version that began them.", func() float64 { return float64(n.peers.StreamCount()) })
 	n.meter.Gauge("connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(n.pool.Dials()) })
+	n.meter.Gauge("response_memory_bytes", "Memory of long heads, events and bodies of responses.", func() float64 { return float64(n.responseMemory.Used()) })
 	n.meter.Gauge("view_age_seconds", "Age of the last answer of the store.", func() float64 {
 		_, age := n.state.Table()
 		return min(age, time.Hour).Seconds()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/time/rate"
 
+	"github.com/windscale/windscale/internal/bounded"
 	"github.com/windscale/windscale/internal/core/affinity"
 	"github.com/windscale/windscale/internal/core/ask"
 	"github.com/windscale/windscale/internal/core/rollout"
@@ -41,6 +42,10 @@
 	idleSweepInterval = time.Second
 	// bodyMemoryFraction is the fraction of the memory that request bodies may use.
 	bodyMemoryFraction = 0.25
+	// responseMemoryFraction is the fraction of the memory that long heads, events and bodies of
+	// responses may use together, whatever servers send. The garbage collector
+	// needs as much again.
+	responseMemoryFraction = 0.125
 	// requestsPerMB is how many requests may be in progress per MB of memory: one takes about
 	// 50 KB with its body, buffers and stacks, and the garbage collector as much again. A host
 	// with 112 MB ran out of memory at about 900 requests.
@@ -71,19 +76,21 @@
 	droppedLogLines func() int64 // count since the start
 	log             *slog.Logger
 
-	state        *state.State
-	store        *platform.Store
-	meter        *meter.Meter
-	pool         *upstream.Pool
-	handler      *front.Handler
-	peers        *peers.Peers
-	probe        *pressure.Probe
-	clock        *clock.Clock
-	limiter      *connLimiter
-	sender       *relay.Sender   // nil: connections are not relayed
-	receiver     *relay.Receiver // nil: connections of other hosts are not accepted
-	callerServer *http.Server
-	draining     atomic.Bool
+	state *state.State
+	store *platform.Store
+	meter *meter.Meter
+	pool  *upstream.Pool
+	// responseMemory is shared by all that reads responses.
+	responseMemory *bounded.Budget
+	handler        *front.Handler
+	peers          *peers.Peers
+	probe          *pressure.Probe
+	clock          *clock.Clock
+	limiter        *connLimiter
+	sender         *relay.Sender   // nil: connections are not relayed
+	receiver       *relay.Receiver // nil: connections of other hosts are not accepted
+	callerServer   *http.Server
+	draining       atomic.Bool
 
 	callerListener, readinessListener, controlListener, metricsListener net.Listener
 }
@@ -99,8 +106,10 @@
 	n.state.SetColdRateBound(slowstart.RateBound{Factor: s.SlowStartFactor, ExtraPerSecond: s.SlowStartSlack})
 	n.state.SetRegions(s.Regions)
 	n.state.SetRolloutBounds(rolloutBounds(s))
+	n.responseMemory = bounded.NewBudget(int64(float64(s.MemoryMB<<20) * responseMemoryFraction))
 	n.store = platform.NewStore(s.StoreAddr)
 	n.pool = upstream.NewPool(n.clock.Now)
+	n.pool.Memory = n.responseMemory
 	n.handler = front.New(front.Config{
 		State:            n.state,
 		Pool:             n.pool,
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -38,6 +38,21 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// MalformedError is a head of a response that can't be parsed.
+type MalformedError struct{ Err error }
+
+// maxQuoted bounds how much of a malformed head an error message quotes.
+const maxQuoted = 200
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	text := e.Err.Error()
+	return text[:min(len(text), maxQuoted)]
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
 // Fault is an error cause without further details.
 type Fault string
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/hop"
 )
@@ -173,7 +174,7 @@
 func (e *exchange) receive(call Call) (*http.Response, *Error) {
 	req := &http.Request{Method: call.Method}
 	for range maxMismatches + 1 {
-		resp, err := e.readHeader(req)
+		resp, err := e.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -188,15 +189,19 @@
 	return nil, &Error{Stage: StageResponse, Sent: true, Err: ErrResponseMismatch}
 }
 
-// readHeader reads the header of one response, skipping informational (1xx) ones.
-func (e *exchange) readHeader(req *http.Request) (*http.Response, *Error) {
+// readHead reads the head of one response, skipping informational (1xx) ones.
+func (e *exchange) readHead(req *http.Request) (*http.Response, *Error) {
+	var scanner intake.HeadScanner
 	for {
 		if _, err := e.conn.br.Peek(1); err != nil {
 			return nil, &Error{Stage: StageSend, Sent: true, Err: err}
 		}
+		if err := e.conn.fillHead(&scanner, e.pool.now); err != nil {
+			return nil, &Error{Stage: StageResponse, Sent: true, Err: err}
+		}
 		resp, err := http.ReadResponse(e.conn.br, req)
 		if err != nil {
-			return nil, &Error{Stage: StageResponse, Sent: true, Err: err}
+			return nil, &Error{Stage: StageResponse, Sent: true, Err: &MalformedError{Err: err}}
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &Error{Stage: StageResponse, Sent: true, Err: ErrUpgrade}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/bounded"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/dial"
 )
@@ -32,6 +33,8 @@
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
+	Memory *bounded.Budget // for long heads and events; nil: no limit
+
 	dialer   *net.Dialer
 	now      func() time.Time
 	mu       sync.Mutex
@@ -91,7 +94,7 @@
 		p.releaseSlot(id)
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, reserved: bounded.Reservation{Budget: p.Memory}}
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -156,6 +159,7 @@
 		p.closeConn(id, c)
 		return
 	}
+	c.shrinkBuffer()
 	s.idle = append(s.idle, c)
 }
 
@@ -169,6 +173,7 @@
 // closeConn closes the connection. The caller holds the lock.
 func (p *Pool) closeConn(id routing.Identity, c *conn) {
 	_ = c.Close()
+	c.reserved.Release()
 	if s := p.byServer[id]; s != nil {
 		s.open--
 		delete(s.conns, c)
