upstream, front: long events and buffered bodies share the budget of heads

With every server faulty, a host of 88 MB could have to hold 352 events of 256 KiB or bodies of 128 KiB at once, each below its own bound, and a body was allocated as long as announced. The buffer of a long event stayed until its stream ended, trailers until the response was passed on, and an event that trickled held its place until the deadline.

What is above 4 KiB of an event or a body now takes from the budget and grows with what arrives. A body that finds no room is passed on as it arrives, like one that is too long to be buffered; an event that finds none breaks its stream off.

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/windscale/windscale/internal/bounded"
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/pick"
 	"github.com/windscale/windscale/internal/core/routing"
 	"github.com/windscale/windscale/internal/events"
@@ -49,24 +52,26 @@
 // forwardPlain forwards a response that is not an event stream.
 func (x *exchange) forwardPlain(a *upstream.Response) attemptResult {
 	q := x.q
-	buf := make([]byte, 0, max(min(a.Length, maxBufferedBody), 0)+1)
-	body, err := readBuffered(a.Body, buf)
+	reserved := bounded.Reservation{Budget: q.h.Pool.Memory}
+	defer reserved.Release()
+	body, err := bounded.ReadAll(a.Body, a.Length, maxBufferedBody, &reserved)
 	x.timer.Stop()
 	if err == nil {
 		err = x.confirmEnd(a)
 	}
-	if err != nil && err != errBodyTooLong {
+	tooLong := exceedsBuffer(err)
+	if err != nil && !tooLong {
 		a.Close()
 		return x.handleBroken(a, err)
 	}
 	q.h.State.NoteFirstEvent(&x.placement)
 	q.h.Meter.FirstResponse(q.service, q.age())
-	x.writeHeader(a, int64(len(body)), err == nil)
+	x.writeHeader(a, int64(len(body)), !tooLong)
 	if _, werr := q.w.Write(body); werr != nil {
 		a.Close()
 		return x.handleCallerGone(werr)
 	}
-	if err == errBodyTooLong {
+	if tooLong {
 		if err := x.copyRest(a); err != nil {
 			a.Close()
 			return x.handleBroken(a, err)
@@ -95,27 +100,12 @@
 	return pick.Succeeded
 }
 
-// errBodyTooLong means that the body is longer than maxBufferedBody.
-const errBodyTooLong = upstream.Fault("response body exceeds the buffer limit")
-
-// readBuffered reads up to maxBufferedBody bytes, appending to body.
-func readBuffered(r io.Reader, body []byte) ([]byte, error) {
-	for {
-		if len(body) == cap(body) {
-			if len(body) >= maxBufferedBody {
-				return body, errBodyTooLong
-			}
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
+// exceedsBuffer reports whether a body can't be buffered: it is longer than maxBufferedBody, or there is
+// no memory left for it.
+func exceedsBuffer(err error) bool {
+	var limit *intake.LimitError
+	var memory *bounded.MemoryError
+	return errors.As(err, &limit) || errors.As(err, &memory)
 }
 
 // writeHeader sends the response's status and headers to the caller.
@@ -138,7 +128,8 @@
 // forwardStream forwards events as they arrive.
 func (x *exchange) forwardStream(a *upstream.Response) attemptResult {
 	q := x.q
-	events := upstream.NewEventReader(a.Body)
+	events := a.Events()
+	defer events.Release()
 	control := http.NewResponseController(q.w)
 	count := 0
 	for {
--- a/internal/edge/front/endless_test.go
+++ b/internal/edge/front/endless_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,10 +24,11 @@
 // other one has run, which 502 does not deny.
 func TestEndlessResponseIsCut(t *testing.T) {
 	for name, fault := range map[string]platformtest.Fault{
-		"garbage":       platformtest.EndlessGarbage,
-		"head":          platformtest.EndlessHead,
-		"informational": platformtest.EndlessInformational,
-		"chunk size":    platformtest.EndlessChunkSize,
+		"garbage":                     platformtest.EndlessGarbage,
+		"head":                        platformtest.EndlessHead,
+		"informational":               platformtest.EndlessInformational,
+		"chunk size":                  platformtest.EndlessChunkSize,
+		"trailer":                     platformtest.EndlessTrailer,
 	} {
 		for _, c := range []struct {
 			kind, method, path string
@@ -85,3 +89,61 @@
 	}
 	return n
 }
+
+// Guards against an event without end that is held in memory. Its stream is resumed at another server, or
+// cut visibly.
+func TestEndlessEventIsCut(t *testing.T) {
+	for path, status := range map[string]int{"/s/x": 200, "/o/x": 502} {
+		r := newRig(t)
+		r.handler.Pool.Memory = bounded.NewBudget(1 << 20)
+		r.configure()
+		engines, _ := r.servers(2)
+		failOnce(engines, platformtest.EndlessEvent)
+		a := r.call(context.Background(), "POST", path, "k", "")
+		assert.Equal(t, a.status, status)
+		if status == 200 {
+			assert.Equal(t, a.body, fullStream(a.attempt))
+		}
+		assert.Assert(t, taken(engines) < maxTaken, "%d bytes taken", taken(engines))
+		assert.Equal(t, r.handler.Pool.Memory.Used(), int64(0))
+	}
+}
+
+// With every server faulty, the responses of all requests together use no more than their memory, and no
+// request is answered by anything but a failure.
+func TestEndlessResponsesOfAllServersShareTheirMemory(t *testing.T) {
+	const budget = 512 << 10
+	r := newRig(t)
+	r.handler.Pool.Memory = bounded.NewBudget(budget)
+	r.configure()
+	engines, plain := r.servers(3)
+	faults := []platformtest.Fault{platformtest.EndlessHead, platformtest.EndlessEvent, platformtest.EndlessGarbage, platformtest.EndlessTrailer}
+	for i, s := range append(engines, plain...) {
+		s.SetFault(func(string) platformtest.Fault { return faults[i%len(faults)] })
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 60 {
+		path := []string{"/s/x", "/u/x", "/r/x"}[i%3]
+		wg.Go(func() {
+			req, err := http.NewRequest("POST", r.server.URL+path, nil)
+			assert.Check(t, err)
+			req.Host = platformtest.Host
+			attempt := fmt.Sprintf("shared-%d", i)
+			platformtest.SetRequestHeaders(req.Header, attempt, "k", 2*time.Second, "")
+			a := do(req, attempt)
+			assert.Check(t, a.status != 200 || a.err != nil, "%s answered", path)
+		})
+	}
+	go func() { wg.Wait(); close(done) }()
+	for {
+		used := r.handler.Pool.Memory.Used()
+		assert.Assert(t, used <= budget, "%d bytes used", used)
+		select {
+		case <-done:
+			assert.Equal(t, r.handler.Pool.Memory.Used(), int64(0))
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -66,7 +66,6 @@
 	ErrCancelled        Fault = "exchange cancelled"
 	ErrServerLeaving    Fault = "server no longer accepts new requests"
 	ErrConnLimit        Fault = "all connections to the server are in use"
-	ErrTooLarge         Fault = "event too large"
 	ErrServerCrashed    Fault = "server crashed at the end of a close-delimited response"
 	ErrEndUnconfirmed   Fault = "end of a close-delimited response could not be confirmed"
 )
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -109,7 +109,7 @@
 		Reused: reused,
 
 		CloseDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
-		Body:           resp.Body,
+		Body:           body{resp},
 		exchange:       e,
 		resp:           resp,
 	}, nil
@@ -189,6 +189,18 @@
 	return nil, &Error{Stage: StageResponse, Sent: true, Err: ErrResponseMismatch}
 }
 
+// body is the body of a response. It drops the trailers, which are of no use to callers.
+type body struct{ resp *http.Response }
+
+// Read implements io.Reader.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		b.resp.Trailer = nil
+	}
+	return n, err
+}
+
 // readHead reads the head of one response, skipping informational (1xx) ones.
 func (e *exchange) readHead(req *http.Request) (*http.Response, *Error) {
 	var scanner intake.HeadScanner
