upstream: bodies that are of no use are bounded in bytes and time

A request waited for the end of a body that nobody needs: that of a response to another request, read without a bound until the deadline, and that of a refusal, of which 16 KiB were awaited until the deadline, while the request could have gone to another server at once.

Bodies of other requests' responses are discarded up to 1 MiB and one second, those of refusals up to 16 KiB and 300 ms; past that the connection is closed. Without the bound of bytes TestEndlessResponseIsCut fails.

--- a/internal/edge/front/answer.go
+++ b/internal/edge/front/answer.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// maxRefusalBody is how many bytes of a refusal's body are read so that the connection can
-	// be reused.
-	maxRefusalBody = 16 << 10
 	// maxBufferedBody is the longest response body that is buffered before it is forwarded, so
 	// that the request can be retried if the response breaks off.
 	maxBufferedBody = 128 << 10
@@ -34,21 +31,6 @@
 func (m *atomicFlag) set()        { m.value.Store(true) }
 func (m *atomicFlag) isSet() bool { return m.value.Load() }
 
-// readAtMost reads up to limit bytes of the body and reports whether it reached the end of the
-// body.
-func readAtMost(a *upstream.Response, limit int64) ([]byte, bool) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, limit))
-	if err != nil {
-		return body, false
-	}
-	var extra [1]byte
-	n, err := io.ReadFull(a.Body, extra[:])
-	if n == 1 {
-		return append(body, extra[0]), false
-	}
-	return body, err == io.EOF
-}
-
 // forwardPlain forwards a response that is not an event stream.
 func (x *exchange) forwardPlain(a *upstream.Response) attemptResult {
 	q := x.q
--- a/internal/edge/front/endless_test.go
+++ b/internal/edge/front/endless_test.go
@@ -24,11 +24,12 @@
 // other one has run, which 502 does not deny.
 func TestEndlessResponseIsCut(t *testing.T) {
 	for name, fault := range map[string]platformtest.Fault{
-		"garbage":       platformtest.EndlessGarbage,
-		"head":          platformtest.EndlessHead,
-		"informational": platformtest.EndlessInformational,
-		"chunk size":    platformtest.EndlessChunkSize,
-		"trailer":       platformtest.EndlessTrailer,
+		"garbage":                     platformtest.EndlessGarbage,
+		"head":                        platformtest.EndlessHead,
+		"informational":               platformtest.EndlessInformational,
+		"chunk size":                  platformtest.EndlessChunkSize,
+		"trailer":                     platformtest.EndlessTrailer,
+		"response to another request": platformtest.EndlessMismatch,
 	} {
 		for _, c := range []struct {
 			kind, method, path string
--- a/internal/edge/front/exchange.go
+++ b/internal/edge/front/exchange.go
@@ -210,11 +210,7 @@
 func (x *exchange) handleNotRun(a *upstream.Response, wrongServer bool) attemptResult {
 	q := x.q
 	q.sentCount++
-	if _, whole := readAtMost(a, maxRefusalBody); whole {
-		a.Finish()
-	} else {
-		a.Close()
-	}
+	a.FinishUnread()
 	outcome := pick.Full
 	if wrongServer {
 		outcome = pick.ServerGone
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -202,6 +202,52 @@
 	assert.Equal(t, pool.Memory.Used(), int64(0))
 }
 
+// Guards against a request that waits until its deadline for the end of a body that is of no use, and
+// against reading that on and on.
+func TestUnreadBodyIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		reused   bool
+	}{
+		"complete":  {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull", true},
+		"no body":   {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true},
+		"too long":  {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("b", 20000), false},
+		"no end":    {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfu", false},
+		"no length": {"HTTP/1.1 503 Service Unavailable\r\n\r\nfu", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := NewPool(time.Now)
+			addr := respond(t, c.response, 1<<20)
+			for i := range 2 {
+				resp, err := pool.Do(context.Background(), call(addr))
+				assert.Assert(t, err == nil, "%v", err)
+				assert.Equal(t, resp.Reused, c.reused && i == 1)
+				resp.FinishUnread()
+			}
+		})
+	}
+}
+
+// A response to another request before the request's own may have a body, of which the bytes and the
+// time are bounded.
+func TestMismatchedBodyIsBounded(t *testing.T) {
+	const mismatched = "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: %d\r\n\r\n%s"
+	for _, c := range []struct {
+		announced, sent int
+		ok              bool
+	}{
+		{100, 100, true}, {maxMismatchBody, maxMismatchBody, true},
+		{maxMismatchBody + 1, maxMismatchBody + 1, false}, {100, 99, false},
+	} {
+		response := fmt.Sprintf(mismatched, c.announced, strings.Repeat("b", c.sent))
+		if c.ok {
+			response += headOf(60) + "ok"
+		}
+		_, err := NewPool(time.Now).Do(context.Background(), call(respond(t, response, 1<<20)))
+		assert.Equal(t, err == nil, c.ok, "%d of %d bytes: %v", c.sent, c.announced, err)
+	}
+}
+
 // segments is a connection that delivers bytes in segments of the given size, then its end.
 type segments struct {
 	net.Conn
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -19,6 +19,13 @@
 	// maxMismatches is how many responses to other requests are skipped before the request's
 	// own.
 	maxMismatches = 2
+	// maxMismatchBody and mismatchTimeout bound the body of a response to another request.
+	maxMismatchBody = 1 << 20
+	mismatchTimeout = time.Second
+	// maxUnreadBody and unreadTimeout bound the body of a response that is read only so that its
+	// connection can be reused.
+	maxUnreadBody = 16 << 10
+	unreadTimeout = 300 * time.Millisecond
 	// maxInlineBody is the largest body that is written before waiting for the response. It
 	// fits into a connection's send window.
 	maxInlineBody = 2 << 10
@@ -182,13 +189,31 @@
 			return resp, nil
 		}
 		e.noMismatch = false
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if err := e.discard(resp, maxMismatchBody, mismatchTimeout); err != nil || resp.Close {
 			return nil, &Error{Stage: StageResponse, Sent: true, Err: ErrResponseMismatch}
 		}
 	}
 	return nil, &Error{Stage: StageResponse, Sent: true, Err: ErrResponseMismatch}
 }
 
+// discard reads the body of a response that is of no use: up to limit bytes, within the timeout.
+func (e *exchange) discard(resp *http.Response, limit int64, timeout time.Duration) error {
+	if resp.Body == http.NoBody {
+		return nil
+	}
+	if err := e.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if n > limit {
+		return &intake.LimitError{Bound: intake.BoundBody, Limit: limit}
+	}
+	return e.conn.SetReadDeadline(time.Time{})
+}
+
 // body is the body of a response. It drops the trailers, which are of no use to callers.
 type body struct{ resp *http.Response }
 
@@ -252,6 +277,15 @@
 	e.finish(reusable, idleTimeout)
 }
 
+// FinishUnread is Finish for a response whose body is of no use.
+func (r *Response) FinishUnread() {
+	if r.exchange.discard(r.resp, maxUnreadBody, unreadTimeout) != nil {
+		r.Close()
+		return
+	}
+	r.Finish()
+}
+
 // Close ends the exchange before the body was read to its end, and closes the connection.
 func (r *Response) Close() { r.exchange.finish(false, 0) }
 
