peers, platform, relay, router: responses of other routers and of the store are bounded

net/http takes 10 MB of a response's head, a redirect was followed wherever it led, the answer to an upgrade was read by the same unbounded call as that of servers, a peer's announced length of up to 8 MiB was allocated before a byte had come, and pages of the store were cut at 4 MiB without saying so.

--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -52,7 +52,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", n.meter.Handler())
 	mux.Handle("/debug/vars", expvar.Handler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // peerMetrics registers the metrics of the traffic with other routers.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -43,7 +43,7 @@
 	// bodyMemoryFraction is the fraction of the memory that request bodies may use.
 	bodyMemoryFraction = 0.25
 	// responseMemoryFraction is the fraction of the memory that long heads, events and bodies of
-	// responses may use together, whatever servers send. The garbage collector
+	// responses may use together, whatever servers, routers and the store send. The garbage collector
 	// needs as much again.
 	responseMemoryFraction = 0.125
 	// requestsPerMB is how many requests may be in progress per MB of memory: one takes about
@@ -108,6 +108,7 @@
 	n.state.SetRolloutBounds(rolloutBounds(s))
 	n.responseMemory = bounded.NewBudget(int64(float64(s.MemoryMB<<20) * responseMemoryFraction))
 	n.store = platform.NewStore(s.StoreAddr)
+	n.store.Memory = n.responseMemory
 	n.pool = upstream.NewPool(n.clock.Now)
 	n.pool.Memory = n.responseMemory
 	n.handler = front.New(front.Config{
@@ -181,7 +182,7 @@
 		Addr:       n.settings.ControlAddr,
 		DataCentre: n.settings.DataCentre,
 		Cores:      float32(n.settings.Cores),
-	}, conn, platform.DecodeConfig, n.probe.Wait, n.clock.Now)
+	}, conn, n.responseMemory, platform.DecodeConfig, n.probe.Wait, n.clock.Now)
 	n.peers.WithoutScheduler = !n.settings.Scheduler
 	n.state.SetScheduledRoom(n.settings.SchedulerRoom)
 	n.peers.Add(true, n.settings.Seeds...)
@@ -235,7 +236,7 @@
 		n.addLoop(g, n.receiver.Run)
 	}
 	n.addServer(g, n.readinessServer(), n.readinessListener)
-	n.addServer(g, &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout}, n.controlListener)
+	n.addServer(g, &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}, n.controlListener)
 	if n.metricsListener != nil {
 		n.addServer(g, n.metricsServer(), n.metricsListener)
 	}
--- a/internal/edge/peers/network.go
+++ b/internal/edge/peers/network.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
+	"github.com/windscale/windscale/internal/bounded"
 	"github.com/windscale/windscale/internal/dial"
 )
 
@@ -26,27 +26,38 @@
 	dialTimeout = 350 * time.Millisecond
 	// fetchTimeout bounds a fetch. A list of 10,000 servers is some 350 KB, which a host with a
 	// fifth of a core sends to several routers at a time.
-	fetchTimeout    = 2500 * time.Millisecond
-	maxDatagram     = 60 << 10
-	maxResponseSize = 8 << 20
+	fetchTimeout = 2500 * time.Millisecond
+	maxDatagram  = 60 << 10
+	// maxResponseSize is several times the size of a list of 20,000 servers.
+	maxResponseSize = 4 << 20
+	// maxResponseHead bounds the head of a response; routers send some 100 bytes.
+	maxResponseHead = 4 << 10
 )
 
 // network sends datagrams over UDP and fetches over HTTP from the routers' control addresses.
 type network struct {
-	ctx  context.Context // cancels fetches
-	port uint16          // UDP port, the same on all routers
-	conn *net.UDPConn
-	http *http.Client
+	ctx    context.Context // cancels fetches
+	port   uint16          // UDP port, the same on all routers
+	conn   *net.UDPConn
+	http   *http.Client
+	memory *bounded.Budget // for responses
 }
 
-func newNetwork(conn *net.UDPConn) *network {
+func newNetwork(conn *net.UDPConn, memory *bounded.Budget) *network {
 	return &network{
-		ctx:  context.Background(),
-		port: conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
-		conn: conn,
+		ctx:    context.Background(),
+		port:   conn.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
+		conn:   conn,
+		memory: memory,
 		http: &http.Client{
-			Timeout:   fetchTimeout,
-			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial.Dialer(dialTimeout).DialContext},
+			Timeout: fetchTimeout,
+			Transport: &http.Transport{
+				DisableKeepAlives:      true,
+				DisableCompression:     true,
+				DialContext:            dial.Dialer(dialTimeout).DialContext,
+				MaxResponseHeaderBytes: maxResponseHead,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
@@ -87,7 +98,9 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readBody(resp)
+	reserved := bounded.Reservation{Budget: n.memory}
+	defer reserved.Release()
+	body, err := readBody(resp, &reserved)
 	if err != nil {
 		return nil, err
 	}
@@ -107,11 +120,9 @@
 }
 
 // readBody reads a response body. The error is a *LengthError unless its length is given and allowed.
-func readBody(resp *http.Response) ([]byte, error) {
+func readBody(resp *http.Response, reserved *bounded.Reservation) ([]byte, error) {
 	if resp.ContentLength < 0 || resp.ContentLength > maxResponseSize {
 		return nil, &LengthError{Length: resp.ContentLength}
 	}
-	body := make([]byte, resp.ContentLength)
-	_, err := io.ReadFull(resp.Body, body)
-	return body, err
+	return bounded.ReadAll(resp.Body, resp.ContentLength, maxResponseSize, reserved)
 }
--- a/internal/edge/peers/network_test.go
+++ b/internal/edge/peers/network_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/bounded"
+	"github.com/windscale/windscale/test/flooder"
 	"github.com/windscale/windscale/test/loopback"
 )
 
@@ -40,6 +44,45 @@
 	}
 }
 
+// Guards against a peer whose response has no end and uses up the memory of this router.
+func TestResponseOfAPeerIsBounded(t *testing.T) {
+	for name, c := range map[string]struct{ beginning, repeated string }{
+		"no response":  {"", "junk"},
+		"head":         {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"redirect":     {"HTTP/1.1 307 Temporary Redirect\r\nContent-Length: 0\r\nLocation: http://127.0.0.1:1/\r\n\r\n", "more"},
+		"body":         {"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n", "b"},
+		"no length":    {"HTTP/1.1 200 OK\r\n\r\n", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := flooder.New(t, c.beginning, c.repeated)
+			conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			memory := bounded.NewBudget(maxResponseSize)
+			_, err = newNetwork(conn, memory).get(f.Addr, pathServers)
+			assert.Assert(t, err != nil)
+			<-f.Closed
+			assert.Assert(t, f.Sent() < maxResponseSize, "%d bytes sent", f.Sent())
+			assert.Equal(t, memory.Used(), int64(0))
+		})
+	}
+}
+
+// Lists of several peers together use no more than their memory.
+func TestResponsesOfPeersShareTheirMemory(t *testing.T) {
+	const size = 100_000
+	body := strings.Repeat("b", size)
+	n := newTestNetwork(t)
+	n.memory = bounded.NewBudget(size / 2)
+	_, err := n.get(answerOnce(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body)), pathServers)
+	assert.ErrorType(t, err, &bounded.MemoryError{})
+	n.memory = bounded.NewBudget(2 * size)
+	got, err := n.get(answerOnce(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body)), pathServers)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), body)
+}
+
 func newTestNetwork(t *testing.T) *network {
 	t.Helper()
 	return &network{ctx: context.Background(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/windscale/windscale/internal/bounded"
 	"github.com/windscale/windscale/internal/core/join"
 	"github.com/windscale/windscale/internal/core/roster"
 	"github.com/windscale/windscale/internal/core/routing"
@@ -125,9 +126,10 @@
 	configFetch, serversFetch, routersFetch fetch
 }
 
-// New returns the peers of a router. It sends and receives datagrams on conn.
-func New(st *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, decode func([]byte) (*routing.Config, error), wait func() time.Duration, now func() time.Time) *Peers {
-	p := NewOnNetwork(newNetwork(conn), st, log, self, decode, rand.Uint64(), now)
+// New returns the peers of a router. It sends and receives datagrams on conn. Responses of other routers
+// use the memory.
+func New(st *state.State, log *slog.Logger, self spread.Member, conn *net.UDPConn, memory *bounded.Budget, decode func([]byte) (*routing.Config, error), wait func() time.Duration, now func() time.Time) *Peers {
+	p := NewOnNetwork(newNetwork(conn, memory), st, log, self, decode, rand.Uint64(), now)
 	p.ProcessorWait = wait
 	p.conn = conn
 	return p
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -50,7 +50,7 @@
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: udp})
 	assert.NilError(t, err)
 	s := state.New("dc", 0.2, 80, time.Now)
-	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, platform.DecodeConfig, noWait, time.Now)
+	p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: ln.Addr().String(), DataCentre: "dc"}, conn, nil, platform.DecodeConfig, noWait, time.Now)
 	begin(p)
 	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -175,7 +175,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	s := state.New("dc", 0.2, 80, now)
-	return New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.39:1", DataCentre: "dc"}, conn, platform.DecodeConfig, wait, now)
+	return New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), spread.Member{Addr: "127.0.0.39:1", DataCentre: "dc"}, conn, nil, platform.DecodeConfig, wait, now)
 }
 
 // A view is fetched from a live peer, not from a silent one that last reported the most recent
--- a/internal/edge/peers/schedulewire_test.go
+++ b/internal/edge/peers/schedulewire_test.go
@@ -153,7 +153,7 @@
 		s.ApplyConfig(engineConfig(), nil)
 		s.ReplaceServers(makeServers(64), roster.Stamp{Version: 1}, true)
 		self := spread.Member{Addr: fmt.Sprintf("127.0.0.%d:%d", 44+i, port), DataCentre: "dc", Cores: float32(9 - i)}
-		p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), self, conn, nil, noWait, time.Now)
+		p := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), self, conn, nil, nil, noWait, time.Now)
 		go func() { _ = p.Receive(ctx) }()
 		list = append(list, p)
 	}
--- a/internal/edge/relay/sender_test.go
+++ b/internal/edge/relay/sender_test.go
@@ -15,8 +15,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/offload"
 	"github.com/windscale/windscale/internal/edge/edgetest"
+	"github.com/windscale/windscale/test/flooder"
 )
 
 // testSender is a running sender and the listener of its callers.
@@ -365,3 +367,15 @@
 	_, err = answered.Read(begun)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
+
+// Guards against a host that answers the upgrade without end.
+func TestUpgradeResponseWithoutEndOpensNoTunnel(t *testing.T) {
+	for _, beginning := range []string{"", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: "} {
+		f := flooder.New(t, beginning, "x")
+		_, _, err := openTunnel(context.Background(), "127.0.0.1:1", f.Addr)
+		var limit *intake.LimitError
+		assert.Assert(t, errors.As(err, &limit), "%v", err)
+		<-f.Closed
+		assert.Assert(t, f.Sent() < 16<<20, "%d bytes sent", f.Sent())
+	}
+}
--- a/internal/edge/relay/sendertunnel.go
+++ b/internal/edge/relay/sendertunnel.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/offload"
 	"github.com/windscale/windscale/internal/dial"
 	"github.com/windscale/windscale/internal/events"
@@ -23,6 +24,9 @@
 	// openTimeout limits the time for opening a tunnel. Hosts of a data centre are less than a
 	// millisecond apart.
 	openTimeout = time.Second
+	// maxUpgradeHead bounds the head of the response that opens a tunnel, with the frames that are read
+	// with it.
+	maxUpgradeHead = 4 << 10
 	// maxTunnelPending is how many bytes may wait to be written to a tunnel. Above it its callers are
 	// not read.
 	maxTunnelPending = 256 << 10
@@ -95,8 +99,12 @@
 	if err := r.Write(c); err != nil {
 		return -1, nil, err
 	}
-	buffered := bufio.NewReader(c)
+	limited := &io.LimitedReader{R: c, N: maxUpgradeHead}
+	buffered := bufio.NewReaderSize(limited, maxUpgradeHead)
 	resp, err := http.ReadResponse(buffered, r)
+	if err != nil && limited.N == 0 {
+		err = &intake.LimitError{Bound: intake.BoundHead, Limit: maxUpgradeHead}
+	}
 	if err != nil {
 		return -1, nil, err
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -23,6 +23,8 @@
 	idleTimeout = 30 * time.Second
 	// maxReport bounds a server's answer, in bytes.
 	maxReport = 64 << 10
+	// maxHeaderBytes bounds the head of a server's answer.
+	maxHeaderBytes = 16 << 10
 )
 
 // Report is a server's answer, as it says it. It lags.
@@ -82,7 +84,7 @@
 // are asked no more, and lets no server send it elsewhere.
 func newClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,16 @@
 	adminLn net.Listener
 }
 
+// maxPlatformHead bounds the head of a response of the platform.
+const maxPlatformHead = 64 << 10
+
+// platformClient returns the HTTP client for the platform.
+func platformClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxPlatformHead
+	return &http.Client{Transport: transport}
+}
+
 // New builds the parts and opens the listeners, so that a taken address is
 // found before anything starts.
 func New(cfg *config.Router, log *slog.Logger) (*Router, error) {
@@ -84,7 +94,7 @@
 		ctx:         ctx,
 		stop:        stop,
 		metrics:     metrics.New(),
-		platform:    httpplatform.New(cfg.PlatformURL, &http.Client{}),
+		platform:    httpplatform.New(cfg.PlatformURL, platformClient()),
 		drain:       newDrain(),
 	}
 	r.servers = newServerWatch(r.log)
