front: the header of a connection over the limit is bounded

Such a request is refused before net/http sees it, and its header was read without a bound for half a second; callers of the platform keep to their limit.

--- a/internal/edge/front/shed.go
+++ b/internal/edge/front/shed.go
@@ -18,6 +18,8 @@
 	shedDrainTimeout = 300 * time.Millisecond
 	// shedBufferSize is large enough for a request header.
 	shedBufferSize = 4 << 10
+	// maxShedHeader limits the header, like that of a request that is served.
+	maxShedHeader = 64 << 10
 	// maxShedBody limits the body bytes that are read and discarded.
 	maxShedBody = 256 << 10
 )
@@ -29,7 +31,8 @@
 	if err := c.SetDeadline(time.Now().Add(shedReadTimeout)); err != nil {
 		return // the connection is gone
 	}
-	in := bufio.NewReaderSize(c, shedBufferSize)
+	limited := &io.LimitedReader{R: c, N: maxShedHeader}
+	in := bufio.NewReaderSize(limited, shedBufferSize)
 	r, err := http.ReadRequest(in)
 	if err != nil {
 		return // there is no request to respond to
@@ -43,6 +46,7 @@
 	if err := q.writeRawRefusal(bufio.NewWriterSize(c, shedBufferSize), refusal); err != nil {
 		return // the caller disconnected
 	}
+	limited.N = maxShedBody
 	drainConn(c, in)
 }
 
@@ -73,7 +77,7 @@
 	return out.Flush()
 }
 
-// drainConn discards what the caller still sends until the caller closes the connection.
+// drainConn discards what in has left of the connection until the caller closes it.
 func drainConn(c net.Conn, in io.Reader) {
 	closer, ok := c.(interface{ CloseWrite() error })
 	if !ok {
@@ -84,5 +88,5 @@
 		return // the caller disconnected
 	}
 	// An error does not matter here: the refusal has been sent.
-	_, _ = io.Copy(io.Discard, io.LimitReader(in, maxShedBody))
+	_, _ = io.Copy(io.Discard, in)
 }
--- a/internal/edge/front/shed_test.go
+++ b/internal/edge/front/shed_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -61,6 +62,22 @@
 
 // Guards against callers of a flood that keep their connections open: near the limit every response
 // must close its connection, also that of a served request.
+// Guards against a caller whose header has no end.
+func TestShedBoundsTheHeader(t *testing.T) {
+	r := newRig(t)
+	near, far := net.Pipe()
+	ended := make(chan struct{})
+	go func() { r.handler.Shed(far); close(ended) }()
+	sent := 0
+	for _, err := io.WriteString(near, "GET / HTTP/1.1\r\nA: "); err == nil; {
+		var n int
+		n, err = near.Write(make([]byte, 1<<10))
+		sent += n
+	}
+	<-ended
+	assert.Assert(t, sent <= 65<<10, "%d bytes read", sent)
+}
+
 func TestConnectionsCloseNearLimit(t *testing.T) {
 	r := newRig(t)
 	r.configure()
