soak: servers whose responses have no end, and the memory of routers

The fault endless has the servers of one service or of both answer one request in eight with bytes that never end: no response, a head, informational responses, an event, a chunk size, a trailer, a response to another request.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -122,6 +122,8 @@
 				f.loseScheduler(x)
 			case truncateKind:
 				f.truncate(x)
+			case endlessKind:
+				f.sendEndless(x)
 			default:
 				kinds[x.Kind](f, x)
 			}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,6 +74,8 @@
 	store       *platformtest.Store
 	storeHTTP   *httptest.Server
 	verdicts    *verdicts
+	memoryMB    int // of each router
+	peakMB      int // most that a router has used
 
 	mu      sync.Mutex
 	routers []*router
@@ -123,8 +125,8 @@
 }
 
 // newFleet starts the stand-ins and n routers.
-func newFleet(binary, dir string, n int, l layout, v *verdicts) (*fleet, error) {
-	f := &fleet{binary: binary, dir: dir, layout: l, store: platformtest.NewStore(), verdicts: v}
+func newFleet(binary, dir string, n int, l layout, memoryMB int, v *verdicts) (*fleet, error) {
+	f := &fleet{binary: binary, dir: dir, layout: l, memoryMB: memoryMB, store: platformtest.NewStore(), verdicts: v}
 	f.store.SetEra(1)
 	f.storeHTTP = httptest.NewServer(f.store)
 	if err := f.reservePorts(); err != nil {
@@ -271,7 +273,7 @@
 		cores = fewCores
 	}
 	text := fmt.Sprintf(settingsText, r.name, dataCentre, r.ip, f.ports[0], f.ports[1], f.ports[2], f.ports[3],
-		r.store.addr(), memoryMB, retrySlack, graceS, cores)
+		r.store.addr(), f.memoryMB, retrySlack, graceS, cores)
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -93,7 +93,7 @@
 		names = append(slices.Clone(relayKinds), schedulerKind)
 		known = append(known, schedulerKind)
 	}
-	known = append(known, truncateKind)
+	known = append(known, truncateKind, endlessKind)
 	if o.Faults != "" {
 		names = strings.Split(o.Faults, ",")
 	}
@@ -165,7 +165,7 @@
 		v.report(noUnaskedExit, "%v", err)
 		return v.all(), "not played"
 	}
-	f, err := newFleet(o.Binary, dir, o.Routers, o.layout(), v)
+	f, err := newFleet(o.Binary, dir, o.Routers, o.layout(), memoryOf(list), v)
 	if err != nil {
 		v.report(noUnaskedExit, "%v", err)
 		return v.all(), "not played"
@@ -177,15 +177,20 @@
 	}
 	c := &callers{fleet: f, seed: seed, calm: calm(list), sent: map[string]*sent{}, leavingSeen: map[routerServer][]time.Time{}}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	done, watched := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
 		c.run(ctx, o.Callers)
 	}()
+	go func() {
+		defer close(watched)
+		f.watchMemory(done)
+	}()
 	f.play(list)
 	f.checkBack(c)
 	cancel()
 	<-done
+	<-watched
 	again := f.checkRuns(c)
 	resumed, goneOn := c.checkVersions()
 	if budget := 0.2*float64(c.all.Load()) + retrySlack; float64(again) > budget {
@@ -197,6 +202,6 @@
 	if o.Scheduler && f.scheduledCount() == 0 {
 		v.report(schedules, "no request was sent as the scheduler decided")
 	}
-	return v.all(), fmt.Sprintf("%d faults, %d requests, %d succeeded, %d sent again, %d of %d resumed streams went on, %d promises broken",
-		len(list), c.all.Load(), c.ok.Load(), again, goneOn, resumed, len(v.all()))
+	return v.all(), fmt.Sprintf("%d faults, %d requests, %d succeeded, %d sent again, %d of %d resumed streams went on, %d MB at most, %d promises broken",
+		len(list), c.all.Load(), c.ok.Load(), again, goneOn, resumed, f.peakMB, len(v.all()))
 }
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -31,6 +31,7 @@
 	gracefulStop   promise = "a stopping router cuts no answer"
 	endsInTime     promise = "every request has its final answer in its route's time"
 	noUnaskedExit  promise = "no process ends by itself"
+	withinMemory   promise = "a router stays within its memory"
 	poisonStops    promise = "a request that crashes servers is soon sent to none"
 	partStops      promise = "requests with a prompt part that crashes servers are soon sent to none"
 	innocentServed promise = "a request that crashes no server is not blocked"
