--- a/internal/edge/peers/network_test.go
+++ b/internal/edge/peers/network_test.go
@@ -46,11 +46,12 @@
 
 // Guards against a peer whose response has no end and uses up the memory of this router.
 func TestResponseOfAPeerIsBounded(t *testing.T) {
+	elsewhere := flooder.New(t, "", "x")
 	for name, c := range map[string]struct{ beginning, repeated string }{
 		"no response":  {"", "junk"},
 		"head":         {"HTTP/1.1 200 OK\r\nA: ", "b"},
 		"header lines": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-		"redirect":     {"HTTP/1.1 307 Temporary Redirect\r\nContent-Length: 0\r\nLocation: http://127.0.0.1:1/\r\n\r\n", "more"},
+		"redirect":     {"HTTP/1.1 307 Temporary Redirect\r\nContent-Length: 0\r\nLocation: http://" + elsewhere.Addr + "/\r\n\r\n", "more"},
 		"body":         {"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n", "b"},
 		"no length":    {"HTTP/1.1 200 OK\r\n\r\n", "b"},
 	} {
@@ -64,6 +65,7 @@
 			assert.Assert(t, err != nil)
 			<-f.Closed
 			assert.Assert(t, f.Sent() < maxResponseSize, "%d bytes sent", f.Sent())
+			assert.Equal(t, elsewhere.Sent(), int64(0), "a redirect was followed")
 			assert.Equal(t, memory.Used(), int64(0))
 		})
 	}
