upstream: a test binds its port as net.Listen does

TestServerThatDoesNotAcceptIsUnknown failed with 'address already in use' in one of 40 runs, and in 5 of 48 with 16 at a time: the port was reserved by net.Listen, which binds beside connections of an earlier user that wait for their end, but bound without SO_REUSEADDR.

--- a/internal/upstream/alive_test.go
+++ b/internal/upstream/alive_test.go
@@ -229,6 +229,8 @@
 	addr, err = loopback.ReserveAddr()
 	assert.NilError(t, err)
 	at := netip.MustParseAddrPort(addr)
+	// As net.Listen does: connections of earlier users of the port may be waiting for their end.
+	assert.NilError(t, syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1))
 	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}))
 	assert.NilError(t, syscall.Listen(fd, 0))
 	for {
