upstream: a connection that is reset while it is opened is a rejection, told by the pool itself

Requests and the checks of a response's end each took ECONNRESET of the same call for a rejection and noted it. Pool.open does both and returns ErrRejected. A probe that is closed is looked up and noted under one lock. Two comments said what the code does not do. No change of behaviour.

--- a/internal/upstream/alive.go
+++ b/internal/upstream/alive.go
@@ -79,8 +79,7 @@
 	switch {
 	case err == nil:
 		return c.settle(ctx, opened)
-	case errors.Is(err, syscall.ECONNRESET):
-		c.pool.noteRejection(c.Server)
+	case errors.Is(err, ErrRejected):
 		return liveness.Rejected
 	case errors.Is(err, ErrConnLimit):
 		return c.observeInUse()
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// respond returns a connection pool and the address of a server that answers each request with the
+// respond returns the address of a server that answers each request with the
 // response, in pieces of the size.
 func respond(t *testing.T, response string, piece int) string {
 	t.Helper()
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -30,7 +30,7 @@
 	r        *bufio.Reader
 	source   pacedReader
 	buf      []byte
-	reserved bounded.Reservation // for the part of buf beyond bounded.FreeSize
+	reserved bounded.Reservation // for a buf of more than bounded.FreeSize
 }
 
 // Events returns a reader of the events in the body.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -85,10 +85,6 @@
 // which tells the server.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, *Error) {
 	c, err := p.get(ctx, call.Server, call.Addr, call.MaxConns, call.AtMostOnce)
-	if errors.Is(err, syscall.ECONNRESET) {
-		p.noteRejection(call.Server)
-		err = ErrRejected
-	}
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,10 +6,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/windscale/windscale/internal/bounded"
@@ -86,7 +88,8 @@
 	return nil
 }
 
-// open returns a new connection to the server, unless limit (0: none) are open.
+// open returns a new connection to the server, unless limit (0: none) are open. The error is ErrRejected
+// if the server resets the connection at once.
 func (p *Pool) open(ctx context.Context, id routing.Identity, addr string, limit int) (*conn, error) {
 	if !p.reserveSlot(id, limit) {
 		return nil, ErrConnLimit
@@ -95,6 +98,10 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		p.releaseSlot(id)
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.noteRejection(id)
+			return nil, ErrRejected
+		}
 		return nil, err
 	}
 	c := &conn{Conn: raw, dialTime: time.Since(begin), reserved: bounded.Reservation{Budget: p.Memory}}
--- a/internal/upstream/rejection.go
+++ b/internal/upstream/rejection.go
@@ -46,9 +46,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byServer[id]
-	if s == nil {
-		return
+	if s != nil {
+		p.setRejected(id, s, now)
 	}
+}
+
+// setRejected is noteRejection for a caller that holds the lock.
+func (p *Pool) setRejected(id routing.Identity, s *serverConns, now time.Time) {
 	s.rejectedAt = now
 	for _, c := range s.idle {
 		p.expireWithin(id, c, rejectedIdleLimit)
@@ -107,12 +111,12 @@
 // noteProbeClosed records that the connection of a probe was closed: a rejection unless a request has used
 // it.
 func (p *Pool) noteProbeClosed(id routing.Identity, c *conn) {
+	now := p.now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	s := p.byServer[id]
-	unused := s != nil && slices.Contains(s.idle, c)
-	p.mu.Unlock()
-	if unused {
-		p.noteRejection(id)
+	if s != nil && slices.Contains(s.idle, c) {
+		p.setRejected(id, s, now)
 	}
 }
 
