--- a/review/stage2/clients.go
+++ b/review/stage2/clients.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/windscale/windscale/platform/platformtest"
@@ -145,3 +146,23 @@
 	a.body, err = io.ReadAll(resp.Body)
 	return resp, err
 }
+
+// tally counts outcomes of requests.
+type tally struct{ ok, refused, other, failed atomic.Int64 }
+
+func (t *tally) add(status int, err error) {
+	switch {
+	case err != nil:
+		t.failed.Add(1)
+	case status == http.StatusOK:
+		t.ok.Add(1)
+	case status == http.StatusServiceUnavailable:
+		t.refused.Add(1)
+	default:
+		t.other.Add(1)
+	}
+}
+
+func (t *tally) String() string {
+	return fmt.Sprintf("%d answered 200, %d refused with 503, %d other, %d without an answer", t.ok.Load(), t.refused.Load(), t.other.Load(), t.failed.Load())
+}
