--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -31,6 +31,7 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(f *fleet, trouble bool) int{
+	"own503": own503,
 	"parts":  parts,
 	"reborn": reborn,
 }
