--- a/review/stage2/parts.go
+++ b/review/stage2/parts.go
@@ -29,9 +29,9 @@
 }
 
 var kinds = []kind{
-	{"crate-plan", 74.3, 2520, 4, 3780, 335, 2890, 51, 18000, 6 * time.Second, true},
-	{"claim-draft", 94.4, 341, 40, 227, 408, 1800, 24, 4700, 4 * time.Second, false},
-	{"quote-chat", 76.9, 103, 20, 69, 288, 543, 279, 1400, 15 * time.Second, true},
+	{"crate-plan", 74.3, 2520, 4, 3780, 263, 2890, 51, 18000, 6 * time.Second, true},
+	{"claim-draft", 94.4, 341, 8, 227, 148, 1800, 24, 4700, 4 * time.Second, false},
+	{"quote-chat", 76.9, 103, 20, 69, 120, 543, 279, 1400, 15 * time.Second, true},
 }
 
 const (
