upstream: a connection that breaks under an upload is no end of the response

Cause: a socket reports a reset once, to whichever call comes first. The request's body is written beside the reading of the response. If the write gets the error, the read that follows gets an orderly end, which completes a close-delimited response; the write's error was only used to decide whether the connection can be reused. The check whether the server outlived its response can't notice it, since the server lives.

Evidence: TestResetThatTheUploadNoticesBreaksTheResponse waits until the write has failed and then reads: the response was complete in each run. TestResetThatTheUploadNoticesBeforeTheHead failed too: a reset before the head was reported as an orderly end, which counts as the sign of a running server.

Change: the connection's Read returns io.EOF only if the connection is in order. If a body is still being written then, the write goes on for a round trip and 10 ms: its error is that of the connection, and a server that closed the connection instead of reading on resets it within that time. Without a write beside the read nothing changes: the kernel gives the error to the read. An unsafe request has run and gets 502, once; others go to another server.

A server that ends its side in order and reads the upload on, slowly or not at all, is served as before, 10 ms later (TestOrderlyEndBeforeTheUploadIsComplete).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,9 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
-	"sync/atomic"
+	"os"
 	"time"
 
 	"github.com/windscale/windscale/internal/bounded"
@@ -13,24 +14,58 @@
 	"github.com/windscale/windscale/internal/peek"
 )
 
+// resetWait is how long after a round trip a connection is reset that its server has closed while a request's
+// body was being sent.
+const resetWait = 10 * time.Millisecond
+
 // conn is a connection to one start of a backend server. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	br          *bufio.Reader
-	reserved    bounded.Reservation // for a read buffer of more than readBufferSize
-	received    int64               // bytes since the connection was opened
-	reused      bool                // it has carried an exchange
-	dialTime    time.Duration
-	probing     bool        // a check waits whether the server closes it; guarded by the pool's lock
-	idleSince   time.Time   // when it became idle
-	expires     time.Time   // when the server may close it; zero: not announced
-	writeFailed atomic.Bool // a write has failed, so it can't be reused
+	br        *bufio.Reader
+	reserved  bounded.Reservation // for a read buffer of more than readBufferSize
+	received  int64               // bytes since the connection was opened
+	reused    bool                // it has carried an exchange
+	dialTime  time.Duration
+	probing   bool       // a check waits whether the server closes it; guarded by the pool's lock
+	idleSince time.Time  // when it became idle
+	expires   time.Time  // when the server may close it; zero: not announced
+	body      *bodyWrite // of the exchange in progress or the latest one; nil: none yet
+}
+
+// bodyWrite is the write of a request's body, which may run beside the reading of the response.
+type bodyWrite struct {
+	done chan struct{} // closed when the write has ended
+	err  error         // why it failed; valid once done is closed
 }
 
-// Read reads from the connection and counts the bytes.
+// end ends the write after the server has ended its side of the connection, and returns the error by which
+// the connection broke, or nil if it is in order: a server that answers without reading a long body may go
+// on to read it. One that closes the connection instead resets it within a round trip.
+func (w *bodyWrite) end(c *conn) error {
+	select {
+	case <-w.done:
+		return w.err
+	default:
+	}
+	// Fails only if the connection is closed, which ends the write too.
+	_ = c.SetWriteDeadline(time.Now().Add(c.dialTime + resetWait))
+	<-w.done
+	if errors.Is(w.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return w.err
+}
+
+// Read reads from the connection and counts the bytes. The error is io.EOF only if the connection is in
+// order: a socket reports to one call that it was reset, and an orderly end to the reads that follow.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received += int64(n)
+	if err == io.EOF && c.body != nil {
+		if broken := c.body.end(c); broken != nil {
+			return n, broken
+		}
+	}
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -69,15 +69,15 @@
 
 // exchange holds what is needed to end an exchange.
 type exchange struct {
-	pool        *Pool
-	id          routing.Identity
-	conn        *conn
-	before      int64 // bytes that the connection had received before the exchange
-	began       time.Time
-	stopWatch   func() bool   // stops watching the caller's context
-	bodyWritten chan struct{} // closed when the request is written or has failed to be
-	once        sync.Once
-	noMismatch  bool // no response to another request has arrived
+	pool       *Pool
+	id         routing.Identity
+	conn       *conn
+	before     int64 // bytes that the connection had received before the exchange
+	began      time.Time
+	stopWatch  func() bool // stops watching the caller's context
+	body       bodyWrite
+	once       sync.Once
+	noMismatch bool // no response to another request has arrived
 }
 
 // Do sends the call and returns the response as soon as its header has arrived. ctx bounds the
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
-	e := &exchange{pool: p, id: call.Server, conn: c, before: c.received, began: p.stalls.begin(), noMismatch: true, bodyWritten: make(chan struct{})}
+	e := &exchange{pool: p, id: call.Server, conn: c, before: c.received, began: p.stalls.begin(), noMismatch: true, body: bodyWrite{done: make(chan struct{})}}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ctx.Err(); err != nil {
 		e.finish(false, 0)
@@ -142,23 +142,21 @@
 // send writes the request. A long body is written concurrently with waiting for the response,
 // which may arrive first.
 func (e *exchange) send(call Call) (sent bool, _ error) {
+	e.conn.body = &e.body
 	header := requestHeader(call)
 	if len(call.Body) <= maxInlineBody {
 		n, err := e.conn.Write(append(header, call.Body...))
-		close(e.bodyWritten)
+		close(e.body.done)
 		return n > 0, err
 	}
 	n, err := e.conn.Write(header)
 	if err != nil {
-		close(e.bodyWritten)
+		close(e.body.done)
 		return n > 0, err
 	}
 	go func() {
-		defer close(e.bodyWritten)
-		// The failure is reported by whoever reads the response.
-		if _, err := e.conn.Write(call.Body); err != nil {
-			e.conn.writeFailed.Store(true)
-		}
+		defer close(e.body.done)
+		_, e.body.err = e.conn.Write(call.Body) // reported to whoever reads the response
 	}()
 	return true, nil
 }
@@ -282,8 +280,8 @@
 	e := r.exchange
 	reusable := e.noMismatch && !r.resp.Close && (!announced || idleTimeout > expiryMargin)
 	select {
-	case <-e.bodyWritten:
-		reusable = reusable && !e.conn.writeFailed.Load()
+	case <-e.body.done:
+		reusable = reusable && e.body.err == nil
 	default:
 		reusable = false // the response ended before the request's body was written
 	}
