upstream: a connection that breaks while it is looked at is no end of the response

Callers could see the first part of a close-delimited answer as a complete one without an upload too: the check whether a server runs looks at its other connections, which may carry responses, and a request may use the connection that the check has opened. The look (recv with MSG_PEEK) takes the error of a connection that was reset, and the read of the response that follows gets an orderly end.

Change: peek.CheckError returns the error that it was told, the connection keeps it, and its Read returns it in place of io.EOF. A lock is held while the connection is looked at, so that a read which finds the end afterwards finds the error too.

Other callers of peek.Check look at callers' connections, whose requests end by their length or last chunk.

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -20,9 +20,16 @@
 
 // Check returns the state of the connection. It costs one system call.
 func Check(c syscall.Conn) State {
+	state, _ := CheckError(c)
+	return state
+}
+
+// CheckError is Check that also returns the error with which the connection broke, if this call is the one
+// to which it is reported: to later reads the connection looks closed in order.
+func CheckError(c syscall.Conn) (State, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return Closed
+		return Closed, nil
 	}
 	var n int
 	var recvErr error
@@ -33,13 +40,13 @@
 	})
 	switch {
 	case err != nil:
-		return Closed
+		return Closed, nil // locally
 	case n > 0:
-		return Readable
+		return Readable, nil
 	case recvErr == syscall.EAGAIN || recvErr == syscall.EINTR:
-		return Open
+		return Open, nil
 	}
-	return Closed
+	return Closed, recvErr
 }
 
 // Reader is a connection that can be read without blocking.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/windscale/windscale/internal/bounded"
@@ -29,7 +30,10 @@
 	probing   bool       // a check waits whether the server closes it; guarded by the pool's lock
 	idleSince time.Time  // when it became idle
 	expires   time.Time  // when the server may close it; zero: not announced
-	body      *bodyWrite // of the exchange in progress or the latest one; nil: none yet
+	body      *bodyWrite // of the exchange in progress; nil: none
+
+	peekMu  sync.Mutex // held while the connection is looked at
+	peekErr error      // with which it broke, if looking at it reported that
 }
 
 // bodyWrite is the write of a request's body, which may run beside the reading of the response.
@@ -61,14 +65,28 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received += int64(n)
-	if err == io.EOF && c.body != nil {
-		if broken := c.body.end(c); broken != nil {
-			return n, broken
-		}
+	if err == io.EOF {
+		err = c.endError()
 	}
 	return n, err
 }
 
+// endError returns the error with which the connection broke, if another call than the read that found its
+// end was told, or else io.EOF.
+func (c *conn) endError() error {
+	if c.body != nil {
+		if err := c.body.end(c); err != nil {
+			return err
+		}
+	}
+	c.peekMu.Lock()
+	defer c.peekMu.Unlock()
+	if c.peekErr != nil {
+		return c.peekErr
+	}
+	return io.EOF
+}
+
 // noInput reports whether nothing has arrived on an idle connection: neither its end nor bytes
 // that belong to no request.
 func (c *conn) noInput() bool {
@@ -76,7 +94,15 @@
 }
 
 // state returns the state of the connection, which may be in use.
-func (c *conn) state() peek.State { return peek.Check(c.Conn.(*net.TCPConn)) }
+func (c *conn) state() peek.State {
+	c.peekMu.Lock()
+	defer c.peekMu.Unlock()
+	state, err := peek.CheckError(c.Conn.(*net.TCPConn))
+	if err != nil {
+		c.peekErr = err
+	}
+	return state
+}
 
 // fillHead reads until the buffer begins with the complete head of a response. The buffer grows with the
 // head; that of nearly all heads fits into readBufferSize.
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/windscale/windscale/internal/edge/edgetest"
+	"github.com/windscale/windscale/internal/peek"
 )
 
 const (
@@ -63,6 +66,24 @@
 	assert.Equal(t, len(rest), 0)
 }
 
+// The same if the connection is looked at meanwhile, to learn whether its server runs.
+func TestResetThatAPeekNoticesBreaksTheResponse(t *testing.T) {
+	conns := make(chan net.Conn, 1)
+	l := listen(t, func(c net.Conn, _ int) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+firstPart)
+		conns <- c
+	})
+	resp, err := NewPool(time.Now).Do(context.Background(), call(l.Addr().String()))
+	assert.Assert(t, err == nil, "%v", err)
+	defer resp.Close()
+	_, readErr := io.ReadFull(resp.Body, make([]byte, len(firstPart)))
+	assert.NilError(t, readErr)
+	reset(<-conns)
+	edgetest.Until(t, "the reset is noticed", func() bool { return resp.exchange.conn.state() == peek.Closed })
+	_, readErr = io.ReadAll(resp.Body)
+	assert.ErrorIs(t, readErr, syscall.ECONNRESET)
+}
+
 // A server may answer a request and end its side of the connection in order without reading a long body to
 // the end: its response is complete, and is not held back until the body is written.
 func TestOrderlyEndBeforeTheUploadIsComplete(t *testing.T) {
