upstream: a response whose status is none of HTTP is no answer

Callers got statuses 600 to 999 with the server's seal, as the server had sent them. A status below 100 was taken for an informational response: what followed it on the connection was passed on as the answer (200 with the server's seal), and an unsafe request without anything after it waited for its deadline.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi does, and readHead took all that is below 200 as informational.

Change: intake.CheckStatus allows 100 to 599 (RFC 9110, section 15). Other responses are malformed: the connection is closed, unsafe requests get 502, once, others go to another server.

--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -76,3 +76,11 @@
 		assert.Equal(t, err == nil, c.ok, "%d pauses of %s: %v", c.reads, c.pause, err)
 	}
 }
+
+func TestStatusesOfHTTP(t *testing.T) {
+	for status, ok := range map[int]bool{-1: false, 0: false, 20: false, 99: false, 100: true, 200: true, 599: true, 600: false, 999: false} {
+		err := intake.CheckStatus(status)
+		var invalid *intake.StatusError
+		assert.Equal(t, !errors.As(err, &invalid), ok, "%d: %v", status, err)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -248,6 +248,9 @@
 			return nil, &Error{Stage: StageResponse, Sent: true, Err: err}
 		}
 		resp, err := http.ReadResponse(e.conn.br, req)
+		if err == nil {
+			err = intake.CheckStatus(resp.StatusCode)
+		}
 		if err != nil {
 			return nil, &Error{Stage: StageResponse, Sent: true, Err: &MalformedError{Err: err}}
 		}
