backend: a response whose status is none of HTTP is no answer

Behind windscale-router, callers got statuses 600 to 999 as answers. For a status below 100 net/http's writer panics, so that their connection was closed without an answer, also where the call may be repeated.

Cause: as in internal/upstream, net/http's transport accepts such statuses.

Change: backend.Client checks the status of the final response by intake.CheckStatus. The outcome of the attempt is unknown: 502 with Windscale-Run unknown, or another server where the call may be repeated.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/core/attempt"
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/msg"
 	"github.com/windscale/windscale/internal/dispatch"
 )
@@ -125,10 +126,10 @@
 		stop(err)
 		return nil, failure
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		stop(ErrUpgrade)
+	if err := checkHead(resp); err != nil {
+		stop(err)
 		_ = resp.Body.Close()
-		return nil, &Error{Stage: StageHeader, Outcome: attempt.Unknown, Err: ErrUpgrade}
+		return nil, &Error{Stage: StageHeader, Outcome: attempt.Unknown, Err: err}
 	}
 	if refusal := refusedBy(resp, call); refusal != nil {
 		closeBody(resp)
@@ -143,6 +144,14 @@
 	return newAnswer(resp, call.Method, stop), nil
 }
 
+// checkHead returns why the head is not that of a final HTTP response; nil: it is.
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return ErrUpgrade
+	}
+	return intake.CheckStatus(resp.StatusCode)
+}
+
 // withGate makes the connection that the transport picks pass its writes
 // through g. A second connection after a byte has left on the first would be a
 // retry by the transport: it is sealed.
