--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,10 +27,10 @@
 	received  int64               // bytes since the connection was opened
 	reused    bool                // it has carried an exchange
 	dialTime  time.Duration
-	probing   bool       // a check waits whether the server closes it; guarded by the pool's lock
-	idleSince time.Time  // when it became idle
-	expires   time.Time  // when the server may close it; zero: not announced
-	body      *bodyWrite // of the exchange in progress; nil: none
+	probing   bool      // a check waits whether the server closes it; guarded by the pool's lock
+	idleSince time.Time // when it became idle
+	expires   time.Time // when the server may close it; zero: not announced
+	body      bodyWrite // of the latest request; its zero value: none was sent
 
 	peekMu  sync.Mutex // held while the connection is looked at
 	peekErr error      // with which it broke, if looking at it reported that
@@ -42,22 +42,26 @@
 	err  error         // why it failed; valid once done is closed
 }
 
-// end ends the write after the server has ended its side of the connection, and returns the error by which
-// the connection broke, or nil if it is in order: a server that answers without reading a long body may go
-// on to read it. One that closes the connection instead resets it within a round trip.
-func (w *bodyWrite) end(c *conn) error {
+// endWrite ends the write of the request's body after the server has ended its side of the connection. It
+// returns the error by which the connection broke, or nil if it is in order: a server that answers without
+// reading a long body may go on to read it. One that closes the connection instead resets it within a round
+// trip.
+func (c *conn) endWrite() error {
+	if c.body.done == nil {
+		return nil
+	}
 	select {
-	case <-w.done:
-		return w.err
+	case <-c.body.done:
+		return c.body.err
 	default:
 	}
 	// Fails only if the connection is closed, which ends the write too.
 	_ = c.SetWriteDeadline(time.Now().Add(c.dialTime + resetWait))
-	<-w.done
-	if errors.Is(w.err, os.ErrDeadlineExceeded) {
+	<-c.body.done
+	if errors.Is(c.body.err, os.ErrDeadlineExceeded) {
 		return nil
 	}
-	return w.err
+	return c.body.err
 }
 
 // Read reads from the connection and counts the bytes. The error is io.EOF only if the connection is in
@@ -74,10 +78,8 @@
 // endError returns the error with which the connection broke, if another call than the read that found its
 // end was told, or else io.EOF.
 func (c *conn) endError() error {
-	if c.body != nil {
-		if err := c.body.end(c); err != nil {
-			return err
-		}
+	if err := c.endWrite(); err != nil {
+		return err
 	}
 	c.peekMu.Lock()
 	defer c.peekMu.Unlock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -75,7 +75,6 @@
 	before     int64 // bytes that the connection had received before the exchange
 	began      time.Time
 	stopWatch  func() bool // stops watching the caller's context
-	body       bodyWrite
 	once       sync.Once
 	noMismatch bool // no response to another request has arrived
 }
@@ -88,7 +87,7 @@
 	if err != nil {
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
-	e := &exchange{pool: p, id: call.Server, conn: c, before: c.received, began: p.stalls.begin(), noMismatch: true, body: bodyWrite{done: make(chan struct{})}}
+	e := &exchange{pool: p, id: call.Server, conn: c, before: c.received, began: p.stalls.begin(), noMismatch: true}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := ctx.Err(); err != nil {
 		e.finish(false, 0)
@@ -142,21 +141,22 @@
 // send writes the request. A long body is written concurrently with waiting for the response,
 // which may arrive first.
 func (e *exchange) send(call Call) (sent bool, _ error) {
-	e.conn.body = &e.body
+	written := make(chan struct{})
+	e.conn.body = bodyWrite{done: written}
 	header := requestHeader(call)
 	if len(call.Body) <= maxInlineBody {
 		n, err := e.conn.Write(append(header, call.Body...))
-		close(e.body.done)
+		close(written)
 		return n > 0, err
 	}
 	n, err := e.conn.Write(header)
 	if err != nil {
-		close(e.body.done)
+		close(written)
 		return n > 0, err
 	}
 	go func() {
-		defer close(e.body.done)
-		_, e.body.err = e.conn.Write(call.Body) // reported to whoever reads the response
+		defer close(written)
+		_, e.conn.body.err = e.conn.Write(call.Body) // reported to whoever reads the response
 	}()
 	return true, nil
 }
@@ -283,8 +283,8 @@
 	e := r.exchange
 	reusable := e.noMismatch && !r.resp.Close && (!announced || idleTimeout > expiryMargin)
 	select {
-	case <-e.body.done:
-		reusable = reusable && e.body.err == nil
+	case <-e.conn.body.done:
+		reusable = reusable && e.conn.body.err == nil
 	default:
 		reusable = false // the response ended before the request's body was written
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -157,7 +157,6 @@
 func (p *Pool) putIdle(id routing.Identity, c *conn, idleTimeout time.Duration) {
 	now := p.now()
 	c.reused = true
-	c.body = nil
 	c.idleSince = now
 	c.expires = time.Time{}
 	if idleTimeout > 0 {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -50,7 +50,7 @@
 func (r *Response) awaitUploadEnd(t *testing.T) {
 	t.Helper()
 	select {
-	case <-r.exchange.body.done:
+	case <-r.exchange.conn.body.done:
 	case <-time.After(10 * time.Second):
 		t.Fatal("the upload goes on")
 	}
