upstream: a response with a blank in a field's name is no answer

Callers got such answers with the line dropped, and after 'Transfer-Encoding : chunked' a 200 with the server's seal whose body was the chunks with their framing. After 'Content-Length : 4' on a connection that the server kept they waited for the deadline.

Cause: net/textproto accepts blanks in a field's name, but only canonical names are recognised, so that the line which says how the body is framed is overlooked; net/http leaves such lines out where it writes the response.

Evidence: TestInvalidFieldNameIsNoAnswer. Before, the kinds with a blank failed (in the name, before the colon, in an informational response, in a stream, in a failure, and the two that hide the framing). A control byte, a tab, an empty name, a line without a colon and a blank before the first field were malformed already; the tests stay.

Change: intake.CheckHead also checks that all names are tokens (RFC 9110, section 5.1), informational responses included. Lines that continue the one before them (RFC 9112, section 5.2) are passed on joined, as before. A trailer reaches no caller and comes after the complete body: a blank in it does no harm, as before (TestInvalidFieldNameInATrailer).

--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -84,3 +84,17 @@
 		assert.Equal(t, !errors.As(err, &invalid), ok, "%d: %v", status, err)
 	}
 }
+
+func TestFieldNamesAreTokens(t *testing.T) {
+	for name, ok := range map[string]bool{
+		"X-Crate": true, "x_crate.7": true, "!#$%&'*+-.^_`|~": true, "7": true,
+		"": false, " X": false, "X ": false, "X Y": false, "X\tY": false, "X\x00": false, "X\x7f": false, "X(1)": false, "X\u00e9": false, "X:": false,
+	} {
+		err := intake.CheckFieldNames(map[string][]string{"A": {"b"}, name: {"c"}})
+		var invalid *intake.FieldNameError
+		assert.Equal(t, !errors.As(err, &invalid), ok, "%q: %v", name, err)
+	}
+	assert.NilError(t, intake.CheckFieldNames(nil))
+	err := intake.CheckFieldNames(map[string][]string{strings.Repeat("a b", 1000): nil})
+	assert.Assert(t, len(err.Error()) < 200)
+}
--- a/internal/edge/front/malformed_test.go
+++ b/internal/edge/front/malformed_test.go
@@ -64,3 +64,69 @@
 		t.Run(name, func(t *testing.T) { assertNoAnswer(t, response) })
 	}
 }
+
+// Guards against a response of which a field's name holds a blank or a control byte: the line was dropped, and
+// where it told how the body is framed, the body that was passed on was not the server's.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, response := range map[string]string{
+		"blank":                     "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate Number: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"blank before the colon":    "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate : 7\r\nContent-Length: 4\r\n\r\nbody",
+		"blank after the coding":    "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding : chunked\r\nConnection: close" + chunks,
+		"blank after the length":    "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length : 4\r\n\r\nbody",
+		"blank, with a length":      "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding : chunked\r\nContent-Length: 14" + chunks,
+		"blank before the first":    "HTTP/1.1 200 OK\r\n X-Crate: 7\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+		"tab":                       "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate\tNumber: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"control byte":              "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate\x01: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"zero byte":                 "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-\x00Crate: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"carriage return":           "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate\r: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"empty":                     "HTTP/1.1 200 OK\r\nATTEMPT\r\n: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"no colon":                  "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate\r\nContent-Length: 4\r\n\r\nbody",
+		"in an informational one":   "HTTP/1.1 103 Early Hints\r\nX-Crate Number: 7\r\n\r\nHTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+		"in an unasked upgrade":     "HTTP/1.1 101 Switching Protocols\r\nATTEMPT\r\nX-Crate Number: 7\r\nUpgrade: other\r\n\r\n",
+		"in a response of a stream": "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Type: text/event-stream\r\nX-Crate Number: 7\r\n\r\nid: 1\ndata: a\n\n",
+		"in a failure":              "HTTP/1.1 500 Internal Server Error\r\nATTEMPT\r\nX-Crate Number: 7\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) { assertNoAnswer(t, response) })
+	}
+}
+
+// Lines that begin with a blank continue the line before them, and names that are unusual are none the less
+// names: such responses are passed on.
+func TestUnusualFieldsArePassedOn(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	_, plain := r.servers(1)
+	plain[0].Malformed = "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate: 7,\r\n 8\r\nx_crate!~: 9\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
+	plain[0].SetFault(func(string) platformtest.Fault { return platformtest.Malformed })
+	for range 2 {
+		a := r.call(context.Background(), "POST", "/u/x", "k", "")
+		assert.Equal(t, a.status, 200)
+		assert.Equal(t, a.body, "body")
+		assert.Equal(t, a.header.Get("X-Crate"), "7, 8")
+		assert.Equal(t, a.header.Get("X_crate!~"), "9")
+		assert.Assert(t, platformtest.ServerSeal(a.header) != "")
+	}
+	assert.Equal(t, plain[0].ConnectionsAccepted(), 1)
+}
+
+// The body is complete before the trailer, of which nothing is passed on: a name with a blank does no harm there,
+// and a trailer that can't be parsed makes the response malformed.
+func TestInvalidFieldNameInATrailer(t *testing.T) {
+	for field, status := range map[string]int{"X-Crate Number: 7": 200, "X-Crate\x01: 7": 502} {
+		r := newRig(t)
+		r.configure()
+		_, plain := r.servers(1)
+		plain[0].Malformed = "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + field + "\r\n\r\n"
+		plain[0].SetFault(func(string) platformtest.Fault { return platformtest.Malformed })
+		a := r.call(context.Background(), "POST", "/u/x", "k", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, status)
+		if status == 200 {
+			assert.Equal(t, a.body, "body")
+			for name := range a.header {
+				assert.Assert(t, !strings.HasPrefix(name, "X-Crate"))
+			}
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -249,7 +249,7 @@
 		}
 		resp, err := http.ReadResponse(e.conn.br, req)
 		if err == nil {
-			err = intake.CheckStatus(resp.StatusCode)
+			err = intake.CheckHead(resp.StatusCode, resp.Header)
 		}
 		if err != nil {
 			return nil, &Error{Stage: StageResponse, Sent: true, Err: &MalformedError{Err: err}}
