backend: a response with a blank in a field's name is no answer

Behind windscale-router, callers got such answers with the line dropped, and after 'Transfer-Encoding : chunked' a 200 whose body was the chunks with their framing.

Cause: as in internal/upstream.

Evidence: TestInvalidFieldNameIsNoAnswer in internal/proxy, three of whose seven kinds failed before; the others were handled.

Change: backend.Client checks the head of the final response by intake.CheckHead. net/http's transport takes informational responses by itself and passes nothing of them on.

Handled already: TestEarlyResponseThatBreaksOffIsIncomplete. windscale-router takes no response as complete that has neither a length nor chunks, so that a reset during an upload can't end one.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -149,7 +149,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return ErrUpgrade
 	}
-	return intake.CheckStatus(resp.StatusCode)
+	return intake.CheckHead(resp.StatusCode, resp.Header)
 }
 
 // withGate makes the connection that the transport picks pass its writes
--- a/internal/proxy/malformed_test.go
+++ b/internal/proxy/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,3 +52,41 @@
 		})
 	}
 }
+
+// Guards against a response of which a field's name holds a blank or a control byte: the line was dropped, and
+// where it told how the body is framed, the body that was passed on was not the server's.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for name, lines := range map[string]string{
+		"blank":                 "X-Crate Number: 7\r\nContent-Length: 2\r\n\r\nok",
+		"blank before colon":    "X-Crate : 7\r\nContent-Length: 2\r\n\r\nok",
+		"blank, with a length":  "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank after length":    "Content-Length : 2\r\n\r\nok",
+		"control byte":          "X-Crate\x01: 7\r\nContent-Length: 2\r\n\r\nok",
+		"empty":                 ": 7\r\nContent-Length: 2\r\n\r\nok",
+		"blank before the line": " X-Crate: 7\r\n%s\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if name == "blank before the line" {
+				assertNoAnswer(t, "HTTP/1.1 200 OK\r\n"+lines)
+				return
+			}
+			assertNoAnswer(t, "HTTP/1.1 200 OK\r\n%s\r\n"+lines)
+		})
+	}
+}
+
+// Guards against the first part of a response that is passed on as complete: the server sent it without a length
+// and reset the connection while the request's body was being sent.
+func TestEarlyResponseThatBreaksOffIsIncomplete(t *testing.T) {
+	const uploads = 50
+	body := strings.Repeat("b", 3<<20)
+	for range uploads {
+		rig := newRig(t, rawServer(t, "HTTP/1.1 200 OK\r\n%s\r\n\r\nfirst part"))
+		got := send(t, "POST", rig.URL+"/services/dispatch/bookings", body, nil)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 502, "%s", got.body)
+		assert.Equal(t, got.header.Get("Windscale-Run"), "unknown")
+		assert.Equal(t, len(rig.picker.results(t)), 1)
+		rig.Close()
+	}
+}
