peers, relay, probe: heads of other routers' and health answers are checked like those of servers

A list of another router with 'Transfer-Encoding : chunked' was read with the chunks' framing, a host whose answer to the upgrade was malformed got callers' connections, and a load report with a malformed head was believed.

Cause: as in internal/upstream.

Evidence: TestTruncatedAnswerOfAPeerIsAnError (blank in name, hidden chunks), TestMalformedUpgradeResponseOpensNoTunnel and TestWhatIsNoReport (blank in a field name) failed before. Invalid statuses were handled: each of the three expects one status.

Change: all three use intake.CheckHead.

--- a/internal/edge/peers/network.go
+++ b/internal/edge/peers/network.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/windscale/windscale/internal/bounded"
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/dial"
 )
 
@@ -98,6 +99,9 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := intake.CheckHead(resp.StatusCode, resp.Header); err != nil {
+		return nil, err
+	}
 	reserved := bounded.Reservation{Budget: n.memory}
 	defer reserved.Release()
 	body, err := readBody(resp, &reserved)
--- a/internal/edge/peers/network_test.go
+++ b/internal/edge/peers/network_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/windscale/windscale/internal/bounded"
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/test/flooder"
 	"github.com/windscale/windscale/test/loopback"
 )
@@ -27,13 +28,16 @@
 		"shorter":        {"Content-Length: 9\r\n\r\ntruncate", "", io.ErrUnexpectedEOF},
 		"empty":          {"Content-Length: 9\r\n\r\n", "", io.ErrUnexpectedEOF},
 		"without length": {"\r\ntruncate", "", &LengthError{Length: -1}},
+		"blank in name":  {"Content-Length: 8\r\nX-Crate Number: 7\r\n\r\ncomplete", "", &intake.FieldNameError{Name: "X-Crate Number"}},
+		"hidden chunks":  {"Content-Length: 8\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n", "", &intake.FieldNameError{Name: "Transfer-Encoding "}},
 		"too long":       {fmt.Sprintf("Content-Length: %d\r\n\r\n", maxResponseSize+1), "", &LengthError{Length: maxResponseSize + 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			body, err := newTestNetwork(t).get(answerOnce(t, "HTTP/1.1 200 OK\r\n"+c.answer), pathServers)
-			if want, ok := c.err.(*LengthError); ok {
-				assert.ErrorType(t, err, want)
-				assert.Equal(t, err.Error(), want.Error())
+			switch c.err.(type) {
+			case *LengthError, *intake.FieldNameError:
+				assert.ErrorType(t, err, c.err)
+				assert.Equal(t, err.Error(), c.err.Error())
 				return
 			}
 			assert.ErrorIs(t, err, c.err)
--- a/internal/edge/relay/sender_test.go
+++ b/internal/edge/relay/sender_test.go
@@ -368,6 +368,14 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
+// A response with a blank in a field's name opens no tunnel.
+func TestMalformedUpgradeResponseOpensNoTunnel(t *testing.T) {
+	f := flooder.New(t, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: "+Protocol+"\r\nX-Crate Number: 7\r\n\r\n", "x")
+	_, _, err := openTunnel(context.Background(), "127.0.0.1:1", f.Addr)
+	assert.ErrorType(t, err, &intake.FieldNameError{})
+	<-f.Closed
+}
+
 // Guards against a host that answers the upgrade without end.
 func TestUpgradeResponseWithoutEndOpensNoTunnel(t *testing.T) {
 	for _, beginning := range []string{"", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: "} {
--- a/internal/edge/relay/sendertunnel.go
+++ b/internal/edge/relay/sendertunnel.go
@@ -102,7 +102,10 @@
 	limited := &io.LimitedReader{R: c, N: maxUpgradeHead}
 	buffered := bufio.NewReaderSize(limited, maxUpgradeHead)
 	resp, err := http.ReadResponse(buffered, r)
-	if err != nil && limited.N == 0 {
+	switch {
+	case err == nil:
+		err = intake.CheckHead(resp.StatusCode, resp.Header)
+	case limited.N == 0:
 		err = &intake.LimitError{Bound: intake.BoundHead, Limit: maxUpgradeHead}
 	}
 	if err != nil {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/core/msg"
 )
 
@@ -136,6 +137,9 @@
 		return r, errors.Annotate(err, "load report")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := intake.CheckHead(resp.StatusCode, resp.Header); err != nil {
+		return r, errors.Annotate(err, "load report")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return r, &StatusError{Status: resp.StatusCode}
 	}
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -68,13 +69,18 @@
 			_, _ = w.Write([]byte("slots: 8"))
 		case "long":
 			_, _ = w.Write([]byte(`{"slots":8,"service":"` + strings.Repeat("x", maxReport) + `"}`))
+		case "blank in a field name":
+			c, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Crate Number: 7\r\nContent-Length: 11\r\n\r\n"+`{"slots":8}`)
+			_ = c.Close()
 		case "redirect":
 			http.Redirect(w, r, other.URL, http.StatusFound)
 		}
 	}))
 	defer s.Close()
 	p, out := newProber()
-	for _, mode = range []string{"status", "text", "long", "redirect"} {
+	for _, mode = range []string{"status", "text", "long", "blank in a field name", "redirect"} {
 		p.Ask(t.Context(), "s1", addr(s))
 		p.wg.Wait()
 		a := <-out
