httpplatform: a response with a malformed head is an error

A row was read with the framing of its chunks, or in part, after 'Transfer-Encoding : chunked' or 'Content-Length : 5', and a write whose response was malformed counted by its status as done or as a conflict.

Evidence: TestResponseThatMayBeIncompleteIsAnError (the three kinds with a blank) and TestMalformedResponseToAWriteIsUnknown failed before. Statuses 000 and +20 and a control byte were errors already.

Change: the client checks heads by intake.CheckHead. A read is malformed, the outcome of a write unknown.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -17,6 +17,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/windscale/windscale/internal/core/intake"
 	"github.com/windscale/windscale/internal/platform"
 	"github.com/windscale/windscale/internal/platform/httpplatform/wire"
 )
@@ -150,6 +151,9 @@
 		return answer{}, k.lost(sent.mayHaveLeft(err), err)
 	}
 	defer resp.Body.Close()
+	if err := intake.CheckHead(resp.StatusCode, resp.Header); err != nil {
+		return answer{}, k.badHead(err)
+	}
 	if k.write {
 		// The status alone tells the outcome.
 		_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
@@ -170,6 +174,15 @@
 	return &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
 }
 
+// badHead types an answer whose head is malformed. A write may have been done.
+func (k call) badHead(err error) error {
+	kind := platform.KindMalformed
+	if k.write {
+		kind = platform.KindUnknown
+	}
+	return &platform.Error{Kind: kind, Op: k.op, Err: err}
+}
+
 // badRead types the failure to read the body of a read's answer.
 func (k call) badRead(err error) error {
 	var large *TooLargeError
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -251,3 +252,51 @@
 		})
 	}
 }
+
+// rawServices returns a client of services that give each call the response as it is and close the connection.
+func rawServices(t *testing.T, response string) *Client {
+	return serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		_, _ = io.WriteString(c, response)
+		_ = c.Close()
+	}))
+}
+
+// Guards against a part of a row that is taken for the row: its response ended early, or the line that says
+// how it is framed was overlooked.
+func TestResponseThatMayBeIncompleteIsAnError(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nEtag: \"5\"\r\n"
+	for name, c := range map[string]struct {
+		response string
+		complete bool
+	}{
+		"length":             {ok + "Content-Length: 5\r\n\r\nwhole", true},
+		"chunks":             {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
+		"shorter":            {ok + "Content-Length: 5\r\n\r\nwho", false},
+		"blank after length": {ok + "Content-Length : 5\r\n\r\nwho", false},
+		"blank after coding": {ok + "Transfer-Encoding : chunked\r\nContent-Length: 10\r\n\r\n5\r\nwhole\r\n", false},
+		"blank in a name":    {ok + "X-Crate Number: 7\r\nContent-Length: 5\r\n\r\nwhole", false},
+		"control byte":       {ok + "X-Crate\x01: 7\r\nContent-Length: 5\r\n\r\nwhole", false},
+		"status 000":         {"HTTP/1.1 000 Unknown\r\nEtag: \"5\"\r\nContent-Length: 5\r\n\r\nwhole", false},
+		"status with a sign": {"HTTP/1.1 +20 OK\r\nEtag: \"5\"\r\nContent-Length: 5\r\n\r\nwhole", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rows, err := rawServices(t, c.response).Read(t.Context(), "k")
+			assert.Equal(t, err == nil, c.complete, "%v", err)
+			if c.complete {
+				assert.Equal(t, string(rows[0].Value), "whole")
+			}
+		})
+	}
+}
+
+// A write whose response is malformed may have been done.
+func TestMalformedResponseToAWriteIsUnknown(t *testing.T) {
+	for _, head := range []string{"200 OK\r\nX-Crate Number: 7", "412 Precondition Failed\r\nX-Crate Number: 7", "000 Unknown"} {
+		err := rawServices(t, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n").Commit(t.Context(), platform.Write{Key: "k", Value: []byte("v")})
+		var failed *platform.Error
+		assert.Assert(t, errors.As(err, &failed), "%v", err)
+		assert.Equal(t, failed.Kind, platform.KindUnknown)
+	}
+}
