httpplatform: a response without a length or chunks is not taken for a complete row

The first part of a row or an object counted as all of it if its response had neither a length nor chunks and its server crashed: rows and objects are bytes, of which no part looks incomplete.

Cause: the end of a connection was read as the end of the response, as in docs/incidents/truncated-answers-passed-on.md; this place was not looked at then.

Evidence: TestResponseThatMayBeIncompleteIsAnError, 'neither', was read as a row of three bytes before.

Change: UnframedError, of the kind malformed; nothing in the form of these services allows such an answer.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -93,6 +93,12 @@
 // Error implements error.
 func (e *TooLargeError) Error() string { return "answer too large" }
 
+// UnframedError is an answer that has neither a length nor chunks: where its server crashes, it seems to end.
+type UnframedError struct{}
+
+// Error implements error.
+func (e *UnframedError) Error() string { return "answer has neither a length nor chunks" }
+
 // FormError is an answer that the form does not allow.
 type FormError struct {
 	What   string
@@ -159,7 +165,7 @@
 		_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
 		return answer{status: resp.StatusCode, header: resp.Header, addr: req.URL.Host}, nil
 	}
-	body, err := readBounded(resp.Body)
+	body, err := readBounded(resp)
 	if err != nil {
 		return answer{}, k.badRead(err)
 	}
@@ -186,7 +192,8 @@
 // badRead types the failure to read the body of a read's answer.
 func (k call) badRead(err error) error {
 	var large *TooLargeError
-	if errors.As(err, &large) {
+	var unframed *UnframedError
+	if errors.As(err, &large) || errors.As(err, &unframed) {
 		return &platform.Error{Kind: platform.KindMalformed, Op: k.op, Err: err}
 	}
 	return &platform.Error{Kind: platform.KindUnavailable, Op: k.op, Err: err}
@@ -216,8 +223,12 @@
 	return err
 }
 
-func readBounded(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, wire.MaxBody+1))
+// readBounded reads a body whose end is known.
+func readBounded(resp *http.Response) ([]byte, error) {
+	if resp.Close && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, &UnframedError{}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody+1))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -274,6 +274,7 @@
 		"length":             {ok + "Content-Length: 5\r\n\r\nwhole", true},
 		"chunks":             {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
 		"shorter":            {ok + "Content-Length: 5\r\n\r\nwho", false},
+		"neither":            {ok + "\r\nwho", false},
 		"blank after length": {ok + "Content-Length : 5\r\n\r\nwho", false},
 		"blank after coding": {ok + "Transfer-Encoding : chunked\r\nContent-Length: 10\r\n\r\n5\r\nwhole\r\n", false},
 		"blank in a name":    {ok + "X-Crate Number: 7\r\nContent-Length: 5\r\n\r\nwhole", false},
