state: a router that has just started does not assume which version began a stream

Cause: SoleVersion looks at the versions that a router has seen listed within a minute. A router that has just started has seen one list: versions whose servers had left before are not in it, but their streams can still be resumed. The same held after a gap in following the store, and where a route had led to another service meanwhile.

Change: State.SoleOrigin answers only if the router has followed the list of servers for as long as a stream can last without a gap, if the routes have led to the same services for that time, and if the route has one service.

TestUnnamedAttemptIsResumedAtTheSoleVersion asserted that a router serves such a request right after it got its first list, which is the fault. It now asserts that this, and each other case in which a version may have been missed, is refused, and that the request is served once a minute has passed.

--- a/internal/core/affinity/affinity.go
+++ b/internal/core/affinity/affinity.go
@@ -83,6 +83,21 @@
 	return "no router knows the stream"
 }
 
+// AmbiguousError means that a stream whose first attempt is not named may have begun at several places.
+type AmbiguousError struct {
+	// UnknownHere means that this router has not known the servers and routes for as long as a stream can
+	// last; another one may have.
+	UnknownHere bool
+}
+
+// Error implements error.
+func (e *AmbiguousError) Error() string {
+	if e.UnknownHere {
+		return "its first attempt is not named, and this router has not known the servers and routes for long enough"
+	}
+	return "its first attempt is not named, and it may have begun at several versions"
+}
+
 // Unreachable reports whether a router that did not answer may know the stream.
 func (e *UnknownError) Unreachable() bool { return e.Answered < e.Asked || e.Asked == 0 }
 
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -65,6 +65,13 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// SameServices reports whether the routes of two configurations lead all requests to the same services.
+func SameServices(a, b *Config) bool {
+	return slices.EqualFunc(a.Routes, b.Routes, func(r, o Route) bool {
+		return r.Host == o.Host && r.Prefix == o.Prefix && slices.Equal(r.Shares, o.Shares)
+	})
+}
+
 // Engine is the operator's description of the model engines of a service.
 type Engine struct {
 	Slots       int   // maximum number of concurrent requests
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -38,13 +38,15 @@
 	streams       *localStreams
 	log           *edgetest.LogBuffer
 	processorWait atomic.Int64 // in ns
+	stateAhead    atomic.Int64 // ns by which the clock of the state is ahead
 	attempts      int
 	configVersion int
 }
 
 func newRig(t testing.TB) *rig {
 	t.Helper()
-	r := &rig{t: t, log: &edgetest.LogBuffer{}, streams: &localStreams{table: affinity.New()}, state: state.New("dc", 0.2, 80, time.Now)}
+	r := &rig{t: t, log: &edgetest.LogBuffer{}, streams: &localStreams{table: affinity.New()}}
+	r.state = state.New("dc", 0.2, 80, func() time.Time { return time.Now().Add(time.Duration(r.stateAhead.Load())) })
 	r.handler = front.New(front.Config{
 		State:            r.state,
 		Pool:             upstream.NewPool(time.Now),
--- a/internal/edge/front/resume.go
+++ b/internal/edge/front/resume.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if q.meta.Resumes == "" {
-		return q.assumeSoleVersion()
+		return q.assumeSoleOrigin()
 	}
 	origin, unknown := q.h.Streams.FindStream(ctx, q.streamKey(q.meta.Resumes))
 	if unknown != nil {
@@ -63,15 +63,20 @@
 	return nil
 }
 
-// assumeSoleVersion pins a request that resumes a stream without naming the attempt that began it, as
-// callers of the earlier protocol do, to the version of all servers of its service. It is refused if
-// they run several.
-func (q *request) assumeSoleVersion() *Refusal {
-	version, ok := q.h.State.SoleVersion(q.service)
-	if !ok {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: its first attempt is not named", RetryAfter: unknownStreamRetryAfter}
+// assumeSoleOrigin pins a request that resumes a stream without naming the attempt that began it, as callers of
+// the earlier protocol do, to the only place where it can have begun. It is refused if there are several, or if
+// this router can't exclude that.
+func (q *request) assumeSoleOrigin() *Refusal {
+	origin, ambiguous := q.h.State.SoleOrigin(q.route)
+	if ambiguous != nil {
+		refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + ambiguous.Error(), RetryAfter: unknownStreamRetryAfter}
+		if ambiguous.UnknownHere {
+			refusal.RetryAfter = retryElsewhereAfter
+		}
+		return refusal
 	}
-	q.pinned, q.version = true, version
+	q.service = origin.Service
+	q.pinned, q.version = true, origin.Version
 	return nil
 }
 
--- a/internal/edge/front/resume_test.go
+++ b/internal/edge/front/resume_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -118,16 +119,70 @@
 	assert.Equal(t, len(runs(engines)), 1)
 }
 
-// Callers of the earlier protocol don't name the attempt. They are served while all servers of the
-// service run one version.
+// configureStreams installs a newer configuration in which the route /s/ leads to the services.
+func (r *rig) configureStreams(services ...string) {
+	table, _ := r.state.Table()
+	config := *table.Config
+	config.Version++
+	config.Limits.TokensPerSec++
+	config.Routes = slices.Clone(config.Routes)
+	for i := range config.Routes {
+		if config.Routes[i].Prefix != "/s/" {
+			continue
+		}
+		config.Routes[i].Shares = nil
+		for _, service := range services {
+			config.Routes[i].Shares = append(config.Routes[i].Shares, routing.Share{Service: service, Weight: 1})
+		}
+	}
+	assert.Assert(r.t, r.state.ApplyConfig(&config, nil))
+}
+
+// Callers of the earlier protocol don't name the attempt. They are served where the stream can have begun at one
+// version only: all servers of the route's service have run it for as long as a stream lasts, as far as a router
+// can tell that has followed the list of servers and known the routes for that time.
 func TestUnnamedAttemptIsResumedAtTheSoleVersion(t *testing.T) {
 	r := newRig(t)
 	r.configure()
-	engines, _ := r.servers(3)
+	engines, plain := r.servers(3)
+	resume := func() (status int, reason string) {
+		a := r.resume("/s/x", "k", "a", "", "3")
+		return a.status, a.body
+	}
+	assertRefused := func(reason string) {
+		t.Helper()
+		status, body := resume()
+		assert.Equal(t, status, 503)
+		assert.Assert(t, strings.Contains(body, reason), body)
+		assert.Equal(t, len(runs(append(engines, plain...))), 0, "a refused request has run")
+	}
+	wait := func(d time.Duration) { r.stateAhead.Add(int64(d)) }
+	const notKnown, several = "has not known the servers and routes", "several versions"
+
+	assertRefused(notKnown) // the list does not come from the store
+	r.state.StoreUp()
+	assertRefused(notKnown)
+	wait(affinity.MaxTTL - 10*time.Second)
+	assertRefused(notKnown)
+	wait(20 * time.Second)
+	r.setVersions(engines, "v1", "v1", "v2")
+	assertRefused(several)
 	r.setVersions(engines, "v1", "v1", "v1")
-	assert.Equal(t, r.resume("/s/x", "k", "a", "", "3").status, 503, "the list had servers of another version")
-	lone := newRig(t)
-	lone.configure()
-	lone.servers(3)
-	assert.Equal(t, lone.resume("/s/x", "k", "b", "", "3").status, 200)
+	assertRefused(several) // v2 and the version before v1 are gone, their streams are not
+	wait(affinity.MaxTTL)
+	r.configureStreams("app")
+	assertRefused(notKnown) // the route led to another service
+	r.configureStreams("llm")
+	wait(affinity.MaxTTL)
+	r.state.StoreDown()
+	r.state.StoreUp()
+	assertRefused(notKnown) // a version may have come and gone meanwhile
+	wait(affinity.MaxTTL)
+	r.configureStreams("llm") // changes something else
+	status, body := resume()
+	assert.Equal(t, status, 200, body)
+	assert.Equal(t, runs(engines)[0].Version, "v1")
+	r.configureStreams("llm", "app")
+	wait(affinity.MaxTTL)
+	assert.Equal(t, r.resume("/s/x", "k", "b", "", "3").status, 503, "the route is split between two services")
 }
--- a/internal/edge/node/resume_test.go
+++ b/internal/edge/node/resume_test.go
@@ -18,6 +18,9 @@
 // would match by chance once in 2^resumedStreams runs.
 const resumedStreams = 30
 
+// unnamed stands for the attempt that began a stream if its caller doesn't name it.
+const unnamed = "(unnamed)"
+
 // setVersions gives the first half of the servers version v1 and the others v2.
 func (f *fleet) setVersions() {
 	for i, s := range f.servers {
@@ -62,7 +65,11 @@
 	req.Host = platformtest.Host
 	// Prompts without a common prefix have different homes, as the same prompt has under load.
 	platformtest.SetRequestHeaders(req.Header, attempt, "k", 5*time.Second, "p"+attempt+":600,bb:100")
-	if resumes != "" {
+	switch resumes {
+	case "":
+	case unnamed:
+		platformtest.SetResumeHeaders(req.Header, "", "1")
+	default:
 		platformtest.SetResumeHeaders(req.Header, resumes, "1")
 	}
 	req.Close = true
@@ -171,6 +178,65 @@
 	assert.Equal(t, isolated.node.peers.Live(), 0)
 }
 
+// replaceServers replaces all servers by as many new ones of the version.
+func (f *fleet) replaceServers(version string) {
+	old := f.servers
+	for i := range old {
+		s, err := platformtest.NewServer(fmt.Sprintf("i-%s-%d", version, i), "llm", "dc", 5, time.Millisecond)
+		assert.NilError(f.t, err)
+		f.t.Cleanup(s.Close)
+		s.Version = version
+		f.servers = append(f.servers, s)
+		f.store.PutServer(s, "ready")
+	}
+	for _, s := range old {
+		f.store.Remove("servers", s.ID)
+	}
+}
+
+// assertNotJoined resumes the streams at the router, both with the attempt that began them and without, and
+// checks that none goes on at another version.
+func assertNotJoined(t *testing.T, m *member, began []string) {
+	t.Helper()
+	for _, first := range began {
+		for _, resumes := range []string{first, unnamed} {
+			status, attempt := m.resume(resumes)
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Equal(t, m.fleet.versionOf(attempt), "", "%s went on elsewhere, resumed as %s", first, resumes)
+		}
+	}
+}
+
+// Guards against streams of two versions after all routers were killed: nobody knows any more which version
+// began a stream, and those that serve now need not include it.
+func TestStreamsAreNotJoinedAfterAllRoutersWereKilled(t *testing.T) {
+	t.Run("the old version has left", func(t *testing.T) {
+		f := newFleet(t, 56)
+		a := f.start("127.0.56.1")
+		b := f.start("127.0.56.2", a)
+		awaitEachOther(t, a, b)
+		began := a.beginStreams()
+		a.kill()
+		b.kill()
+		f.replaceServers("v2")
+		a.start()
+		b.start(a)
+		awaitEachOther(t, a, b)
+		assertNotJoined(t, b, began)
+	})
+	t.Run("two versions serve", func(t *testing.T) {
+		f := newFleet(t, 57)
+		f.setVersions()
+		a := f.start("127.0.57.1")
+		began := a.beginStreams()
+		a.kill()
+		a.start()
+		b := f.start("127.0.57.2", a)
+		awaitEachOther(t, a, b)
+		assertNotJoined(t, b, began)
+	})
+}
+
 // awaitEachOther waits until each of the routers hears all others.
 func awaitEachOther(t *testing.T, members ...*member) {
 	t.Helper()
--- a/internal/edge/state/servers.go
+++ b/internal/edge/state/servers.go
@@ -214,14 +214,6 @@
 	return s.picker.Accepts(id)
 }
 
-// SoleVersion returns the software version of the service's servers if they have all run the same one
-// for as long as a stream can last, as far as this router knows.
-func (s *State) SoleVersion(service string) (version string, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.picker.SoleVersion(service, s.now())
-}
-
 // MaySend reports whether a placed request may still be sent to its server: between the choice and
 // the sending the server may leave, be evacuated or become cold.
 func (s *State) MaySend(p *Placement) bool {
--- a/internal/edge/state/state.go
+++ b/internal/edge/state/state.go
@@ -36,7 +36,8 @@
 	mu          sync.Mutex
 	rng         *rand.Rand
 	table       *routing.Table
-	rawConfig   []byte // the configuration in force, as the operator wrote it
+	rawConfig   []byte    // the configuration in force, as the operator wrote it
+	routesSince time.Time // since when the routes lead to the same services
 	confirmedAt time.Time
 	picker      *pick.Picker
 	roster      *roster.Roster
@@ -167,6 +168,9 @@
 	if c.Version <= s.version() {
 		return false
 	}
+	if s.table == nil || !routing.SameServices(s.table.Config, c) {
+		s.routesSince = s.now()
+	}
 	s.table = table
 	s.rawConfig = raw
 	s.picker.SetServices(c.Services)
