front: a router that is out of step does not assume which version began a stream

Cause: the router takes its list of servers for the newest. Whatever it knows of the past minute, another router may have received a change before it.

TestUnnamedAttemptIsRefusedWhileTheListMayBeOld fails in three of its four cases if the check is taken out.

Versions and routes are looked at again afterwards.

--- a/internal/core/affinity/affinity.go
+++ b/internal/core/affinity/affinity.go
@@ -85,15 +85,15 @@
 
 // AmbiguousError means that a stream whose first attempt is not named may have begun at several places.
 type AmbiguousError struct {
-	// UnknownHere means that this router has not known the servers and routes for as long as a stream can
-	// last; another one may have.
+	// UnknownHere means that this router does not know all servers and routes for as long as a stream can
+	// last; another one may.
 	UnknownHere bool
 }
 
 // Error implements error.
 func (e *AmbiguousError) Error() string {
 	if e.UnknownHere {
-		return "its first attempt is not named, and this router has not known the servers and routes for long enough"
+		return "its first attempt is not named, and this router does not know all servers and routes of the last minute"
 	}
 	return "its first attempt is not named, and it may have begun at several versions"
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -61,11 +61,14 @@
 
 // Config holds the dependencies and limits of a Handler.
 type Config struct {
-	State            *state.State
-	Pool             *upstream.Pool
-	Headers          Headers
-	Streams          StreamDirectory // nil: no caller can resume a stream
-	Scheduler        Scheduler       // nil: this router decides on all requests
+	State     *state.State
+	Pool      *upstream.Pool
+	Headers   Headers
+	Streams   StreamDirectory // nil: no caller can resume a stream
+	Scheduler Scheduler       // nil: this router decides on all requests
+	// ServersCurrent reports whether the list of servers holds all changes up to its call; nil: that is
+	// never known.
+	ServersCurrent   func(context.Context) bool
 	Log              *slog.Logger
 	LogSampling      int   // routine log lines are written for one request in this many
 	MaxBufferedBytes int64 // limit on the bytes of request bodies in memory
@@ -108,6 +111,9 @@
 	if c.Streams == nil {
 		c.Streams = noStreams{}
 	}
+	if c.ServersCurrent == nil {
+		c.ServersCurrent = func(context.Context) bool { return false }
+	}
 	if c.ExpectedWait == nil {
 		c.ExpectedWait = c.ProcessorWait
 	}
--- a/internal/edge/front/resume.go
+++ b/internal/edge/front/resume.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if q.meta.Resumes == "" {
-		return q.assumeSoleOrigin()
+		return q.assumeSoleOrigin(ctx)
 	}
 	origin, unknown := q.h.Streams.FindStream(ctx, q.streamKey(q.meta.Resumes))
 	if unknown != nil {
@@ -65,21 +65,33 @@
 
 // assumeSoleOrigin pins a request that resumes a stream without naming the attempt that began it, as callers of
 // the earlier protocol do, to the only place where it can have begun. It is refused if there are several, or if
-// this router can't exclude that.
-func (q *request) assumeSoleOrigin() *Refusal {
-	origin, ambiguous := q.h.State.SoleOrigin(q.route)
+// this router can't exclude that: another router may have begun the stream at a server that this one doesn't
+// know yet.
+func (q *request) assumeSoleOrigin(ctx context.Context) *Refusal {
+	if _, ambiguous := q.h.State.SoleOrigin(q.route); ambiguous != nil {
+		return ambiguousRefusal(ambiguous)
+	}
+	if !q.h.ServersCurrent(ctx) {
+		return ambiguousRefusal(&affinity.AmbiguousError{UnknownHere: true})
+	}
+	origin, ambiguous := q.h.State.SoleOrigin(q.route) // the list or the routes may have changed
 	if ambiguous != nil {
-		refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + ambiguous.Error(), RetryAfter: unknownStreamRetryAfter}
-		if ambiguous.UnknownHere {
-			refusal.RetryAfter = retryElsewhereAfter
-		}
-		return refusal
+		return ambiguousRefusal(ambiguous)
 	}
 	q.service = origin.Service
 	q.pinned, q.version = true, origin.Version
 	return nil
 }
 
+// ambiguousRefusal refuses to resume a stream that may have begun at several places.
+func ambiguousRefusal(err *affinity.AmbiguousError) *Refusal {
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + err.Error(), RetryAfter: unknownStreamRetryAfter}
+	if err.UnknownHere {
+		refusal.RetryAfter = retryElsewhereAfter
+	}
+	return refusal
+}
+
 // pin restricts the rest of the stream to servers of the version, and records its origin. It is called
 // before the first event is sent to the caller, who may come back to any router from then on.
 func (q *request) pin(version string) {
--- a/internal/edge/front/resume_test.go
+++ b/internal/edge/front/resume_test.go
@@ -157,7 +157,8 @@
 		assert.Equal(t, len(runs(append(engines, plain...))), 0, "a refused request has run")
 	}
 	wait := func(d time.Duration) { r.stateAhead.Add(int64(d)) }
-	const notKnown, several = "has not known the servers and routes", "several versions"
+	r.handler.ServersCurrent = func(context.Context) bool { return true }
+	const notKnown, several = "does not know all servers and routes", "several versions"
 
 	assertRefused(notKnown) // the list does not come from the store
 	r.state.StoreUp()
@@ -186,3 +187,32 @@
 	wait(affinity.MaxTTL)
 	assert.Equal(t, r.resume("/s/x", "k", "b", "", "3").status, 503, "the route is split between two services")
 }
+
+// Guards against streams of two versions at a router that is out of step: it was cut off or suspended while
+// servers of a new version joined, where other routers begin streams.
+func TestUnnamedAttemptIsRefusedWhileTheListMayBeOld(t *testing.T) {
+	for name, c := range map[string]struct {
+		check  func(r *rig, engines []*platformtest.Server) bool
+		status int
+	}{
+		"current":                       {func(*rig, []*platformtest.Server) bool { return true }, 200},
+		"old or not known":              {func(*rig, []*platformtest.Server) bool { return false }, 503},
+		"a version joined meanwhile":    {func(r *rig, engines []*platformtest.Server) bool { r.setVersions(engines, "v1", "v2"); return true }, 503},
+		"the route has moved meanwhile": {func(r *rig, _ []*platformtest.Server) bool { r.configureStreams("app"); return true }, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure()
+			engines, _ := r.servers(2)
+			r.state.StoreUp()
+			r.stateAhead.Add(int64(affinity.MaxTTL))
+			r.handler.ServersCurrent = func(context.Context) bool { return c.check(r, engines) }
+			a := r.resume("/s/x", "k", "a", "", "3")
+			assert.Equal(t, a.status, c.status, a.body)
+			if c.status == 503 {
+				assert.Equal(t, len(runs(engines)), 0)
+				assert.Assert(t, a.header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -117,6 +117,7 @@
 		Headers:          platform.Headers{},
 		Streams:          streamDirectory{n},
 		Scheduler:        scheduler{n},
+		ServersCurrent:   (&follow.Confirmer{State: n.state, Store: n.store}).Current,
 		Log:              log,
 		Meter:            n.meter,
 		Now:              n.clock.Now,
--- a/internal/edge/node/resume_test.go
+++ b/internal/edge/node/resume_test.go
@@ -3,8 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,6 +241,45 @@
 	})
 }
 
+// Guards against streams of two versions at a router that is out of step: it is cut off from the store and from
+// the others while servers of a new version join, where other routers begin streams.
+func TestStreamsAreNotJoinedAtARouterOutOfStep(t *testing.T) {
+	f := newFleet(t, 58)
+	a := f.start("127.0.58.1")
+	behind := &member{fleet: f, ip: "127.0.58.9", dataCentre: "dc", ports: reservePorts(t, "127.0.58.9")}
+	cut := f.startCuttable(behind)
+	cut()
+	f.replaceServers("v2")
+	began := a.beginStreams()
+	for i := 0; f.versionOf(began[0]) != "v2"; i++ {
+		assert.Assert(t, i < 100, "the new version gets no requests")
+		began = a.beginStreams()
+	}
+	assertNotJoined(t, behind, began)
+}
+
+// startCuttable starts a router, and returns a function that cuts it off from the store.
+func (f *fleet) startCuttable(m *member) (cut func()) {
+	var isCut atomic.Bool
+	own := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isCut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		f.store.ServeHTTP(w, r)
+	}))
+	own.Config.ErrorLog = log.New(io.Discard, "", 0)
+	f.t.Cleanup(own.Close)
+	f.t.Cleanup(own.CloseClientConnections)
+	shared := f.storeServer
+	f.storeServer = own
+	m.start()
+	f.storeServer = shared
+	return func() {
+		isCut.Store(true)
+		own.CloseClientConnections()
+	}
+}
+
 // awaitEachOther waits until each of the routers hears all others.
 func awaitEachOther(t *testing.T, members ...*member) {
 	t.Helper()
