soak: servers that send malformed responses, or break off early ones

The fault 'malformed' (only if named): servers answer one request in eight with an invalid status or field name, or begin to answer a long request early, without a length, and reset or close the connection. One body in ten is 3 MB long then.

--- a/internal/edge/front/malformed_test.go
+++ b/internal/edge/front/malformed_test.go
@@ -30,7 +30,7 @@
 			engines, plain := r.servers(2)
 			servers := append(engines, plain...)
 			for _, s := range servers {
-				s.Malformed = response
+				s.SetMalformed(response)
 			}
 			failOnce(servers, platformtest.Malformed)
 			for i, status := range []int{c.status, 200} {
@@ -97,7 +97,7 @@
 	r := newRig(t)
 	r.configure()
 	_, plain := r.servers(1)
-	plain[0].Malformed = "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate: 7,\r\n 8\r\nx_crate!~: 9\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
+	plain[0].SetMalformed("HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate: 7,\r\n 8\r\nx_crate!~: 9\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody")
 	plain[0].SetFault(func(string) platformtest.Fault { return platformtest.Malformed })
 	for range 2 {
 		a := r.call(context.Background(), "POST", "/u/x", "k", "")
@@ -117,7 +117,7 @@
 		r := newRig(t)
 		r.configure()
 		_, plain := r.servers(1)
-		plain[0].Malformed = "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + field + "\r\n\r\n"
+		plain[0].SetMalformed("HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + field + "\r\n\r\n")
 		plain[0].SetFault(func(string) platformtest.Fault { return platformtest.Malformed })
 		a := r.call(context.Background(), "POST", "/u/x", "k", "")
 		assert.NilError(t, a.err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -44,9 +44,11 @@
 	fleet *fleet
 	seed  uint64
 	calm  bool // no fault of the schedule breaks an answer off
-	ids   atomic.Int64
-	ok    atomic.Int64 // answered with success
-	all   atomic.Int64
+	// longBodies means that some requests have long bodies.
+	longBodies bool
+	ids        atomic.Int64
+	ok         atomic.Int64 // answered with success
+	all        atomic.Int64
 
 	mu   sync.Mutex
 	sent map[string]*sent
@@ -122,6 +124,7 @@
 // the caller drops, is resumed.
 func (c *callers) one(ctx context.Context, client *http.Client, r *router, rng, resumeRNG *rand.Rand) {
 	s := c.draw(rng)
+	c.drawLongBody(s, resumeRNG)
 	method := http.MethodPost
 	if s.path == "/r/x" {
 		method, s.body = http.MethodGet, ""
--- a/soak/endless.go
+++ b/soak/endless.go
@@ -29,10 +29,8 @@
 
 // memoryOf returns the memory of routers in MB under a schedule.
 func memoryOf(list []fault) int {
-	for _, x := range list {
-		if x.Kind == endlessKind {
-			return smallMemoryMB
-		}
+	if has(list, endlessKind) {
+		return smallMemoryMB
 	}
 	return memoryMB
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -124,6 +124,8 @@
 				f.truncate(x)
 			case endlessKind:
 				f.sendEndless(x)
+			case malformedKind:
+				f.sendMalformed(x)
 			default:
 				kinds[x.Kind](f, x)
 			}
--- a/soak/main.go
+++ b/soak/main.go
@@ -93,7 +93,7 @@
 		names = append(slices.Clone(relayKinds), schedulerKind)
 		known = append(known, schedulerKind)
 	}
-	known = append(known, truncateKind, endlessKind)
+	known = append(known, truncateKind, endlessKind, malformedKind)
 	if o.Faults != "" {
 		names = strings.Split(o.Faults, ",")
 	}
@@ -175,7 +175,7 @@
 		v.report(serviceBack, "not ready after the start")
 		return v.all(), "not played"
 	}
-	c := &callers{fleet: f, seed: seed, calm: calm(list), sent: map[string]*sent{}, leavingSeen: map[routerServer][]time.Time{}}
+	c := &callers{fleet: f, seed: seed, calm: calm(list), longBodies: has(list, malformedKind), sent: map[string]*sent{}, leavingSeen: map[routerServer][]time.Time{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done, watched := make(chan struct{}), make(chan struct{})
 	go func() {
--- /dev/null
+++ b/soak/malformed.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/windscale/windscale/platform/platformtest"
+)
+
+const (
+	// malformedKind is a fault that is drawn only if it is named: all servers, or those of one service,
+	// answer a part of their requests with bytes that are no response, or break off an early one. Some
+	// requests then have long bodies, so that responses can be early.
+	malformedKind = "malformed"
+	// malformedShare is one in how many requests are answered so.
+	malformedShare = 8
+	// longBody is the size of a long body in bytes, and longBodyOneIn one in how many bodies are long.
+	longBody      = 3 << 20
+	longBodyOneIn = 10
+)
+
+// malformedFaults are the faults of a server that sends malformed responses.
+var malformedFaults = []platformtest.Fault{platformtest.Malformed, platformtest.EarlyReset, platformtest.EarlyClose}
+
+// malformedResponses are such responses, of which each server sends one.
+var malformedResponses = []string{
+	"HTTP/1.1 000 Unknown\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 000 Unknown\r\n\r\nHTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 600 Unknown\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate Number: 7\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length : 4\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nATTEMPT\r\nX-Crate\x01: 7\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// sendMalformed has servers send malformed responses for a while.
+func (f *fleet) sendMalformed(x fault) {
+	services := [][]string{{"llm", "app"}, {"llm"}, {"app"}}[x.How%3]
+	for _, service := range services {
+		for i, s := range f.live(service) {
+			s.SetMalformed(malformedResponses[(x.Who+i)%len(malformedResponses)])
+			n := x.Who + i
+			s.SetFault(func(string) platformtest.Fault {
+				n++
+				if n%malformedShare != 0 {
+					return platformtest.NoFault
+				}
+				return malformedFaults[n/malformedShare%len(malformedFaults)]
+			})
+			defer s.SetFault(nil)
+		}
+	}
+	time.Sleep(x.For)
+}
+
+// has reports whether a schedule has a fault of the kind.
+func has(list []fault, kind string) bool {
+	for _, x := range list {
+		if x.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// drawLongBody makes the body of some requests long. Each has a content of its own.
+func (c *callers) drawLongBody(s *sent, rng *rand.Rand) {
+	if c.longBodies && rng.IntN(longBodyOneIn) == 0 {
+		s.body = s.id + strings.Repeat("b", longBody)
+	}
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,6 +105,12 @@
 
 // abort closes a connection with a reset.
 func abort(c net.Conn) {
+	switch wrapped := c.(type) {
+	case uploadWriter:
+		c = wrapped.Conn
+	case uploadReader:
+		c = wrapped.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // the close follows in any case
 	}
@@ -148,8 +156,55 @@
 		abort(c)
 		return
 	}
-	go p.copy(s, c, false, muted)
-	p.copy(c, s, true, muted)
+	var requests upload
+	go p.copy(requests.to(s), c, false, muted)
+	p.copy(c, requests.from(s), true, muted)
+}
+
+// upload is what is written to a server. A socket reports a reset once: if the write gets it, the read that
+// follows sees an orderly end.
+type upload struct {
+	mu  sync.Mutex // held while writing
+	err error      // of a write
+}
+
+func (u *upload) to(server net.Conn) net.Conn   { return uploadWriter{server, u} }
+func (u *upload) from(server net.Conn) net.Conn { return uploadReader{server, u} }
+
+type uploadWriter struct {
+	net.Conn
+	upload *upload
+}
+
+// Write implements net.Conn.
+func (w uploadWriter) Write(b []byte) (int, error) {
+	w.upload.mu.Lock()
+	defer w.upload.mu.Unlock()
+	n, err := w.Conn.Write(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		w.upload.err = err
+	}
+	return n, err
+}
+
+type uploadReader struct {
+	net.Conn
+	upload *upload
+}
+
+// Read implements net.Conn. It returns io.EOF only if no write has failed.
+func (r uploadReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	_ = r.SetWriteDeadline(time.Now()) // fails only if the connection is closed
+	r.upload.mu.Lock()
+	defer r.upload.mu.Unlock()
+	if r.upload.err != nil {
+		return n, r.upload.err
+	}
+	return n, io.EOF
 }
 
 // copy copies one direction until either side ends, and then ends both.
--- a/test/targets.mk
+++ b/test/targets.mk
@@ -36,11 +36,13 @@
 SCHEDULER_SEEDS ?= 1
 TRUNCATE_SEEDS ?= 1,2
 ENDLESS_SEEDS ?= 1
+MALFORMED_SEEDS ?= 2
 
 soak: fleet-programs ## windscale-edge as processes under seeded faults; every promise is checked
 	go build -o bin/ ./soak
 	bin/soak --binary bin/windscale-edge --seeds $(SEEDS)
 	bin/soak --binary bin/windscale-edge --seeds $(TRUNCATE_SEEDS) --faults truncate,reborn,kill,pause,stop,drain
 	bin/soak --binary bin/windscale-edge --seeds $(ENDLESS_SEEDS) --faults endless,kill,pause,flood
+	bin/soak --binary bin/windscale-edge --seeds $(MALFORMED_SEEDS) --faults malformed,kill,pause,stop,flood
 	bin/soak --binary bin/windscale-edge --seeds $(RELAY_SEEDS) --relay --faults flood,kill,pause,stop
 	bin/soak --binary bin/windscale-edge --seeds $(SCHEDULER_SEEDS) --scheduler --routers 16 --callers 24 --faults scheduler,kill,pause,flood
