--- a/internal/edge/front/malformed_test.go
+++ b/internal/edge/front/malformed_test.go
@@ -1,12 +1,17 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/windscale/windscale/internal/edge/edgetest"
 	"github.com/windscale/windscale/platform/platformtest"
 )
 
@@ -130,3 +135,70 @@
 		}
 	}
 }
+
+// Callers' requests are checked by net/http: one with a malformed head reaches no server.
+func TestMalformedRequestIsNotSent(t *testing.T) {
+	for name, lines := range map[string]string{
+		"blank":                  "X-Crate Number: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"blank after the coding": "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"blank after the length": "Content-Length : 4\r\n\r\nbody",
+		"control byte":           "X-Crate\x01: 7\r\nContent-Length: 4\r\n\r\nbody",
+		"empty":                  ": 7\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure()
+			_, plain := r.servers(1)
+			c := r.dialCaller()
+			_, err := fmt.Fprintf(c, "POST /u/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer k\r\n%s: a\r\n%s", platformtest.Host, platformtest.AttemptHeader, lines)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, 400)
+			assert.Equal(t, len(runs(plain)), 0)
+		})
+	}
+}
+
+// A request whose body breaks off reaches no server, whatever the caller's connection reports.
+func TestRequestThatBreaksOffIsNotSent(t *testing.T) {
+	for name, framing := range map[string]string{"length": "Content-Length: 100\r\n\r\nbo", "chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"} {
+		for _, linger := range []int{-1, 0} { // 0 resets the connection
+			r := newRig(t)
+			r.configure()
+			_, plain := r.servers(1)
+			c := r.dialCaller()
+			_, err := fmt.Fprintf(c, "POST /u/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer k\r\n%s: a\r\n%s", platformtest.Host, platformtest.AttemptHeader, framing)
+			assert.NilError(t, err)
+			assert.NilError(t, c.(*net.TCPConn).SetLinger(linger))
+			assert.NilError(t, c.Close())
+			edgetest.Until(t, name+" is refused", func() bool { return strings.Contains(r.log.String(), "body not read") })
+			assert.Equal(t, len(runs(plain)), 0)
+		}
+	}
+}
+
+// Callers of HTTP/2 and callers whose connection another host relays get no malformed response either.
+func TestMalformedResponseForOtherCallers(t *testing.T) {
+	for callerName, call := range map[string]func(r *rig) int{
+		"HTTP/2":  func(r *rig) int { return r.callHTTP2("POST", "/u/x").status },
+		"relayed": func(r *rig) int { return r.relayed(&relayedConn{}, "HTTP/1.1", "/u/x").StatusCode },
+	} {
+		for name, response := range map[string]string{
+			"status": "HTTP/1.1 000 Unknown\r\n\r\nHTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 4\r\n\r\nbody",
+			"name":   "HTTP/1.1 200 OK\r\nATTEMPT\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		} {
+			t.Run(callerName+", "+name, func(t *testing.T) {
+				r := newRig(t)
+				r.configure()
+				_, plain := r.servers(2)
+				for _, s := range plain {
+					s.SetMalformed(response)
+				}
+				failOnce(plain, platformtest.Malformed)
+				assert.Equal(t, call(r), 502)
+				assert.Equal(t, len(runs(plain)), 1)
+			})
+		}
+	}
+}
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -266,6 +266,26 @@
 	return n, nil
 }
 
+// What readHead accepts is a final response with a valid status, whose fields have tokens as names.
+func FuzzReadHead(f *testing.F) {
+	f.Add([]byte(headOf(60)+"ok"), 7)
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+headOf(60)), 11)
+	f.Add([]byte("HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"), 3)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), 5)
+	f.Fuzz(func(t *testing.T, sent []byte, size int) {
+		c := &conn{Conn: &segments{rest: sent, size: 1 + (size&0x7fff)%5000}, reserved: bounded.Reservation{Budget: bounded.NewBudget(2 * intake.MaxHead)}}
+		c.br = bufio.NewReaderSize(c, readBufferSize)
+		resp, err := (&exchange{pool: NewPool(time.Now), conn: c}).readHead(&http.Request{Method: http.MethodPost})
+		if err != nil {
+			return
+		}
+		assert.Assert(t, resp.StatusCode >= 200 && resp.StatusCode <= 599, "%d", resp.StatusCode)
+		for name := range resp.Header {
+			assert.Assert(t, name != "" && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == ':' }), "%q", name)
+		}
+	})
+}
+
 // What fillHead accepts is what net/http accepts, unless it exceeds a bound, and it reads no more than the
 // bound.
 func FuzzHead(f *testing.F) {
