upstream: a connection that is closed before an upload has arrived is no end of the response

The first part of a close-delimited answer could pass as complete if the server closed the connection while the request's body was on its way, and the buffers of the connection had taken the body whole: the write had succeeded, the end of the server's side came first, and the reset after it went unnoticed. A body of up to some MB is such a one, so that on networks with a delay this is the usual case.

Evidence: TestCloseBeforeTheUploadArrivedBreaksTheResponse, 'closed', with a body of 300 KB; before, the response was complete.

Change: once the server's side has ended, the router also waits until the server's host has received what was written (SIOCOUTQ), for the same round trip and 10 ms at most, and looks for the error of the connection (SO_ERROR). A response to a request that has arrived whole waits for nothing.

Sound cases in the same test: the body is read slowly, is not read, or is read whole before the connection is closed.

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection as seen by its reader.
@@ -49,6 +51,30 @@
 	return Closed, recvErr
 }
 
+// Undelivered returns how many bytes that were written to the connection its other side has not acknowledged, 0
+// if the system can't tell. The error is that with which the connection broke, if this call is the one to which
+// it is reported.
+func Undelivered(c syscall.Conn) (n int, broken error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, nil // closed locally
+	}
+	err = raw.Control(func(fd uintptr) {
+		errno, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && errno != 0 {
+			broken = syscall.Errno(errno)
+			return
+		}
+		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			n = queued
+		}
+	})
+	if err != nil {
+		return 0, nil // closed locally
+	}
+	return n, broken
+}
+
 // Reader is a connection that can be read without blocking.
 type Reader interface {
 	// ReadAvailable reads what has arrived. It returns 0 and no error if there is nothing.
--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -64,3 +65,47 @@
 	<-read
 	waitForState(t, here, Closed)
 }
+
+// What the other side does not take is undelivered, and a reset is reported once.
+func TestUndelivered(t *testing.T) {
+	here, there := connPair(t)
+	n, err := Undelivered(here.(syscall.Conn))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 0)
+	assert.NilError(t, here.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = here.Write(make([]byte, 64<<20))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	n, err = Undelivered(here.(syscall.Conn))
+	assert.NilError(t, err)
+	assert.Assert(t, n > 0)
+	assert.NilError(t, there.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, there.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err = Undelivered(here.(syscall.Conn)); err == nil {
+			return poll.Continue("no error")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	_, err = Undelivered(here.(syscall.Conn))
+	assert.NilError(t, err)
+}
+
+// CheckError takes the error of a connection that was reset, and returns it.
+func TestCheckErrorReturnsTheReset(t *testing.T) {
+	here, there := connPair(t)
+	assert.NilError(t, there.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, there.Close())
+	var broken error
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var state State
+		if state, broken = CheckError(here.(syscall.Conn)); state != Closed {
+			return poll.Continue("%d", state)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+	assert.ErrorIs(t, broken, syscall.ECONNRESET)
+	state, err := CheckError(here.(syscall.Conn))
+	assert.Equal(t, state, Closed)
+	assert.NilError(t, err)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,9 +15,13 @@
 	"github.com/windscale/windscale/internal/peek"
 )
 
-// resetWait is how long after a round trip a connection is reset that its server has closed while a request's
-// body was being sent.
-const resetWait = 10 * time.Millisecond
+const (
+	// resetWait is how long after a round trip a connection is reset that its server has closed while a
+	// request's body was being sent.
+	resetWait = 10 * time.Millisecond
+	// deliveryInterval is how often it is looked at meanwhile.
+	deliveryInterval = time.Millisecond
+)
 
 // conn is a connection to one start of a backend server. It carries one exchange at a time.
 type conn struct {
@@ -42,26 +46,40 @@
 	err  error         // why it failed; valid once done is closed
 }
 
-// endWrite ends the write of the request's body after the server has ended its side of the connection. It
-// returns the error by which the connection broke, or nil if it is in order: a server that answers without
-// reading a long body may go on to read it. One that closes the connection instead resets it within a round
-// trip.
+// endWrite waits for the request's body after the server has ended its side of the connection. It returns the
+// error by which the connection broke, or nil if it is in order: a server that answers without reading a long
+// body may go on to read it. One that closes the connection instead resets it within a round trip.
 func (c *conn) endWrite() error {
 	if c.body.done == nil {
 		return nil
 	}
+	deadline := time.Now().Add(c.dialTime + resetWait)
 	select {
 	case <-c.body.done:
-		return c.body.err
 	default:
+		// Fails only if the connection is closed, which ends the write too.
+		_ = c.SetWriteDeadline(deadline)
+		<-c.body.done
 	}
-	// Fails only if the connection is closed, which ends the write too.
-	_ = c.SetWriteDeadline(time.Now().Add(c.dialTime + resetWait))
-	<-c.body.done
 	if errors.Is(c.body.err, os.ErrDeadlineExceeded) {
 		return nil
 	}
-	return c.body.err
+	if c.body.err != nil {
+		return c.body.err
+	}
+	return c.awaitDelivery(deadline)
+}
+
+// awaitDelivery waits until the host of the server has received all that was written, at most until the deadline. It
+// returns the error by which the connection broke.
+func (c *conn) awaitDelivery(deadline time.Time) error {
+	for {
+		n, err := peek.Undelivered(c.Conn.(*net.TCPConn))
+		if err != nil || n == 0 || !time.Now().Before(deadline) {
+			return err
+		}
+		time.Sleep(deliveryInterval)
+	}
 }
 
 // Read reads from the connection and counts the bytes. The error is io.EOF only if the connection is in
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -20,8 +20,10 @@
 const (
 	// uploadSize is more than the buffers of a connection hold.
 	uploadSize = 16 << 20
-	firstPart  = "first part"
-	lastPart   = ", last part"
+	// bufferedUpload is less than the buffers of a connection hold, and more than its receive window.
+	bufferedUpload = 300 << 10
+	firstPart      = "first part"
+	lastPart       = ", last part"
 )
 
 // earlyResponse begins an exchange with a long upload, which the server answers without reading it, by the
@@ -160,3 +162,35 @@
 		}
 	}
 }
+
+// Guards against a part of a response that looks complete after an upload which the buffers of the connection
+// took whole: the server closed the connection before it arrived.
+func TestCloseBeforeTheUploadArrivedBreaksTheResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		end      func(c net.Conn)
+		complete bool
+	}{
+		"closed":            {func(c net.Conn) { time.Sleep(2 * time.Millisecond); _ = c.Close() }, false},
+		"read slowly":       {readSlowly, true},
+		"not read":          {func(net.Conn) {}, true},
+		"read, then closed": {func(c net.Conn) { _, _ = io.ReadFull(c, make([]byte, bufferedUpload)); _ = c.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t, func(conn net.Conn, _ int) {
+				assert.Check(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+firstPart)
+				endInOrder(t, conn)
+				go c.end(conn)
+			})
+			upload := call(l.Addr().String())
+			upload.Method, upload.Body = http.MethodPost, make([]byte, bufferedUpload)
+			resp, err := NewPool(time.Now).Do(context.Background(), upload)
+			assert.Assert(t, err == nil, "%v", err)
+			defer resp.Close()
+			resp.awaitUploadEnd(t)
+			assert.NilError(t, resp.exchange.conn.body.err)
+			_, readErr := io.ReadAll(resp.Body)
+			assert.Equal(t, readErr == nil, c.complete, "%v", readErr)
+		})
+	}
+}
