upstream: a short request body needs no channel

The body of most requests is written before the response is read, so that nothing is written beside it.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,18 +34,31 @@
 	probing   bool      // a check waits whether the server closes it; guarded by the pool's lock
 	idleSince time.Time // when it became idle
 	expires   time.Time // when the server may close it; zero: not announced
-	body      bodyWrite // of the latest request; its zero value: none was sent
+	body      bodyWrite // of the latest request
 
 	peekMu  sync.Mutex // held while the connection is looked at
 	peekErr error      // with which it broke, if looking at it reported that
 }
 
-// bodyWrite is the write of a request's body, which may run beside the reading of the response.
+// bodyWrite is the write of a long request body beside the reading of the response.
 type bodyWrite struct {
-	done chan struct{} // closed when the write has ended
+	done chan struct{} // closed when the write has ended; nil: the body was written before
 	err  error         // why it failed; valid once done is closed
 }
 
+// succeeded reports whether the write has ended without an error.
+func (w *bodyWrite) succeeded() bool {
+	if w.done == nil {
+		return true
+	}
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
 // endWrite waits for the request's body after the server has ended its side of the connection. It returns the
 // error by which the connection broke, or nil if it is in order: a server that answers without reading a long
 // body may go on to read it. One that closes the connection instead resets it within a round trip.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -141,19 +141,18 @@
 // send writes the request. A long body is written concurrently with waiting for the response,
 // which may arrive first.
 func (e *exchange) send(call Call) (sent bool, _ error) {
-	written := make(chan struct{})
-	e.conn.body = bodyWrite{done: written}
+	e.conn.body = bodyWrite{}
 	header := requestHeader(call)
 	if len(call.Body) <= maxInlineBody {
 		n, err := e.conn.Write(append(header, call.Body...))
-		close(written)
 		return n > 0, err
 	}
 	n, err := e.conn.Write(header)
 	if err != nil {
-		close(written)
 		return n > 0, err
 	}
+	written := make(chan struct{})
+	e.conn.body.done = written
 	go func() {
 		defer close(written)
 		_, e.conn.body.err = e.conn.Write(call.Body) // reported to whoever reads the response
@@ -281,13 +280,8 @@
 func (r *Response) Finish() {
 	idleTimeout, announced := keepAliveTimeout(r.resp.Header)
 	e := r.exchange
-	reusable := e.noMismatch && !r.resp.Close && (!announced || idleTimeout > expiryMargin)
-	select {
-	case <-e.conn.body.done:
-		reusable = reusable && e.conn.body.err == nil
-	default:
-		reusable = false // the response ended before the request's body was written
-	}
+	// A response may end before the request's body is written.
+	reusable := e.noMismatch && !r.resp.Close && (!announced || idleTimeout > expiryMargin) && e.conn.body.succeeded()
 	e.finish(reusable, idleTimeout)
 }
 
