front, follow, soak: one refusal of streams, shared fault injection; terms

No change of behaviour: the refusals of streams that can't be resumed are built in one place, the faults endless and malformed of the soak share the choice of servers, and its proxy wraps one connection in place of two.

--- a/internal/core/intake/response.go
+++ b/internal/core/intake/response.go
@@ -9,8 +9,8 @@
 	maxQuotedName = 60
 )
 
-// CheckHead returns a *StatusError or a *FieldNameError unless the status and the names of the fields are those
-// of an HTTP response. Parsers in common use accept more.
+// CheckHead returns a *StatusError or a *FieldNameError unless the status and the names of the fields are valid in
+// an HTTP response. net/http accepts more.
 func CheckHead(status int, fields map[string][]string) error {
 	if err := CheckStatus(status); err != nil {
 		return err
@@ -18,13 +18,13 @@
 	return CheckFieldNames(fields)
 }
 
-// StatusError means that the status of a response is not one of HTTP.
+// StatusError means that the status of a response is outside the range of HTTP.
 type StatusError struct{ Status int }
 
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("invalid status %03d", e.Status) }
 
-// CheckStatus returns a *StatusError unless the status is one of HTTP (RFC 9110, section 15).
+// CheckStatus returns a *StatusError unless the status is valid (RFC 9110, section 15).
 func CheckStatus(status int) error {
 	if status < minStatus || status > maxStatus {
 		return &StatusError{Status: status}
@@ -32,7 +32,7 @@
 	return nil
 }
 
-// FieldNameError means that a field of a response has a name that is none.
+// FieldNameError means that the name of a response's field is not a token.
 type FieldNameError struct{ Name string }
 
 // Error implements error.
@@ -41,7 +41,7 @@
 }
 
 // CheckFieldNames returns a *FieldNameError unless the names of all fields are tokens (RFC 9110, section 5.1).
-// A parser that accepts blanks in them overlooks those that say how the body is framed.
+// net/http accepts blanks in them and then ignores what such a field says about the framing of the body.
 func CheckFieldNames(fields map[string][]string) error {
 	for name := range fields {
 		if !isToken(name) {
--- a/internal/edge/follow/confirm.go
+++ b/internal/edge/follow/confirm.go
@@ -8,28 +8,28 @@
 	"github.com/windscale/windscale/internal/edge/state"
 )
 
-// confirmTimeout bounds a question to the store, which normally answers in 4 ms. Its asker gets nothing else
-// meanwhile.
+// confirmTimeout bounds a query to the store, which normally answers in 4 ms. A request waits for it.
 const confirmTimeout = 250 * time.Millisecond
 
-// Confirmer asks the store whether this router's list of servers is the newest. It is safe for concurrent use.
+// Confirmer checks with the store whether this router's list of servers is the newest. It is safe for
+// concurrent use.
 type Confirmer struct {
 	State *state.State
 	Store Store
 
 	mu      sync.Mutex
-	asking  bool
-	waiting []chan bool // get the result of the next question
+	running bool
+	waiters []chan bool // receive the result of the next query
 }
 
 // Current reports whether the list of servers holds all changes that the store had accepted when it was called.
-// It is false if that can't be found out. Calls that wait for the store share one question.
+// It is false if that can't be found out. Concurrent calls share queries.
 func (c *Confirmer) Current(ctx context.Context) bool {
 	result := make(chan bool, 1)
 	c.mu.Lock()
-	c.waiting = append(c.waiting, result)
-	if !c.asking {
-		c.asking = true
+	c.waiters = append(c.waiters, result)
+	if !c.running {
+		c.running = true
 		go c.run()
 	}
 	c.mu.Unlock()
@@ -41,27 +41,32 @@
 	}
 }
 
-// run asks until nobody waits. Only a question that begins after a call can answer it.
+// run queries the store until there are no waiters. A query answers only those that came before it began.
 func (c *Confirmer) run() {
 	for {
-		c.mu.Lock()
-		waiting := c.waiting
-		c.waiting = nil
-		if len(waiting) == 0 {
-			c.asking = false
-			c.mu.Unlock()
+		waiters := c.takeWaiters()
+		if len(waiters) == 0 {
 			return
 		}
-		c.mu.Unlock()
-		current := c.ask()
-		for _, result := range waiting {
+		current := c.query()
+		for _, result := range waiters {
 			result <- current
 		}
 	}
 }
 
-// ask asks the store for changes of the list.
-func (c *Confirmer) ask() bool {
+// takeWaiters removes and returns the waiters. If there are none, run ends.
+func (c *Confirmer) takeWaiters() []chan bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiters := c.waiters
+	c.waiters = nil
+	c.running = len(waiters) > 0
+	return waiters
+}
+
+// query reports whether the store has no changes of the list that this router lacks.
+func (c *Confirmer) query() bool {
 	stamp, followed := c.State.ResumeStamp()
 	if !followed {
 		return false
--- a/internal/edge/front/earlyreset_test.go
+++ b/internal/edge/front/earlyreset_test.go
@@ -47,15 +47,7 @@
 // one that may be repeated is sent to another server, and any other one is answered 502.
 func TestEarlyResponseThatBreaksOffIsIncomplete(t *testing.T) {
 	for faultName, fault := range map[string]platformtest.Fault{"reset": platformtest.EarlyReset, "closed": platformtest.EarlyClose} {
-		for _, c := range []struct {
-			kind, path   string
-			status, runs int
-		}{
-			{"safe", "/r/x", 200, 2},
-			{"unsafe", "/u/x", 502, 1},
-			{"stream", "/s/x", 200, 2},
-			{"stream that can't be resumed", "/o/x", 502, 1},
-		} {
+		for _, c := range failedRuns {
 			t.Run(c.kind+", "+faultName, func(t *testing.T) {
 				r := newRig(t)
 				r.configure()
--- a/internal/edge/front/malformed_test.go
+++ b/internal/edge/front/malformed_test.go
@@ -15,20 +15,24 @@
 	"github.com/windscale/windscale/platform/platformtest"
 )
 
+// failedRuns are the kinds of requests, and what becomes of one whose first run fails: one that may be repeated is
+// sent to another server, and any other one is answered 502.
+var failedRuns = []struct {
+	kind, path   string
+	status, runs int
+}{
+	{"safe", "/r/x", 200, 2},
+	{"unsafe", "/u/x", 502, 1},
+	{"stream", "/s/x", 200, 2},
+	{"stream that can't be resumed", "/o/x", 502, 1},
+}
+
 // assertNoAnswer checks that a malformed response of a plain server or an engine reaches no caller: a request
 // that may be repeated is sent to another server, and any other one has run, which 502 does not deny. The
 // connection carries no further request.
 func assertNoAnswer(t *testing.T, response string) {
 	t.Helper()
-	for _, c := range []struct {
-		kind, path   string
-		status, runs int
-	}{
-		{"safe", "/r/x", 200, 2},
-		{"unsafe", "/u/x", 502, 1},
-		{"stream", "/s/x", 200, 2},
-		{"stream that can't be resumed", "/o/x", 502, 1},
-	} {
+	for _, c := range failedRuns {
 		t.Run(c.kind, func(t *testing.T) {
 			r := newRig(t)
 			r.configure()
--- a/internal/edge/front/resume.go
+++ b/internal/edge/front/resume.go
@@ -46,17 +46,12 @@
 	}
 	origin, unknown := q.h.Streams.FindStream(ctx, q.streamKey(q.meta.Resumes))
 	if unknown != nil {
-		refusal := &Refusal{
-			Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + unknown.Error(), RetryAfter: unknownStreamRetryAfter,
-			logArgs: []any{"resumes", q.meta.Resumes, "asked", unknown.Asked, "answered", unknown.Answered},
-		}
-		if unknown.Unreachable() {
-			refusal.RetryAfter = retryElsewhereAfter
-		}
+		refusal := unresumable(unknown.Error(), unknown.Unreachable())
+		refusal.logArgs = []any{"resumes", q.meta.Resumes, "asked", unknown.Asked, "answered", unknown.Answered}
 		return refusal
 	}
 	if !slices.ContainsFunc(q.route.Shares, func(s routing.Share) bool { return s.Service == origin.Service }) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: its route has moved to another service", RetryAfter: unknownStreamRetryAfter}
+		return unresumable("its route has moved to another service", false)
 	}
 	q.service = origin.Service
 	q.pinned, q.version = true, origin.Version
@@ -69,24 +64,25 @@
 // know yet.
 func (q *request) assumeSoleOrigin(ctx context.Context) *Refusal {
 	if _, ambiguous := q.h.State.SoleOrigin(q.route); ambiguous != nil {
-		return ambiguousRefusal(ambiguous)
+		return unresumable(ambiguous.Error(), ambiguous.UnknownHere)
 	}
 	if !q.h.ServersCurrent(ctx) {
-		return ambiguousRefusal(&affinity.AmbiguousError{UnknownHere: true})
+		outdated := affinity.AmbiguousError{UnknownHere: true}
+		return unresumable(outdated.Error(), outdated.UnknownHere)
 	}
 	origin, ambiguous := q.h.State.SoleOrigin(q.route) // the list or the routes may have changed
 	if ambiguous != nil {
-		return ambiguousRefusal(ambiguous)
+		return unresumable(ambiguous.Error(), ambiguous.UnknownHere)
 	}
 	q.service = origin.Service
 	q.pinned, q.version = true, origin.Version
 	return nil
 }
 
-// ambiguousRefusal refuses to resume a stream that may have begun at several places.
-func ambiguousRefusal(err *affinity.AmbiguousError) *Refusal {
-	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + err.Error(), RetryAfter: unknownStreamRetryAfter}
-	if err.UnknownHere {
+// unresumable returns the refusal of a request to resume a stream. elsewhere means that another router may serve it.
+func unresumable(reason string, elsewhere bool) *Refusal {
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream can't be resumed: " + reason, RetryAfter: unknownStreamRetryAfter}
+	if elsewhere {
 		refusal.RetryAfter = retryElsewhereAfter
 	}
 	return refusal
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,7 +19,7 @@
 	// resetWait is how long after a round trip a connection is reset that its server has closed while a
 	// request's body was being sent.
 	resetWait = 10 * time.Millisecond
-	// deliveryInterval is how often it is looked at meanwhile.
+	// deliveryInterval is how often it is checked meanwhile whether all has been acknowledged.
 	deliveryInterval = time.Millisecond
 )
 
@@ -36,8 +36,8 @@
 	expires   time.Time // when the server may close it; zero: not announced
 	body      bodyWrite // of the latest request
 
-	peekMu  sync.Mutex // held while the connection is looked at
-	peekErr error      // with which it broke, if looking at it reported that
+	peekMu  sync.Mutex // held while the state of the connection is checked
+	peekErr error      // with which it broke, if reported to such a check
 }
 
 // bodyWrite is the write of a long request body beside the reading of the response.
@@ -83,7 +83,7 @@
 	return c.awaitDelivery(deadline)
 }
 
-// awaitDelivery waits until the host of the server has received all that was written, at most until the deadline. It
+// awaitDelivery waits until the server's host has acknowledged all that was written, at most until the deadline. It
 // returns the error by which the connection broke.
 func (c *conn) awaitDelivery(deadline time.Time) error {
 	for {
@@ -106,8 +106,8 @@
 	return n, err
 }
 
-// endError returns the error with which the connection broke, if another call than the read that found its
-// end was told, or else io.EOF.
+// endError returns the error with which the connection broke, if that was reported to a write or a check of its
+// state, or else io.EOF.
 func (c *conn) endError() error {
 	if err := c.endWrite(); err != nil {
 		return err
--- a/soak/endless.go
+++ b/soak/endless.go
@@ -37,24 +37,33 @@
 
 // sendEndless has servers send endless responses for a while.
 func (f *fleet) sendEndless(x fault) {
-	services := [][]string{{"llm", "app"}, {"llm"}, {"app"}}[x.How%3]
-	for _, service := range services {
-		faults := endlessOf[service]
-		for _, s := range f.live(service) {
-			n := x.Who
-			s.SetFault(func(string) platformtest.Fault {
-				n++
-				if n%endlessShare != 0 {
-					return platformtest.NoFault
-				}
-				return faults[n/endlessShare%len(faults)]
-			})
-			defer s.SetFault(nil)
-		}
+	for _, s := range f.faultyServers(x) {
+		failOneIn(s, endlessShare, x.Who, endlessOf[s.Service])
+		defer s.SetFault(nil)
 	}
 	time.Sleep(x.For)
 }
 
+// faultyServers returns the servers of both services or of one of them.
+func (f *fleet) faultyServers(x fault) (list []*server) {
+	for _, service := range [][]string{{"llm", "app"}, {"llm"}, {"app"}}[x.How%3] {
+		list = append(list, f.live(service)...)
+	}
+	return list
+}
+
+// failOneIn makes one in so many requests to a server fail, by each of the faults in turn.
+func failOneIn(s *server, share, first int, faults []platformtest.Fault) {
+	n := first
+	s.SetFault(func(string) platformtest.Fault {
+		n++
+		if n%share != 0 {
+			return platformtest.NoFault
+		}
+		return faults[n/share%len(faults)]
+	})
+}
+
 // watchMemory reports routers that exceed their memory, until stop is closed.
 func (f *fleet) watchMemory(stop <-chan struct{}) {
 	reported := map[int]bool{}
--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -36,20 +36,10 @@
 
 // sendMalformed has servers send malformed responses for a while.
 func (f *fleet) sendMalformed(x fault) {
-	services := [][]string{{"llm", "app"}, {"llm"}, {"app"}}[x.How%3]
-	for _, service := range services {
-		for i, s := range f.live(service) {
-			s.SetMalformed(malformedResponses[(x.Who+i)%len(malformedResponses)])
-			n := x.Who + i
-			s.SetFault(func(string) platformtest.Fault {
-				n++
-				if n%malformedShare != 0 {
-					return platformtest.NoFault
-				}
-				return malformedFaults[n/malformedShare%len(malformedFaults)]
-			})
-			defer s.SetFault(nil)
-		}
+	for i, s := range f.faultyServers(x) {
+		s.SetMalformed(malformedResponses[(x.Who+i)%len(malformedResponses)])
+		failOneIn(s, malformedShare, x.Who+i, malformedFaults)
+		defer s.SetFault(nil)
 	}
 	time.Sleep(x.For)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -105,13 +105,7 @@
 
 // abort closes a connection with a reset.
 func abort(c net.Conn) {
-	switch wrapped := c.(type) {
-	case uploadWriter:
-		c = wrapped.Conn
-	case uploadReader:
-		c = wrapped.Conn
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // the close follows in any case
 	}
 	_ = c.Close()
@@ -156,53 +150,41 @@
 		abort(c)
 		return
 	}
-	var requests upload
-	go p.copy(requests.to(s), c, false, muted)
-	p.copy(c, requests.from(s), true, muted)
-}
-
-// upload is what is written to a server. A socket reports a reset once: if the write gets it, the read that
-// follows sees an orderly end.
-type upload struct {
-	mu  sync.Mutex // held while writing
-	err error      // of a write
+	server := &serverConn{TCPConn: s.(*net.TCPConn)}
+	go p.copy(server, c, false, muted)
+	p.copy(c, server, true, muted)
 }
 
-func (u *upload) to(server net.Conn) net.Conn   { return uploadWriter{server, u} }
-func (u *upload) from(server net.Conn) net.Conn { return uploadReader{server, u} }
-
-type uploadWriter struct {
-	net.Conn
-	upload *upload
+// serverConn is a connection to a server that one goroutine writes and another reads. A socket reports a reset
+// once: if the write gets it, the read that follows sees an orderly end.
+type serverConn struct {
+	*net.TCPConn
+	writing  sync.Mutex
+	writeErr error // guarded by writing
 }
 
 // Write implements net.Conn.
-func (w uploadWriter) Write(b []byte) (int, error) {
-	w.upload.mu.Lock()
-	defer w.upload.mu.Unlock()
-	n, err := w.Conn.Write(b)
+func (s *serverConn) Write(b []byte) (int, error) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	n, err := s.TCPConn.Write(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		w.upload.err = err
+		s.writeErr = err
 	}
 	return n, err
 }
 
-type uploadReader struct {
-	net.Conn
-	upload *upload
-}
-
 // Read implements net.Conn. It returns io.EOF only if no write has failed.
-func (r uploadReader) Read(b []byte) (int, error) {
-	n, err := r.Conn.Read(b)
+func (s *serverConn) Read(b []byte) (int, error) {
+	n, err := s.TCPConn.Read(b)
 	if err != io.EOF {
 		return n, err
 	}
-	_ = r.SetWriteDeadline(time.Now()) // fails only if the connection is closed
-	r.upload.mu.Lock()
-	defer r.upload.mu.Unlock()
-	if r.upload.err != nil {
-		return n, r.upload.err
+	_ = s.SetWriteDeadline(time.Now()) // fails only if the connection is closed
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if s.writeErr != nil {
+		return n, s.writeErr
 	}
 	return n, io.EOF
 }
